--- /dev/null
+++ b/cottonlug/cli.py
@@ -0,0 +1,236 @@
+"""The command line: it only declares commands and options; the work is in `commands/`."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from msgspec import Raw
+from returns.result import Failure as Err
+
+from . import __version__
+from .commands import demo, jobs, operations, serve
+from .commands.exits import ExitCode
+from .commands.output import print_refusal
+from .commands.workloads import Flavour, build_example_job
+from .config.options import Address
+from .core.ids import KindName, SubmissionId, TeamName
+from .core.messages import SingleRequest
+from .exceptions import BrokenInvariantError, SettingsError
+
+EXIT_HELP = (
+    "Exit codes: 0 done; 1 the job failed; 2 wrong usage; 3 settings or rules have errors; "
+    "4 refused; 5 unavailable or outcome unknown; 6 broken invariant."
+)
+
+app = typer.Typer(
+    help="Dispatch short tasks: each starts at most once, each answer is whole.",
+    epilog=EXIT_HELP,
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+rules_app = typer.Typer(help="Check, apply, show and explain the rules.", no_args_is_help=True)
+app.add_typer(rules_app, name="rules")
+
+ConfigOption = Annotated[Path, typer.Option("--config", "-c", help="Settings file (YAML).")]
+HostOption = Annotated[
+    str,
+    typer.Option("--host", envvar="COTTONLUG_HOST", help="Address of an entry host, as IP:PORT."),
+]
+TokenOption = Annotated[
+    Path,
+    typer.Option("--token-file", envvar="COTTONLUG_TOKEN_FILE", help="File with the token."),
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON, for scripts.")]
+
+
+@app.command(name="serve", epilog="Example: cottonlug serve --config examples/skywatch/e1.yaml")
+def serve_(config: ConfigOption) -> None:
+    """Run an entry host."""
+    raise typer.Exit(serve.serve_entry(config))
+
+
+@app.command(epilog="Example: cottonlug upstream --config examples/skywatch/w01.yaml")
+def upstream(config: ConfigOption) -> None:
+    """Run a stand-in upstream."""
+    raise typer.Exit(serve.serve_upstream(config))
+
+
+@app.command(name="demo")
+def demo_() -> None:
+    """Run one entry host, five stand-in upstreams and a job of each user's, and check them."""
+    raise typer.Exit(demo.run_demo())
+
+
+@app.command(epilog="Example: cottonlug submit job.json, or cottonlug submit --example aurora")
+def submit(
+    host: HostOption,
+    token_file: TokenOption,
+    file: Annotated[Path | None, typer.Argument(help="Job in JSON; - is standard input.")] = None,
+    example: Annotated[Flavour | None, typer.Option(help="Submit an example job instead.")] = None,
+    tasks: Annotated[int, typer.Option(min=1, max=1100, help="Tasks of the example.")] = 1100,
+    seed: Annotated[int, typer.Option(help="Seed of the example.")] = 1,
+    submission: Annotated[str | None, typer.Option("--id", help="Submission id to use.")] = None,
+    wait: Annotated[bool, typer.Option(help="Wait for the whole answer.")] = True,
+    as_json: JsonOption = False,
+) -> None:
+    """Submit a job and print its whole answer, one result a line."""
+    target = _build_target(host, token_file, as_json)
+    if example is not None:
+        request = build_example_job(example, tasks, seed)
+    elif file is not None:
+        read = jobs.read_job_file(file)
+        if isinstance(read, Err):
+            print_refusal(read.failure(), as_json)
+            raise typer.Exit(ExitCode.USAGE)
+        request = read.unwrap()
+    else:
+        raise typer.BadParameter("give a job file or --example")
+    if submission is not None:
+        request.id = SubmissionId(submission)
+    raise typer.Exit(jobs.submit_job(target, request, wait))
+
+
+@app.command(epilog="Example: cottonlug status ID --wait-ms 5000")
+def status(
+    submission: Annotated[str, typer.Argument(metavar="ID")],
+    host: HostOption,
+    token_file: TokenOption,
+    wait_ms: Annotated[int, typer.Option(min=0, max=60_000, help="Wait for the answer.")] = 0,
+    as_json: JsonOption = False,
+) -> None:
+    """Print how far a job has come, or its whole answer."""
+    target = _build_target(host, token_file, as_json)
+    raise typer.Exit(jobs.show_status(target, submission, wait_ms))
+
+
+@app.command(epilog="Example: cottonlug cancel ID")
+def cancel(
+    submission: Annotated[str, typer.Argument(metavar="ID")],
+    host: HostOption,
+    token_file: TokenOption,
+    as_json: JsonOption = False,
+) -> None:
+    """Cancel a job; one that has ended keeps its end."""
+    raise typer.Exit(jobs.cancel_job(_build_target(host, token_file, as_json), submission))
+
+
+@app.command(epilog="Example: cottonlug request --team al-mizan --kind weigh.ticket '{...}'")
+def request(
+    payload: Annotated[str, typer.Argument(help="Payload in JSON.")],
+    team: Annotated[str, typer.Option(help="Team that asks.")],
+    kind: Annotated[str, typer.Option(help="Kind of task.")],
+    host: HostOption,
+    token_file: TokenOption,
+    idempotent: Annotated[bool, typer.Option(help="The task may run more than once.")] = False,
+    deadline_ms: Annotated[int, typer.Option(min=1, help="When to give up.")] = 10_000,
+    submission: Annotated[str | None, typer.Option("--id", help="Submission id to use.")] = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Run one task and print its answer."""
+    message = SingleRequest(
+        id=SubmissionId(submission) if submission else None,
+        team=TeamName(team),
+        kind=KindName(kind),
+        payload=Raw(payload.encode()),
+        idempotent=idempotent,
+        deadline_ms=deadline_ms,
+    )
+    raise typer.Exit(jobs.run_request(_build_target(host, token_file, as_json), message))
+
+
+@app.command(epilog="Example: cottonlug ids --count 10")
+def ids(
+    host: HostOption,
+    token_file: TokenOption,
+    count: Annotated[int, typer.Option(min=1, max=1000, help="How many.")] = 1,
+    as_json: JsonOption = False,
+) -> None:
+    """Mint submission ids."""
+    raise typer.Exit(jobs.mint_ids(_build_target(host, token_file, as_json), count))
+
+
+@app.command(epilog="Example: cottonlug dump --host 127.0.0.1:7201 --token-file tokens/operators")
+def dump(host: HostOption, token_file: TokenOption, as_json: JsonOption = False) -> None:
+    """Print the state of a process (its operators' listener)."""
+    raise typer.Exit(operations.show_dump(_build_target(host, token_file, as_json)))
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    print(__version__)
+
+
+@rules_app.command("check", epilog="Example: cottonlug rules check rules.yaml")
+def rules_check(file: Path) -> None:
+    """Print every problem of a rules file."""
+    raise typer.Exit(operations.check_rules(file))
+
+
+@rules_app.command("show")
+def rules_show(host: HostOption, token_file: TokenOption, as_json: JsonOption = False) -> None:
+    """Print the rules in force at a host."""
+    raise typer.Exit(operations.show_rules(_build_target(host, token_file, as_json)))
+
+
+@rules_app.command("explain", epilog="Example: cottonlug rules explain --file r.yaml --team t ...")
+def rules_explain(
+    team: Annotated[str, typer.Option(help="Team of the job.")],
+    kind: Annotated[str, typer.Option(help="Kind of the job.")],
+    domain: Annotated[str, typer.Option(help="Failure domain where it is submitted.")],
+    label: Annotated[list[str] | None, typer.Option(help="Label as NAME=VALUE.")] = None,
+    size: Annotated[int, typer.Option(min=1, help="Number of tasks.")] = 1,
+    idempotent: Annotated[bool, typer.Option(help="Whether it is an idempotent request.")] = False,
+    file: Annotated[Path | None, typer.Option(help="Ask this file instead of a host.")] = None,
+    host: HostOption = "",
+    token_file: TokenOption = Path(),
+    as_json: JsonOption = False,
+) -> None:
+    """Tell which rule a job meets, and why not the earlier ones."""
+    labels = _read_labels(label or [])
+    asked = operations.build_question(team, kind, domain, labels, size, idempotent)
+    if file is not None:
+        raise typer.Exit(operations.explain_file(file, asked, as_json))
+    target = _build_target(host, token_file, as_json)
+    raise typer.Exit(operations.explain_remote(target, asked))
+
+
+def main() -> None:
+    """Run the command line; settings errors are printed whole, broken invariants stop it."""
+    try:
+        app()
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(ExitCode.SETTINGS)
+    except BrokenInvariantError as error:
+        print(f"broken invariant: {error}", file=sys.stderr)
+        sys.exit(ExitCode.BROKEN_INVARIANT)
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(ExitCode.OK)
+
+
+def _build_target(host: str, token_file: Path, as_json: bool) -> jobs.Target:
+    name, _, port = host.rpartition(":")
+    if not name or not port.isdecimal():
+        raise typer.BadParameter(f"--host is IP:PORT, not {host!r}")
+    try:
+        token = token_file.read_text().strip()
+    except OSError as error:
+        raise typer.BadParameter(f"--token-file {token_file}: {error.strerror}") from error
+    return jobs.Target(address=Address(name, int(port)), token=token, as_json=as_json)
+
+
+def _read_labels(given: list[str]) -> dict[str, str]:
+    labels: dict[str, str] = {}
+    for item in given:
+        name, separator, value = item.partition("=")
+        if not separator:
+            raise typer.BadParameter(f"--label is NAME=VALUE, not {item!r}")
+        labels[name] = value
+    return labels
--- /dev/null
+++ b/cottonlug/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The work behind each command of the command line."""
--- /dev/null
+++ b/cottonlug/commands/demo.py
@@ -0,0 +1,300 @@
+"""One entry host and a handful of stand-in upstreams in one process, and one real job each."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import json
+import secrets
+import socket
+import sys
+import time
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure as Err
+
+from ..config.defaults import (
+    BodySettings,
+    EntryAddress,
+    EntrySettings,
+    Listeners,
+    LogFormat,
+    LogLevel,
+    LogSettings,
+    RetrySettings,
+    SubmissionSettings,
+    Tokens,
+    UpstreamSettings,
+)
+from ..config.options import Address
+from ..core.dispatcher import Limits
+from ..core.ids import DomainName, HostId, Incarnation, KindName, SubmissionId, TeamName, UpstreamId
+from ..core.messages import (
+    JobAnswer,
+    JobStatus,
+    JobView,
+    MintReply,
+    MintRequest,
+    SingleRequest,
+    SubmitRequest,
+)
+from ..core.states import JobState
+from ..net.clients import ApiClient
+from ..runtime.clocks import SystemClock
+from ..runtime.events import set_up_logging
+from ..runtime.node import EntryNode
+from ..upstream.daemon import StandIn
+from ..upstream.work import decide_alert, settle_ticket
+from .workloads import Flavour, build_example_job, sum_run_times
+
+HOST = HostId("e1")
+DOMAIN = DomainName("town-hall-basement")
+UPSTREAMS = 5
+SLOTS = 16
+TASKS = 1_100
+SEED = 7
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DemoRow:
+    """What one job measured, and every promise that it broke."""
+
+    name: str
+    tasks: int
+    starts: int
+    response_seconds: float
+    ideal_seconds: float
+    messages: int
+    empty_replies: int
+    broken: list[str]
+
+
+def run_demo() -> int:
+    """Run the whole path once and return 0 if every promise held."""
+    return asyncio.run(_run_demo())
+
+
+async def _run_demo() -> int:
+    set_up_logging(LogSettings(level=LogLevel.ERROR, format=LogFormat.TEXT))
+    settings = _build_entry_settings()
+    node = EntryNode(settings=settings, clock=SystemClock())
+    failures: list[BaseException] = []
+    error = await node.start(failures.append)
+    if error is not None:
+        print(error, file=sys.stderr)
+        return 1
+    stand_ins = [_build_stand_in(settings, number) for number in range(1, UPSTREAMS + 1)]
+    for stand_in in stand_ins:
+        stand_in.start()
+    while len(node.host.dispatcher.sessions) < UPSTREAMS:
+        await asyncio.sleep(0.01)
+    print(f"entry host {HOST} on {settings.listen.callers}, {UPSTREAMS} upstreams of {SLOTS} slots")
+    client = ApiClient(address=settings.listen.callers, token=settings.tokens.callers)
+    rows = [
+        await _run_job(Flavour.AURORA, client, node, stand_ins),
+        await _run_job(Flavour.TICKETS, client, node, stand_ins),
+    ]
+    rows.append(await _run_payment(client, node, stand_ins))
+    await client.close()
+    await asyncio.gather(*(each.leave(timedelta(seconds=5)) for each in stand_ins))
+    await node.drain()
+    for stand_in in stand_ins:
+        await stand_in.stop()
+    await node.stop()
+    _print_table(rows)
+    broken = [f"{row.name}: {promise}" for row in rows for promise in row.broken]
+    broken += [f"invariant: {failure}" for failure in failures]
+    for line in broken:
+        print(f"BROKEN {line}", file=sys.stderr)
+    print("every promise held" if not broken else f"{len(broken)} promises broken")
+    return 1 if broken else 0
+
+
+async def _run_job(
+    flavour: Flavour, client: ApiClient, node: EntryNode, stand_ins: list[StandIn]
+) -> DemoRow:
+    request = build_example_job(flavour, TASKS, SEED)
+    id = await _mint(client)
+    request.id = id
+    counters = node.host.dispatcher.counters
+    exchanges, empty = counters.exchanges, counters.empty_replies
+    began = time.monotonic()
+    accepted = await client.call("POST", "/v1/jobs", JobStatus, request)
+    broken = [] if not isinstance(accepted, Err) else [f"refused: {accepted.failure().message}"]
+    answer = await _follow(client, id) if not broken else None
+    seconds = time.monotonic() - began
+    again = await client.call("POST", "/v1/jobs", JobStatus, request)
+    if isinstance(again, Err) or again.unwrap().state is not JobState.COMPLETE:
+        broken.append("a resend did not attach to the job")
+    starts = sum(each.start_log.by_submission.get(id, 0) for each in stand_ins)
+    broken += _check_answer(flavour, request, answer, starts, stand_ins)
+    return DemoRow(
+        name=flavour.value,
+        tasks=TASKS,
+        starts=starts,
+        response_seconds=seconds,
+        ideal_seconds=_compute_ideal(sum_run_times(request)),
+        messages=2 * (counters.exchanges - exchanges),
+        empty_replies=counters.empty_replies - empty,
+        broken=broken,
+    )
+
+
+async def _run_payment(client: ApiClient, node: EntryNode, stand_ins: list[StandIn]) -> DemoRow:
+    """Send one non-idempotent request twice with its id; it must run once."""
+    counters = node.host.dispatcher.counters
+    exchanges, empty = counters.exchanges, counters.empty_replies
+    id = await _mint(client)
+    payload = {"ms": 50, "ticket": 1, "gross_kg": 20_000, "tare_kg": 9_000, "material": "ferrous"}
+    request = SingleRequest(
+        id=id,
+        team=TeamName("al-mizan"),
+        kind=KindName("weigh.ticket"),
+        payload=msgspec.Raw(json.dumps(payload).encode()),
+    )
+    began = time.monotonic()
+    first = await client.call("POST", "/v1/requests", JobAnswer, request)
+    seconds = time.monotonic() - began
+    second = await client.call("POST", "/v1/requests", JobAnswer, request)
+    starts = sum(each.start_log.by_submission.get(id, 0) for each in stand_ins)
+    broken = [] if starts == 1 else [f"a payment started {starts} times"]
+    if first != second:
+        broken.append("two callers of one payment got different answers")
+    return DemoRow(
+        name="payment",
+        tasks=1,
+        starts=starts,
+        response_seconds=seconds,
+        ideal_seconds=0.05,
+        messages=2 * (counters.exchanges - exchanges),
+        empty_replies=counters.empty_replies - empty,
+        broken=broken,
+    )
+
+
+async def _mint(client: ApiClient) -> SubmissionId:
+    minted = await client.call("POST", "/v1/ids", MintReply, MintRequest(count=1))
+    reply: MintReply = minted.unwrap()
+    return reply.ids[0]
+
+
+async def _follow(client: ApiClient, id: SubmissionId) -> JobAnswer | None:
+    while True:
+        path = f"/v1/jobs/{id}/answer?wait_ms=250"
+        reply = await client.call("GET", path, JobView)
+        if isinstance(reply, Err):
+            return None
+        message = reply.unwrap()
+        if isinstance(message, JobAnswer):
+            return message
+        print(f"  {message.succeeded:5d} of {message.total} tasks done", flush=True)
+
+
+def _check_answer(
+    flavour: Flavour,
+    request: SubmitRequest,
+    answer: JobAnswer | None,
+    starts: int,
+    stand_ins: list[StandIn],
+) -> list[str]:
+    broken: list[str] = []
+    if answer is None or answer.state is not JobState.COMPLETE or answer.results is None:
+        return [f"no complete answer: {answer}"]
+    if starts != len(request.tasks):
+        broken.append(f"{starts} starts for {len(request.tasks)} tasks")
+    if any(each.start_log.duplicates for each in stand_ins):
+        broken.append("a task started twice")
+    work = decide_alert if flavour is Flavour.AURORA else settle_ticket
+    expected = [work(json.loads(bytes(task))).unwrap() for task in request.tasks]
+    if [json.loads(bytes(result)) for result in answer.results] != expected:
+        broken.append("the answer is not the caller's own whole answer")
+    return broken
+
+
+def _compute_ideal(run_times_ms: list[int]) -> float:
+    """Return how long the tasks take on all slots with no overhead, longest first."""
+    slots = [0.0] * (UPSTREAMS * SLOTS)
+    for run_time in sorted(run_times_ms, reverse=True):
+        heapq.heappush(slots, heapq.heappop(slots) + run_time / 1000)
+    return max(slots)
+
+
+def _print_table(rows: list[DemoRow]) -> None:
+    head = ("job", "tasks", "starts", "response", "ideal", "ratio", "messages", "/task", "empty")
+    print(" ".join(f"{title:>9}" for title in head))
+    for row in rows:
+        ratio = row.response_seconds / row.ideal_seconds
+        cells = (
+            row.name,
+            str(row.tasks),
+            str(row.starts),
+            f"{row.response_seconds:.3f}s",
+            f"{row.ideal_seconds:.3f}s",
+            f"{ratio:.2f}",
+            str(row.messages),
+            f"{row.messages / row.tasks:.2f}",
+            str(row.empty_replies),
+        )
+        print(" ".join(f"{cell:>9}" for cell in cells))
+
+
+def _build_entry_settings() -> EntrySettings:
+    ports = _find_ports(4)
+    listen = [Address("127.0.0.1", port) for port in ports]
+    return EntrySettings(
+        host=HOST,
+        domain=DOMAIN,
+        listen=Listeners(
+            callers=listen[0], operators=listen[1], upstreams=listen[2], peers=listen[3]
+        ),
+        tokens=Tokens(
+            callers=secrets.token_hex(8),
+            operators=secrets.token_hex(8),
+            upstreams=secrets.token_hex(8),
+            peers=secrets.token_hex(8),
+        ),
+        peers=[],
+        rules=None,
+        data_folder=None,
+        voters=[],
+        limits=Limits(),
+        submissions=SubmissionSettings(),
+        retries=RetrySettings(),
+        bodies=BodySettings(),
+        drain_limit=timedelta(seconds=5),
+        drain_linger=timedelta(0),
+        log=LogSettings(),
+    )
+
+
+def _build_stand_in(entry: EntrySettings, number: int) -> StandIn:
+    settings = UpstreamSettings(
+        upstream=UpstreamId(f"w{number}"),
+        domain=entry.domain,
+        rack="r1",
+        slots=SLOTS,
+        processors=32.0,
+        memory_mb=65_536,
+        accelerators=0,
+        labels={},
+        hosts=[EntryAddress(host=entry.host, address=entry.listen.upstreams)],
+        token=entry.tokens.upstreams,
+        listen=None,
+        operator_token=None,
+        prefetch=2,
+        coalesce=timedelta(milliseconds=1),
+        log=LogSettings(),
+    )
+    return StandIn(settings=settings, incarnation=Incarnation(secrets.token_hex(8)))
+
+
+def _find_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [int(each.getsockname()[1]) for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
--- /dev/null
+++ b/cottonlug/commands/exits.py
@@ -0,0 +1,27 @@
+"""Exit codes of the command line."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+from ..core.messages import Refusal
+from ..core.states import RefusalCode
+
+
+class ExitCode(IntEnum):
+    """What the command line's exit status means."""
+
+    OK = 0
+    JOB_FAILED = 1
+    USAGE = 2
+    SETTINGS = 3
+    REFUSED = 4
+    UNAVAILABLE = 5
+    BROKEN_INVARIANT = 6
+
+
+def choose_exit(refusal: Refusal) -> ExitCode:
+    """Return the exit code of a refusal."""
+    if refusal.code is RefusalCode.HOME_UNREACHABLE:
+        return ExitCode.UNAVAILABLE
+    return ExitCode.REFUSED
--- /dev/null
+++ b/cottonlug/commands/jobs.py
@@ -0,0 +1,174 @@
+"""`submit`, `status`, `cancel`, `request` and `ids`: the callers' commands."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..config.options import Address
+from ..core.ids import SubmissionId
+from ..core.messages import (
+    JobAnswer,
+    JobStatus,
+    JobView,
+    MintReply,
+    MintRequest,
+    Refusal,
+    SingleRequest,
+    SubmitRequest,
+)
+from ..core.states import RefusalCode
+from ..net.clients import ApiClient
+from ..net.codec import decode
+from .exits import ExitCode
+from .output import print_json, print_refusal, print_view
+
+POLL_MS = 1_000
+RETRY_CODES = {RefusalCode.HOME_UNREACHABLE, RefusalCode.OVERLOADED}
+MAX_RETRIES = 30
+_DEFAULT_RETRY_MS = 500
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Target:
+    """Which host to talk to, with which token, and how to print."""
+
+    address: Address
+    token: str
+    as_json: bool
+
+
+def submit_job(target: Target, request: SubmitRequest, wait: bool) -> ExitCode:
+    """Submit a job with an id of its own, and wait for the whole answer if told to."""
+    return asyncio.run(_submit(target, request, wait))
+
+
+def show_status(target: Target, id: str, wait_ms: int) -> ExitCode:
+    """Print a job's status, or its answer."""
+    path = f"/v1/jobs/{id}/answer?wait_ms={wait_ms}"
+    return asyncio.run(_call_and_print(target, "GET", path, None))
+
+
+def cancel_job(target: Target, id: str) -> ExitCode:
+    """Cancel a job and print its final state."""
+    return asyncio.run(_call_and_print(target, "POST", f"/v1/jobs/{id}/cancel", None))
+
+
+def run_request(target: Target, request: SingleRequest) -> ExitCode:
+    """Run one task and print its answer."""
+    return asyncio.run(_request(target, request))
+
+
+def mint_ids(target: Target, count: int) -> ExitCode:
+    """Print fresh submission ids."""
+    return asyncio.run(_mint_and_print(target, count))
+
+
+def read_job_file(file: Path) -> Result[SubmitRequest, Refusal]:
+    """Return the job in a JSON file; `-` is standard input."""
+    try:
+        body = sys.stdin.buffer.read() if str(file) == "-" else file.read_bytes()
+    except OSError as error:
+        message = f"{file}: {error.strerror}"
+        return Err(Refusal(code=RefusalCode.INVALID, message=message))
+    return decode(body, SubmitRequest)
+
+
+async def call_patiently(
+    client: ApiClient, method: str, path: str, reply_type: Any, message: Any
+) -> Result[Any, Refusal]:
+    """Call again while the refusal says to come back; a resend has its id and is safe."""
+    for _ in range(MAX_RETRIES):
+        reply = await client.call(method, path, reply_type, message)
+        if isinstance(reply, Success) or reply.failure().code not in RETRY_CODES:
+            return reply
+        wait_ms = reply.failure().retry_after_ms or _DEFAULT_RETRY_MS
+        await asyncio.sleep(wait_ms / 1000)
+    return reply
+
+
+async def _submit(target: Target, request: SubmitRequest, wait: bool) -> ExitCode:
+    client = ApiClient(address=target.address, token=target.token)
+    try:
+        if request.id is None:
+            minted = await _mint(client)
+            if isinstance(minted, Err):
+                return print_refusal(minted.failure(), target.as_json)
+            request.id = minted.unwrap().ids[0]
+        if not target.as_json:
+            print(f"submission {request.id}", file=sys.stderr)
+        accepted = await call_patiently(client, "POST", "/v1/jobs", JobView, request)
+        if isinstance(accepted, Err):
+            return print_refusal(accepted.failure(), target.as_json)
+        view = accepted.unwrap()
+        if wait and isinstance(view, JobStatus):
+            return await _follow(target, client, request.id)
+        return print_view(view, target.as_json)
+    finally:
+        await client.close()
+
+
+async def _follow(target: Target, client: ApiClient, id: SubmissionId) -> ExitCode:
+    path = f"/v1/jobs/{id}/answer?wait_ms={POLL_MS}"
+    while True:
+        reply = await call_patiently(client, "GET", path, JobView, None)
+        if isinstance(reply, Err):
+            return print_refusal(reply.failure(), target.as_json)
+        view = reply.unwrap()
+        if isinstance(view, JobAnswer):
+            return print_view(view, target.as_json)
+        if not target.as_json:
+            print(f"{view.succeeded} of {view.total} tasks done", file=sys.stderr)
+
+
+async def _request(target: Target, request: SingleRequest) -> ExitCode:
+    client = ApiClient(address=target.address, token=target.token, timeout_seconds=90.0)
+    try:
+        if request.id is None and not request.idempotent:
+            minted = await _mint(client)
+            if isinstance(minted, Err):
+                return print_refusal(minted.failure(), target.as_json)
+            request.id = minted.unwrap().ids[0]
+        reply = await call_patiently(client, "POST", "/v1/requests", JobView, request)
+        if isinstance(reply, Err):
+            return print_refusal(reply.failure(), target.as_json)
+        return print_view(reply.unwrap(), target.as_json)
+    finally:
+        await client.close()
+
+
+async def _mint(client: ApiClient) -> Result[MintReply, Refusal]:
+    return await call_patiently(client, "POST", "/v1/ids", MintReply, MintRequest(count=1))
+
+
+async def _mint_and_print(target: Target, count: int) -> ExitCode:
+    client = ApiClient(address=target.address, token=target.token)
+    try:
+        reply = await client.call("POST", "/v1/ids", MintReply, MintRequest(count=count))
+    finally:
+        await client.close()
+    if isinstance(reply, Err):
+        return print_refusal(reply.failure(), target.as_json)
+    minted: MintReply = reply.unwrap()
+    if target.as_json:
+        print_json(minted)
+    else:
+        print("\n".join(minted.ids))
+    return ExitCode.OK
+
+
+async def _call_and_print(target: Target, method: str, path: str, message: Any) -> ExitCode:
+    client = ApiClient(address=target.address, token=target.token, timeout_seconds=90.0)
+    try:
+        reply = await client.call(method, path, JobView, message)
+    finally:
+        await client.close()
+    if isinstance(reply, Err):
+        return print_refusal(reply.failure(), target.as_json)
+    return print_view(reply.unwrap(), target.as_json)
--- /dev/null
+++ b/cottonlug/commands/serve.py
@@ -0,0 +1,90 @@
+"""`cottonlug serve` and `cottonlug upstream`: the daemons."""
+
+from __future__ import annotations
+
+import os
+import secrets
+import sys
+from datetime import timedelta
+from pathlib import Path
+
+from ..config.defaults import UpstreamSettings
+from ..config.files import load_entry_settings, load_upstream_settings
+from ..core.ids import Incarnation
+from ..net.apps import build_app
+from ..net.operator_app import build_state_handlers
+from ..net.servers import Listener
+from ..runtime.clocks import SystemClock
+from ..runtime.dump import build_entry_dump
+from ..runtime.events import Event, log_event, set_up_logging
+from ..runtime.metrics import Metrics
+from ..runtime.node import EntryNode
+from ..runtime.process import Life, run_loop
+from ..upstream.daemon import StandIn
+from .exits import ExitCode
+
+_LEAVE_LIMIT = timedelta(minutes=5)
+_STATE_BODY_BYTES = 65_536
+
+
+def serve_entry(config: Path) -> int:
+    """Run an entry host until it is told to stop."""
+    return run_loop(_serve_entry(config))
+
+
+def serve_upstream(config: Path) -> int:
+    """Run a stand-in upstream until it is told to stop."""
+    return run_loop(_serve_upstream(config))
+
+
+async def _serve_entry(config: Path) -> int:
+    settings = load_entry_settings(config)
+    set_up_logging(settings.log)
+    log_event(Event.STARTED, host=settings.host, domain=settings.domain, pid=os.getpid())
+    life = Life()
+    node = EntryNode(settings=settings, clock=SystemClock())
+    life.watch_signals(lambda: build_entry_dump(node.host))
+    error = await node.start(life.fail)
+    if error is not None:
+        print(error, file=sys.stderr)
+        return ExitCode.UNAVAILABLE
+    await life.wait_stop()
+    if life.failure is not None:
+        return ExitCode.BROKEN_INVARIANT
+    await node.drain()
+    await node.stop()
+    log_event(Event.STOPPED, host=settings.host)
+    return ExitCode.OK
+
+
+async def _serve_upstream(config: Path) -> int:
+    settings = load_upstream_settings(config)
+    set_up_logging(settings.log)
+    log_event(Event.STARTED, upstream=settings.upstream, domain=settings.domain, pid=os.getpid())
+    life = Life()
+    stand_in = StandIn(settings=settings, incarnation=Incarnation(secrets.token_hex(8)))
+    life.watch_signals(stand_in.build_dump)
+    listener = _build_state_listener(settings, stand_in)
+    error = await listener.start() if listener is not None else None
+    if error is not None:
+        print(error, file=sys.stderr)
+        return ExitCode.UNAVAILABLE
+    stand_in.start()
+    log_event(Event.READY, upstream=settings.upstream)
+    await life.wait_stop()
+    log_event(Event.DRAINING, upstream=settings.upstream)
+    await stand_in.leave(_LEAVE_LIMIT)
+    await stand_in.stop()
+    if listener is not None:
+        await listener.stop()
+    log_event(Event.STOPPED, upstream=settings.upstream)
+    return ExitCode.OK
+
+
+def _build_state_listener(settings: UpstreamSettings, stand_in: StandIn) -> Listener | None:
+    if settings.listen is None or settings.operator_token is None:
+        return None
+    metrics = Metrics(counters=stand_in.count, gauges=stand_in.gauge)
+    handlers = build_state_handlers(stand_in.build_dump, metrics, settings.operator_token)
+    app = build_app(title="cottonlug upstream", handlers=handlers, max_body_bytes=_STATE_BODY_BYTES)
+    return Listener(app=app, address=settings.listen)
--- /dev/null
+++ b/cottonlug/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: declared options, defaults and reading of YAML."""
--- /dev/null
+++ b/cottonlug/config/defaults.py
@@ -0,0 +1,243 @@
+"""Every setting: its name, type, bounds and default."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from pathlib import Path
+
+from ..core.dispatcher import Limits
+from ..core.ids import NAME_PATTERN, DomainName, HostId, UpstreamId
+from .options import (
+    Address,
+    Option,
+    Options,
+    read_address,
+    read_choice,
+    read_integer,
+    read_labels,
+    read_list,
+    read_number,
+    read_path,
+    read_secret,
+    read_section,
+    read_span,
+    read_text,
+)
+
+read_name = read_text(NAME_PATTERN.pattern, "use a-z, 0-9 and '-'")
+
+
+class LogFormat(Enum):
+    """How log lines look."""
+
+    JSON = "json"
+    TEXT = "text"
+
+
+class LogLevel(Enum):
+    """The least severe events that are logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LogSettings:
+    """Logging."""
+
+    level: LogLevel = LogLevel.INFO
+    format: LogFormat = LogFormat.JSON
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Listeners:
+    """One address for each kind of peer."""
+
+    callers: Address
+    operators: Address
+    upstreams: Address
+    peers: Address
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Tokens:
+    """One bearer token for each kind of peer."""
+
+    callers: str
+    operators: str
+    upstreams: str
+    peers: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerSettings:
+    """Another entry host and the address of its listener for peers."""
+
+    host: HostId
+    domain: DomainName
+    address: Address
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SubmissionSettings:
+    """How long ids and answers are kept."""
+
+    id_lifetime: timedelta = timedelta(minutes=10)
+    retention: timedelta = timedelta(minutes=2)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RetrySettings:
+    """Retries of idempotent requests; `budget` is a share of first attempts."""
+
+    budget: float = 0.1
+    burst: int = 10
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BodySettings:
+    """Largest bodies that are read, in kilobytes."""
+
+    max_kb: int = 8192
+    max_payload_kb: int = 64
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntrySettings:
+    """Settings of an entry host."""
+
+    host: HostId
+    domain: DomainName
+    listen: Listeners
+    tokens: Tokens
+    peers: list[PeerSettings]
+    rules: Path | None
+    data_folder: Path | None
+    voters: list[HostId]
+    limits: Limits
+    submissions: SubmissionSettings
+    retries: RetrySettings
+    bodies: BodySettings
+    drain_limit: timedelta
+    drain_linger: timedelta
+    log: LogSettings
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryAddress:
+    """An entry host as an upstream sees it."""
+
+    host: HostId
+    address: Address
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamSettings:
+    """Settings of a stand-in upstream."""
+
+    upstream: UpstreamId
+    domain: DomainName
+    rack: str
+    slots: int
+    processors: float
+    memory_mb: int
+    accelerators: int
+    labels: dict[str, str]
+    hosts: list[EntryAddress]
+    token: str
+    listen: Address | None
+    operator_token: str | None
+    prefetch: int
+    coalesce: timedelta
+    log: LogSettings
+
+
+_LIMITS = Limits()
+_DAY = 86_400
+
+LIMIT_OPTIONS: Options = {
+    "max_queued_tasks": Option(read_integer(1, 10_000_000), _LIMITS.max_queued_tasks),
+    "idle_lease": Option(read_span, _LIMITS.idle_lease),
+    "busy_lease": Option(read_span, _LIMITS.busy_lease),
+    "suspect_grace": Option(read_span, _LIMITS.suspect_grace),
+    "idle_park": Option(read_span, _LIMITS.idle_park),
+    "busy_park": Option(read_span, _LIMITS.busy_park),
+    "unrunnable_grace": Option(read_span, _LIMITS.unrunnable_grace),
+}
+LISTEN_OPTIONS: Options = {
+    "callers": Option(read_address),
+    "operators": Option(read_address),
+    "upstreams": Option(read_address),
+    "peers": Option(read_address),
+}
+TOKEN_OPTIONS: Options = {
+    "callers": Option(read_secret),
+    "operators": Option(read_secret),
+    "upstreams": Option(read_secret),
+    "peers": Option(read_secret),
+}
+PEER_OPTIONS: Options = {
+    "host": Option(read_name),
+    "domain": Option(read_name),
+    "address": Option(read_address),
+}
+SUBMISSION_OPTIONS: Options = {
+    "id_lifetime": Option(read_span, timedelta(minutes=10)),
+    "retention": Option(read_span, timedelta(minutes=2)),
+}
+RETRY_OPTIONS: Options = {
+    "budget": Option(read_number(0, 1), 0.1),
+    "burst": Option(read_integer(0, 10_000), 10),
+}
+BODY_OPTIONS: Options = {
+    "max_kb": Option(read_integer(1, 65_536), 8192),
+    "max_payload_kb": Option(read_integer(1, 8192), 64),
+}
+LOG_OPTIONS: Options = {
+    "level": Option(read_choice(LogLevel), LogLevel.INFO),
+    "format": Option(read_choice(LogFormat), LogFormat.JSON),
+}
+ENTRY_OPTIONS: Options = {
+    "host": Option(read_name),
+    "domain": Option(read_name),
+    "listen": Option(read_section(LISTEN_OPTIONS, Listeners)),
+    "tokens": Option(read_section(TOKEN_OPTIONS, Tokens)),
+    "peers": Option(read_list(read_section(PEER_OPTIONS, PeerSettings)), []),
+    "rules": Option(read_path, None),
+    "data_folder": Option(read_path, None),
+    "voters": Option(read_list(read_name), []),
+    "limits": Option(read_section(LIMIT_OPTIONS, Limits), _LIMITS),
+    "submissions": Option(
+        read_section(SUBMISSION_OPTIONS, SubmissionSettings), SubmissionSettings()
+    ),
+    "retries": Option(read_section(RETRY_OPTIONS, RetrySettings), RetrySettings()),
+    "bodies": Option(read_section(BODY_OPTIONS, BodySettings), BodySettings()),
+    "drain_limit": Option(read_span, timedelta(minutes=5)),
+    "drain_linger": Option(read_span, timedelta(seconds=5)),
+    "log": Option(read_section(LOG_OPTIONS, LogSettings), LogSettings()),
+}
+ENTRY_ADDRESS_OPTIONS: Options = {"host": Option(read_name), "address": Option(read_address)}
+UPSTREAM_OPTIONS: Options = {
+    "upstream": Option(read_name),
+    "domain": Option(read_name),
+    "rack": Option(read_text(), ""),
+    "slots": Option(read_integer(1, 4096), 8),
+    "processors": Option(read_number(0, 4096), 32.0),
+    "memory_mb": Option(read_integer(0, 16_777_216), 65_536),
+    "accelerators": Option(read_integer(0, 64), 0),
+    "labels": Option(read_labels, {}),
+    "hosts": Option(read_list(read_section(ENTRY_ADDRESS_OPTIONS, EntryAddress))),
+    "token": Option(read_secret),
+    "listen": Option(read_address, None),
+    "operator_token": Option(read_secret, None),
+    "prefetch": Option(read_integer(0, 1024), 2),
+    "coalesce": Option(read_span, timedelta(milliseconds=1)),
+    "log": Option(read_section(LOG_OPTIONS, LogSettings), LogSettings()),
+}
+
+read_entry_settings = read_section(ENTRY_OPTIONS, EntrySettings)
+read_upstream_settings = read_section(UPSTREAM_OPTIONS, UpstreamSettings)
--- /dev/null
+++ b/cottonlug/config/files.py
@@ -0,0 +1,80 @@
+"""Reading of settings files."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TypeVar
+
+from ..exceptions import SettingsError
+from .defaults import (
+    EntrySettings,
+    UpstreamSettings,
+    read_entry_settings,
+    read_upstream_settings,
+)
+from .options import Loaded, Problem, Read, load_yaml
+
+T = TypeVar("T")
+
+_TOKEN_KINDS = 4
+
+
+def load_entry_settings(file: Path) -> EntrySettings:
+    """Return an entry host's settings, or raise `SettingsError` naming every problem."""
+    loaded = load_file(file, read_entry_settings)
+    settings = _get_value(file, loaded)
+    _raise_for(file, _check_entry(settings))
+    return settings
+
+
+def load_upstream_settings(file: Path) -> UpstreamSettings:
+    """Return a stand-in upstream's settings, or raise `SettingsError` naming every problem."""
+    settings = _get_value(file, load_file(file, read_upstream_settings))
+    if settings.listen is not None and settings.operator_token is None:
+        message = "required when listen is given"
+        _raise_for(file, [Problem(path="operator_token", line=1, message=message)])
+    return settings
+
+
+def load_file(file: Path, read: Read[T]) -> Loaded[T]:
+    """Read a YAML file with a reader."""
+    try:
+        text = file.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        problem = Problem(path="(file)", line=0, message=f"cannot be read: {error}")
+        return Loaded(None, [problem])
+    return load_yaml(text, file.parent, read)
+
+
+def _check_entry(settings: EntrySettings) -> list[Problem]:
+    problems: list[Problem] = []
+    hosts = [peer.host for peer in settings.peers]
+    if settings.host in hosts or len(set(hosts)) < len(hosts):
+        message = "every host is named once, and this host is not its own peer"
+        problems.append(Problem(path="peers", line=1, message=message))
+    for voter in settings.voters:
+        if voter != settings.host and voter not in hosts:
+            message = f"{voter!r} is neither this host nor a peer"
+            problems.append(Problem(path="voters", line=1, message=message))
+    if settings.host in settings.voters and settings.data_folder is None:
+        message = "a voter needs a data folder"
+        problems.append(Problem(path="data_folder", line=1, message=message))
+    tokens = settings.tokens
+    values = {tokens.callers, tokens.operators, tokens.upstreams, tokens.peers}
+    if len(values) < _TOKEN_KINDS:
+        message = "each kind of peer needs a token of its own"
+        problems.append(Problem(path="tokens", line=1, message=message))
+    return problems
+
+
+def _get_value(file: Path, loaded: Loaded[T]) -> T:
+    _raise_for(file, [problem for problem in loaded.problems if not problem.is_warning])
+    if loaded.value is None:
+        raise SettingsError(f"{file}: no settings")
+    return loaded.value
+
+
+def _raise_for(file: Path, problems: list[Problem]) -> None:
+    if problems:
+        lines = "\n".join(f"{file}: {problem}" for problem in problems)
+        raise SettingsError(lines)
--- /dev/null
+++ b/cottonlug/core/__init__.py
@@ -0,0 +1,1 @@
+"""The embeddable core: state machines without input or output."""
--- /dev/null
+++ b/cottonlug/core/estimates.py
@@ -0,0 +1,45 @@
+"""Learned run times by team and kind, robust against wrong declarations."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from .ids import KindName, TeamName
+
+DEFAULT_RUN_TIME = timedelta(milliseconds=300)
+_STEP = 0.1
+"""Share by which one observation moves the median estimate."""
+_TRUSTED_AFTER = 8
+"""Observations after which a declared run time no longer counts."""
+
+
+class RunTimes:
+    """Median run time of each (team, kind), followed by small multiplicative steps."""
+
+    def __init__(self) -> None:
+        self._medians: dict[tuple[TeamName, KindName], float] = {}
+        self._counts: dict[tuple[TeamName, KindName], int] = {}
+
+    def observe(self, team: TeamName, kind: KindName, ran: timedelta) -> None:
+        """Move the median a step towards one observed run time."""
+        key = (team, kind)
+        seconds = max(ran.total_seconds(), 1e-6)
+        count = self._counts.get(key, 0)
+        median = self._medians.get(key, seconds)
+        step = max(_STEP, 1.0 / (count + 1))
+        factor = 1.0 + step
+        if seconds > median:
+            median = min(median * factor, seconds)
+        elif seconds < median:
+            median = max(median / factor, seconds)
+        self._medians[key] = median
+        self._counts[key] = count + 1
+
+    def expect(
+        self, team: TeamName, kind: KindName, declared: timedelta | None = None
+    ) -> timedelta:
+        """Return the expected run time of one task."""
+        key = (team, kind)
+        if self._counts.get(key, 0) >= _TRUSTED_AFTER:
+            return timedelta(seconds=self._medians[key])
+        return declared or DEFAULT_RUN_TIME
--- /dev/null
+++ b/cottonlug/core/execution.py
@@ -0,0 +1,246 @@
+"""The upstream's side of the exchange protocol: links to entry hosts, credit and held tasks.
+
+An upstream keeps one link to each entry host of its failure domain and splits its slots among them
+as credit. It alone decides what runs, so no two hosts can race for a slot. Any transport error ends
+the link's session: replies to it are refused from then on, and the next session reports what is
+held.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from msgspec import Raw
+
+from .ids import HostId, Incarnation, KindName, SessionNumber, TaskKey, UpstreamId
+from .invariants import require
+from .messages import (
+    Announcement,
+    ExchangeReply,
+    ExchangeRequest,
+    ResultGroup,
+    TaskName,
+    TaskResult,
+)
+from .states import ResultStatus
+
+MAX_OPEN_REQUESTS = 2
+NULL = Raw(b"null")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Assignment:
+    """A task that this upstream was told to start."""
+
+    key: TaskKey
+    host: HostId
+    kind: KindName
+    payload: Raw
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What became of an assignment."""
+
+    key: TaskKey
+    result: TaskResult
+
+
+@dataclass(slots=True, kw_only=True)
+class Link:
+    """State of the link to one entry host."""
+
+    host: HostId
+    session: int = 0
+    next_seq: int = 1
+    announced: bool = False
+    backlog: int = 0
+    draining: bool = False
+    told_credit: int = -1
+    closing_seq: int | None = None
+    closed: bool = False
+    pending: list[Result] = field(default_factory=list)
+    unacknowledged: dict[int, list[Result]] = field(default_factory=dict)
+
+    @property
+    def open_requests(self) -> int:
+        """How many requests of this session wait for their reply."""
+        return len(self.unacknowledged)
+
+
+class Executor:
+    """State of one upstream: what it holds, what runs, and its links."""
+
+    def __init__(
+        self,
+        *,
+        upstream: UpstreamId,
+        incarnation: Incarnation,
+        announcement: Announcement,
+        hosts: Iterable[HostId],
+        prefetch: int,
+    ) -> None:
+        self.upstream = upstream
+        self.announcement = announcement
+        self.links = {host: Link(host=host) for host in hosts}
+        self.leaving = False
+        self.running: dict[TaskKey, Assignment] = {}
+        self.waiting: dict[TaskKey, Assignment] = {}
+        self.to_stop: deque[TaskKey] = deque()
+        self._incarnation = incarnation
+        self._prefetch = prefetch
+
+    def begin_session(self, link: Link) -> None:
+        """Give up the link's session; the next request opens a new one and reports what is held."""
+        link.session += 1
+        link.next_seq = 1
+        link.announced = False
+        link.closing_seq = None
+        for results in link.unacknowledged.values():
+            link.pending.extend(results)
+        link.unacknowledged = {}
+
+    def get_credit(self, link: Link) -> int:
+        """Return this link's share of the slots, by which hosts have a backlog."""
+        if self.leaving or link.draining:
+            return 0
+        slots = self.announcement.slots
+        open_links = [other for other in self.links.values() if not other.draining]
+        wanting = [other for other in open_links if other.backlog > 0]
+        if not wanting:
+            return _share(slots, open_links, link)
+        idle = len(open_links) - len(wanting)
+        if link.backlog == 0:
+            return 1
+        return max(1, _share(max(slots - idle, 1), wanting, link)) + self._prefetch
+
+    def has_news(self, link: Link) -> bool:
+        """Whether a request should go out beside one that is already open."""
+        return bool(link.pending) or self.get_credit(link) > link.told_credit
+
+    def build_request(self, link: Link) -> ExchangeRequest:
+        """Return the link's next request; its results count as delivered once it is answered."""
+        require(link.open_requests < MAX_OPEN_REQUESTS, "a link has a bounded number of requests")
+        results = link.pending
+        link.pending = []
+        link.unacknowledged[link.next_seq] = results
+        link.told_credit = self.get_credit(link)
+        is_first = not link.announced
+        closing = self.leaving and not self._holds_any(link)
+        if closing:
+            link.closing_seq = link.next_seq
+        request = ExchangeRequest(
+            upstream=self.upstream,
+            incarnation=self._incarnation,
+            session=SessionNumber(link.session),
+            seq=link.next_seq,
+            credit=link.told_credit,
+            announce=self.announcement if is_first else None,
+            held=self._list_held(link) if is_first else [],
+            results=_group_results(results),
+            leaving=self.leaving,
+            closing=closing,
+        )
+        link.announced = True
+        link.next_seq += 1
+        return request
+
+    def take_reply(self, link: Link, session: int, reply: ExchangeReply) -> None:
+        """Act on a reply, unless its session was given up meanwhile."""
+        if session != link.session or reply.seq not in link.unacknowledged:
+            return
+        del link.unacknowledged[reply.seq]
+        link.closed = reply.seq == link.closing_seq
+        link.backlog = reply.backlog
+        link.draining = reply.draining
+        for group in reply.starts:
+            for start in group.tasks:
+                key = TaskKey(group.submission, start.index, start.attempt)
+                require(key not in self.running, "a start must not come twice")
+                assignment = Assignment(
+                    key=key,
+                    host=link.host,
+                    kind=group.kind,
+                    payload=start.payload,
+                    timeout_ms=group.timeout_ms,
+                )
+                self.waiting[key] = assignment
+        if self.leaving:
+            self.return_waiting()
+        for name in reply.stops:
+            self._stop(TaskKey(name.submission, name.index, name.attempt))
+
+    def start_next(self) -> Assignment | None:
+        """Take the next waiting task into a free slot."""
+        if not self.waiting or len(self.running) >= self.announcement.slots:
+            return None
+        key = next(iter(self.waiting))
+        assignment = self.waiting.pop(key)
+        self.running[key] = assignment
+        return assignment
+
+    def finish(self, key: TaskKey, status: ResultStatus, value: Raw, ran_us: int) -> HostId:
+        """Record a running task's end and return the host that is to be told."""
+        assignment = self.running.pop(key)
+        self._report(assignment, status, value, ran_us)
+        return assignment.host
+
+    def leave(self) -> None:
+        """Take no new work from now on and give back what has not started."""
+        self.leaving = True
+        self.return_waiting()
+
+    def return_waiting(self) -> None:
+        """Report every waiting task as not started."""
+        for assignment in list(self.waiting.values()):
+            del self.waiting[assignment.key]
+            self._report(assignment, ResultStatus.NOT_STARTED, NULL, 0)
+
+    def is_done(self) -> bool:
+        """Whether a leaving upstream holds nothing and has nothing left to report."""
+        if self.running or self.waiting:
+            return False
+        return not any(
+            link.pending or any(link.unacknowledged.values()) for link in self.links.values()
+        )
+
+    def _stop(self, key: TaskKey) -> None:
+        waiting = self.waiting.pop(key, None)
+        if waiting is not None:
+            self._report(waiting, ResultStatus.NOT_STARTED, NULL, 0)
+        elif key in self.running:
+            self.to_stop.append(key)
+
+    def _report(self, assignment: Assignment, status: ResultStatus, value: Raw, us: int) -> None:
+        key = assignment.key
+        result = TaskResult(key.task, key.attempt, status, value, us)
+        self.links[assignment.host].pending.append(Result(key, result))
+
+    def _list_held(self, link: Link) -> list[TaskName]:
+        held = [*self.waiting.values(), *self.running.values()]
+        return [TaskName(*item.key) for item in held if item.host == link.host]
+
+    def _holds_any(self, link: Link) -> bool:
+        held = [*self.waiting.values(), *self.running.values()]
+        return any(item.host == link.host for item in held)
+
+
+def _share(slots: int, links: list[Link], link: Link) -> int:
+    position = next((at for at, other in enumerate(links) if other is link), 0)
+    share, rest = divmod(slots, len(links))
+    return max(1, share + (1 if position < rest else 0))
+
+
+def _group_results(results: list[Result]) -> list[ResultGroup]:
+    groups: dict[str, ResultGroup] = {}
+    for item in results:
+        id = item.key.submission
+        group = groups.get(id)
+        if group is None:
+            group = ResultGroup(submission=id, results=[])
+            groups[id] = group
+        group.results.append(item.result)
+    return list(groups.values())
--- /dev/null
+++ b/cottonlug/core/guards.py
@@ -0,0 +1,69 @@
+"""Guards against upstreams that fail every task they start.
+
+An upstream whose last results are all failures goes on probation: it gets one start at a time until
+it succeeds, and then returns in steps. At most a set share of upstreams is on probation at once, so
+that a bad job cannot set all of them aside.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .ids import UpstreamId
+
+FAILURES_TO_PROBATION = 3
+MAX_PROBATION_SHARE = 0.34
+
+
+@dataclass(slots=True, kw_only=True)
+class _Record:
+    failures: int = 0
+    limit: int | None = None
+
+
+class FailureGuard:
+    """Consecutive failures of each upstream and the starts it may have at once."""
+
+    def __init__(self) -> None:
+        self._records: dict[UpstreamId, _Record] = {}
+
+    def record_success(self, upstream: UpstreamId) -> None:
+        """Note a success; on probation it doubles the limit, up to none at all."""
+        record = self._records.get(upstream)
+        if record is None:
+            return
+        record.failures = 0
+        if record.limit is None:
+            return
+        record.limit *= 2
+        if record.limit >= 8:
+            record.limit = None
+
+    def record_failure(self, upstream: UpstreamId) -> bool:
+        """Note a failure; True where it puts the upstream on probation."""
+        record = self._records.setdefault(upstream, _Record())
+        record.failures += 1
+        if record.limit is not None:
+            record.limit = 1
+            return False
+        if record.failures < FAILURES_TO_PROBATION or self._is_share_used_up():
+            return False
+        record.limit = 1
+        return True
+
+    def get_limit(self, upstream: UpstreamId) -> int | None:
+        """Return how many starts the upstream may have at once, or None for no limit."""
+        record = self._records.get(upstream)
+        return record.limit if record else None
+
+    def add(self, upstream: UpstreamId) -> None:
+        """Count an upstream as present."""
+        self._records.setdefault(upstream, _Record())
+
+    def remove(self, upstream: UpstreamId) -> None:
+        """Forget an upstream that is gone."""
+        self._records.pop(upstream, None)
+
+    def _is_share_used_up(self) -> bool:
+        limited = sum(1 for record in self._records.values() if record.limit is not None)
+        return limited + 1 > max(1.0, MAX_PROBATION_SHARE * len(self._records))
--- /dev/null
+++ b/cottonlug/core/ids.py
@@ -0,0 +1,76 @@
+"""Identifiers, and the submission id that names its own home.
+
+A submission id is ``<domain>.<host>.<generation>.<minted>.<random>``: the failure domain and entry
+host that hold its record, the generation of that record store, the second at which it was minted
+(hexadecimal, counted from the start of the generation) and random digits.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import NamedTuple, NewType
+
+HostId = NewType("HostId", str)
+DomainName = NewType("DomainName", str)
+UpstreamId = NewType("UpstreamId", str)
+Incarnation = NewType("Incarnation", str)
+SessionNumber = NewType("SessionNumber", int)
+SubmissionId = NewType("SubmissionId", str)
+Generation = NewType("Generation", str)
+TeamName = NewType("TeamName", str)
+KindName = NewType("KindName", str)
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+_ID_PATTERN = re.compile(
+    r"([a-z0-9][a-z0-9-]{0,62})\.([a-z0-9][a-z0-9-]{0,62})\.([0-9a-f]{8})\.([0-9a-f]{1,12})\.([0-9a-f]{16})"
+)
+
+RandomHex = Callable[[int], str]
+"""Return that many random bytes as hexadecimal digits; passed in, so that runs can be repeated."""
+
+
+class TaskKey(NamedTuple):
+    """One attempt at one task of one submission."""
+
+    submission: SubmissionId
+    task: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ParsedId:
+    """The parts of a submission id."""
+
+    domain: DomainName
+    host: HostId
+    generation: Generation
+    minted: timedelta
+
+
+def mint_id(
+    *,
+    domain: DomainName,
+    host: HostId,
+    generation: Generation,
+    age: timedelta,
+    random_hex: RandomHex,
+) -> SubmissionId:
+    """Return a new submission id; `age` is the time since the generation began."""
+    seconds = int(age.total_seconds())
+    return SubmissionId(f"{domain}.{host}.{generation}.{seconds:x}.{random_hex(8)}")
+
+
+def parse_id(text: str) -> ParsedId | None:
+    """Return the parts of a submission id, or None where the text is not one."""
+    match = _ID_PATTERN.fullmatch(text)
+    if match is None:
+        return None
+    return ParsedId(
+        domain=DomainName(match[1]),
+        host=HostId(match[2]),
+        generation=Generation(match[3]),
+        minted=timedelta(seconds=int(match[4], 16)),
+    )
--- /dev/null
+++ b/cottonlug/core/jobs.py
@@ -0,0 +1,182 @@
+"""One job: its tasks, their states and how it ends.
+
+A task moves QUEUED -> SENT -> SUCCEEDED, FAILED or UNKNOWN. It returns from SENT to QUEUED only on
+proof that it did not start. An idempotent request may also be tried again after other ends.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from msgspec import Raw
+
+from .ids import KindName, SubmissionId, TaskKey, TeamName
+from .invariants import require
+from .messages import Failure, JobAnswer, JobStatus, Needs
+from .states import FailureReason, JobState, TaskState
+
+_FORGOTTEN = Raw(b"null")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobSpec:
+    """What was asked for, after the rules were applied."""
+
+    team: TeamName
+    kind: KindName
+    labels: dict[str, str]
+    priority: int
+    timeout: timedelta
+    needs: Needs
+    pool: dict[str, str]
+    idempotent: bool = False
+    max_attempts: int = 1
+
+
+@dataclass(slots=True, kw_only=True)
+class Job:
+    """State of one job; change it only through the functions of this module."""
+
+    id: SubmissionId
+    spec: JobSpec
+    payloads: list[Raw]
+    digest: bytes
+    accepted_at: timedelta
+    deadline_at: timedelta
+    states: list[TaskState] = field(init=False)
+    attempts: list[int] = field(init=False)
+    results: list[Raw | None] = field(init=False)
+    queued: deque[int] = field(init=False)
+    sent: int = 0
+    succeeded: int = 0
+    state: JobState = JobState.ACTIVE
+    failure: Failure | None = None
+    ended_at: timedelta | None = None
+
+    def __post_init__(self) -> None:
+        """Queue every task."""
+        total = len(self.payloads)
+        self.states = [TaskState.QUEUED] * total
+        self.attempts = [0] * total
+        self.results = [None] * total
+        self.queued = deque(range(total))
+
+    @property
+    def ended(self) -> bool:
+        """Whether the job has its final state."""
+        return self.state is not JobState.ACTIVE
+
+
+def send_next_task(job: Job) -> TaskKey:
+    """Take the next queued task as sent and return its key."""
+    require(not job.ended, "a task of an ended job must not be sent")
+    index = job.queued.popleft()
+    require(job.states[index] is TaskState.QUEUED, "only a queued task may be sent")
+    retried = job.attempts[index] > 0
+    require(
+        not retried or job.spec.idempotent or job.results[index] is None,
+        "a finished task must not be sent again",
+    )
+    job.states[index] = TaskState.SENT
+    job.attempts[index] += 1
+    job.sent += 1
+    return TaskKey(job.id, index, job.attempts[index])
+
+
+def is_current(job: Job, key: TaskKey) -> bool:
+    """Whether a result for this attempt still counts."""
+    in_range = 0 <= key.task < len(job.states)
+    return (
+        in_range
+        and not job.ended
+        and job.states[key.task] is TaskState.SENT
+        and job.attempts[key.task] == key.attempt
+    )
+
+
+def record_success(job: Job, key: TaskKey, value: Raw, now: timedelta) -> None:
+    """Keep a task's result; the last one completes the job."""
+    _leave_sent(job, key, TaskState.SUCCEEDED)
+    job.results[key.task] = value
+    job.payloads[key.task] = _FORGOTTEN
+    job.succeeded += 1
+    if job.succeeded == len(job.payloads):
+        require(all(result is not None for result in job.results), "a complete answer is whole")
+        job.state = JobState.COMPLETE
+        job.ended_at = now
+
+
+def record_not_started(job: Job, key: TaskKey) -> None:
+    """Queue a task again after proof that this attempt did not start."""
+    _leave_sent(job, key, TaskState.QUEUED)
+    job.queued.appendleft(key.task)
+
+
+def record_end(job: Job, key: TaskKey, state: TaskState, detail: str, now: timedelta) -> None:
+    """Fail the job because a task failed or its outcome is not known."""
+    require(state in (TaskState.FAILED, TaskState.UNKNOWN), "a task ends badly in two ways")
+    _leave_sent(job, key, state)
+    if state is TaskState.FAILED:
+        reason = FailureReason.TASK_FAILED
+    else:
+        reason = FailureReason.TASK_UNKNOWN
+    fail_job(job, reason, detail, now, task=key.task)
+
+
+def retry_task(job: Job, key: TaskKey) -> None:
+    """Queue a task of an idempotent request again, although it may have run."""
+    require(job.spec.idempotent, "only an idempotent request may run again")
+    _leave_sent(job, key, TaskState.QUEUED)
+    job.queued.append(key.task)
+
+
+def fail_job(
+    job: Job, reason: FailureReason, detail: str, now: timedelta, task: int | None = None
+) -> None:
+    """End the job as failed, naming every task that may have run."""
+    require(not job.ended, "a job ends once")
+    may_have_run = [
+        index
+        for index, state in enumerate(job.states)
+        if state is not TaskState.QUEUED or _may_have_run_before(job, index)
+    ]
+    job.failure = Failure(reason=reason, detail=detail, task=task, may_have_run=may_have_run)
+    job.state = JobState.FAILED
+    job.ended_at = now
+    job.queued.clear()
+    job.results = []
+    job.payloads = []
+
+
+def build_status(job: Job) -> JobStatus:
+    """Return how far the job has come."""
+    return JobStatus(
+        id=job.id,
+        state=job.state,
+        total=len(job.states),
+        queued=len(job.queued),
+        sent=job.sent,
+        succeeded=job.succeeded,
+    )
+
+
+def build_answer(job: Job) -> JobAnswer:
+    """Return the whole answer of an ended job."""
+    require(job.ended, "only an ended job has an answer")
+    if job.state is JobState.FAILED:
+        return JobAnswer(id=job.id, state=job.state, failure=job.failure)
+    results = [result for result in job.results if result is not None]
+    require(len(results) == len(job.states), "a complete answer holds every result")
+    return JobAnswer(id=job.id, state=job.state, results=results)
+
+
+def _leave_sent(job: Job, key: TaskKey, state: TaskState) -> None:
+    require(is_current(job, key), "only the current attempt of a sent task can end")
+    job.states[key.task] = state
+    job.sent -= 1
+
+
+def _may_have_run_before(job: Job, index: int) -> bool:
+    return job.spec.idempotent and job.attempts[index] > 0
--- /dev/null
+++ b/cottonlug/core/queues.py
@@ -0,0 +1,112 @@
+"""Queues of jobs: priority first, then weighted fair between teams, then short work first.
+
+Fairness is start-time fair queueing: each team has a virtual time that grows by the work it was
+given divided by its weight, and the team that is furthest behind is served next. Within a team the
+order is by arrival plus a multiple of the job's expected work, which ages by itself: a long job
+waits behind later short ones only for that fixed time.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from itertools import count
+
+from .ids import SubmissionId, TeamName
+from .jobs import Job
+
+WORK_FACTOR = 1.0
+"""How many seconds of arrival time one second of expected work counts for."""
+
+
+@dataclass(order=True, slots=True)
+class _Entry:
+    rank: float
+    order: int
+    job: Job = field(compare=False)
+
+
+@dataclass(slots=True, kw_only=True)
+class _TeamQueue:
+    weight: float
+    virtual_time: float
+    entries: list[_Entry] = field(default_factory=list)
+
+
+class JobQueue:
+    """All jobs of one entry host that have queued tasks."""
+
+    def __init__(self) -> None:
+        self._classes: dict[int, dict[TeamName, _TeamQueue]] = {}
+        self._weights: dict[TeamName, float] = {}
+        self._virtual_now: dict[int, float] = {}
+        self._present: set[SubmissionId] = set()
+        self._order = count()
+
+    def set_weight(self, team: TeamName, weight: float) -> None:
+        """Set a team's share against the others; 1 is usual."""
+        self._weights[team] = weight
+        for teams in self._classes.values():
+            if team in teams:
+                teams[team].weight = weight
+
+    def push(self, job: Job, expected_work: timedelta) -> None:
+        """Add a job with queued tasks, unless it is here already."""
+        if job.id in self._present:
+            return
+        self._present.add(job.id)
+        teams = self._classes.setdefault(job.spec.priority, {})
+        floor = self._virtual_now.get(job.spec.priority, 0.0)
+        team = teams.get(job.spec.team)
+        if team is None:
+            weight = self._weights.get(job.spec.team, 1.0)
+            team = _TeamQueue(weight=weight, virtual_time=floor)
+            teams[job.spec.team] = team
+        elif not team.entries:
+            team.virtual_time = max(team.virtual_time, floor)
+        arrival = job.accepted_at.total_seconds()
+        rank = arrival + WORK_FACTOR * expected_work.total_seconds()
+        heapq.heappush(team.entries, _Entry(rank, next(self._order), job))
+
+    def iterate(self) -> Iterator[Job]:
+        """Yield the next job again and again until it has nothing queued, then the one after it.
+
+        The caller takes tasks between two steps and reports them with `charge`; a job that the
+        caller passes over is offered again only on the next call.
+        """
+        for priority in sorted(self._classes):
+            passed: list[tuple[_TeamQueue, _Entry]] = []
+            try:
+                yield from self._iterate_class(priority, passed)
+            finally:
+                for team, entry in passed:
+                    heapq.heappush(team.entries, entry)
+
+    def charge(self, job: Job, work: timedelta) -> None:
+        """Count work that was started against the job's team."""
+        team = self._classes[job.spec.priority][job.spec.team]
+        team.virtual_time += work.total_seconds() / team.weight
+
+    def _iterate_class(
+        self, priority: int, passed: list[tuple[_TeamQueue, _Entry]]
+    ) -> Iterator[Job]:
+        teams = self._classes[priority]
+        while True:
+            waiting = [team for team in teams.values() if team.entries]
+            if not waiting:
+                return
+            team = min(waiting, key=lambda candidate: candidate.virtual_time)
+            entry = team.entries[0]
+            job = entry.job
+            if job.ended or not job.queued:
+                heapq.heappop(team.entries)
+                self._present.discard(job.id)
+                continue
+            self._virtual_now[priority] = team.virtual_time
+            before = len(job.queued)
+            yield job
+            if len(job.queued) == before:
+                heapq.heappop(team.entries)
+                passed.append((team, entry))
--- /dev/null
+++ b/cottonlug/core/rules.py
@@ -0,0 +1,166 @@
+"""The operators' ordered when-then rules: the first that matches decides.
+
+A rule that leaves a `when` field out matches any value of it. A `then` field that is left out keeps
+the default. `compile_rules` turns a document into one function, `explain` tells why a rule was met.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import time, timedelta
+
+from .ids import DomainName, KindName, TeamName
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class When:
+    """What a rule matches; None and the empty set stand for any value."""
+
+    teams: frozenset[TeamName] = frozenset()
+    kinds: frozenset[KindName] = frozenset()
+    domains: frozenset[DomainName] = frozenset()
+    labels: dict[str, str] = field(default_factory=dict)
+    min_size: int | None = None
+    max_size: int | None = None
+    min_priority: int | None = None
+    max_priority: int | None = None
+    idempotent: bool | None = None
+    after: time | None = None
+    before: time | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Then:
+    """What a rule decides."""
+
+    reject: str | None = None
+    pool: dict[str, str] = field(default_factory=dict)
+    priority: int | None = None
+    weight: float | None = None
+    timeout: timedelta | None = None
+    max_attempts: int | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Rule:
+    """One rule; its name is unique in the document."""
+
+    name: str
+    when: When = When()
+    then: Then = Then()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Question:
+    """What the rules are asked about one job; `size` is its number of tasks."""
+
+    team: TeamName
+    kind: KindName
+    domain: DomainName
+    labels: dict[str, str]
+    size: int
+    priority: int
+    idempotent: bool
+    time_of_day: time
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """Why one rule did or did not match; `mismatch` names the first field that did not."""
+
+    rule: str
+    mismatch: str | None
+
+
+Check = Callable[[Question], bool]
+Matcher = Callable[[Question], Rule | None]
+
+
+def find_mismatch(when: When, question: Question) -> str | None:
+    """Return the name of the first field that does not match, or None."""
+    for name, check in _list_checks(when):
+        if not check(question):
+            return name
+    return None
+
+
+def compile_rules(rules: list[Rule]) -> Matcher:
+    """Return a function that finds the first matching rule.
+
+    Rules are indexed by team, so that a question tries only those that name its team or none.
+    """
+    any_team: list[tuple[int, Rule, list[Check]]] = []
+    by_team: dict[TeamName, list[tuple[int, Rule, list[Check]]]] = {}
+    for order, rule in enumerate(rules):
+        checks = [check for name, check in _list_checks(rule.when) if name != "team"]
+        entry = (order, rule, checks)
+        if not rule.when.teams:
+            any_team.append(entry)
+        for team in rule.when.teams:
+            by_team.setdefault(team, []).append(entry)
+    merged = {
+        team: sorted([*entries, *any_team], key=lambda entry: entry[0])
+        for team, entries in by_team.items()
+    }
+
+    def match(question: Question) -> Rule | None:
+        for _, rule, checks in merged.get(question.team, any_team):
+            if all(check(question) for check in checks):
+                return rule
+        return None
+
+    return match
+
+
+def explain(rules: list[Rule], question: Question) -> list[Explanation]:
+    """Return, for each rule up to the first that matches, why it did not or that it did."""
+    explanations: list[Explanation] = []
+    for rule in rules:
+        mismatch = find_mismatch(rule.when, question)
+        explanations.append(Explanation(rule.name, mismatch))
+        if mismatch is None:
+            break
+    return explanations
+
+
+def _list_checks(when: When) -> list[tuple[str, Check]]:
+    checks: list[tuple[str, Check]] = []
+    if when.teams:
+        checks.append(("team", lambda asked: asked.team in when.teams))
+    if when.kinds:
+        checks.append(("kind", lambda asked: asked.kind in when.kinds))
+    if when.domains:
+        checks.append(("domain", lambda asked: asked.domain in when.domains))
+    if when.labels:
+        checks.append(("labels", lambda asked: when.labels.items() <= asked.labels.items()))
+    if when.min_size is not None or when.max_size is not None:
+        checks.append(("size", _build_range(when.min_size, when.max_size, lambda a: a.size)))
+    if when.min_priority is not None or when.max_priority is not None:
+        low, high = when.min_priority, when.max_priority
+        checks.append(("priority", _build_range(low, high, lambda asked: asked.priority)))
+    if when.idempotent is not None:
+        checks.append(("idempotent", lambda asked: asked.idempotent is when.idempotent))
+    if when.after is not None or when.before is not None:
+        checks.append(("time", _build_time_check(when.after, when.before)))
+    return checks
+
+
+def _build_range(low: int | None, high: int | None, read: Callable[[Question], int]) -> Check:
+    def check(asked: Question) -> bool:
+        value = read(asked)
+        return (low is None or value >= low) and (high is None or value <= high)
+
+    return check
+
+
+def _build_time_check(after: time | None, before: time | None) -> Check:
+    start = after or time.min
+    end = before or time.max
+
+    def check(asked: Question) -> bool:
+        if start <= end:
+            return start <= asked.time_of_day < end
+        return asked.time_of_day >= start or asked.time_of_day < end
+
+    return check
--- /dev/null
+++ b/cottonlug/core/sessions.py
@@ -0,0 +1,94 @@
+"""The entry host's side of one upstream's session.
+
+The upstream dials and numbers its sessions and requests; the host answers each request once. All
+starts that were sent in a session stay outstanding until a result, a newer session of the same
+incarnation that neither holds nor reports them (proof that they did not start), or the end of the
+lease (their outcome is then unknown).
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from .ids import Incarnation, SessionNumber, TaskKey, UpstreamId
+from .jobs import JobSpec
+from .messages import Announcement, Needs, TaskName
+from .states import SessionState
+
+
+@dataclass(slots=True, kw_only=True)
+class Session:
+    """State of one upstream at one entry host."""
+
+    upstream: UpstreamId
+    incarnation: Incarnation
+    number: SessionNumber
+    announcement: Announcement
+    last_heard: timedelta
+    expires_at: timedelta
+    credit: int = 0
+    state: SessionState = SessionState.ACTIVE
+    outstanding: dict[TaskKey, Needs] = field(default_factory=dict)
+    open_requests: deque[int] = field(default_factory=deque)
+    stops: list[TaskName] = field(default_factory=list)
+    used_processors: float = 0.0
+    used_memory_mb: int = 0
+    used_accelerators: int = 0
+
+    @property
+    def free(self) -> int:
+        """How many more starts this session takes now."""
+        if self.state is not SessionState.ACTIVE or not self.open_requests:
+            return 0
+        return self.credit - len(self.outstanding)
+
+    @property
+    def load(self) -> float:
+        """Outstanding starts against credit, for choosing the least loaded."""
+        return len(self.outstanding) / self.credit if self.credit else float("inf")
+
+
+def could_ever_fit(announcement: Announcement, spec: JobSpec) -> bool:
+    """Whether an empty upstream of this kind could run a task of the job."""
+    needs = spec.needs
+    has_labels = all(announcement.labels.get(name) == value for name, value in spec.pool.items())
+    return (
+        has_labels
+        and needs.processors <= announcement.processors
+        and needs.memory_mb <= announcement.memory_mb
+        and needs.accelerators <= announcement.accelerators
+    )
+
+
+def fits_now(session: Session, spec: JobSpec) -> bool:
+    """Whether one more task of the job fits beside what is outstanding."""
+    announcement = session.announcement
+    needs = spec.needs
+    return (
+        session.free > 0
+        and could_ever_fit(announcement, spec)
+        and session.used_processors + needs.processors <= announcement.processors
+        and session.used_memory_mb + needs.memory_mb <= announcement.memory_mb
+        and session.used_accelerators + needs.accelerators <= announcement.accelerators
+    )
+
+
+def add_outstanding(session: Session, key: TaskKey, needs: Needs) -> None:
+    """Count a start against the session."""
+    session.outstanding[key] = needs
+    session.used_processors += needs.processors
+    session.used_memory_mb += needs.memory_mb
+    session.used_accelerators += needs.accelerators
+
+
+def remove_outstanding(session: Session, key: TaskKey) -> bool:
+    """Give back what a start took; False where it was not outstanding here."""
+    needs = session.outstanding.pop(key, None)
+    if needs is None:
+        return False
+    session.used_processors -= needs.processors
+    session.used_memory_mb -= needs.memory_mb
+    session.used_accelerators -= needs.accelerators
+    return True
--- /dev/null
+++ b/cottonlug/core/submissions.py
@@ -0,0 +1,146 @@
+"""The records of one home: which submission ids were accepted here and what became of them.
+
+An id may start a job only while it is younger than `id_lifetime`. The answer is kept for
+`retention` after the end, and a tombstone until the id is too old to be used. So a resend either
+meets a record or is refused; it never starts a second job. Ages are counted on the monotonic clock
+of one generation; a store that lost its records begins a new generation.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from datetime import timedelta
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from .ids import (
+    DomainName,
+    Generation,
+    HostId,
+    ParsedId,
+    RandomHex,
+    SubmissionId,
+    mint_id,
+    parse_id,
+)
+from .jobs import Job
+from .messages import Failure, JobAnswer, Refusal
+from .states import FailureReason, JobState, RefusalCode, RunOutcome
+
+CLOCK_ROUNDING = timedelta(seconds=1)
+"""An id holds whole seconds, so its age may seem up to this much too small."""
+
+
+class SubmissionStore:
+    """Accepted jobs of one generation, by submission id."""
+
+    def __init__(
+        self,
+        *,
+        domain: DomainName,
+        host: HostId,
+        generation: Generation,
+        started_at: timedelta,
+        id_lifetime: timedelta,
+        retention: timedelta,
+        random_hex: RandomHex,
+    ) -> None:
+        self.domain = domain
+        self.host = host
+        self.generation = generation
+        self.id_lifetime = id_lifetime
+        self.jobs: dict[SubmissionId, Job] = {}
+        self._started_at = started_at
+        self._retention = retention
+        self._random_hex = random_hex
+        self._ended: deque[Job] = deque()
+        self._tombstones: dict[SubmissionId, timedelta] = {}
+
+    def mint(self, now: timedelta) -> SubmissionId:
+        """Return a fresh id of this home."""
+        return mint_id(
+            domain=self.domain,
+            host=self.host,
+            generation=self.generation,
+            age=now - self._started_at,
+            random_hex=self._random_hex,
+        )
+
+    def find(self, id: SubmissionId, now: timedelta) -> Result[Job | JobAnswer, Refusal]:
+        """Return the job of an id, or the answer `record_lost` for an older generation's id."""
+        job = self.jobs.get(id)
+        if job is not None:
+            return Success(job)
+        parsed = parse_id(id)
+        if parsed is None or not self._is_home_of(parsed):
+            return Err(_refuse_unknown(id))
+        if parsed.generation != self.generation:
+            return Success(build_lost_answer(id))
+        if id in self._tombstones:
+            return Err(_refuse_expired(id))
+        return Err(_refuse_unknown(id))
+
+    def check_new(self, id: SubmissionId, now: timedelta) -> Refusal | None:
+        """Return why an id without a record may not start a job, or None where it may."""
+        parsed = parse_id(id)
+        if parsed is None or not self._is_home_of(parsed):
+            return _refuse_unknown(id)
+        age = now - self._started_at - parsed.minted
+        if parsed.generation != self.generation or age < timedelta(seconds=-1):
+            return _refuse_unknown(id)
+        if age > self.id_lifetime or id in self._tombstones:
+            return _refuse_expired(id)
+        return None
+
+    def add(self, job: Job) -> None:
+        """Record an accepted job."""
+        self.jobs[job.id] = job
+
+    def note_ended(self, job: Job) -> None:
+        """Start a job's retention."""
+        self._ended.append(job)
+
+    def forget(self, job: Job) -> None:
+        """Drop an ended job that nobody can ask for again."""
+        del self.jobs[job.id]
+
+    def expire(self, now: timedelta) -> None:
+        """Replace ended jobs past their retention by tombstones, and drop unusable ids."""
+        while self._ended and now > (self._ended[0].ended_at or now) + self._retention:
+            job = self._ended.popleft()
+            del self.jobs[job.id]
+            self._tombstones[job.id] = max(now, job.accepted_at + self.id_lifetime)
+        while self._tombstones:
+            id, until = next(iter(self._tombstones.items()))
+            if now <= until + CLOCK_ROUNDING:
+                return
+            del self._tombstones[id]
+
+    def _is_home_of(self, parsed: ParsedId) -> bool:
+        return parsed.domain == self.domain and parsed.host == self.host
+
+
+def build_lost_answer(id: SubmissionId) -> JobAnswer:
+    """Return the final answer for a submission whose record is lost."""
+    failure = Failure(
+        reason=FailureReason.RECORD_LOST,
+        detail="the home of this submission lost its records; its tasks may have run",
+        all_may_have_run=True,
+    )
+    return JobAnswer(id=id, state=JobState.FAILED, failure=failure)
+
+
+def _refuse_unknown(id: SubmissionId) -> Refusal:
+    return Refusal(
+        code=RefusalCode.UNKNOWN_ID,
+        message=f"submission id {id!r} was not minted here; ask POST /v1/ids for one",
+    )
+
+
+def _refuse_expired(id: SubmissionId) -> Refusal:
+    return Refusal(
+        code=RefusalCode.EXPIRED_ID,
+        message=f"submission id {id} is too old; its job may have run and its answer is gone",
+        outcome=RunOutcome.UNKNOWN,
+    )
--- /dev/null
+++ b/cottonlug/exceptions.py
@@ -0,0 +1,15 @@
+"""Exceptions for broken invariants and unusable settings; all other outcomes are values."""
+
+from __future__ import annotations
+
+
+class CottonlugError(Exception):
+    """Base of every exception that cottonlug raises itself."""
+
+
+class BrokenInvariantError(CottonlugError):
+    """The program reached a state that its design excludes; the process must stop."""
+
+
+class SettingsError(CottonlugError):
+    """The settings cannot be used; the message lists every problem found."""
--- /dev/null
+++ b/cottonlug/net/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers and clients round the core."""
--- /dev/null
+++ b/cottonlug/net/apps.py
@@ -0,0 +1,61 @@
+"""What every litestar application here shares: tokens, bounded bodies, typed errors."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Sequence
+from typing import Any
+
+from litestar import Litestar, Request, Response
+from litestar.connection import ASGIConnection
+from litestar.exceptions import HTTPException, NotAuthorizedException
+from litestar.handlers import HTTPRouteHandler
+from litestar.handlers.base import BaseRouteHandler
+from litestar.openapi import OpenAPIConfig
+from litestar.types import Guard
+
+from .. import __version__
+from ..core.messages import Refusal
+from ..core.states import RefusalCode
+from .replies import reply_json, reply_refusal
+
+_CODES = {
+    401: RefusalCode.UNAUTHORIZED,
+    404: RefusalCode.NOT_FOUND,
+    413: RefusalCode.TOO_LARGE,
+}
+
+
+def build_guard(token: str) -> Guard:
+    """Return a guard that lets only this bearer token through."""
+    expected = f"Bearer {token}".encode()
+
+    def guard(connection: ASGIConnection[Any, Any, Any, Any], _: BaseRouteHandler) -> None:
+        given = connection.headers.get("authorization", "").encode()
+        if not hmac.compare_digest(given, expected):
+            raise NotAuthorizedException("this listener needs its own bearer token")
+
+    return guard
+
+
+def build_app(*, title: str, handlers: Sequence[HTTPRouteHandler], max_body_bytes: int) -> Litestar:
+    """Return an application whose errors are typed and whose bodies are bounded."""
+    return Litestar(
+        route_handlers=list(handlers),
+        exception_handlers={HTTPException: _handle_http_error, Exception: _handle_error},
+        openapi_config=OpenAPIConfig(title=title, version=__version__, path="/openapi"),
+        request_max_body_size=max_body_bytes,
+        logging_config=None,
+    )
+
+
+def _handle_http_error(_: Request[Any, Any, Any], error: HTTPException) -> Response[bytes]:
+    code = _CODES.get(error.status_code, RefusalCode.INVALID)
+    refusal = Refusal(code=code, message=error.detail or str(error.status_code))
+    if error.status_code in (401, 404, 413):
+        return reply_refusal(refusal)
+    return reply_json(refusal, error.status_code)
+
+
+def _handle_error(_: Request[Any, Any, Any], error: Exception) -> Response[bytes]:
+    raise error
--- /dev/null
+++ b/cottonlug/net/caller_app.py
@@ -0,0 +1,143 @@
+"""The HTTP API for callers; the other entry hosts use the same calls to reach a home."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from litestar import Litestar, Request, Response, get, post
+from litestar.enums import MediaType
+from litestar.handlers import HTTPRouteHandler
+from returns.result import Failure as Err
+from returns.result import Result
+
+from ..core.ids import SubmissionId
+from ..core.messages import (
+    Health,
+    HealthReply,
+    JobAnswer,
+    JobStatus,
+    MintRequest,
+    Refusal,
+    SingleRequest,
+    SubmitRequest,
+)
+from ..core.states import RefusalCode
+from ..runtime.entry import MAX_WAIT_SECONDS, EntryHost
+from .apps import build_app, build_guard
+from .codec import decode
+from .homes import Homes
+from .replies import reply_json, reply_refusal
+
+_Request = Request[Any, Any, Any]
+
+
+def build_caller_app(host: EntryHost, homes: Homes) -> Litestar:
+    """Return the application for callers."""
+    handlers = build_caller_handlers(host, homes, host.settings.tokens.callers)
+    return build_app(
+        title="cottonlug callers",
+        handlers=[*handlers, *build_health_handlers(host)],
+        max_body_bytes=host.settings.bodies.max_kb * 1024,
+    )
+
+
+def build_caller_handlers(
+    host: EntryHost, homes: Homes | None, token: str
+) -> list[HTTPRouteHandler]:
+    """Return the callers' calls; without `homes` nothing is passed on."""
+    guards = [build_guard(token)]
+
+    async def forward(id: SubmissionId | None, request: _Request) -> Response[bytes] | None:
+        home = homes.find_other(id) if homes is not None else None
+        if homes is None or home is None:
+            return None
+        query = request.url.query
+        path = request.url.path + (f"?{query}" if query else "")
+        body = await request.body() if request.method == "POST" else None
+        sent = await homes.forward(home, request.method, path, body)
+        if isinstance(sent, Err):
+            return reply_refusal(sent.failure())
+        reply = sent.unwrap()
+        return Response(reply.body, status_code=reply.status, media_type=MediaType.JSON)
+
+    @post("/v1/ids", guards=guards)
+    async def mint_ids(request: _Request) -> Response[bytes]:
+        """Mint submission ids, for submissions that can be sent again safely."""
+        asked = decode(await request.body() or b"{}", MintRequest)
+        if isinstance(asked, Err):
+            return reply_refusal(asked.failure())
+        return _reply(host.mint(asked.unwrap().count))
+
+    @post("/v1/jobs", guards=guards)
+    async def submit_job(request: _Request) -> Response[bytes]:
+        """Submit a job, or attach to the one that has this id."""
+        asked = decode(await request.body(), SubmitRequest)
+        if isinstance(asked, Err):
+            return reply_refusal(asked.failure())
+        forwarded = await forward(asked.unwrap().id, request)
+        return forwarded or _reply(host.submit(asked.unwrap()), accepted=202)
+
+    @get("/v1/jobs/{id:str}", guards=guards)
+    async def get_job(id: str, request: _Request) -> Response[bytes]:
+        """Tell how far a job has come."""
+        forwarded = await forward(SubmissionId(id), request)
+        return forwarded or _reply(host.get_status(SubmissionId(id)))
+
+    @get("/v1/jobs/{id:str}/answer", guards=guards)
+    async def get_answer(id: str, request: _Request) -> Response[bytes]:
+        """Wait up to `wait_ms` for the whole answer; 202 with the status until there is one."""
+        wait_ms = request.query_params.get("wait_ms", "0")
+        longest = int(MAX_WAIT_SECONDS * 1000)
+        if not wait_ms.isdecimal() or int(wait_ms) > longest:
+            message = f"wait_ms is a whole number from 0 to {longest}"
+            refusal = Refusal(code=RefusalCode.INVALID, message=message, path="wait_ms")
+            return reply_refusal(refusal)
+        forwarded = await forward(SubmissionId(id), request)
+        if forwarded is not None:
+            return forwarded
+        return _reply(await host.wait_answer(SubmissionId(id), int(wait_ms) / 1000), accepted=202)
+
+    @post("/v1/jobs/{id:str}/cancel", guards=guards)
+    async def cancel_job(id: str, request: _Request) -> Response[bytes]:
+        """Cancel a job; the reply tells its final state."""
+        forwarded = await forward(SubmissionId(id), request)
+        return forwarded or _reply(host.cancel(SubmissionId(id)))
+
+    @post("/v1/requests", guards=guards)
+    async def run_request(request: _Request) -> Response[bytes]:
+        """Run one task and wait for its answer."""
+        asked = decode(await request.body(), SingleRequest)
+        if isinstance(asked, Err):
+            return reply_refusal(asked.failure())
+        single = asked.unwrap()
+        forwarded = None if single.idempotent else await forward(single.id, request)
+        return forwarded or _reply(await host.run_single(single))
+
+    return [mint_ids, submit_job, get_job, get_answer, cancel_job, run_request]
+
+
+def build_health_handlers(host: EntryHost) -> list[HTTPRouteHandler]:
+    """Return the pages for the platform's balancer; they need no token."""
+
+    @get("/health")
+    async def get_health() -> Response[bytes]:
+        """Tell that the process lives."""
+        return reply_json(HealthReply(status=Health.OK))
+
+    @get("/ready")
+    async def get_ready() -> Response[bytes]:
+        """Tell whether new work should be sent here; 503 where not."""
+        if host.dispatcher.draining:
+            return reply_json(HealthReply(status=Health.DRAINING), 503)
+        return reply_json(HealthReply(status=Health.OK))
+
+    return [get_health, get_ready]
+
+
+def _reply(result: Result[Any, Refusal], accepted: int = 200) -> Response[bytes]:
+    if isinstance(result, Err):
+        return reply_refusal(result.failure())
+    message = result.unwrap()
+    is_final = isinstance(message, JobAnswer)
+    status = accepted if isinstance(message, JobStatus) and not is_final else 200
+    return reply_json(message, status)
--- /dev/null
+++ b/cottonlug/net/clients.py
@@ -0,0 +1,93 @@
+"""Small httpx clients: one connection each, since the cost of a client grows with its pool."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import httpx
+import msgspec
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..config.options import Address
+from ..core.messages import Refusal
+from ..core.states import RefusalCode
+from .codec import decode, encode
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpReply:
+    """Status and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TransportError:
+    """No answer came; `unsent` is True only where no byte can have reached the other side."""
+
+    message: str
+    unsent: bool
+
+
+class HttpClient:
+    """A client of one address with one token."""
+
+    def __init__(self, *, address: Address, token: str, timeout_seconds: float) -> None:
+        self._client = httpx.AsyncClient(
+            base_url=f"http://{address}",
+            headers={"Authorization": f"Bearer {token}", "Content-Type": "application/json"},
+            timeout=httpx.Timeout(timeout_seconds, connect=min(timeout_seconds, 2.0)),
+            limits=httpx.Limits(max_connections=None, max_keepalive_connections=8),
+            trust_env=False,
+        )
+
+    async def send(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> Result[HttpReply, TransportError]:
+        """Send one request and return its whole reply."""
+        try:
+            reply = await self._client.request(method, path, content=body)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            return Err(TransportError(message=f"cannot connect: {error}", unsent=True))
+        except httpx.HTTPError as error:
+            message = f"{type(error).__name__}: {error}"
+            return Err(TransportError(message=message, unsent=False))
+        return Success(HttpReply(status=reply.status_code, body=reply.content))
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._client.aclose()
+
+
+class ApiClient:
+    """A client that speaks typed messages; transport errors become refusals."""
+
+    def __init__(self, *, address: Address, token: str, timeout_seconds: float = 30.0) -> None:
+        self._http = HttpClient(address=address, token=token, timeout_seconds=timeout_seconds)
+
+    async def call(
+        self, method: str, path: str, reply_type: Any, message: msgspec.Struct | None = None
+    ) -> Result[Any, Refusal]:
+        """Send a message and return the typed reply or refusal."""
+        body = encode(message) if message is not None else None
+        sent = await self._http.send(method, path, body)
+        if isinstance(sent, Err):
+            return Err(_refuse_unreachable(sent.failure().message))
+        reply = sent.unwrap()
+        if reply.status < 400:
+            return decode(reply.body, reply_type)
+        refusal = decode(reply.body, Refusal)
+        if isinstance(refusal, Success):
+            return Err(refusal.unwrap())
+        return Err(_refuse_unreachable(f"status {reply.status}"))
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._http.close()
+
+
+def _refuse_unreachable(message: str) -> Refusal:
+    return Refusal(code=RefusalCode.HOME_UNREACHABLE, message=message)
--- /dev/null
+++ b/cottonlug/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, logs, metrics and process life round the core."""
--- /dev/null
+++ b/cottonlug/runtime/dump.py
@@ -0,0 +1,106 @@
+"""The state of a process as typed messages, for `cottonlug dump` and the dump signal."""
+
+from __future__ import annotations
+
+from ..core.execution import Executor
+from ..core.ids import DomainName, HostId, SubmissionId, UpstreamId
+from ..core.jobs import build_status
+from ..core.messages import JobStatus, Message, TaskName
+from ..core.states import SessionState
+from .entry import EntryHost
+
+MAX_DUMPED_JOBS = 200
+
+
+class SessionDump(Message, omit_defaults=False):
+    """One upstream as an entry host sees it."""
+
+    upstream: UpstreamId
+    state: SessionState
+    session: int
+    credit: int
+    outstanding: int
+    open_requests: int
+    probation_limit: int | None
+
+
+class EntryDump(Message, omit_defaults=False):
+    """State of an entry host; jobs are the newest active ones."""
+
+    host: HostId
+    domain: DomainName
+    generation: str
+    draining: bool
+    rules_version: int
+    gauges: dict[str, float]
+    counters: dict[str, float]
+    sessions: list[SessionDump]
+    jobs: list[JobStatus]
+
+
+class LinkDump(Message, omit_defaults=False):
+    """One link of an upstream."""
+
+    host: HostId
+    session: int
+    open_requests: int
+    credit: int
+    backlog: int
+    draining: bool
+
+
+class UpstreamDump(Message, omit_defaults=False):
+    """State of a stand-in upstream; `duplicate_starts` must be zero."""
+
+    upstream: UpstreamId
+    leaving: bool
+    slots: int
+    waiting: int
+    running: list[TaskName]
+    links: list[LinkDump]
+    started: int
+    duplicate_starts: int
+    started_by_submission: dict[SubmissionId, int]
+
+
+def build_entry_dump(host: EntryHost) -> EntryDump:
+    """Return the state of an entry host."""
+    dispatcher = host.dispatcher
+    active = [job for job in dispatcher.store.jobs.values() if not job.ended]
+    return EntryDump(
+        host=host.settings.host,
+        domain=host.settings.domain,
+        generation=dispatcher.store.generation,
+        draining=dispatcher.draining,
+        rules_version=host.rulebook.version,
+        gauges=host.gauge(),
+        counters=host.count(),
+        sessions=[
+            SessionDump(
+                upstream=session.upstream,
+                state=session.state,
+                session=session.number,
+                credit=session.credit,
+                outstanding=len(session.outstanding),
+                open_requests=len(session.open_requests),
+                probation_limit=dispatcher.get_probation_limit(session.upstream),
+            )
+            for session in dispatcher.sessions.values()
+        ],
+        jobs=[build_status(job) for job in active[-MAX_DUMPED_JOBS:]],
+    )
+
+
+def build_links_dump(executor: Executor) -> list[LinkDump]:
+    """Return the state of an upstream's links."""
+    return [
+        LinkDump(
+            host=link.host,
+            session=link.session,
+            open_requests=link.open_requests,
+            credit=link.told_credit,
+            backlog=link.backlog,
+            draining=link.draining,
+        )
+        for link in executor.links.values()
+    ]
--- /dev/null
+++ b/cottonlug/runtime/entry.py
@@ -0,0 +1,302 @@
+"""An entry host: the dispatcher core with its timers, waiting callers and parked upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from dataclasses import asdict
+from datetime import timedelta
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..config.defaults import EntrySettings
+from ..core.clock import Clock, to_milliseconds
+from ..core.dispatcher import Dispatcher
+from ..core.ids import Generation, SubmissionId, UpstreamId
+from ..core.intake import (
+    build_job,
+    build_question,
+    build_submit,
+    check_submit,
+    compute_digest,
+)
+from ..core.jobs import Job, build_answer, build_status
+from ..core.messages import (
+    ExchangeReply,
+    ExchangeRequest,
+    JobAnswer,
+    JobStatus,
+    MintReply,
+    Refusal,
+    SingleRequest,
+    SubmitRequest,
+)
+from ..core.retries import RetryBudget
+from ..core.states import JobState, RefusalCode
+from ..core.submissions import SubmissionStore
+from .events import Event, log_event
+from .rulebook import Rulebook
+
+TICK_SECONDS = 0.05
+MAX_IDS_PER_MINT = 1000
+MAX_WAIT_SECONDS = 60.0
+_RequestId = tuple[UpstreamId, int, int]
+
+
+class EntryHost:
+    """State of one entry host; all of it on one loop."""
+
+    def __init__(self, *, settings: EntrySettings, clock: Clock, rulebook: Rulebook) -> None:
+        self.settings = settings
+        self.rulebook = rulebook
+        self._clock = clock
+        store = SubmissionStore(
+            domain=settings.domain,
+            host=settings.host,
+            generation=Generation(secrets.token_hex(4)),
+            started_at=clock.monotonic(),
+            id_lifetime=settings.submissions.id_lifetime,
+            retention=settings.submissions.retention,
+            random_hex=secrets.token_hex,
+        )
+        budget = RetryBudget(ratio=settings.retries.budget, burst=settings.retries.burst)
+        self.dispatcher = Dispatcher(store=store, limits=settings.limits, retry_budget=budget)
+        self._job_waiters: dict[SubmissionId, list[asyncio.Future[None]]] = {}
+        self._exchange_waiters: dict[_RequestId, asyncio.Future[ExchangeReply]] = {}
+        self._dispatch_planned = False
+        self._ticker: asyncio.Task[None] | None = None
+        self._unfetched: set[SubmissionId] = set()
+        self._failure: Callable[[BaseException], None] | None = None
+
+    # Life
+
+    def start(self, on_failure: Callable[[BaseException], None]) -> None:
+        """Begin the timers; `on_failure` hears of a broken invariant."""
+        self._failure = on_failure
+        self._ticker = asyncio.create_task(self._tick_forever())
+
+    async def drain(self) -> None:
+        """Take no new work, finish what was accepted and let callers fetch their answers."""
+        self.dispatcher.draining = True
+        log_event(Event.DRAINING, host=self.settings.host, jobs=self.dispatcher.active_jobs)
+        now = self._clock.monotonic()
+        limit = now + self.settings.drain_limit
+        while self.dispatcher.active_jobs and self._clock.monotonic() < limit:
+            await asyncio.sleep(TICK_SECONDS)
+        if self.dispatcher.active_jobs:
+            log_event(Event.DRAIN_CUT_SHORT, jobs=self.dispatcher.active_jobs)
+        self.plan_dispatch()
+        linger = self._clock.monotonic() + self.settings.drain_linger
+        while self._unfetched and self._clock.monotonic() < linger:
+            await asyncio.sleep(TICK_SECONDS)
+
+    def stop(self) -> None:
+        """Stop the timers."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+
+    # Callers
+
+    def mint(self, count: int) -> Result[MintReply, Refusal]:
+        """Return fresh submission ids."""
+        if not 1 <= count <= MAX_IDS_PER_MINT:
+            message = f"ask for 1 to {MAX_IDS_PER_MINT} ids at a time"
+            return Err(Refusal(code=RefusalCode.INVALID, message=message, path="$.count"))
+        now = self._clock.monotonic()
+        store = self.dispatcher.store
+        ids = [store.mint(now) for _ in range(count)]
+        return Success(MintReply(ids=ids, lifetime_ms=to_milliseconds(store.id_lifetime)))
+
+    def submit(
+        self, request: SubmitRequest, idempotent: bool = False
+    ) -> Result[JobStatus | JobAnswer, Refusal]:
+        """Accept a job or attach to it; `record_lost` is an answer already."""
+        now = self._clock.monotonic()
+        store = self.dispatcher.store
+        id = request.id or store.mint(now)
+        found = store.find(id, now) if request.id else None
+        if isinstance(found, Success):
+            known = found.unwrap()
+            if isinstance(known, JobAnswer):
+                return Success(known)
+            return self.dispatcher.attach(known, compute_digest(request))
+        refusal = check_submit(request, self.settings.bodies.max_payload_kb * 1024)
+        if refusal is not None:
+            return Err(refusal)
+        time_of_day = self._clock.now().time()
+        question = build_question(request, self.settings.domain, idempotent, time_of_day)
+        rule = self.rulebook.match(question)
+        built = build_job(id=id, request=request, rule=rule, idempotent=idempotent, now=now)
+        if isinstance(built, Err):
+            log_event(Event.SUBMISSION_REFUSED, team=request.team, rule=rule.name if rule else "")
+            return Err(built.failure())
+        if rule is not None and rule.then.weight is not None:
+            self.dispatcher.queue.set_weight(request.team, rule.then.weight)
+        run_time = timedelta(milliseconds=request.run_time_ms) if request.run_time_ms else None
+        accepted = self.dispatcher.submit(built.unwrap(), run_time)
+        if isinstance(accepted, Success) and not idempotent:
+            self._unfetched.add(id)
+        self.plan_dispatch()
+        return accepted
+
+    def get_status(self, id: SubmissionId) -> Result[JobStatus | JobAnswer, Refusal]:
+        """Return how far a job has come."""
+        found = self.dispatcher.store.find(id, self._clock.monotonic())
+        return found.map(lambda known: build_status(known) if isinstance(known, Job) else known)
+
+    async def wait_answer(
+        self, id: SubmissionId, wait_seconds: float
+    ) -> Result[JobStatus | JobAnswer, Refusal]:
+        """Return the whole answer, or the status once the wait is over."""
+        found = self.dispatcher.store.find(id, self._clock.monotonic())
+        if isinstance(found, Err):
+            return Err(found.failure())
+        known = found.unwrap()
+        if isinstance(known, JobAnswer):
+            return Success(known)
+        if not known.ended:
+            await self._wait_end(known, min(wait_seconds, MAX_WAIT_SECONDS))
+        if not known.ended:
+            return Success(build_status(known))
+        self._unfetched.discard(id)
+        return Success(build_answer(known))
+
+    def cancel(self, id: SubmissionId) -> Result[JobStatus | JobAnswer, Refusal]:
+        """Cancel a job; the answer is the same for all who ask."""
+        now = self._clock.monotonic()
+        found = self.dispatcher.store.find(id, now)
+        if isinstance(found, Err):
+            return Err(found.failure())
+        known = found.unwrap()
+        if isinstance(known, JobAnswer):
+            return Success(known)
+        status = self.dispatcher.cancel(known, now)
+        self.plan_dispatch()
+        return Success(status)
+
+    async def run_single(self, request: SingleRequest) -> Result[JobAnswer, Refusal]:
+        """Run one task and return its answer, which comes at its deadline at the latest."""
+        submitted = self.submit(build_submit(request), request.idempotent)
+        if isinstance(submitted, Err):
+            return Err(submitted.failure())
+        status = submitted.unwrap()
+        if isinstance(status, JobAnswer):
+            return Success(status)
+        known = self.dispatcher.store.jobs[status.id]
+        while not known.ended:
+            await self._wait_end(known, MAX_WAIT_SECONDS)
+        self._unfetched.discard(known.id)
+        return Success(build_answer(known))
+
+    # Upstreams
+
+    def open_exchange(
+        self, request: ExchangeRequest
+    ) -> Result[asyncio.Future[ExchangeReply], Refusal]:
+        """Take in an upstream's message and return the future of its reply."""
+        is_new = request.announce is not None
+        refusal = self.dispatcher.exchange(request, self._clock.monotonic())
+        if refusal is not None:
+            return Err(refusal)
+        if is_new:
+            log_event(Event.UPSTREAM_OPENED, upstream=request.upstream, session=request.session)
+        elif request.leaving:
+            log_event(Event.UPSTREAM_LEAVING, upstream=request.upstream)
+        future: asyncio.Future[ExchangeReply] = asyncio.get_running_loop().create_future()
+        self._exchange_waiters[_identify(request)] = future
+        self.plan_dispatch()
+        return Success(future)
+
+    def close_exchange(self, request: ExchangeRequest) -> None:
+        """Note that an upstream hung up before its reply."""
+        if self._exchange_waiters.pop(_identify(request), None) is None:
+            return
+        now = self._clock.monotonic()
+        self.dispatcher.disconnect(request.upstream, request.session, request.seq, now)
+
+    def plan_dispatch(self) -> None:
+        """Dispatch once all messages that wait on the loop have been taken in."""
+        if self._dispatch_planned:
+            return
+        self._dispatch_planned = True
+        asyncio.get_running_loop().call_soon(self._run_dispatch)
+
+    # Operators
+
+    def count(self) -> dict[str, float]:
+        """Return all counters."""
+        counters: dict[str, float] = asdict(self.dispatcher.counters)
+        return counters
+
+    def gauge(self) -> dict[str, float]:
+        """Return the current sizes."""
+        dispatcher = self.dispatcher
+        return {
+            "active_jobs": dispatcher.active_jobs,
+            "kept_jobs": len(dispatcher.store.jobs),
+            "queued_tasks": dispatcher.queued_tasks,
+            "upstreams": len(dispatcher.sessions),
+            "outstanding": sum(len(each.outstanding) for each in dispatcher.sessions.values()),
+            "parked": len(self._exchange_waiters),
+            "rules_version": self.rulebook.version,
+        }
+
+    # Inside
+
+    def _run_dispatch(self) -> None:
+        self._dispatch_planned = False
+        try:
+            self._dispatch()
+        except Exception as error:
+            self._report_failure(error)
+
+    def _dispatch(self) -> None:
+        for delivery in self.dispatcher.dispatch(self._clock.monotonic()):
+            request_id = (delivery.upstream, delivery.session, delivery.reply.seq)
+            future = self._exchange_waiters.pop(request_id, None)
+            if future is not None and not future.done():
+                future.set_result(delivery.reply)
+        for job in self.dispatcher.take_ended():
+            self._announce_end(job)
+
+    def _announce_end(self, job: Job) -> None:
+        if job.state is JobState.FAILED and job.failure is not None:
+            reason = job.failure.reason.value
+            log_event(Event.JOB_FAILED, id=job.id, reason=reason, detail=job.failure.detail)
+        for waiter in self._job_waiters.pop(job.id, []):
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def _wait_end(self, job: Job, seconds: float) -> None:
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        waiters = self._job_waiters.setdefault(job.id, [])
+        waiters.append(waiter)
+        await asyncio.wait([waiter], timeout=max(seconds, 0.0))
+        if not waiter.done():
+            waiters.remove(waiter)
+
+    async def _tick_forever(self) -> None:
+        try:
+            while True:
+                self.dispatcher.tick(self._clock.monotonic())
+                self._dispatch()
+                self._forget_unfetched()
+                await asyncio.sleep(TICK_SECONDS)
+        except Exception as error:
+            self._report_failure(error)
+
+    def _forget_unfetched(self) -> None:
+        jobs = self.dispatcher.store.jobs
+        if len(self._unfetched) > 2 * len(jobs):
+            self._unfetched.intersection_update(jobs)
+
+    def _report_failure(self, error: Exception) -> None:
+        log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
+        if self._failure is not None:
+            self._failure(error)
+
+
+def _identify(request: ExchangeRequest) -> _RequestId:
+    return (request.upstream, request.session, request.seq)
--- /dev/null
+++ b/cottonlug/runtime/events.py
@@ -0,0 +1,102 @@
+"""Numbered log events, the one catalogue of them, and structured logging through absl."""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+from datetime import UTC, datetime
+from enum import Enum
+from typing import NamedTuple
+
+from absl import logging as absl_logging
+
+from ..config.defaults import LogFormat, LogLevel, LogSettings
+
+Field = str | int | float | bool | None | list[str]
+
+
+class EventKind(NamedTuple):
+    """Number, level and text of an event."""
+
+    number: int
+    level: int
+    text: str
+
+
+class Event(Enum):
+    """Every event that cottonlug logs; docs/events.md explains each."""
+
+    STARTED = EventKind(1001, logging.INFO, "process started")
+    READY = EventKind(1002, logging.INFO, "ready for work")
+    DRAINING = EventKind(1003, logging.INFO, "graceful shutdown began")
+    STOPPED = EventKind(1004, logging.INFO, "process stopped")
+    DRAIN_CUT_SHORT = EventKind(1005, logging.ERROR, "graceful shutdown reached its limit")
+    INVARIANT_BROKEN = EventKind(1006, logging.CRITICAL, "a broken invariant stops the process")
+    STATE_DUMPED = EventKind(1007, logging.INFO, "state dumped on request")
+    UPSTREAM_OPENED = EventKind(2001, logging.INFO, "an upstream opened a session")
+    UPSTREAM_GONE = EventKind(2002, logging.WARNING, "an upstream's session ended")
+    UPSTREAM_LEAVING = EventKind(2003, logging.INFO, "an upstream is leaving")
+    UPSTREAM_PROBATION = EventKind(2004, logging.WARNING, "an upstream was put on probation")
+    SESSION_LOST = EventKind(2005, logging.WARNING, "a session to an entry host was lost")
+    JOB_FAILED = EventKind(3001, logging.INFO, "a job failed")
+    SUBMISSION_REFUSED = EventKind(3002, logging.INFO, "a submission was refused")
+    HOME_UNREACHABLE = EventKind(3003, logging.WARNING, "the home of a submission is unreachable")
+    RULES_IN_FORCE = EventKind(4001, logging.INFO, "a configuration is in force")
+    RULES_REFUSED = EventKind(4002, logging.WARNING, "a configuration was refused")
+    LEADER_CHANGED = EventKind(4003, logging.INFO, "the leader of the configuration changed")
+    STORAGE_FAILED = EventKind(5001, logging.ERROR, "the data folder cannot be written")
+    STORAGE_TORN = EventKind(5002, logging.WARNING, "a torn tail of a log file was cut")
+    STORAGE_DAMAGED = EventKind(5003, logging.CRITICAL, "a file of the data folder is damaged")
+
+
+_LEVELS = {
+    LogLevel.DEBUG: absl_logging.DEBUG,
+    LogLevel.INFO: absl_logging.INFO,
+    LogLevel.WARNING: absl_logging.WARNING,
+    LogLevel.ERROR: absl_logging.ERROR,
+}
+
+
+class _JsonFormatter(logging.Formatter):
+    def format(self, record: logging.LogRecord) -> str:
+        entry: dict[str, object] = {
+            "time": datetime.fromtimestamp(record.created, UTC).isoformat(timespec="milliseconds"),
+            "level": record.levelname.lower(),
+        }
+        entry.update(getattr(record, "fields", {}))
+        entry.setdefault("message", record.getMessage())
+        if record.exc_info:
+            entry["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(entry)
+
+
+class _TextFormatter(logging.Formatter):
+    def format(self, record: logging.LogRecord) -> str:
+        fields: dict[str, object] = dict(getattr(record, "fields", {}))
+        number = fields.pop("event", "")
+        message = fields.pop("message", record.getMessage())
+        rest = " ".join(f"{name}={value}" for name, value in fields.items())
+        line = f"{record.levelname.lower()} {number} {message} {rest}".rstrip()
+        if record.exc_info:
+            line += "\n" + self.formatException(record.exc_info)
+        return line
+
+
+def set_up_logging(settings: LogSettings) -> None:
+    """Send all logs through absl in the chosen format."""
+    absl_logging.use_absl_handler()
+    absl_logging.get_absl_handler().python_handler.stream = sys.stderr
+    absl_logging.set_verbosity(_LEVELS[settings.level])
+    formatter = _JsonFormatter() if settings.format is LogFormat.JSON else _TextFormatter()
+    absl_logging.get_absl_handler().setFormatter(formatter)
+    for noisy in ("httpx", "httpcore", "uvicorn", "asyncio"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
+
+
+def log_event(event: Event, **fields: Field) -> None:
+    """Log one event with its fields."""
+    number, level, text = event.value
+    logger = absl_logging.get_absl_logger()
+    extra = {"fields": {"event": number, "message": text, **fields}}
+    logger.log(level, text, extra=extra)
--- /dev/null
+++ b/cottonlug/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files under the data folder."""
--- /dev/null
+++ b/cottonlug/tests/test_exchange_faults.py
@@ -0,0 +1,258 @@
+"""Long random runs of one entry host and its upstreams over a network that loses and delays.
+
+The dispatcher and executor cores are the real ones; only the network between them is a fake. The
+promises are checked where they can be seen: starts are counted at the upstreams.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+from datetime import timedelta
+
+import pytest
+from msgspec import Raw
+from returns.result import Success
+
+from ..core.execution import MAX_OPEN_REQUESTS, Executor
+from ..core.ids import SubmissionId, TaskKey
+from ..core.jobs import Job, build_answer
+from ..core.messages import ExchangeReply, ExchangeRequest, JobAnswer
+from ..core.states import JobState, ResultStatus
+from .builders import HOST, build_dispatcher, build_executor, build_test_job
+
+STEPS = 1_500
+UPSTREAMS = 3
+MAX_JOBS = 40
+
+
+@dataclass(slots=True)
+class Call:
+    """One request on its way, and its reply on the way back."""
+
+    executor: Executor
+    request: ExchangeRequest
+    taken: bool = False
+    reply: ExchangeReply | None = None
+
+
+class World:
+    """One host, some upstreams and every message between them."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.now = timedelta()
+        self.dispatcher = build_dispatcher()
+        self.incarnations = 0
+        self.executors = [build_executor(f"w{at}", "0") for at in range(UPSTREAMS)]
+        self.calls: list[Call] = []
+        self.starts: Counter[tuple[SubmissionId, int]] = Counter()
+        self.jobs: dict[SubmissionId, Job] = {}
+        self.answers: dict[SubmissionId, JobAnswer] = {}
+        for executor in self.executors:
+            executor.begin_session(executor.links[HOST])
+
+    # What may happen
+
+    def submit(self) -> None:
+        if len(self.jobs) >= MAX_JOBS:
+            return
+        id = self.dispatcher.store.mint(self.now)
+        idempotent = self.chance.random() < 0.2
+        count = 1 if idempotent else self.chance.randint(1, 12)
+        deadline = self.chance.choice([2_000, 60_000])
+        job = build_test_job(
+            id, count, self.now, idempotent=idempotent, deadline_ms=deadline
+        )
+        assert isinstance(self.dispatcher.submit(job, None), Success)
+        self.jobs[id] = job
+
+    def resend(self) -> None:
+        if not self.jobs:
+            return
+        job = self.chance.choice(list(self.jobs.values()))
+        if job.spec.idempotent:
+            return
+        again = build_test_job(job.id, len(job.states), self.now)
+        again.digest = job.digest
+        assert isinstance(self.dispatcher.submit(again, None), Success)
+
+    def cancel(self) -> None:
+        active = [job for job in self.jobs.values() if not job.ended]
+        if active:
+            self.dispatcher.cancel(self.chance.choice(active), self.now)
+
+    def send(self) -> None:
+        executor = self.chance.choice(self.executors)
+        link = executor.links[HOST]
+        if link.open_requests < MAX_OPEN_REQUESTS:
+            self.calls.append(Call(executor, executor.build_request(link)))
+
+    def take_request(self) -> None:
+        waiting = [call for call in self.calls if not call.taken]
+        if not waiting:
+            return
+        call = self.chance.choice(waiting)
+        call.taken = True
+        refusal = self.dispatcher.exchange(call.request, self.now)
+        if refusal is not None:
+            self.break_call(call)
+        self.dispatch()
+
+    def take_reply(self) -> None:
+        answered = [call for call in self.calls if call.reply is not None]
+        if not answered:
+            return
+        call = self.chance.choice(answered)
+        self.calls.remove(call)
+        assert call.reply is not None
+        link = call.executor.links[HOST]
+        call.executor.take_reply(link, call.request.session, call.reply)
+
+    def break_connection(self) -> None:
+        if self.calls:
+            self.break_call(self.chance.choice(self.calls))
+
+    def break_call(self, call: Call) -> None:
+        """The upstream sees a transport error; the host may see it, or never hear of it.
+
+        Every other call of the session may still arrive at the host later, as may its reply at the
+        upstream: the network delays as it likes.
+        """
+        self.calls.remove(call)
+        executor = call.executor
+        link = executor.links[HOST]
+        if executor in self.executors and call.request.session == link.session:
+            executor.begin_session(link)
+        if call.taken and call.reply is None and self.chance.random() < 0.5:
+            request = call.request
+            self.dispatcher.disconnect(request.upstream, request.session, request.seq, self.now)
+        if not call.taken and self.chance.random() < 0.3:
+            self.dispatcher.exchange(call.request, self.now)
+            self.dispatch()
+
+    def start_tasks(self) -> None:
+        executor = self.chance.choice(self.executors)
+        while (assignment := executor.start_next()) is not None:
+            key = assignment.key
+            self.starts[(key.submission, key.task)] += 1
+
+    def finish_task(self) -> None:
+        executor = self.chance.choice(self.executors)
+        while executor.to_stop:
+            key = executor.to_stop.popleft()
+            if key in executor.running:
+                executor.finish(key, ResultStatus.STOPPED, Raw(b"null"), 0)
+        if not executor.running:
+            return
+        key = self.chance.choice(list(executor.running))
+        is_good = self.chance.random() < 0.97
+        status = ResultStatus.SUCCEEDED if is_good else ResultStatus.FAILED
+        executor.finish(key, status, make_value(key), 1_000)
+
+    def restart_upstream(self) -> None:
+        at = self.chance.randrange(UPSTREAMS)
+        self.incarnations += 1
+        fresh = build_executor(f"w{at}", str(self.incarnations))
+        fresh.begin_session(fresh.links[HOST])
+        self.executors[at] = fresh
+
+    def pass_time(self) -> None:
+        self.now += timedelta(milliseconds=self.chance.choice([1, 20, 300, 5_000]))
+        self.dispatcher.tick(self.now)
+        self.dispatch()
+
+    def dispatch(self) -> None:
+        for delivery in self.dispatcher.dispatch(self.now):
+            for call in self.calls:
+                request = call.request
+                same = (request.upstream, request.session, request.seq) == (
+                    delivery.upstream,
+                    delivery.session,
+                    delivery.reply.seq,
+                )
+                if same and call.taken and call.reply is None:
+                    call.reply = delivery.reply
+                    break
+
+    # What must hold
+
+    def check(self) -> None:
+        for (id, task), count in self.starts.items():
+            job = self.jobs[id]
+            if not job.spec.idempotent:
+                assert count <= 1, f"task {task} of {id} started {count} times"
+        for job in self.dispatcher.take_ended():
+            assert job.id not in self.answers, "a job ends once"
+            self.answers[job.id] = build_answer(job)
+        for id, answer in self.answers.items():
+            self.check_answer(self.jobs[id], answer)
+
+    def check_answer(self, job: Job, answer: JobAnswer) -> None:
+        assert build_answer(job) == answer, "an answer never changes"
+        if answer.state is JobState.COMPLETE:
+            expected = [make_value(TaskKey(job.id, at, 0)) for at in range(len(job.states))]
+            assert answer.results is not None
+            assert list(map(bytes, answer.results)) == list(map(bytes, expected))
+            return
+        assert answer.results is None and answer.failure is not None
+        started = {task for id, task in self.starts if id == job.id}
+        assert started <= set(answer.failure.may_have_run), "what is called not run did not run"
+
+    def run(self, steps: int) -> None:
+        actions = [
+            (self.submit, 3),
+            (self.resend, 1),
+            (self.cancel, 1),
+            (self.send, 20),
+            (self.take_request, 25),
+            (self.take_reply, 25),
+            (self.break_connection, 2),
+            (self.start_tasks, 10),
+            (self.finish_task, 15),
+            (self.restart_upstream, 1),
+            (self.pass_time, 3),
+        ]
+        choices = [action for action, weight in actions for _ in range(weight)]
+        for _ in range(steps):
+            self.chance.choice(choices)()
+            self.check()
+
+    def settle(self) -> None:
+        """With no more faults every job ends."""
+        calm = [self.send, self.take_request, self.take_reply, self.start_tasks, self.finish_task]
+        for _ in range(400):
+            for action in calm * 3:
+                action()
+            self.now += timedelta(seconds=1)
+            self.dispatcher.tick(self.now)
+            self.dispatch()
+            self.check()
+        assert all(job.ended for job in self.jobs.values())
+
+
+def make_value(key: TaskKey) -> Raw:
+    return Raw(f'"{key.submission}/{key.task}"'.encode())
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_promises_hold_over_a_faulty_network(seed: int) -> None:
+    world = World(seed)
+    world.run(STEPS)
+    world.settle()
+    assert world.answers, "a run without an answer proves nothing"
+
+
+def test_runs_reach_every_kind_of_end() -> None:
+    ends: Counter[str] = Counter()
+    returned = 0
+    for seed in range(100, 115):
+        world = World(seed)
+        world.run(STEPS)
+        world.settle()
+        returned += world.dispatcher.counters.returned_unstarted
+        for answer in world.answers.values():
+            ends[answer.failure.reason.value if answer.failure else "complete"] += 1
+    assert {"complete", "task_failed", "task_unknown", "cancelled", "deadline"} <= set(ends)
+    assert returned > 0, "tasks whose reply was lost were started elsewhere"
--- /dev/null
+++ b/cottonlug/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""The stand-in upstream used for tests and first runs."""
--- /dev/null
+++ b/cottonlug/upstream/daemon.py
@@ -0,0 +1,276 @@
+"""A stand-in upstream: links to the entry hosts of its failure domain, and slots that run tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+import msgspec
+from msgspec import Raw
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..config.defaults import UpstreamSettings
+from ..core.execution import MAX_OPEN_REQUESTS, NULL, Assignment, Executor, Link
+from ..core.ids import HostId, Incarnation, SubmissionId, TaskKey
+from ..core.messages import Announcement, ExchangeReply, TaskName
+from ..core.states import ResultStatus
+from ..net.clients import HttpClient, HttpReply, TransportError
+from ..net.codec import decode, encode
+from ..runtime.dump import UpstreamDump, build_links_dump
+from ..runtime.events import Event, log_event
+from .work import run_work
+
+EXCHANGE_PATH = "/v1/exchange"
+MAX_REMEMBERED_STARTS = 500_000
+_TIMEOUT_SECONDS = 30.0
+_FIRST_BACKOFF_SECONDS = 0.05
+_MAX_BACKOFF_SECONDS = 1.0
+_GOODBYE_SECONDS = 2.0
+_QUIET_PAUSE_SECONDS = 0.5
+"""Pause between requests while the host is draining or this upstream leaves."""
+
+
+class _TaskId(NamedTuple):
+    submission: SubmissionId
+    task: int
+
+
+class StartLog:
+    """What was ever started here, to prove that nothing starts twice."""
+
+    def __init__(self) -> None:
+        self.started = 0
+        self.duplicates = 0
+        self.by_submission: OrderedDict[SubmissionId, int] = OrderedDict()
+        self._seen: OrderedDict[_TaskId, None] = OrderedDict()
+
+    def record(self, key: TaskKey) -> None:
+        """Count one start."""
+        self.started += 1
+        task = _TaskId(key.submission, key.task)
+        if task in self._seen:
+            self.duplicates += 1
+        self._seen[task] = None
+        self.by_submission[key.submission] = self.by_submission.get(key.submission, 0) + 1
+        if len(self._seen) > MAX_REMEMBERED_STARTS:
+            oldest, _ = self._seen.popitem(last=False)
+            self.by_submission.pop(oldest.submission, None)
+
+
+class StandIn:
+    """State of one stand-in upstream; all of it on one loop."""
+
+    def __init__(self, *, settings: UpstreamSettings, incarnation: Incarnation) -> None:
+        self.settings = settings
+        self.start_log = StartLog()
+        self.executor = Executor(
+            upstream=settings.upstream,
+            incarnation=incarnation,
+            announcement=Announcement(
+                slots=settings.slots,
+                labels={**settings.labels, "domain": settings.domain, "rack": settings.rack},
+                rack=settings.rack,
+                processors=settings.processors,
+                memory_mb=settings.memory_mb,
+                accelerators=settings.accelerators,
+            ),
+            hosts=[entry.host for entry in settings.hosts],
+            prefetch=settings.prefetch,
+        )
+        self._news = {entry.host: asyncio.Event() for entry in settings.hosts}
+        self._loops: list[asyncio.Task[None]] = []
+        self._running: dict[TaskKey, asyncio.Task[None]] = {}
+        self._coalesce = settings.coalesce
+
+    def start(self) -> None:
+        """Open a link to every entry host."""
+        for entry in self.settings.hosts:
+            link = self.executor.links[entry.host]
+            clients = [
+                HttpClient(
+                    address=entry.address,
+                    token=self.settings.token,
+                    timeout_seconds=_TIMEOUT_SECONDS,
+                )
+                for _ in range(MAX_OPEN_REQUESTS)
+            ]
+            self._loops.append(asyncio.create_task(self._keep_link(link, clients)))
+
+    async def leave(self, limit: timedelta) -> None:
+        """Take no new work, finish what runs, hand in all results and say goodbye."""
+        self.executor.leave()
+        for host in self._news:
+            self._wake(host)
+        deadline = time.monotonic() + limit.total_seconds()
+        while not self.executor.is_done() and time.monotonic() < deadline:
+            await asyncio.sleep(0.02)
+        goodbye = deadline + _GOODBYE_SECONDS
+        while not all(link.closed for link in self._list_links()) and time.monotonic() < goodbye:
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        tasks = [*self._loops, *self._running.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def build_dump(self) -> UpstreamDump:
+        """Return the state of this process."""
+        executor = self.executor
+        return UpstreamDump(
+            upstream=executor.upstream,
+            leaving=executor.leaving,
+            slots=executor.announcement.slots,
+            waiting=len(executor.waiting),
+            running=[TaskName(*key) for key in executor.running],
+            links=build_links_dump(executor),
+            started=self.start_log.started,
+            duplicate_starts=self.start_log.duplicates,
+            started_by_submission=dict(self.start_log.by_submission),
+        )
+
+    def count(self) -> dict[str, float]:
+        """Return all counters."""
+        log = self.start_log
+        return {"started": log.started, "duplicate_starts": log.duplicates}
+
+    def gauge(self) -> dict[str, float]:
+        """Return the current sizes."""
+        executor = self.executor
+        return {"running": len(executor.running), "waiting": len(executor.waiting)}
+
+    # Links
+
+    def _list_links(self) -> list[Link]:
+        return list(self.executor.links.values())
+
+    async def _keep_link(self, link: Link, clients: list[HttpClient]) -> None:
+        backoff = _FIRST_BACKOFF_SECONDS
+        while True:
+            self.executor.begin_session(link)
+            began = time.monotonic()
+            error = await self._run_session(link, clients)
+            if error is None:
+                return
+            log_event(
+                Event.SESSION_LOST, upstream=self.settings.upstream, host=link.host, error=error
+            )
+            lived = time.monotonic() - began
+            backoff = _FIRST_BACKOFF_SECONDS if lived > backoff else backoff * 2
+            backoff = min(backoff, _MAX_BACKOFF_SECONDS)
+            await asyncio.sleep(backoff)
+
+    async def _run_session(self, link: Link, clients: list[HttpClient]) -> str | None:
+        """Exchange messages until something goes wrong, and return what did; None after goodbye."""
+        free = list(clients)
+        calls: dict[asyncio.Task[str | None], HttpClient] = {}
+        news = self._news[link.host]
+        try:
+            while not link.closed:
+                if free and await self._is_request_due(link):
+                    client = free.pop()
+                    call = asyncio.create_task(self._exchange(link, client))
+                    calls[call] = client
+                waiter = asyncio.ensure_future(news.wait())
+                await asyncio.wait([*calls, waiter], return_when=asyncio.FIRST_COMPLETED)
+                waiter.cancel()
+                news.clear()
+                for call in [call for call in calls if call.done()]:
+                    error = call.result()
+                    if error is not None:
+                        return error
+                    free.append(calls.pop(call))
+            return None
+        finally:
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
+    async def _is_request_due(self, link: Link) -> bool:
+        if link.open_requests == 0:
+            if (link.draining or self.executor.leaving) and not link.pending:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._news[link.host].wait(), _QUIET_PAUSE_SECONDS)
+            return True
+        if link.open_requests >= MAX_OPEN_REQUESTS or not self.executor.has_news(link):
+            return False
+        if link.pending and self._coalesce:
+            await asyncio.sleep(self._coalesce.total_seconds())
+        return True
+
+    async def _exchange(self, link: Link, client: HttpClient) -> str | None:
+        request = self.executor.build_request(link)
+        sent = await client.send("POST", EXCHANGE_PATH, encode(request))
+        reply = _read_reply(sent)
+        if isinstance(reply, Err):
+            why: str = reply.failure()
+            return why
+        self.executor.take_reply(link, request.session, reply.unwrap())
+        self._start_tasks()
+        self._stop_tasks()
+        return None
+
+    def _wake(self, host: HostId) -> None:
+        self._news[host].set()
+
+    # Tasks
+
+    def _start_tasks(self) -> None:
+        while (assignment := self.executor.start_next()) is not None:
+            self.start_log.record(assignment.key)
+            task = asyncio.create_task(self._run_task(assignment))
+            task.add_done_callback(self._build_settle(assignment.key))
+            self._running[assignment.key] = task
+
+    def _stop_tasks(self) -> None:
+        to_stop = self.executor.to_stop
+        while to_stop:
+            task = self._running.get(to_stop.popleft())
+            if task is not None:
+                task.cancel()
+
+    async def _run_task(self, assignment: Assignment) -> None:
+        began = time.monotonic()
+        status, value = await self._run_bounded(assignment)
+        ran_us = int((time.monotonic() - began) * 1e6)
+        del self._running[assignment.key]
+        host = self.executor.finish(assignment.key, status, value, ran_us)
+        self._wake(host)
+        self._start_tasks()
+
+    def _build_settle(self, key: TaskKey) -> Callable[[asyncio.Task[None]], None]:
+        return lambda _: self._settle(key)
+
+    def _settle(self, key: TaskKey) -> None:
+        """Report a task that was stopped before its first step."""
+        if self._running.pop(key, None) is not None:
+            self._wake(self.executor.finish(key, ResultStatus.STOPPED, NULL, 0))
+
+    async def _run_bounded(self, assignment: Assignment) -> tuple[ResultStatus, Raw]:
+        try:
+            async with asyncio.timeout(assignment.timeout_ms / 1000):
+                result = await run_work(assignment.kind, assignment.payload)
+        except TimeoutError:
+            return ResultStatus.FAILED, Raw(b'"timeout"')
+        except asyncio.CancelledError:
+            return ResultStatus.STOPPED, NULL
+        if isinstance(result, Success):
+            return ResultStatus.SUCCEEDED, result.unwrap()
+        return ResultStatus.FAILED, Raw(msgspec.json.encode(result.failure()))
+
+
+def _read_reply(sent: Result[HttpReply, TransportError]) -> Result[ExchangeReply, str]:
+    if isinstance(sent, Err):
+        return Err(sent.failure().message)
+    reply = sent.unwrap()
+    if reply.status != 200:
+        return Err(f"status {reply.status}: {reply.body[:200]!r}")
+    decoded = decode(reply.body, ExchangeReply)
+    return decoded.alt(lambda refusal: refusal.message)
--- /dev/null
+++ b/cottonlug/upstream/work.py
@@ -0,0 +1,94 @@
+"""The work that the stand-in does: both users' kinds of task, and plain ones for tests.
+
+A payload is a JSON object; `ms` is how long the task takes. Kinds: `aurora.alert` decides whom to
+wake, `weigh.ticket` settles tare against gross, `sleep` only waits, `echo` returns its payload,
+`fail` fails, `hang` never ends by itself, `crash` ends the process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from msgspec import Raw
+from returns.result import Failure, Result, Success
+
+_CRASH_EXIT_CODE = 70
+_HANG_SECONDS = 86_400.0
+_WAKE_THRESHOLDS = {"photographers": 4.0, "rangers": 5.0, "observatory": 3.0, "residents": 6.5}
+_MAX_CLOUD_SHARE = 0.7
+_PRICES_PER_KG = {"ferrous": 0.35, "non-ferrous": 4.2}
+
+Work = Callable[[dict[str, Any]], Result[Any, str]]
+
+
+async def run_work(kind: str, payload: Raw) -> Result[Raw, str]:
+    """Run one task and return its result as JSON, or why it failed."""
+    try:
+        content = msgspec.json.decode(payload)
+    except msgspec.DecodeError as error:
+        return Failure(f"the payload is not JSON: {error}")
+    fields = content if isinstance(content, dict) else {"value": content}
+    milliseconds = fields.get("ms", 0)
+    if not isinstance(milliseconds, int | float) or milliseconds < 0:
+        return Failure("ms must be a number that is not negative")
+    work = _KINDS.get(kind)
+    if work is None:
+        return Failure(f"unknown kind {kind!r}")
+    if kind == "crash":
+        os._exit(_CRASH_EXIT_CODE)
+    if kind == "hang":
+        await asyncio.sleep(_HANG_SECONDS)
+    if milliseconds:
+        await asyncio.sleep(milliseconds / 1000)
+    return work(fields).map(lambda value: Raw(msgspec.json.encode(value)))
+
+
+def decide_alert(fields: dict[str, Any]) -> Result[Any, str]:
+    """Return whom to wake for a magnetometer index and a cloud share."""
+    index = fields.get("k_index")
+    clouds = fields.get("clouds", 0.0)
+    if not isinstance(index, int | float) or not isinstance(clouds, int | float):
+        return Failure("an alert needs k_index and clouds as numbers")
+    visible = clouds <= _MAX_CLOUD_SHARE
+    wake = [name for name, threshold in _WAKE_THRESHOLDS.items() if visible and index >= threshold]
+    return Success({"subscriber": fields.get("subscriber"), "wake": wake})
+
+
+def settle_ticket(fields: dict[str, Any]) -> Result[Any, str]:
+    """Return net weight and price of one load."""
+    gross = fields.get("gross_kg")
+    tare = fields.get("tare_kg")
+    price = _PRICES_PER_KG.get(str(fields.get("material")))
+    if not isinstance(gross, int) or not isinstance(tare, int) or price is None:
+        return Failure("a ticket needs gross_kg, tare_kg and a known material")
+    if tare > gross:
+        return Failure("tare is more than gross")
+    net = gross - tare
+    return Success({"ticket": fields.get("ticket"), "net_kg": net, "amount": round(net * price, 2)})
+
+
+def _echo(fields: dict[str, Any]) -> Result[Any, str]:
+    return Success(fields)
+
+
+def _do_nothing(_: dict[str, Any]) -> Result[Any, str]:
+    return Success(None)
+
+
+def _fail(fields: dict[str, Any]) -> Result[Any, str]:
+    return Failure(str(fields.get("why", "told to fail")))
+
+
+_KINDS: dict[str, Work] = {
+    "aurora.alert": decide_alert,
+    "weigh.ticket": settle_ticket,
+    "sleep": _do_nothing,
+    "echo": _echo,
+    "fail": _fail,
+    "hang": _do_nothing,
+    "crash": _do_nothing,
+}
