--- a/cottonlug/cli.py
+++ b/cottonlug/cli.py
@@ -16,6 +16,7 @@
 from .commands.exits import ExitCode
 from .commands.output import print_refusal
 from .commands.workloads import Flavour, build_example_job
+from .config.deployments import DEPLOYMENTS, DeploymentName, write_deployment
 from .config.options import Address
 from .core.ids import KindName, SubmissionId, TeamName
 from .core.messages import SingleRequest
@@ -160,6 +161,16 @@
     raise typer.Exit(operations.show_dump(_build_target(host, token_file, as_json)))
 
 
+@app.command(epilog="Example: cottonlug examples skywatch run/skywatch")
+def examples(
+    name: Annotated[DeploymentName, typer.Argument(help="Deployment to write.")],
+    folder: Annotated[Path, typer.Argument(help="Folder to write into.")],
+) -> None:
+    """Write the settings files and tokens of an example deployment on loopback."""
+    write_deployment(DEPLOYMENTS[name], folder)
+    print(f"wrote {folder}; start each file with `cottonlug serve` or `cottonlug upstream`")
+
+
 @app.command()
 def version() -> None:
     """Print the version."""
--- a/cottonlug/tests/builders.py
+++ b/cottonlug/tests/builders.py
@@ -78,6 +78,4 @@
         tasks=[Raw(str(index).encode()) for index in range(count)],
         deadline_ms=deadline_ms,
     )
-    return build_job(
-        id=id, request=request, rule=None, idempotent=idempotent, now=now
-    ).unwrap()
+    return build_job(id=id, request=request, rule=None, idempotent=idempotent, now=now).unwrap()
--- a/cottonlug/tests/test_exchange_faults.py
+++ b/cottonlug/tests/test_exchange_faults.py
@@ -62,9 +62,7 @@
         idempotent = self.chance.random() < 0.2
         count = 1 if idempotent else self.chance.randint(1, 12)
         deadline = self.chance.choice([2_000, 60_000])
-        job = build_test_job(
-            id, count, self.now, idempotent=idempotent, deadline_ms=deadline
-        )
+        job = build_test_job(id, count, self.now, idempotent=idempotent, deadline_ms=deadline)
         assert isinstance(self.dispatcher.submit(job, None), Success)
         self.jobs[id] = job
 
--- a/cottonlug/upstream/daemon.py
+++ b/cottonlug/upstream/daemon.py
@@ -31,7 +31,10 @@
 _TIMEOUT_SECONDS = 30.0
 _FIRST_BACKOFF_SECONDS = 0.05
 _MAX_BACKOFF_SECONDS = 1.0
+_HAND_IN_SECONDS = 10.0
+"""How long a leaving upstream tries to hand in its last results."""
 _GOODBYE_SECONDS = 2.0
+_CHECK_SECONDS = 0.02
 _QUIET_PAUSE_SECONDS = 0.5
 """Pause between requests while the host is draining or this upstream leaves."""
 
@@ -107,12 +110,9 @@
         self.executor.leave()
         for host in self._news:
             self._wake(host)
-        deadline = time.monotonic() + limit.total_seconds()
-        while not self.executor.is_done() and time.monotonic() < deadline:
-            await asyncio.sleep(0.02)
-        goodbye = deadline + _GOODBYE_SECONDS
-        while not all(link.closed for link in self._list_links()) and time.monotonic() < goodbye:
-            await asyncio.sleep(0.02)
+        await _wait_until(lambda: not self.executor.running, limit.total_seconds())
+        await _wait_until(self.executor.is_done, _HAND_IN_SECONDS)
+        await _wait_until(self._is_goodbye_said, _GOODBYE_SECONDS)
 
     async def stop(self) -> None:
         """Stop at once."""
@@ -148,8 +148,8 @@
 
     # Links
 
-    def _list_links(self) -> list[Link]:
-        return list(self.executor.links.values())
+    def _is_goodbye_said(self) -> bool:
+        return all(link.closed for link in self.executor.links.values())
 
     async def _keep_link(self, link: Link, clients: list[HttpClient]) -> None:
         backoff = _FIRST_BACKOFF_SECONDS
@@ -266,6 +266,12 @@
         return ResultStatus.FAILED, Raw(msgspec.json.encode(result.failure()))
 
 
+async def _wait_until(is_true: Callable[[], bool], seconds: float) -> None:
+    deadline = time.monotonic() + seconds
+    while not is_true() and time.monotonic() < deadline:
+        await asyncio.sleep(_CHECK_SECONDS)
+
+
 def _read_reply(sent: Result[HttpReply, TransportError]) -> Result[ExchangeReply, str]:
     if isinstance(sent, Err):
         return Err(sent.failure().message)
