Prove the promises on real processes; let queued work finish while a host drains

Cause: the new process tests failed first: a draining host told its upstreams at once that it had nothing more, so 40 queued tasks ran into their deadline; a leaving upstream said so only when its parked request came back, up to 10 s later. Change: a host says it has nothing more once its queue is empty; leaving is news that goes out at once. Conclusion: both were faults of the protocol's edges, not of the queue or the leases.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -46,7 +46,7 @@
         hosts=(1,),
         upstreams=upstreams,
         slots=slots,
-        base_port=find_base_port(1),
+        base_port=find_base_port(),
     )
 
 
@@ -165,7 +165,7 @@
 
 def main() -> None:
     results: dict[str, object] = {}
-    port = find_base_port(1) + 900
+    port = find_base_port() + 900
     baselines = [start_baseline("upstream", str(port + at)) for at in range(4)]
     urls = [f"http://127.0.0.1:{port + at}" for at in range(4)]
     naive = start_baseline("naive", str(port + 10), "64", *urls)
--- a/cottonlug/core/dispatcher.py
+++ b/cottonlug/core/dispatcher.py
@@ -471,12 +471,16 @@
         parked_too_long = now - session.last_heard >= park
         is_spare = len(session.open_requests) > 1
         leaves = session.state is SessionState.LEAVING
-        due = placed or session.stops or parked_too_long or is_spare or leaves or self.draining
+        due = placed or session.stops or parked_too_long or is_spare or leaves
+        due = due or self._has_nothing_more()
         if not due:
             return None
         session.expires_at = now + limits.busy_lease
         return self._make_reply(session, placed)
 
+    def _has_nothing_more(self) -> bool:
+        return self.draining and self.queued_tasks == 0
+
     def _make_reply(self, session: Session, placed: list[Placement]) -> ExchangeReply:
         if not placed and not session.stops:
             self.counters.empty_replies += 1
@@ -486,7 +490,7 @@
             starts=_group_starts(placed),
             stops=session.stops,
             backlog=self.queued_tasks,
-            draining=self.draining,
+            draining=self._has_nothing_more(),
         )
         session.stops = []
         return reply
--- a/cottonlug/core/execution.py
+++ b/cottonlug/core/execution.py
@@ -60,6 +60,7 @@
     backlog: int = 0
     draining: bool = False
     told_credit: int = -1
+    told_leaving: bool = False
     closing_seq: int | None = None
     closed: bool = False
     pending: list[Result] = field(default_factory=list)
@@ -98,6 +99,7 @@
         link.session += 1
         link.next_seq = 1
         link.announced = False
+        link.told_leaving = False
         link.closing_seq = None
         for results in link.unacknowledged.values():
             link.pending.extend(results)
@@ -123,7 +125,9 @@
 
     def has_news(self, link: Link) -> bool:
         """Whether a request should go out beside one that is already open."""
-        return bool(link.pending) or self.get_credit(link) > link.told_credit
+        if link.pending or self.get_credit(link) > link.told_credit:
+            return True
+        return self.leaving and (not link.told_leaving or self._may_close(link))
 
     def build_request(self, link: Link) -> ExchangeRequest:
         """Return the link's next request; its results count as delivered once it is answered."""
@@ -133,6 +137,7 @@
         link.unacknowledged[link.next_seq] = results
         link.told_credit = self.get_credit(link)
         is_first = not link.announced
+        link.told_leaving = self.leaving
         closing = self.leaving and not self._holds_any(link)
         if closing:
             link.closing_seq = link.next_seq
@@ -227,6 +232,9 @@
         held = [*self.waiting.values(), *self.running.values()]
         return [TaskName(*item.key) for item in held if item.host == link.host]
 
+    def _may_close(self, link: Link) -> bool:
+        return link.closing_seq is None and not self._holds_any(link)
+
     def _holds_any(self, link: Link) -> bool:
         held = [*self.waiting.values(), *self.running.values()]
         return any(item.host == link.host for item in held)
--- a/cottonlug/tests/processes.py
+++ b/cottonlug/tests/processes.py
@@ -13,8 +13,13 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import httpx
+import msgspec
+
 from ..config.deployments import Deployment, HostPlan, plan_hosts, write_deployment
 from ..config.options import Address
+from ..core.ids import SubmissionId
+from ..runtime.dump import UpstreamDump
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 _TICKS = os.sysconf("SC_CLK_TCK")
@@ -108,9 +113,58 @@
     return 0.0
 
 
-def find_base_port(count: int) -> int:
-    """Return a port from which that many hundreds are free enough to use."""
+def find_base_port() -> int:
+    """Return a base whose ports are free, below the range that outgoing connections use."""
+    for base in range(20_000, 32_000, 1_000):
+        if all(_is_free(base + offset) for offset in (101, 102, 201, 301, 401, 501, 900)):
+            return base
+    raise SystemExit("no free ports")
+
+
+def _is_free(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = int(probe.getsockname()[1])
-    return min(port, 60_000 - 100 * count) // 1000 * 1000
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def call(
+    fleet: Fleet,
+    host: str,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    *,
+    kind: str = "callers",
+    token: str | None = None,
+) -> httpx.Response:
+    """Send one call to an entry host's listener of that kind."""
+    plan = next(each for each in fleet.hosts if each.name == host)
+    address = fleet.get_address(plan, kind)
+    headers = {"Authorization": f"Bearer {token or fleet.get_token(kind)}"}
+    url = f"http://{address}{path}"
+    return httpx.request(method, url, content=body, headers=headers, timeout=60, trust_env=False)
+
+
+def read_upstream_dump(fleet: Fleet, number: int) -> UpstreamDump:
+    """Return the state of a stand-in upstream."""
+    port = fleet.deployment.base_port + 500 + number
+    headers = {"Authorization": f"Bearer {fleet.get_token('operators')}"}
+    url = f"http://127.0.0.1:{port}/v1/dump"
+    reply = httpx.get(url, headers=headers, timeout=10, trust_env=False)
+    return msgspec.json.decode(reply.content, type=UpstreamDump)
+
+
+def count_starts(fleet: Fleet, id: str) -> int:
+    """Return how often the upstreams started tasks of a submission; duplicates fail at once."""
+    total = 0
+    for number in range(1, fleet.deployment.upstreams + 1):
+        if fleet.processes[f"w{number:02d}"].poll() is not None:
+            continue
+        dump = read_upstream_dump(fleet, number)
+        assert dump.duplicate_starts == 0
+        total += dump.started_by_submission.get(SubmissionId(id), 0)
+    return total
--- a/cottonlug/upstream/daemon.py
+++ b/cottonlug/upstream/daemon.py
@@ -195,7 +195,8 @@
 
     async def _is_request_due(self, link: Link) -> bool:
         if link.open_requests == 0:
-            if (link.draining or self.executor.leaving) and not link.pending:
+            is_quiet = link.draining or self.executor.leaving
+            if is_quiet and not self.executor.has_news(link):
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._news[link.host].wait(), _QUIET_PAUSE_SECONDS)
             return True
