--- a/cottonlug/core/dispatcher.py
+++ b/cottonlug/core/dispatcher.py
@@ -64,10 +64,10 @@
     """Limits of one dispatcher; spans of time as such, counts in tasks."""
 
     max_queued_tasks: int = 200_000
-    idle_lease: timedelta = timedelta(seconds=30)
+    idle_lease: timedelta = timedelta(seconds=45)
     busy_lease: timedelta = timedelta(seconds=4)
     suspect_grace: timedelta = timedelta(seconds=2)
-    idle_park: timedelta = timedelta(seconds=10)
+    idle_park: timedelta = timedelta(seconds=30)
     busy_park: timedelta = timedelta(seconds=1)
     unrunnable_grace: timedelta = timedelta(seconds=10)
 
