Wait for both requests in the shutdown test; begin the consensus core

Cause: the test of graceful shutdown waited for the job but not for the single request, which the draining host then refused, rightly, as not run. Change: the test waits until both are accepted. Conclusion: a fault of the test, not of the shutdown.

--- /dev/null
+++ b/cottonlug/core/consensus/member.py
@@ -0,0 +1,513 @@
+"""One member of the replicated log: elections, replication, commitment and change of members.
+
+The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote, a quorum check by the leader, one
+change of members at a time, learners and leadership transfer. A member id stands for one life of a
+disk: a host that lost its disk comes back under a new id and votes only once it was added again, so
+that it cannot forget a vote or an entry that others count on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..invariants import require
+from .log import Log
+from .types import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    EntryKind,
+    Envelope,
+    HardState,
+    Index,
+    MemberId,
+    Members,
+    Message,
+    Output,
+    Role,
+    Snapshot,
+    SnapshotRequest,
+    Stored,
+    Term,
+    TransferRequest,
+    VoteReply,
+    VoteRequest,
+)
+
+MAX_ENTRIES_PER_MESSAGE = 256
+
+Chance = Callable[[], float]
+"""Return a number from 0 up to 1; passed in, so that runs can be repeated."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Timing:
+    """Spans between events; the election timeout is drawn between one and two times `election`."""
+
+    heartbeat: timedelta = timedelta(milliseconds=400)
+    election: timedelta = timedelta(milliseconds=1_200)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NotLeader:
+    """A proposal came to a member that cannot take it; `leader` may."""
+
+    leader: MemberId | None
+    reason: str
+
+
+@dataclass(slots=True, kw_only=True)
+class _Progress:
+    next_index: Index
+    matched: Index
+    heard_at: timedelta
+
+
+class Member:
+    """State of one member."""
+
+    def __init__(
+        self,
+        *,
+        id: MemberId,
+        stored: Stored,
+        timing: Timing,
+        chance: Chance,
+        now: timedelta,
+    ) -> None:
+        self.id = id
+        self.role = Role.FOLLOWER
+        self.term = stored.hard_state.term
+        self.leader: MemberId | None = None
+        self.log = Log(snapshot=stored.snapshot, entries=stored.entries)
+        self.commit = max(stored.snapshot.index, stored.applied)
+        self.members = self.log.find_members()
+        self._voted_for = stored.hard_state.voted_for
+        self._timing = timing
+        self._chance = chance
+        self._now = now
+        self._votes: set[MemberId] = set()
+        self._progress: dict[MemberId, _Progress] = {}
+        self._heard_leader_at: timedelta | None = None
+        self._heartbeat_due = now
+        self._output = Output()
+        self._delivered = self.commit
+        self._set_election_time()
+
+    # What the program round it calls
+
+    def tick(self, now: timedelta) -> None:
+        """Act on everything whose time has come."""
+        self._now = now
+        if self.role is Role.LEADER:
+            self._tick_leader()
+        elif now >= self._election_due and self.id in self.members.voters:
+            self._campaign(pre=True)
+
+    def receive(self, message: Message, now: timedelta) -> None:
+        """Take in a message from another member."""
+        self._now = now
+        if self._is_from_the_past(message):
+            self._answer_the_past(message)
+            return
+        self._follow_newer_term(message)
+        if isinstance(message, VoteRequest):
+            self._answer_vote(message)
+        elif isinstance(message, VoteReply):
+            self._count_vote(message)
+        elif isinstance(message, AppendRequest):
+            self._take_append(message)
+        elif isinstance(message, AppendReply):
+            self._take_append_reply(message)
+        elif isinstance(message, SnapshotRequest):
+            self._take_snapshot(message)
+        else:
+            self._campaign(pre=False, transfer=True)
+
+    def propose(self, data: str, now: timedelta) -> Result[tuple[Term, Index], NotLeader]:
+        """Append a command; it counts once it comes back committed at this term and index."""
+        self._now = now
+        if self.role is not Role.LEADER:
+            return Err(NotLeader(leader=self.leader, reason="not the leader"))
+        entry = self._append_new(EntryKind.COMMAND, data, None)
+        self._replicate_all()
+        return Success((entry.term, entry.index))
+
+    def change_members(self, members: Members, now: timedelta) -> Result[Index, NotLeader]:
+        """Append a new set of members that differs by one voter at most."""
+        self._now = now
+        refusal = self._check_change(members)
+        if refusal is not None:
+            return Err(NotLeader(leader=self.leader, reason=refusal))
+        entry = self._append_new(EntryKind.MEMBERS, "", members)
+        self._set_members()
+        self._replicate_all()
+        return Success(entry.index)
+
+    def transfer(self, now: timedelta) -> MemberId | None:
+        """Ask the voter that is furthest to take over; None where none is up to date."""
+        self._now = now
+        if self.role is not Role.LEADER:
+            return None
+        for voter in self.members.voters:
+            progress = self._progress.get(voter)
+            if progress is not None and progress.matched == self.log.last_index:
+                self._send(voter, TransferRequest(term=self.term, sender=self.id))
+                return voter
+        return None
+
+    def compact(self, data: str, index: Index) -> None:
+        """Replace all entries up to a delivered one by a snapshot of the state after it."""
+        require(index <= self._delivered, "only delivered entries are compacted")
+        term = self.log.find_term(index)
+        if term is None or index <= self.log.snapshot.index:
+            return
+        members = _find_members_at(self.log, index)
+        snapshot = Snapshot(index=index, term=term, members=members, data=data)
+        self.log.compact(snapshot)
+        self._output.snapshot = snapshot
+
+    def take_output(self) -> Output:
+        """Return what is to be saved, sent and applied, in this order."""
+        output = self._output
+        self._output = Output()
+        first = Index(self._delivered + 1)
+        if self.commit >= first and first > self.log.snapshot.index:
+            output.committed = list(self.log.read(first, self.commit - self._delivered))
+        self._delivered = self.commit
+        return output
+
+    def matched(self, member: MemberId) -> Index:
+        """Return how far another member's log is known to agree; for the leader only."""
+        progress = self._progress.get(member)
+        return progress.matched if progress is not None else Index(0)
+
+    # Terms
+
+    def _is_from_the_past(self, message: Message) -> bool:
+        return message.term < self.term
+
+    def _answer_the_past(self, message: Message) -> None:
+        if isinstance(message, VoteRequest):
+            self._send_vote(message, granted=False)
+        elif isinstance(message, AppendRequest | SnapshotRequest):
+            self._send_append_reply(message.sender, accepted=False, matched=Index(0))
+
+    def _follow_newer_term(self, message: Message) -> None:
+        if message.term <= self.term:
+            return
+        if isinstance(message, VoteRequest):
+            if message.pre or (self._has_leader() and not message.transfer):
+                return
+        elif isinstance(message, VoteReply) and message.pre and message.granted:
+            return
+        self._become_follower(message.term, None)
+
+    def _become_follower(self, term: Term, leader: MemberId | None) -> None:
+        if term > self.term:
+            self.term = term
+            self._voted_for = None
+            self._save_hard_state()
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._set_election_time()
+
+    def _save_hard_state(self) -> None:
+        self._output.hard_state = HardState(term=self.term, voted_for=self._voted_for)
+
+    def _set_election_time(self) -> None:
+        self._election_due = self._now + self._timing.election * (1.0 + self._chance())
+
+    def _has_leader(self) -> bool:
+        """Whether a leader was heard so lately that no election can be due."""
+        if self.role is Role.LEADER:
+            return True
+        if self._heard_leader_at is None:
+            return False
+        return self._now - self._heard_leader_at < self._timing.election
+
+    # Elections
+
+    def _campaign(self, *, pre: bool, transfer: bool = False) -> None:
+        if self.id not in self.members.voters:
+            return
+        self._votes = {self.id}
+        self.leader = None
+        self._set_election_time()
+        if pre:
+            self.role = Role.PRE_CANDIDATE
+        else:
+            self.role = Role.CANDIDATE
+            self.term = Term(self.term + 1)
+            self._voted_for = self.id
+            self._save_hard_state()
+        asked_term = Term(self.term + 1) if pre else self.term
+        for voter in self.members.voters:
+            if voter != self.id:
+                request = VoteRequest(
+                    term=asked_term,
+                    sender=self.id,
+                    last_index=self.log.last_index,
+                    last_term=self.log.last_term,
+                    pre=pre,
+                    transfer=transfer,
+                )
+                self._send(voter, request)
+        self._check_votes()
+
+    def _answer_vote(self, request: VoteRequest) -> None:
+        ours = (self.log.last_term, self.log.last_index)
+        is_current = (request.last_term, request.last_index) >= ours
+        if request.pre:
+            granted = is_current and not self._has_leader() and request.term > self.term
+            self._send_vote(request, granted=granted)
+            return
+        if request.term != self.term:
+            self._send_vote(request, granted=False)
+            return
+        granted = is_current and self._voted_for in (None, request.sender)
+        if granted and self._voted_for is None:
+            self._voted_for = request.sender
+            self._save_hard_state()
+            self._set_election_time()
+        self._send_vote(request, granted=granted)
+
+    def _send_vote(self, request: VoteRequest, *, granted: bool) -> None:
+        term = request.term if request.pre and granted else self.term
+        reply = VoteReply(term=term, sender=self.id, granted=granted, pre=request.pre)
+        self._send(request.sender, reply)
+
+    def _count_vote(self, reply: VoteReply) -> None:
+        expected = Role.PRE_CANDIDATE if reply.pre else Role.CANDIDATE
+        asked_term = self.term + 1 if reply.pre else self.term
+        if self.role is not expected or not reply.granted or reply.term != asked_term:
+            return
+        if reply.sender in self.members.voters:
+            self._votes.add(reply.sender)
+            self._check_votes()
+
+    def _check_votes(self) -> None:
+        if not self._is_quorum(self._votes):
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self._campaign(pre=False)
+        elif self.role is Role.CANDIDATE:
+            self._become_leader()
+
+    def _is_quorum(self, members: set[MemberId]) -> bool:
+        count = sum(1 for voter in self.members.voters if voter in members)
+        return 2 * count > len(self.members.voters)
+
+    # Leading
+
+    def _become_leader(self) -> None:
+        require(self.id in self.members.voters, "only a voter leads")
+        self.role = Role.LEADER
+        self.leader = self.id
+        self._progress = {}
+        self._append_new(EntryKind.EMPTY, "", None)
+        self._set_members()
+        self._replicate_all()
+
+    def _tick_leader(self) -> None:
+        if self._now >= self._election_due:
+            self._check_quorum()
+            if self.role is not Role.LEADER:
+                return
+        if self._now >= self._heartbeat_due:
+            self._replicate_all()
+
+    def _check_quorum(self) -> None:
+        """Step down unless a majority was heard within the last election timeout."""
+        heard = {
+            member
+            for member, progress in self._progress.items()
+            if self._now - progress.heard_at < self._timing.election
+        }
+        if not self._is_quorum(heard | {self.id}):
+            self._become_follower(self.term, None)
+            return
+        self._election_due = self._now + self._timing.election
+
+    def _append_new(self, kind: EntryKind, data: str, members: Members | None) -> Entry:
+        index = Index(self.log.last_index + 1)
+        entry = Entry(term=self.term, index=index, kind=kind, data=data, members=members)
+        self.log.append(entry)
+        self._output.entries.append(entry)
+        self._advance_commit()
+        return entry
+
+    def _check_change(self, members: Members) -> str | None:
+        if self.role is not Role.LEADER:
+            return "not the leader"
+        if self.log.find_term(self.commit) != self.term:
+            return "nothing of this term is committed yet"
+        if self.log.find_members_index() > self.commit:
+            return "another change of members is under way"
+        changed = set(members.voters) ^ set(self.members.voters)
+        if len(changed) > 1 or not members.voters:
+            return "one voter is added or removed at a time"
+        return None
+
+    def _set_members(self) -> None:
+        self.members = self.log.find_members()
+        if self.role is not Role.LEADER:
+            return
+        others = {*self.members.voters, *self.members.learners} - {self.id}
+        for member in others - set(self._progress):
+            self._progress[member] = _Progress(
+                next_index=Index(self.log.last_index + 1), matched=Index(0), heard_at=self._now
+            )
+        for member in set(self._progress) - others:
+            del self._progress[member]
+
+    def _replicate_all(self) -> None:
+        self._heartbeat_due = self._now + self._timing.heartbeat
+        for member in self._progress:
+            self._replicate(member)
+
+    def _replicate(self, member: MemberId) -> None:
+        progress = self._progress[member]
+        previous = Index(progress.next_index - 1)
+        previous_term = self.log.find_term(previous)
+        if previous_term is None:
+            request = SnapshotRequest(
+                term=self.term, sender=self.id, snapshot=self.log.snapshot
+            )
+            self._send(member, request)
+            return
+        entries = self.log.read(progress.next_index, MAX_ENTRIES_PER_MESSAGE)
+        self._send(
+            member,
+            AppendRequest(
+                term=self.term,
+                sender=self.id,
+                previous_index=previous,
+                previous_term=previous_term,
+                commit=self.commit,
+                entries=entries,
+            ),
+        )
+
+    def _take_append_reply(self, reply: AppendReply) -> None:
+        progress = self._progress.get(reply.sender)
+        if self.role is not Role.LEADER or progress is None:
+            return
+        progress.heard_at = self._now
+        if not reply.accepted:
+            progress.next_index = Index(max(1, min(progress.next_index - 1, reply.matched + 1)))
+            self._replicate(reply.sender)
+            return
+        require(reply.matched <= self.log.last_index, "a follower has only what the leader has")
+        progress.matched = max(progress.matched, reply.matched)
+        progress.next_index = max(progress.next_index, Index(progress.matched + 1))
+        if self._advance_commit():
+            self._replicate_all()
+        elif progress.next_index <= self.log.last_index:
+            self._replicate(reply.sender)
+
+    def _advance_commit(self) -> bool:
+        """Commit what a majority of voters has, if its last entry is of this term."""
+        matches = sorted(
+            self.log.last_index if voter == self.id else self.matched(voter)
+            for voter in self.members.voters
+        )
+        index = matches[(len(matches) - 1) // 2]
+        if index <= self.commit or self.log.find_term(index) != self.term:
+            return False
+        self.commit = index
+        if self.id not in self.members.voters and self.log.find_members_index() <= index:
+            self._become_follower(self.term, None)
+        return True
+
+    # Following
+
+    def _take_append(self, request: AppendRequest) -> None:
+        self._follow(request.sender)
+        if request.previous_index < self.log.snapshot.index:
+            request = _skip_to(request, self.log.snapshot)
+        if self.log.find_term(request.previous_index) != request.previous_term:
+            self._send_append_reply(
+                request.sender, accepted=False, matched=self._find_hint(request.previous_index)
+            )
+            return
+        for entry in request.entries:
+            self._take_entry(entry)
+        matched = Index(request.previous_index + len(request.entries))
+        self.commit = max(self.commit, min(request.commit, matched))
+        self._send_append_reply(request.sender, accepted=True, matched=matched)
+
+    def _take_entry(self, entry: Entry) -> None:
+        term = self.log.find_term(entry.index)
+        if term == entry.term:
+            return
+        if term is not None:
+            require(entry.index > self.commit, "a committed entry never changes")
+            self.log.truncate(entry.index)
+            first = self._output.truncate_from
+            self._output.truncate_from = min(first or entry.index, entry.index)
+            self._output.entries = [
+                kept for kept in self._output.entries if kept.index < entry.index
+            ]
+            self.members = self.log.find_members()
+        self.log.append(entry)
+        self._output.entries.append(entry)
+        if entry.members is not None:
+            self.members = entry.members
+
+    def _take_snapshot(self, request: SnapshotRequest) -> None:
+        self._follow(request.sender)
+        snapshot = request.snapshot
+        if snapshot.index > self.commit:
+            self.log.replace(snapshot)
+            self.commit = snapshot.index
+            self._delivered = snapshot.index
+            self.members = snapshot.members
+            self._output.snapshot = snapshot
+            self._output.entries = []
+            self._output.truncate_from = None
+        self._send_append_reply(request.sender, accepted=True, matched=self.commit)
+
+    def _follow(self, leader: MemberId) -> None:
+        require(self.role is not Role.LEADER, "a term has one leader")
+        self._heard_leader_at = self._now
+        self._become_follower(self.term, leader)
+
+    def _find_hint(self, previous: Index) -> Index:
+        """Return the last index that may agree, skipping a whole run of one term."""
+        if previous > self.log.last_index:
+            return self.log.last_index
+        first = self.log.find_first_of_term(previous)
+        return Index(max(first - 1, self.commit))
+
+    def _send_append_reply(self, to: MemberId, *, accepted: bool, matched: Index) -> None:
+        reply = AppendReply(term=self.term, sender=self.id, accepted=accepted, matched=matched)
+        self._send(to, reply)
+
+    def _send(self, to: MemberId, message: Message) -> None:
+        self._output.messages.append(Envelope(to=to, message=message))
+
+
+def _skip_to(request: AppendRequest, snapshot: Snapshot) -> AppendRequest:
+    """Return the part of a request after the snapshot, which agrees as far as it goes."""
+    return AppendRequest(
+        term=request.term,
+        sender=request.sender,
+        previous_index=snapshot.index,
+        previous_term=snapshot.term,
+        commit=request.commit,
+        entries=tuple(entry for entry in request.entries if entry.index > snapshot.index),
+    )
+
+
+def _find_members_at(log: Log, index: Index) -> Members:
+    members = log.snapshot.members
+    for entry in log.read(Index(log.snapshot.index + 1), index - log.snapshot.index):
+        if entry.members is not None:
+            members = entry.members
+    return members
--- a/cottonlug/tests/test_processes.py
+++ b/cottonlug/tests/test_processes.py
@@ -78,6 +78,13 @@
     assert [result["task"] for result in answer["results"]] == list(range(count))
 
 
+def read_gauges(fleet: Fleet, host: str) -> dict[str, float]:
+    gauges: dict[str, float] = call(fleet, host, "GET", "/v1/dump", kind="operators").json()[
+        "gauges"
+    ]
+    return gauges
+
+
 def is_running_any(fleet: Fleet, number: int) -> bool:
     return bool(read_upstream_dump(fleet, number).running)
 
@@ -159,7 +166,7 @@
         request = pool.submit(
             call, fleet, "e1", "POST", "/v1/requests", json.dumps(single).encode()
         )
-        wait_until(lambda: is_running_any(fleet, 1))
+        wait_until(lambda: read_gauges(fleet, "e1")["active_jobs"] == 2)
         process = fleet.processes["e1"]
         process.send_signal(signal.SIGTERM)
         wait_until(lambda: call(fleet, "e1", "GET", "/ready").status_code == 503)
@@ -209,10 +216,7 @@
     process.send_signal(signal.SIGCONT)
     other.send_signal(signal.SIGCONT)
     next_id = mint(fleet, "e1")
-    wait_until(
-        lambda: call(fleet, "e1", "GET", "/v1/dump", kind="operators").json()["gauges"]["upstreams"]
-        == 2
-    )
+    wait_until(lambda: read_gauges(fleet, "e1")["upstreams"] == 2)
     call(fleet, "e1", "POST", "/v1/jobs", build_body(next_id, 8, 0))
     assert_whole(wait_answer(fleet, "e1", next_id), 8)
     assert count_starts(fleet, id) <= len(answer["failure"]["may_have_run"])
