Measure the dispatch policy; pause black holes, hold results that cannot complete an answer

Change: probation with pauses that double, after two failures; a turn is one task while several teams wait; prefetch 1; results wait up to 100 ms while the same submission still runs there and the host has no backlog; a spare reply keeps the idle lease; policy and delays are settings. Notices of upstreams are logged.

--- a/cottonlug/commands/demo.py
+++ b/cottonlug/commands/demo.py
@@ -30,6 +30,7 @@
 )
 from ..config.options import Address
 from ..core.dispatcher import Limits
+from ..core.execution import Delays
 from ..core.ids import DomainName, HostId, Incarnation, KindName, SubmissionId, TeamName, UpstreamId
 from ..core.messages import (
     JobAnswer,
@@ -40,6 +41,7 @@
     SingleRequest,
     SubmitRequest,
 )
+from ..core.policy import Policy
 from ..core.states import JobState
 from ..net.clients import ApiClient
 from ..runtime.clocks import SystemClock
@@ -260,6 +262,7 @@
         data_folder=None,
         voters=[],
         limits=Limits(),
+        policy=Policy(),
         submissions=SubmissionSettings(),
         retries=RetrySettings(),
         bodies=BodySettings(),
@@ -283,8 +286,7 @@
         token=entry.tokens.upstreams,
         listen=None,
         operator_token=None,
-        prefetch=4,
-        coalesce=timedelta(milliseconds=4),
+        delays=Delays(),
         log=LogSettings(),
     )
     return StandIn(settings=settings, incarnation=Incarnation(secrets.token_hex(8)))
--- a/cottonlug/config/defaults.py
+++ b/cottonlug/config/defaults.py
@@ -8,12 +8,15 @@
 from pathlib import Path
 
 from ..core.dispatcher import Limits
+from ..core.execution import Delays
 from ..core.ids import NAME_PATTERN, DomainName, HostId, UpstreamId
+from ..core.policy import PlacementOrder, Policy
 from .options import (
     Address,
     Option,
     Options,
     read_address,
+    read_boolean,
     read_choice,
     read_integer,
     read_labels,
@@ -119,6 +122,7 @@
     data_folder: Path | None
     voters: list[HostId]
     limits: Limits
+    policy: Policy
     submissions: SubmissionSettings
     retries: RetrySettings
     bodies: BodySettings
@@ -151,12 +155,13 @@
     token: str
     listen: Address | None
     operator_token: str | None
-    prefetch: int
-    coalesce: timedelta
+    delays: Delays
     log: LogSettings
 
 
 _LIMITS = Limits()
+_POLICY = Policy()
+_DELAYS = Delays()
 _DAY = 86_400
 
 LIMIT_OPTIONS: Options = {
@@ -168,6 +173,12 @@
     "busy_park": Option(read_span, _LIMITS.busy_park),
     "unrunnable_grace": Option(read_span, _LIMITS.unrunnable_grace),
 }
+POLICY_OPTIONS: Options = {
+    "placement": Option(read_choice(PlacementOrder), _POLICY.placement),
+    "work_factor": Option(read_number(0, 100), _POLICY.work_factor),
+    "fair_teams": Option(read_boolean, _POLICY.fair_teams),
+    "guards": Option(read_boolean, _POLICY.guards),
+}
 LISTEN_OPTIONS: Options = {
     "callers": Option(read_address),
     "operators": Option(read_address),
@@ -211,6 +222,7 @@
     "data_folder": Option(read_path, None),
     "voters": Option(read_list(read_name), []),
     "limits": Option(read_section(LIMIT_OPTIONS, Limits), _LIMITS),
+    "policy": Option(read_section(POLICY_OPTIONS, Policy), _POLICY),
     "submissions": Option(
         read_section(SUBMISSION_OPTIONS, SubmissionSettings), SubmissionSettings()
     ),
@@ -220,6 +232,11 @@
     "drain_linger": Option(read_span, timedelta(seconds=5)),
     "log": Option(read_section(LOG_OPTIONS, LogSettings), LogSettings()),
 }
+DELAY_OPTIONS: Options = {
+    "prefetch": Option(read_integer(0, 1024), _DELAYS.prefetch),
+    "coalesce": Option(read_span, _DELAYS.coalesce),
+    "hold": Option(read_span, _DELAYS.hold),
+}
 ENTRY_ADDRESS_OPTIONS: Options = {"host": Option(read_name), "address": Option(read_address)}
 UPSTREAM_OPTIONS: Options = {
     "upstream": Option(read_name),
@@ -234,8 +251,7 @@
     "token": Option(read_secret),
     "listen": Option(read_address, None),
     "operator_token": Option(read_secret, None),
-    "prefetch": Option(read_integer(0, 1024), 4),
-    "coalesce": Option(read_span, timedelta(milliseconds=4)),
+    "delays": Option(read_section(DELAY_OPTIONS, Delays), _DELAYS),
     "log": Option(read_section(LOG_OPTIONS, LogSettings), LogSettings()),
 }
 
--- a/cottonlug/core/dispatcher.py
+++ b/cottonlug/core/dispatcher.py
@@ -11,6 +11,8 @@
 from contextlib import closing
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
+from itertools import count
 
 from msgspec import Raw
 from returns.result import Failure as Err
@@ -44,7 +46,8 @@
     TaskStart,
 )
 from .placement import Placement, ReadySessions
-from .queues import JobQueue
+from .policy import Policy
+from .queues import JobQueue, Turn
 from .retries import RetryBudget
 from .sessions import Session
 from .states import (
@@ -58,6 +61,7 @@
 from .submissions import SubmissionStore
 
 OVERLOAD_RETRY_AFTER_MS = 500
+DEFAULT_POLICY = Policy()
 SWEEP_INTERVAL = timedelta(milliseconds=250)
 """How often all sessions are looked at for leases and parked requests that are due."""
 
@@ -84,6 +88,24 @@
     reply: ExchangeReply
 
 
+class NoticeKind(Enum):
+    """What the program round the dispatcher may want to log."""
+
+    OPENED = "opened"
+    GONE = "gone"
+    LEAVING = "leaving"
+    PROBATION = "probation"
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """Something that happened to an upstream."""
+
+    kind: NoticeKind
+    upstream: UpstreamId
+    detail: str = ""
+
+
 @dataclass(slots=True, kw_only=True)
 class Counters:
     """What the dispatcher has counted since it began."""
@@ -108,12 +130,18 @@
     """State of one entry host's dispatching."""
 
     def __init__(
-        self, *, store: SubmissionStore, limits: Limits, retry_budget: RetryBudget
+        self,
+        *,
+        store: SubmissionStore,
+        limits: Limits,
+        retry_budget: RetryBudget,
+        policy: Policy = DEFAULT_POLICY,
     ) -> None:
         self.store = store
         self.counters = Counters()
         self.sessions: dict[UpstreamId, Session] = {}
-        self.queue = JobQueue()
+        self.queue = JobQueue(work_factor=policy.work_factor, fair_teams=policy.fair_teams)
+        self.policy = policy
         self.draining = False
         self.queued_tasks = 0
         self._limits = limits
@@ -122,10 +150,13 @@
         self._guard = FailureGuard()
         self._deadlines: list[tuple[timedelta, SubmissionId]] = []
         self._ended: list[Job] = []
+        self._notices: list[Notice] = []
         self._farewells: list[Delivery] = []
-        self._ready = ReadySessions(get_room=self._get_room)
+        self._ready = ReadySessions(order=policy.placement, get_room=self._get_room)
         self._touched: dict[UpstreamId, None] = {}
         self._next_sweep = timedelta()
+        self._ordinals = count()
+        self._now = timedelta()
         self._active: dict[SubmissionId, Job] = {}
 
     # Callers' side
@@ -168,6 +199,12 @@
         self._ended = []
         return ended
 
+    def take_notices(self) -> list[Notice]:
+        """Return what happened to upstreams since the last call."""
+        notices = self._notices
+        self._notices = []
+        return notices
+
     @property
     def active_jobs(self) -> int:
         """How many jobs have no final state yet."""
@@ -175,12 +212,13 @@
 
     def get_probation_limit(self, upstream: UpstreamId) -> int | None:
         """Return how many starts an upstream on probation may have, or None where it is not."""
-        return self._guard.get_limit(upstream)
+        return self._guard.get_limit(upstream, self._now)
 
     # Upstreams' side
 
     def exchange(self, request: ExchangeRequest, now: timedelta) -> Refusal | None:
         """Take in one upstream's message; `dispatch` answers it."""
+        self._now = now
         self.counters.exchanges += 1
         session = self._find_session(request, now)
         if isinstance(session, Refusal):
@@ -195,7 +233,7 @@
         if request.closing:
             self._close(session, "the upstream left", now)
         elif request.leaving:
-            session.state = SessionState.LEAVING
+            self._note_leaving(session)
         else:
             session.state = SessionState.ACTIVE
         session.expires_at = now + self._get_lease(session)
@@ -215,6 +253,7 @@
 
     def dispatch(self, now: timedelta) -> list[Delivery]:
         """Start what can be started and return every reply that is due."""
+        self._now = now
         starts = self._place_tasks(now)
         deliveries = self._farewells
         self._farewells = []
@@ -230,6 +269,7 @@
 
     def tick(self, now: timedelta) -> None:
         """Act on everything whose time has come."""
+        self._now = now
         self._end_overdue_jobs(now)
         self._fail_unrunnable_jobs(now)
         self.store.expire(now)
@@ -244,6 +284,8 @@
                 self._close(session, "the upstream's lease ran out", now)
             elif session.open_requests:
                 self._touched[session.upstream] = None
+                if self._guard.is_limited(session.upstream):
+                    self._ready.update(session)
 
     def _take_touched(self) -> list[Session]:
         touched = [self.sessions[name] for name in self._touched if name in self.sessions]
@@ -342,8 +384,9 @@
         elif result.status is ResultStatus.NOT_STARTED:
             self._return_unstarted(job, key)
         elif result.status is ResultStatus.FAILED:
-            if self._guard.record_failure(session.upstream):
+            if self._guard.record_failure(session.upstream, now):
                 self.counters.probations += 1
+                self._notices.append(Notice(NoticeKind.PROBATION, session.upstream))
             detail = f"the task failed at {session.upstream}: {_describe(result.value)}"
             self._end_task(job, key, TaskState.FAILED, detail, now)
         else:
@@ -392,12 +435,14 @@
             announcement=request.announce,
             last_heard=now,
             expires_at=now,
+            ordinal=next(self._ordinals),
         )
         if session is not None:
             self._replace_session(session, fresh, request, now)
         self._hold_reported(fresh, request)
         self.sessions[request.upstream] = fresh
         self._guard.add(request.upstream)
+        self._notices.append(Notice(NoticeKind.OPENED, request.upstream))
         return fresh
 
     def _replace_session(
@@ -430,6 +475,7 @@
 
     def _close(self, session: Session, why: str, now: timedelta) -> None:
         session.state = SessionState.CLOSED
+        self._notices.append(Notice(NoticeKind.GONE, session.upstream, why))
         self.sessions.pop(session.upstream, None)
         self._guard.remove(session.upstream)
         self._answer_all(session)
@@ -448,22 +494,28 @@
     def _get_lease(self, session: Session) -> timedelta:
         return self._limits.busy_lease if session.outstanding else self._limits.idle_lease
 
+    def _note_leaving(self, session: Session) -> None:
+        if session.state is not SessionState.LEAVING:
+            session.state = SessionState.LEAVING
+            self._notices.append(Notice(NoticeKind.LEAVING, session.upstream))
+
     # Starts
 
     def _place_tasks(self, now: timedelta) -> dict[UpstreamId, list[Placement]]:
         starts: dict[UpstreamId, list[Placement]] = {}
         if self.queued_tasks == 0 or self._ready.is_empty():
             return starts
-        with closing(self.queue.iterate()) as jobs:
-            for job in jobs:
-                self._place_job(job, starts)
+        with closing(self.queue.iterate()) as turns:
+            for turn in turns:
+                self._place_job(turn, starts)
                 if self._ready.is_empty():
                     break
         return starts
 
-    def _place_job(self, job: Job, starts: dict[UpstreamId, list[Placement]]) -> None:
+    def _place_job(self, turn: Turn, starts: dict[UpstreamId, list[Placement]]) -> None:
+        job = turn.job
         expected = self._run_times.expect(job.spec.team, job.spec.kind)
-        while job.queued:
+        for _ in range(turn.tasks):
             session = self._ready.choose(job.spec)
             if session is None:
                 return
@@ -480,7 +532,7 @@
             self.counters.starts += 1
 
     def _get_room(self, session: Session) -> int:
-        limit = self._guard.get_limit(session.upstream)
+        limit = self._guard.get_limit(session.upstream, self._now) if self.policy.guards else None
         if limit is None:
             return session.free
         return min(session.free, limit - len(session.outstanding))
@@ -497,8 +549,11 @@
         due = due or self._has_nothing_more()
         if not due:
             return None
-        session.expires_at = now + limits.busy_lease
-        return self._make_reply(session, placed)
+        reply = self._make_reply(session, placed)
+        # With no request left open the upstream should be heard again at once.
+        lease = self._get_lease(session) if session.open_requests else limits.busy_lease
+        session.expires_at = now + lease
+        return reply
 
     def _has_nothing_more(self) -> bool:
         return self.draining and self.queued_tasks == 0
--- a/cottonlug/core/execution.py
+++ b/cottonlug/core/execution.py
@@ -8,13 +8,22 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 from msgspec import Raw
 
-from .ids import HostId, Incarnation, KindName, SessionNumber, TaskKey, UpstreamId
+from .ids import (
+    HostId,
+    Incarnation,
+    KindName,
+    SessionNumber,
+    SubmissionId,
+    TaskKey,
+    UpstreamId,
+)
 from .invariants import require
 from .messages import (
     Announcement,
@@ -41,6 +50,19 @@
     timeout_ms: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Delays:
+    """How long results wait for company, and how many starts are taken ahead.
+
+    `coalesce` counts while half of the slots run. `hold` counts while the host has no backlog and
+    the same submission still runs here: its answer cannot be whole before that anyway.
+    """
+
+    prefetch: int = 1
+    coalesce: timedelta = timedelta(milliseconds=4)
+    hold: timedelta = timedelta(milliseconds=100)
+
+
 @dataclass(frozen=True, slots=True)
 class Result:
     """What became of an assignment."""
@@ -64,6 +86,7 @@
     closing_seq: int | None = None
     closed: bool = False
     pending: list[Result] = field(default_factory=list)
+    pending_since: timedelta = timedelta()
     unacknowledged: dict[int, list[Result]] = field(default_factory=dict)
 
     @property
@@ -82,7 +105,7 @@
         incarnation: Incarnation,
         announcement: Announcement,
         hosts: Iterable[HostId],
-        prefetch: int,
+        delays: Delays,
     ) -> None:
         self.upstream = upstream
         self.announcement = announcement
@@ -91,8 +114,9 @@
         self.running: dict[TaskKey, Assignment] = {}
         self.waiting: dict[TaskKey, Assignment] = {}
         self.to_stop: deque[TaskKey] = deque()
+        self._held: Counter[SubmissionId] = Counter()
         self._incarnation = incarnation
-        self._prefetch = prefetch
+        self._delays = delays
 
     def begin_session(self, link: Link) -> None:
         """Give up the link's session; the next request opens a new one and reports what is held."""
@@ -117,11 +141,17 @@
         idle = len(open_links) - len(wanting)
         if link.backlog == 0:
             return 1
-        return max(1, _share(max(slots - idle, 1), wanting, link)) + self._prefetch
+        return max(1, _share(max(slots - idle, 1), wanting, link)) + self._delays.prefetch
 
-    def is_busy(self) -> bool:
-        """Whether more results will follow soon, so that waiting for them saves messages."""
-        return 2 * len(self.running) >= self.announcement.slots
+    def find_due(self, link: Link) -> timedelta | None:
+        """Return when the link's next request should go out, or None for not yet known."""
+        if link.open_requests == 0:
+            return timedelta()
+        if link.open_requests >= MAX_OPEN_REQUESTS or not self.has_news(link):
+            return None
+        if not link.pending or self.leaving:
+            return timedelta()
+        return link.pending_since + self._get_delay(link)
 
     def has_news(self, link: Link) -> bool:
         """Whether a request should go out beside one that is already open."""
@@ -177,6 +207,7 @@
                     timeout_ms=group.timeout_ms,
                 )
                 self.waiting[key] = assignment
+                self._held[key.submission] += 1
         if self.leaving:
             self.return_waiting()
         for name in reply.stops:
@@ -191,9 +222,14 @@
         self.running[key] = assignment
         return assignment
 
-    def finish(self, key: TaskKey, status: ResultStatus, value: Raw, ran_us: int) -> HostId:
+    def finish(
+        self, key: TaskKey, status: ResultStatus, value: Raw, ran_us: int, now: timedelta
+    ) -> HostId:
         """Record a running task's end and return the host that is to be told."""
         assignment = self.running.pop(key)
+        link = self.links[assignment.host]
+        if not link.pending:
+            link.pending_since = now
         self._report(assignment, status, value, ran_us)
         return assignment.host
 
@@ -216,6 +252,19 @@
             link.pending or any(link.unacknowledged.values()) for link in self.links.values()
         )
 
+    def _get_delay(self, link: Link) -> timedelta:
+        if link.backlog == 0 and all(self._may_hold(item) for item in link.pending):
+            return self._delays.hold
+        if 2 * len(self.running) >= self.announcement.slots:
+            return self._delays.coalesce
+        return timedelta()
+
+    def _may_hold(self, item: Result) -> bool:
+        """Whether the answer has to wait for more from here, and this result is no bad news."""
+        if item.result.status is not ResultStatus.SUCCEEDED:
+            return False
+        return self._held[item.key.submission] > 0
+
     def _stop(self, key: TaskKey) -> None:
         waiting = self.waiting.pop(key, None)
         if waiting is not None:
@@ -225,6 +274,9 @@
 
     def _report(self, assignment: Assignment, status: ResultStatus, value: Raw, us: int) -> None:
         key = assignment.key
+        self._held[key.submission] -= 1
+        if not self._held[key.submission]:
+            del self._held[key.submission]
         result = TaskResult(key.task, key.attempt, status, value, us)
         self.links[assignment.host].pending.append(Result(key, result))
 
--- a/cottonlug/core/guards.py
+++ b/cottonlug/core/guards.py
@@ -1,17 +1,22 @@
 """Guards against upstreams that fail every task they start.
 
-An upstream whose last results are all failures goes on probation: it gets one start at a time until
-it succeeds, and then returns in steps. At most a set share of upstreams is on probation at once, so
-that a bad job cannot set all of them aside.
+An upstream whose last results are all failures goes on probation: it gets one start after a pause,
+which doubles with every further failure; successes bring it back in steps. At most a set share of
+upstreams is on probation at once, so that a bad job cannot set all of them aside.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import timedelta
 
 from .ids import UpstreamId
 
-FAILURES_TO_PROBATION = 3
+FAILURES_TO_PROBATION = 2
+FIRST_PAUSE = timedelta(seconds=2)
+LONGEST_PAUSE = timedelta(seconds=60)
+FULL_RETURN = 8
+"""Starts at once from which an upstream is off probation."""
 MAX_PROBATION_SHARE = 0.34
 
 
@@ -19,6 +24,8 @@
 class _Record:
     failures: int = 0
     limit: int | None = None
+    pause: timedelta = FIRST_PAUSE
+    paused_until: timedelta = timedelta()
 
 
 class FailureGuard:
@@ -36,25 +43,33 @@
         if record.limit is None:
             return
         record.limit *= 2
-        if record.limit >= 8:
+        if record.limit >= FULL_RETURN:
             record.limit = None
+            record.pause = FIRST_PAUSE
 
-    def record_failure(self, upstream: UpstreamId) -> bool:
+    def record_failure(self, upstream: UpstreamId, now: timedelta) -> bool:
         """Note a failure; True where it puts the upstream on probation."""
         record = self._records.setdefault(upstream, _Record())
         record.failures += 1
         if record.limit is not None:
-            record.limit = 1
+            self._pause(record, now)
             return False
         if record.failures < FAILURES_TO_PROBATION or self._is_share_used_up():
             return False
-        record.limit = 1
+        self._pause(record, now)
         return True
 
-    def get_limit(self, upstream: UpstreamId) -> int | None:
+    def get_limit(self, upstream: UpstreamId, now: timedelta) -> int | None:
         """Return how many starts the upstream may have at once, or None for no limit."""
         record = self._records.get(upstream)
-        return record.limit if record else None
+        if record is None or record.limit is None:
+            return None
+        return record.limit if now >= record.paused_until else 0
+
+    def is_limited(self, upstream: UpstreamId) -> bool:
+        """Whether the upstream is on probation."""
+        record = self._records.get(upstream)
+        return record is not None and record.limit is not None
 
     def add(self, upstream: UpstreamId) -> None:
         """Count an upstream as present."""
@@ -64,6 +79,11 @@
         """Forget an upstream that is gone."""
         self._records.pop(upstream, None)
 
+    def _pause(self, record: _Record, now: timedelta) -> None:
+        record.limit = 1
+        record.paused_until = now + record.pause
+        record.pause = min(2 * record.pause, LONGEST_PAUSE)
+
     def _is_share_used_up(self) -> bool:
         limited = sum(1 for record in self._records.values() if record.limit is not None)
         return limited + 1 > max(1.0, MAX_PROBATION_SHARE * len(self._records))
--- a/cottonlug/core/placement.py
+++ b/cottonlug/core/placement.py
@@ -1,4 +1,4 @@
-"""Which upstream the next task goes to: the least loaded one that it fits.
+"""Which upstream the next task goes to: the first that it fits, in the order of the policy.
 
 Ready sessions are kept in a heap whose entries are dropped when they are out of date, so that a
 start costs the logarithm of the number of sessions, not the number.
@@ -13,6 +13,7 @@
 
 from .ids import TaskKey
 from .jobs import Job, JobSpec
+from .policy import PlacementOrder
 from .sessions import Session, fits_now
 
 
@@ -26,15 +27,23 @@
 
 @dataclass(order=True, slots=True)
 class _Entry:
-    load: float
+    rank: float
     version: int
     session: Session
 
 
+_RANKS: dict[PlacementOrder, Callable[[Session], float]] = {
+    PlacementOrder.LEAST_LOADED: lambda session: session.load,
+    PlacementOrder.FULLEST: lambda session: session.free,
+    PlacementOrder.FIRST: lambda session: session.ordinal,
+}
+
+
 class ReadySessions:
     """Sessions that may take a start; `get_room` tells how many more one takes now."""
 
-    def __init__(self, *, get_room: Callable[[Session], int]) -> None:
+    def __init__(self, *, order: PlacementOrder, get_room: Callable[[Session], int]) -> None:
+        self._rank = _RANKS[order]
         self._get_room = get_room
         self._heap: list[_Entry] = []
         self._versions = count(1)
@@ -43,10 +52,10 @@
         """Note that a session changed; entries made before are out of date."""
         session.version = next(self._versions)
         if self._get_room(session) > 0:
-            heapq.heappush(self._heap, _Entry(session.load, session.version, session))
+            heapq.heappush(self._heap, _Entry(self._rank(session), session.version, session))
 
     def choose(self, spec: JobSpec) -> Session | None:
-        """Return the least loaded session that a task of the job fits, or None."""
+        """Return the first session that a task of the job fits, or None."""
         passed: list[_Entry] = []
         chosen: Session | None = None
         while self._heap and chosen is None:
--- a/cottonlug/core/queues.py
+++ b/cottonlug/core/queues.py
@@ -17,8 +17,7 @@
 from .ids import SubmissionId, TeamName
 from .jobs import Job
 
-WORK_FACTOR = 1.0
-"""How many seconds of arrival time one second of expected work counts for."""
+_EVERYBODY = TeamName("")
 
 
 @dataclass(order=True, slots=True)
@@ -28,6 +27,14 @@
     job: Job = field(compare=False)
 
 
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """A job and how many of its tasks may start before it is the next one's turn."""
+
+    job: Job
+    tasks: int
+
+
 @dataclass(slots=True, kw_only=True)
 class _TeamQueue:
     weight: float
@@ -38,7 +45,9 @@
 class JobQueue:
     """All jobs of one entry host that have queued tasks."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, work_factor: float, fair_teams: bool) -> None:
+        self._work_factor = work_factor
+        self._fair_teams = fair_teams
         self._classes: dict[int, dict[TeamName, _TeamQueue]] = {}
         self._weights: dict[TeamName, float] = {}
         self._virtual_now: dict[int, float] = {}
@@ -59,19 +68,20 @@
         self._present.add(job.id)
         teams = self._classes.setdefault(job.spec.priority, {})
         floor = self._virtual_now.get(job.spec.priority, 0.0)
-        team = teams.get(job.spec.team)
+        name = self._get_team(job)
+        team = teams.get(name)
         if team is None:
-            weight = self._weights.get(job.spec.team, 1.0)
+            weight = self._weights.get(name, 1.0)
             team = _TeamQueue(weight=weight, virtual_time=floor)
-            teams[job.spec.team] = team
+            teams[name] = team
         elif not team.entries:
             team.virtual_time = max(team.virtual_time, floor)
         arrival = job.accepted_at.total_seconds()
-        rank = arrival + WORK_FACTOR * expected_work.total_seconds()
+        rank = arrival + self._work_factor * expected_work.total_seconds()
         heapq.heappush(team.entries, _Entry(rank, next(self._order), job))
 
-    def iterate(self) -> Generator[Job]:
-        """Yield the next job again and again until it has nothing queued, then the one after it.
+    def iterate(self) -> Generator[Turn]:
+        """Yield whose turn it is, again and again, until nothing is queued.
 
         The caller takes tasks between two steps and reports them with `charge`; a job that the
         caller passes over is offered again only on the next call.
@@ -86,12 +96,15 @@
 
     def charge(self, job: Job, work: timedelta) -> None:
         """Count work that was started against the job's team."""
-        team = self._classes[job.spec.priority][job.spec.team]
+        team = self._classes[job.spec.priority][self._get_team(job)]
         team.virtual_time += work.total_seconds() / team.weight
 
+    def _get_team(self, job: Job) -> TeamName:
+        return job.spec.team if self._fair_teams else _EVERYBODY
+
     def _iterate_class(
         self, priority: int, passed: list[tuple[_TeamQueue, _Entry]]
-    ) -> Generator[Job]:
+    ) -> Generator[Turn]:
         teams = self._classes[priority]
         while True:
             waiting = [team for team in teams.values() if team.entries]
@@ -106,7 +119,7 @@
                 continue
             self._virtual_now[priority] = team.virtual_time
             before = len(job.queued)
-            yield job
+            yield Turn(job, len(job.queued) if len(waiting) == 1 else 1)
             if len(job.queued) == before:
                 heapq.heappop(team.entries)
                 passed.append((team, entry))
--- a/cottonlug/core/sessions.py
+++ b/cottonlug/core/sessions.py
@@ -30,6 +30,7 @@
     expires_at: timedelta
     credit: int = 0
     version: int = 0
+    ordinal: int = 0
     state: SessionState = SessionState.ACTIVE
     outstanding: dict[TaskKey, Needs] = field(default_factory=dict)
     open_requests: deque[int] = field(default_factory=deque)
--- a/cottonlug/runtime/entry.py
+++ b/cottonlug/runtime/entry.py
@@ -13,7 +13,7 @@
 
 from ..config.defaults import EntrySettings
 from ..core.clock import Clock, to_milliseconds
-from ..core.dispatcher import Dispatcher
+from ..core.dispatcher import Dispatcher, NoticeKind
 from ..core.ids import Generation, SubmissionId, UpstreamId
 from ..core.intake import (
     build_job,
@@ -46,6 +46,12 @@
 MAX_WAIT_SECONDS = 60.0
 NOT_READY_RETRY_AFTER_MS = 1000
 _RequestId = tuple[UpstreamId, int, int]
+_EVENT_OF_NOTICE = {
+    NoticeKind.OPENED: Event.UPSTREAM_OPENED,
+    NoticeKind.GONE: Event.UPSTREAM_GONE,
+    NoticeKind.LEAVING: Event.UPSTREAM_LEAVING,
+    NoticeKind.PROBATION: Event.UPSTREAM_PROBATION,
+}
 
 
 class EntryHost:
@@ -68,7 +74,9 @@
             random_hex=secrets.token_hex,
         )
         budget = RetryBudget(ratio=settings.retries.budget, burst=settings.retries.burst)
-        self.dispatcher = Dispatcher(store=store, limits=settings.limits, retry_budget=budget)
+        self.dispatcher = Dispatcher(
+            store=store, limits=settings.limits, retry_budget=budget, policy=settings.policy
+        )
         self._job_waiters: dict[SubmissionId, list[asyncio.Future[None]]] = {}
         self._exchange_waiters: dict[_RequestId, asyncio.Future[ExchangeReply]] = {}
         self._dispatch_planned = False
@@ -204,14 +212,9 @@
         self, request: ExchangeRequest
     ) -> Result[asyncio.Future[ExchangeReply], Refusal]:
         """Take in an upstream's message and return the future of its reply."""
-        is_new = request.announce is not None
         refusal = self.dispatcher.exchange(request, self._clock.monotonic())
         if refusal is not None:
             return Err(refusal)
-        if is_new:
-            log_event(Event.UPSTREAM_OPENED, upstream=request.upstream, session=request.session)
-        elif request.leaving:
-            log_event(Event.UPSTREAM_LEAVING, upstream=request.upstream)
         future: asyncio.Future[ExchangeReply] = asyncio.get_running_loop().create_future()
         self._exchange_waiters[_identify(request)] = future
         self.plan_dispatch()
@@ -269,6 +272,9 @@
                 future.set_result(delivery.reply)
         for job in self.dispatcher.take_ended():
             self._announce_end(job)
+        for notice in self.dispatcher.take_notices():
+            event = _EVENT_OF_NOTICE[notice.kind]
+            log_event(event, upstream=notice.upstream, detail=notice.detail)
 
     def _announce_end(self, job: Job) -> None:
         if job.state is JobState.FAILED and job.failure is not None:
--- a/cottonlug/tests/builders.py
+++ b/cottonlug/tests/builders.py
@@ -7,8 +7,8 @@
 from msgspec import Raw
 
 from ..core.clock import ManualClock
-from ..core.dispatcher import Dispatcher, Limits
-from ..core.execution import Executor
+from ..core.dispatcher import DEFAULT_POLICY, Dispatcher, Limits
+from ..core.execution import Delays, Executor
 from ..core.ids import (
     DomainName,
     Generation,
@@ -22,6 +22,7 @@
 from ..core.intake import build_job
 from ..core.jobs import Job
 from ..core.messages import Announcement, SubmitRequest
+from ..core.policy import Policy
 from ..core.retries import RetryBudget
 from ..core.submissions import SubmissionStore
 
@@ -46,9 +47,9 @@
     )
 
 
-def build_dispatcher(limits: Limits | None = None, retries: int = 100) -> Dispatcher:
+def build_dispatcher(policy: Policy = DEFAULT_POLICY, retries: int = 100) -> Dispatcher:
     budget = RetryBudget(ratio=0.1, burst=retries)
-    return Dispatcher(store=build_store(), limits=limits or Limits(), retry_budget=budget)
+    return Dispatcher(store=build_store(), limits=Limits(), retry_budget=budget, policy=policy)
 
 
 def build_executor(
@@ -59,7 +60,7 @@
         incarnation=Incarnation(incarnation),
         announcement=Announcement(slots=slots, processors=8.0, memory_mb=1024),
         hosts=hosts,
-        prefetch=1,
+        delays=Delays(),
     )
 
 
--- a/cottonlug/tests/processes.py
+++ b/cottonlug/tests/processes.py
@@ -60,16 +60,33 @@
     """Write a deployment's settings and start every process of it."""
     write_deployment(deployment, folder)
     fleet = Fleet(folder, deployment, plan_hosts(deployment))
-    for host in fleet.hosts:
-        start_process(fleet, "serve", host.name)
-    for at in range(deployment.upstreams):
-        start_process(fleet, "upstream", f"w{at + 1:02d}")
-    for host in fleet.hosts:
-        wait_ready(fleet.get_address(host, "callers"))
-    time.sleep(1.0)
+    try:
+        for host in fleet.hosts:
+            start_process(fleet, "serve", host.name)
+        for at in range(deployment.upstreams):
+            start_process(fleet, "upstream", f"w{at + 1:02d}")
+        for host in fleet.hosts:
+            wait_ready(fleet.get_address(host, "callers"))
+        wait_until(lambda: count_sessions(fleet) == count_links(fleet))
+    except BaseException:
+        fleet.stop()
+        raise
     return fleet
 
 
+def count_links(fleet: Fleet) -> int:
+    """Return how many sessions there will be: each upstream links to its domain's hosts."""
+    deployment = fleet.deployment
+    per_domain = -(-deployment.upstreams // len(deployment.domains))
+    return sum(deployment.hosts[at // per_domain] for at in range(deployment.upstreams))
+
+
+def count_sessions(fleet: Fleet) -> int:
+    """Return how many sessions all entry hosts have."""
+    dumps = [call(fleet, host.name, "GET", "/v1/dump", kind="operators") for host in fleet.hosts]
+    return sum(int(dump.json()["gauges"]["upstreams"]) for dump in dumps)
+
+
 def start_process(fleet: Fleet, command: str, name: str) -> None:
     arguments = [sys.executable, "-m", "cottonlug", command, "--config", f"{name}.yaml"]
     log = (fleet.folder / f"{name}.log").open("ab")
--- a/cottonlug/tests/test_exchange_faults.py
+++ b/cottonlug/tests/test_exchange_faults.py
@@ -141,13 +141,13 @@
         while executor.to_stop:
             key = executor.to_stop.popleft()
             if key in executor.running:
-                executor.finish(key, ResultStatus.STOPPED, Raw(b"null"), 0)
+                executor.finish(key, ResultStatus.STOPPED, Raw(b"null"), 0, self.now)
         if not executor.running:
             return
         key = self.chance.choice(list(executor.running))
         is_good = self.chance.random() < 0.97
         status = ResultStatus.SUCCEEDED if is_good else ResultStatus.FAILED
-        executor.finish(key, status, make_value(key), 1_000)
+        executor.finish(key, status, make_value(key), 1_000, self.now)
 
     def restart_upstream(self) -> None:
         at = self.chance.randrange(UPSTREAMS)
--- a/cottonlug/upstream/daemon.py
+++ b/cottonlug/upstream/daemon.py
@@ -84,12 +84,11 @@
                 accelerators=settings.accelerators,
             ),
             hosts=[entry.host for entry in settings.hosts],
-            prefetch=settings.prefetch,
+            delays=settings.delays,
         )
         self._news = {entry.host: asyncio.Event() for entry in settings.hosts}
         self._loops: list[asyncio.Task[None]] = []
         self._running: dict[TaskKey, asyncio.Task[None]] = {}
-        self._coalesce = settings.coalesce
 
     def start(self) -> None:
         """Open a link to every entry host."""
@@ -200,11 +199,15 @@
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._news[link.host].wait(), _QUIET_PAUSE_SECONDS)
             return True
-        if link.open_requests >= MAX_OPEN_REQUESTS or not self.executor.has_news(link):
+        due = self.executor.find_due(link)
+        if due is None:
             return False
-        if link.pending and self._coalesce and self.executor.is_busy():
-            await asyncio.sleep(self._coalesce.total_seconds())
-        return True
+        wait = (due - _read_clock()).total_seconds()
+        if wait <= 0:
+            return True
+        # Woken early where a later result changes what may wait.
+        asyncio.get_running_loop().call_later(wait, self._wake, link.host)
+        return False
 
     async def _exchange(self, link: Link, client: HttpClient) -> str | None:
         request = self.executor.build_request(link)
@@ -242,7 +245,7 @@
         status, value = await self._run_bounded(assignment)
         ran_us = int((time.monotonic() - began) * 1e6)
         del self._running[assignment.key]
-        host = self.executor.finish(assignment.key, status, value, ran_us)
+        host = self.executor.finish(assignment.key, status, value, ran_us, _read_clock())
         self._wake(host)
         self._start_tasks()
 
@@ -252,7 +255,7 @@
     def _settle(self, key: TaskKey) -> None:
         """Report a task that was stopped before its first step."""
         if self._running.pop(key, None) is not None:
-            self._wake(self.executor.finish(key, ResultStatus.STOPPED, NULL, 0))
+            self._wake(self.executor.finish(key, ResultStatus.STOPPED, NULL, 0, _read_clock()))
 
     async def _run_bounded(self, assignment: Assignment) -> tuple[ResultStatus, Raw]:
         try:
@@ -267,6 +270,10 @@
         return ResultStatus.FAILED, Raw(msgspec.json.encode(result.failure()))
 
 
+def _read_clock() -> timedelta:
+    return timedelta(seconds=time.monotonic())
+
+
 async def _wait_until(is_true: Callable[[], bool], seconds: float) -> None:
     deadline = time.monotonic() + seconds
     while not is_true() and time.monotonic() < deadline:
