Split the dispatcher and the consensus member into smaller modules

Change: core/session_table.py keeps sessions, leases and replies and knows nothing of jobs; limits.py and notices.py; consensus/progress.py and timing.py; the log finds its own members.

--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -79,7 +79,7 @@
             _render_head(),
             _render_slopes(cost, slopes),
             _render_roles(cost, slopes, size),
-            _render_limits(cost, size),
+            _render_limits(cost, slopes, size),
             _render_gaps(),
         ]
     )
@@ -174,7 +174,7 @@
 """
 
 
-def _render_limits(cost: dict[str, Any], size: Sizing) -> str:
+def _render_limits(cost: dict[str, Any], slopes: dict[str, Any], size: Sizing) -> str:
     process_mb = cost["resident_mb_idle"]
     control_mb = process_mb + size.session_mb
     rows = [
@@ -198,6 +198,11 @@
         ),
         ("hosts set aside for control", "0", str(CONTROL_HOSTS), True),
     ]
+    consensus = slopes.get("consensus")
+    if consensus:
+        share = size.idle_share + consensus["idle_leader_core_share"]
+        row = ("the same for the voter that leads", f"{share:.2%}", f"{NODE_CORE_SHARE:.1%}")
+        rows.insert(1, (*row, share <= NODE_CORE_SHARE))
     lines = [
         "## Against the limits",
         "",
@@ -210,9 +215,10 @@
     ]
     lines += [
         "",
-        f"The process itself takes {process_mb:.0f} MB before the first session, nearly all of it imports. With",
-        "the sessions of a whole failure domain it is near or over the limit; which one the table says.",
-        "Ways that are open: answers packed into one buffer, importing less of litestar and OpenTelemetry.",
+        f"The process itself takes {process_mb:.0f} MB before the first session, nearly all of it imports.",
+        "Where the leading voter does not fit: its heartbeats cost a client call each, so fewer of them, or",
+        "a voter that owns fewer upstreams, are the ways that are open. Kept answers at the peak come on top",
+        "of the memory above; they are work, not control, and could be packed into one buffer a job.",
     ]
     return "\n".join(lines) + "\n"
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -21,7 +21,7 @@
 from returns.result import Success
 
 from cottonlug.core.clock import milliseconds
-from cottonlug.core.dispatcher import Dispatcher, Limits
+from cottonlug.core.dispatcher import Dispatcher
 from cottonlug.core.execution import Assignment, Delays, Executor, Link
 from cottonlug.core.ids import (
     DomainName,
@@ -36,6 +36,7 @@
 )
 from cottonlug.core.intake import build_job
 from cottonlug.core.jobs import Job
+from cottonlug.core.limits import Limits
 from cottonlug.core.messages import Announcement, ExchangeRequest, SubmitRequest
 from cottonlug.core.policy import PlacementOrder, Policy
 from cottonlug.core.retries import RetryBudget
--- a/cottonlug/commands/demo.py
+++ b/cottonlug/commands/demo.py
@@ -29,9 +29,9 @@
     UpstreamSettings,
 )
 from ..config.options import Address
-from ..core.dispatcher import Limits
 from ..core.execution import Delays
 from ..core.ids import DomainName, HostId, Incarnation, KindName, SubmissionId, TeamName, UpstreamId
+from ..core.limits import Limits
 from ..core.messages import (
     JobAnswer,
     JobStatus,
--- a/cottonlug/config/defaults.py
+++ b/cottonlug/config/defaults.py
@@ -7,9 +7,9 @@
 from enum import Enum
 from pathlib import Path
 
-from ..core.dispatcher import Limits
 from ..core.execution import Delays
 from ..core.ids import NAME_PATTERN, DomainName, HostId, UpstreamId
+from ..core.limits import Limits
 from ..core.policy import PlacementOrder, Policy
 from .options import (
     Address,
--- a/cottonlug/core/consensus/log.py
+++ b/cottonlug/core/consensus/log.py
@@ -69,6 +69,14 @@
                 return entry.members
         return self.snapshot.members
 
+    def find_members_at(self, index: Index) -> Members:
+        """Return the set of members that counted when an entry was appended."""
+        members = self.snapshot.members
+        for entry in self.read(Index(self.snapshot.index + 1), index - self.snapshot.index):
+            if entry.members is not None:
+                members = entry.members
+        return members
+
     def find_members_index(self) -> Index:
         """Return the index of the newest set of members."""
         for entry in reversed(self._entries):
--- a/cottonlug/core/consensus/member.py
+++ b/cottonlug/core/consensus/member.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -17,6 +16,8 @@
 
 from ..invariants import require
 from .log import Log
+from .progress import Progress, find_quorum_index, is_quorum
+from .timing import Chance, Timing
 from .types import (
     AppendReply,
     AppendRequest,
@@ -41,17 +42,6 @@
 
 MAX_ENTRIES_PER_MESSAGE = 256
 
-Chance = Callable[[], float]
-"""Return a number from 0 up to 1; passed in, so that runs can be repeated."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Timing:
-    """Spans between events; the election timeout is drawn between one and two times `election`."""
-
-    heartbeat: timedelta = timedelta(milliseconds=500)
-    election: timedelta = timedelta(milliseconds=1_500)
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NotLeader:
@@ -61,13 +51,6 @@
     reason: str
 
 
-@dataclass(slots=True, kw_only=True)
-class _Progress:
-    next_index: Index
-    matched: Index
-    heard_at: timedelta
-
-
 class Member:
     """State of one member."""
 
@@ -92,7 +75,7 @@
         self._chance = chance
         self._now = now
         self._votes: set[MemberId] = set()
-        self._progress: dict[MemberId, _Progress] = {}
+        self._progress: dict[MemberId, Progress] = {}
         self._heard_leader_at: timedelta | None = None
         self._heartbeat_due = now
         self._output = Output()
@@ -167,7 +150,7 @@
         term = self.log.find_term(index)
         if term is None or index <= self.log.snapshot.index:
             return
-        members = _find_members_at(self.log, index)
+        members = self.log.find_members_at(index)
         snapshot = Snapshot(index=index, term=term, members=members, data=data)
         self.log.compact(snapshot)
         self._output.snapshot = snapshot
@@ -292,17 +275,13 @@
             self._check_votes()
 
     def _check_votes(self) -> None:
-        if not self._is_quorum(self._votes):
+        if not is_quorum(self.members.voters, self._votes):
             return
         if self.role is Role.PRE_CANDIDATE:
             self._campaign(pre=False)
         elif self.role is Role.CANDIDATE:
             self._become_leader()
 
-    def _is_quorum(self, members: set[MemberId]) -> bool:
-        count = sum(1 for voter in self.members.voters if voter in members)
-        return 2 * count > len(self.members.voters)
-
     # Leading
 
     def _become_leader(self) -> None:
@@ -329,7 +308,7 @@
             for member, progress in self._progress.items()
             if self._now - progress.heard_at < self._timing.election
         }
-        if not self._is_quorum(heard | {self.id}):
+        if not is_quorum(self.members.voters, heard | {self.id}):
             self._become_follower(self.term, None)
             return
         self._election_due = self._now + self._timing.election
@@ -360,7 +339,7 @@
             return
         others = {*self.members.voters, *self.members.learners} - {self.id}
         for member in others - set(self._progress):
-            self._progress[member] = _Progress(
+            self._progress[member] = Progress(
                 next_index=Index(self.log.last_index + 1), matched=Index(0), heard_at=self._now
             )
         for member in set(self._progress) - others:
@@ -400,13 +379,11 @@
             return
         progress.heard_at = self._now
         if not reply.accepted:
-            retry_from = min(progress.next_index - 1, reply.matched + 1)
-            progress.next_index = Index(max(progress.matched + 1, retry_from))
+            progress.record_refusal(reply.matched)
             self._replicate(reply.sender)
             return
         require(reply.matched <= self.log.last_index, "a follower has only what the leader has")
-        progress.matched = max(progress.matched, reply.matched)
-        progress.next_index = max(progress.next_index, Index(progress.matched + 1))
+        progress.record_match(reply.matched)
         if self._advance_commit():
             self._replicate_all()
         elif progress.next_index <= self.log.last_index:
@@ -414,11 +391,9 @@
 
     def _advance_commit(self) -> bool:
         """Commit what a majority of voters has, if its last entry is of this term."""
-        matches = sorted(
-            self.log.last_index if voter == self.id else self.matched(voter)
-            for voter in self.members.voters
-        )
-        index = matches[(len(matches) - 1) // 2]
+        matched = {member: progress.matched for member, progress in self._progress.items()}
+        matched[self.id] = self.log.last_index
+        index = find_quorum_index(self.members.voters, matched)
         if index <= self.commit or self.log.find_term(index) != self.term:
             return False
         self.commit = index
@@ -444,22 +419,15 @@
         self._send_append_reply(request.sender, accepted=True, matched=matched)
 
     def _take_entry(self, entry: Entry) -> None:
-        term = self.log.find_term(entry.index)
-        if term == entry.term:
+        if self.log.find_term(entry.index) == entry.term:
             return
-        if term is not None:
+        if entry.index <= self.log.last_index:
             require(entry.index > self.commit, "a committed entry never changes")
             self.log.truncate(entry.index)
-            first = self._output.truncate_from
-            self._output.truncate_from = min(first or entry.index, entry.index)
-            self._output.entries = [
-                kept for kept in self._output.entries if kept.index < entry.index
-            ]
-            self.members = self.log.find_members()
+            self._output.truncate(entry.index)
         self.log.append(entry)
         self._output.entries.append(entry)
-        if entry.members is not None:
-            self.members = entry.members
+        self.members = self.log.find_members()
 
     def _take_snapshot(self, request: SnapshotRequest) -> None:
         self._follow(request.sender)
@@ -505,11 +473,3 @@
         commit=request.commit,
         entries=tuple(entry for entry in request.entries if entry.index > snapshot.index),
     )
-
-
-def _find_members_at(log: Log, index: Index) -> Members:
-    members = log.snapshot.members
-    for entry in log.read(Index(log.snapshot.index + 1), index - log.snapshot.index):
-        if entry.members is not None:
-            members = entry.members
-    return members
--- a/cottonlug/core/consensus/types.py
+++ b/cottonlug/core/consensus/types.py
@@ -158,6 +158,11 @@
     messages: list[Envelope] = []
     committed: list[Entry] = []
 
+    def truncate(self, first: Index) -> None:
+        """Void the entry at an index and all after it, saved ones and new ones."""
+        self.truncate_from = min(self.truncate_from or first, first)
+        self.entries = [entry for entry in self.entries if entry.index < first]
+
     @property
     def must_save(self) -> bool:
         """Whether anything has to be synced before messages go out."""
--- /dev/null
+++ b/cottonlug/core/notices.py
@@ -0,0 +1,46 @@
+"""What the dispatcher tells the program round it: counters, and notices worth a log line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from .ids import UpstreamId
+
+
+class NoticeKind(Enum):
+    """What happened to an upstream."""
+
+    OPENED = "opened"
+    GONE = "gone"
+    LEAVING = "leaving"
+    PROBATION = "probation"
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """Something that happened to an upstream."""
+
+    kind: NoticeKind
+    upstream: UpstreamId
+    detail: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class Counters:
+    """What the dispatcher has counted since it began."""
+
+    jobs_accepted: int = 0
+    jobs_attached: int = 0
+    jobs_complete: int = 0
+    jobs_failed: int = 0
+    refused: int = 0
+    starts: int = 0
+    results: int = 0
+    stale_results: int = 0
+    returned_unstarted: int = 0
+    unknown_tasks: int = 0
+    exchanges: int = 0
+    empty_replies: int = 0
+    probations: int = 0
+    retries: int = 0
--- /dev/null
+++ b/cottonlug/core/session_table.py
@@ -0,0 +1,285 @@
+"""All upstream sessions of one entry host: leases, parked requests, credit and replies.
+
+It knows nothing of jobs. Where a session ends, it returns the starts that are to be queued again
+because they provably did not happen, and those whose outcome is not known any more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from itertools import count
+
+from . import sessions
+from .clock import to_milliseconds
+from .guards import FailureGuard
+from .ids import SessionNumber, SubmissionId, TaskKey, UpstreamId
+from .jobs import Job
+from .limits import Limits
+from .messages import (
+    ExchangeReply,
+    ExchangeRequest,
+    Refusal,
+    StartGroup,
+    TaskName,
+    TaskStart,
+)
+from .notices import Counters, Notice, NoticeKind
+from .placement import Placement, ReadySessions
+from .policy import Policy
+from .sessions import Session
+from .states import RefusalCode, SessionState
+
+PRIORITY_RANK_MS = 86_400_000
+"""More than any difference of rank within one priority: deadlines are a day at most."""
+
+
+@dataclass(frozen=True, slots=True)
+class Delivery:
+    """A reply for the request of that upstream, session and number."""
+
+    upstream: UpstreamId
+    session: SessionNumber
+    reply: ExchangeReply
+
+
+@dataclass(slots=True)
+class Opened:
+    """The session that a request belongs to, and what became of the starts of the one before."""
+
+    session: Session
+    unstarted: list[TaskKey] = field(default_factory=list)
+    lost: list[TaskKey] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class QueueState:
+    """What replies tell of the queue: its length, and whether nothing more will come."""
+
+    backlog: int
+    drained: bool
+
+
+class SessionTable:
+    """State of all sessions by upstream."""
+
+    def __init__(self, *, limits: Limits, policy: Policy, counters: Counters) -> None:
+        self.by_upstream: dict[UpstreamId, Session] = {}
+        self.guard = FailureGuard()
+        self.ready = ReadySessions(order=policy.placement, get_room=self._get_room)
+        self.notices: list[Notice] = []
+        self.now = timedelta()
+        self._limits = limits
+        self._policy = policy
+        self._counters = counters
+        self._farewells: list[Delivery] = []
+        self._touched: dict[UpstreamId, None] = {}
+        self._ordinals = count()
+
+    def open(self, request: ExchangeRequest, now: timedelta) -> Opened | Refusal:
+        """Return the session of a request, a new one if it announces itself."""
+        session = self.by_upstream.get(request.upstream)
+        same_incarnation = session is not None and session.incarnation == request.incarnation
+        if session is not None and same_incarnation and session.number == request.session:
+            if request.seq in session.open_requests:
+                return _refuse_stale(request)
+            return Opened(session)
+        if session is not None and same_incarnation and request.session < session.number:
+            return _refuse_stale(request)
+        if request.announce is None:
+            return _refuse_stale(request)
+        fresh = Session(
+            upstream=request.upstream,
+            incarnation=request.incarnation,
+            number=request.session,
+            announcement=request.announce,
+            last_heard=now,
+            expires_at=now,
+            ordinal=next(self._ordinals),
+        )
+        opened = Opened(fresh)
+        if session is not None:
+            self._replace(session, opened, request)
+        self.by_upstream[request.upstream] = fresh
+        self.guard.add(request.upstream)
+        self.notices.append(Notice(NoticeKind.OPENED, request.upstream))
+        return opened
+
+    def renew(self, session: Session, request: ExchangeRequest, now: timedelta) -> None:
+        """Renew a session's lease and note what the request says of the upstream."""
+        if session.state is not SessionState.CLOSED:
+            self._note_state(session, request)
+        session.expires_at = now + self._get_lease(session)
+        self.ready.update(session)
+        self.touch(session.upstream)
+
+    def close(self, session: Session, why: str) -> list[TaskKey]:
+        """End a session and return the starts whose outcome is not known."""
+        session.state = SessionState.CLOSED
+        self.notices.append(Notice(NoticeKind.GONE, session.upstream, why))
+        self.by_upstream.pop(session.upstream, None)
+        self.guard.remove(session.upstream)
+        self._answer_all(session)
+        lost = list(session.outstanding)
+        for key in lost:
+            sessions.remove_outstanding(session, key)
+        return lost
+
+    def disconnect(self, upstream: UpstreamId, number: int, seq: int, now: timedelta) -> None:
+        """Note that the connection of an open request is gone; no new starts until it is back."""
+        session = self.by_upstream.get(upstream)
+        if session is None or session.number != number or seq not in session.open_requests:
+            return
+        session.open_requests.remove(seq)
+        if session.state is not SessionState.LEAVING:
+            session.state = SessionState.SUSPECT
+        session.expires_at = min(session.expires_at, now + self._limits.suspect_grace)
+
+    def sweep(self, now: timedelta) -> list[Session]:
+        """Look for parked requests that are due; return the sessions whose lease ran out."""
+        expired: list[Session] = []
+        for session in self.by_upstream.values():
+            if now > session.expires_at:
+                expired.append(session)
+            elif session.open_requests:
+                self.touch(session.upstream)
+                if self.guard.is_limited(session.upstream):
+                    self.ready.update(session)
+        return expired
+
+    def touch(self, upstream: UpstreamId) -> None:
+        """Note that a reply to this upstream may be due."""
+        self._touched[upstream] = None
+
+    def add_start(self, session: Session, placement: Placement) -> None:
+        """Count a start against a session."""
+        sessions.add_outstanding(session, placement.key, placement.job.spec.needs)
+        self.ready.update(session)
+        self.touch(session.upstream)
+
+    def stop_task(self, upstream: UpstreamId, key: TaskKey) -> None:
+        """Tell an upstream to stop a task that it was sent."""
+        session = self.by_upstream.get(upstream)
+        if session is not None and key in session.outstanding:
+            session.stops.append(TaskName(key.submission, key.task, key.attempt))
+            self.touch(upstream)
+
+    def take_replies(
+        self, starts: dict[UpstreamId, list[Placement]], queue: QueueState
+    ) -> list[Delivery]:
+        """Return every reply that is due; starts are taken out of the mapping."""
+        deliveries = self._farewells
+        self._farewells = []
+        touched = [name for name in self._touched if name in self.by_upstream]
+        self._touched = {}
+        for name in touched:
+            session = self.by_upstream[name]
+            while session.open_requests:
+                reply = self._build_reply(session, starts.pop(name, []), queue)
+                if reply is None:
+                    break
+                deliveries.append(Delivery(name, session.number, reply))
+        return deliveries
+
+    def _note_state(self, session: Session, request: ExchangeRequest) -> None:
+        if not request.leaving:
+            session.state = SessionState.ACTIVE
+        elif session.state is not SessionState.LEAVING:
+            session.state = SessionState.LEAVING
+            self.notices.append(Notice(NoticeKind.LEAVING, session.upstream))
+
+    def _replace(self, old: Session, opened: Opened, request: ExchangeRequest) -> None:
+        fresh = opened.session
+        if old.incarnation != fresh.incarnation:
+            opened.lost = self.close(old, "the upstream restarted")
+            return
+        self._answer_all(old)
+        reported = {TaskKey(name.submission, name.index, name.attempt) for name in request.held}
+        for group in request.results:
+            for result in group.results:
+                reported.add(TaskKey(group.submission, result.index, result.attempt))
+        for key, needs in list(old.outstanding.items()):
+            sessions.remove_outstanding(old, key)
+            if key in reported:
+                sessions.add_outstanding(fresh, key, needs)
+            else:
+                opened.unstarted.append(key)
+
+    def _answer_all(self, session: Session) -> None:
+        while session.open_requests:
+            reply = self._make_reply(session, [], QueueState(backlog=0, drained=False))
+            self._farewells.append(Delivery(session.upstream, session.number, reply))
+
+    def _get_lease(self, session: Session) -> timedelta:
+        return self._limits.busy_lease if session.outstanding else self._limits.idle_lease
+
+    def _get_room(self, session: Session) -> int:
+        limit = self.guard.get_limit(session.upstream, self.now) if self._policy.guards else None
+        if limit is None:
+            return session.free
+        return min(session.free, limit - len(session.outstanding))
+
+    def _build_reply(
+        self, session: Session, placed: list[Placement], queue: QueueState
+    ) -> ExchangeReply | None:
+        limits = self._limits
+        park = limits.busy_park if session.outstanding else limits.idle_park
+        parked_too_long = self.now - session.last_heard >= park
+        is_spare = len(session.open_requests) > 1
+        leaves = session.state is SessionState.LEAVING
+        due = placed or session.stops or parked_too_long or is_spare or leaves or queue.drained
+        if not due:
+            return None
+        reply = self._make_reply(session, placed, queue)
+        # With no request left open the upstream should be heard again at once.
+        lease = self._get_lease(session) if session.open_requests else limits.busy_lease
+        session.expires_at = self.now + lease
+        return reply
+
+    def _make_reply(
+        self, session: Session, placed: list[Placement], queue: QueueState
+    ) -> ExchangeReply:
+        if not placed and not session.stops:
+            self._counters.empty_replies += 1
+        reply = ExchangeReply(
+            seq=session.open_requests.popleft(),
+            lease_ms=to_milliseconds(self._limits.busy_lease),
+            starts=_group_starts(placed, self.now),
+            stops=session.stops,
+            backlog=queue.backlog,
+            draining=queue.drained,
+        )
+        session.stops = []
+        return reply
+
+
+def _group_starts(placed: Iterable[Placement], now: timedelta) -> list[StartGroup]:
+    groups: dict[SubmissionId, StartGroup] = {}
+    for start in placed:
+        job = start.job
+        group = groups.get(job.id)
+        if group is None:
+            group = StartGroup(
+                submission=job.id,
+                kind=job.spec.kind,
+                timeout_ms=to_milliseconds(job.spec.timeout),
+                tasks=[],
+                rank_ms=_compute_rank(job, now),
+            )
+            groups[job.id] = group
+        payload = job.payloads[start.key.task]
+        group.tasks.append(TaskStart(start.key.task, start.key.attempt, payload))
+    return list(groups.values())
+
+
+def _compute_rank(job: Job, now: timedelta) -> int:
+    """Return the job's place in the queue, its priority first, in milliseconds from now."""
+    return int((job.rank - now.total_seconds()) * 1000) + job.spec.priority * PRIORITY_RANK_MS
+
+
+def _refuse_stale(request: ExchangeRequest) -> Refusal:
+    return Refusal(
+        code=RefusalCode.STALE_SESSION,
+        message=f"session {request.session} of {request.upstream} is not open here; announce again",
+    )
--- a/cottonlug/runtime/entry.py
+++ b/cottonlug/runtime/entry.py
@@ -13,7 +13,7 @@
 
 from ..config.defaults import EntrySettings
 from ..core.clock import Clock, to_milliseconds
-from ..core.dispatcher import Dispatcher, NoticeKind
+from ..core.dispatcher import Dispatcher
 from ..core.ids import Generation, SubmissionId, UpstreamId
 from ..core.intake import (
     build_job,
@@ -33,6 +33,7 @@
     SingleRequest,
     SubmitRequest,
 )
+from ..core.notices import NoticeKind
 from ..core.retries import RetryBudget
 from ..core.states import JobState, RefusalCode, RunOutcome
 from ..core.submissions import SubmissionStore
--- a/cottonlug/runtime/voter.py
+++ b/cottonlug/runtime/voter.py
@@ -23,8 +23,9 @@
     encode_command,
     encode_state,
 )
-from ..core.consensus.member import Member, Timing
+from ..core.consensus.member import Member
 from ..core.consensus.replacement import get_host, plan_change
+from ..core.consensus.timing import Timing
 from ..core.consensus.types import (
     Entry,
     EntryKind,
--- a/cottonlug/tests/builders.py
+++ b/cottonlug/tests/builders.py
@@ -7,7 +7,7 @@
 from msgspec import Raw
 
 from ..core.clock import ManualClock
-from ..core.dispatcher import DEFAULT_POLICY, Dispatcher, Limits
+from ..core.dispatcher import DEFAULT_POLICY, Dispatcher
 from ..core.execution import Delays, Executor
 from ..core.ids import (
     DomainName,
@@ -21,6 +21,7 @@
 )
 from ..core.intake import build_job
 from ..core.jobs import Job
+from ..core.limits import Limits
 from ..core.messages import Announcement, SubmitRequest
 from ..core.policy import Policy
 from ..core.retries import RetryBudget
--- a/cottonlug/tests/test_consensus.py
+++ b/cottonlug/tests/test_consensus.py
@@ -16,7 +16,8 @@
     decode_state,
     encode_state,
 )
-from ..core.consensus.member import Member, Timing
+from ..core.consensus.member import Member
+from ..core.consensus.timing import Timing
 from ..core.consensus.types import (
     AppendReply,
     AppendRequest,
--- a/docs/examples/agree.py
+++ b/docs/examples/agree.py
@@ -9,7 +9,8 @@
 import random
 from datetime import timedelta
 
-from cottonlug.core.consensus.member import Member, Timing
+from cottonlug.core.consensus.member import Member
+from cottonlug.core.consensus.timing import Timing
 from cottonlug.core.consensus.types import (
     Entry,
     EntryKind,
