--- a/cottonlug/cli.py
+++ b/cottonlug/cli.py
@@ -12,7 +12,7 @@
 from returns.result import Failure as Err
 
 from . import __version__
-from .commands import demo, jobs, operations, serve
+from .commands import cluster, demo, jobs, operations, serve
 from .commands.exits import ExitCode
 from .commands.output import print_refusal
 from .commands.workloads import Flavour, build_example_job
@@ -61,6 +61,18 @@
     raise typer.Exit(serve.serve_upstream(config))
 
 
+@app.command(epilog="Example: cottonlug control --config control.yaml")
+def control(config: ConfigOption) -> None:
+    """Run a control host of a cluster: it keeps the log and, as leader, decides."""
+    raise typer.Exit(cluster.serve_control(config))
+
+
+@app.command(epilog="Example: cottonlug gateway --config gateway.yaml")
+def gateway(config: ConfigOption) -> None:
+    """Run a gateway of a cluster: it passes callers' requests to the leader."""
+    raise typer.Exit(cluster.serve_gateway(config))
+
+
 @app.command(name="demo")
 def demo_() -> None:
     """Run one entry host, five stand-in upstreams and a job of each user's, and check them."""
--- /dev/null
+++ b/cottonlug/config/cluster.py
@@ -0,0 +1,130 @@
+"""Settings of the cluster's hosts: control hosts, which hold the log, and gateways for callers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+
+from ..core.ids import DomainName, HostId
+from .defaults import LogSettings, read_log_section, read_name
+from .files import load_settings
+from .options import (
+    Address,
+    Option,
+    Options,
+    read_address,
+    read_boolean,
+    read_integer,
+    read_list,
+    read_path,
+    read_section,
+    read_span,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ControlListeners:
+    """Addresses of a control host: for upstreams and operators, for its peers, and for metrics."""
+
+    control: Address
+    peers: Address
+    metrics: Address | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewayListeners:
+    """Addresses of a gateway: for callers, for the balancer's checks, and for metrics."""
+
+    callers: Address
+    readiness: Address
+    metrics: Address | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ControlSettings:
+    """Settings of a control host; `seeds` are addresses for calls of peers."""
+
+    host: HostId
+    domain: DomainName
+    listen: ControlListeners
+    seeds: list[Address]
+    may_begin: bool
+    data_folder: Path
+    longest_lease: timedelta
+    keep_ended: timedelta
+    drain_limit: timedelta
+    log: LogSettings
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewaySettings:
+    """Settings of a gateway."""
+
+    host: HostId
+    domain: DomainName
+    listen: GatewayListeners
+    seeds: list[Address]
+    drain_limit: timedelta
+    log: LogSettings
+
+
+_CONTROL_LISTENERS: Options = {
+    "control": Option(read_address),
+    "peers": Option(read_address),
+    "metrics": Option(read_address, None),
+}
+_GATEWAY_LISTENERS: Options = {
+    "callers": Option(read_address),
+    "readiness": Option(read_address),
+    "metrics": Option(read_address, None),
+}
+_COMMON: Options = {
+    "host": Option(read_name),
+    "domain": Option(read_name),
+    "seeds": Option(read_list(read_address)),
+    "peer_port": Option(read_integer(1, 65_535), None),
+    "drain_limit": Option(read_span, timedelta(seconds=5)),
+    "log": Option(read_log_section, LogSettings()),
+}
+_CONTROL: Options = {
+    **_COMMON,
+    "listen": Option(read_section(_CONTROL_LISTENERS, ControlListeners)),
+    "may_begin": Option(read_boolean, False),
+    "data_folder": Option(read_path),
+    "longest_lease": Option(read_span, timedelta(seconds=1)),
+    "keep_ended": Option(read_span, timedelta(seconds=150)),
+}
+_GATEWAY: Options = {
+    **_COMMON,
+    "listen": Option(read_section(_GATEWAY_LISTENERS, GatewayListeners)),
+}
+
+
+def _move_seeds(seeds: list[Address], peer_port: int | None) -> list[Address]:
+    """Return the seeds at the port for calls of peers, where it is another one."""
+    if peer_port is None:
+        return seeds
+    return [Address(seed.host, peer_port) for seed in seeds]
+
+
+def _build_control(
+    *, seeds: list[Address], peer_port: int | None, **rest: object
+) -> ControlSettings:
+    return ControlSettings(seeds=_move_seeds(seeds, peer_port), **rest)  # type: ignore[arg-type]
+
+
+def _build_gateway(
+    *, seeds: list[Address], peer_port: int | None, **rest: object
+) -> GatewaySettings:
+    return GatewaySettings(seeds=_move_seeds(seeds, peer_port), **rest)  # type: ignore[arg-type]
+
+
+def load_control_settings(file: Path) -> ControlSettings:
+    """Return a control host's settings, or raise `SettingsError` naming every problem."""
+    return load_settings(file, read_section(_CONTROL, _build_control))
+
+
+def load_gateway_settings(file: Path) -> GatewaySettings:
+    """Return a gateway's settings, or raise `SettingsError` naming every problem."""
+    return load_settings(file, read_section(_GATEWAY, _build_gateway))
--- a/cottonlug/config/defaults.py
+++ b/cottonlug/config/defaults.py
@@ -212,6 +212,7 @@
     "level": Option(read_choice(LogLevel), LogLevel.INFO),
     "format": Option(read_choice(LogFormat), LogFormat.JSON),
 }
+read_log_section = read_section(LOG_OPTIONS, LogSettings)
 ENTRY_OPTIONS: Options = {
     "host": Option(read_name),
     "domain": Option(read_name),
@@ -230,7 +231,7 @@
     "bodies": Option(read_section(BODY_OPTIONS, BodySettings), BodySettings()),
     "drain_limit": Option(read_span, timedelta(minutes=5)),
     "drain_linger": Option(read_span, timedelta(seconds=5)),
-    "log": Option(read_section(LOG_OPTIONS, LogSettings), LogSettings()),
+    "log": Option(read_log_section, LogSettings()),
 }
 DELAY_OPTIONS: Options = {
     "prefetch": Option(read_integer(0, 1024), _DELAYS.prefetch),
@@ -252,7 +253,7 @@
     "listen": Option(read_address, None),
     "operator_token": Option(read_secret, None),
     "delays": Option(read_section(DELAY_OPTIONS, Delays), _DELAYS),
-    "log": Option(read_section(LOG_OPTIONS, LogSettings), LogSettings()),
+    "log": Option(read_log_section, LogSettings()),
 }
 
 read_entry_settings = read_section(ENTRY_OPTIONS, EntrySettings)
--- a/cottonlug/config/files.py
+++ b/cottonlug/config/files.py
@@ -29,13 +29,18 @@
 
 def load_upstream_settings(file: Path) -> UpstreamSettings:
     """Return a stand-in upstream's settings, or raise `SettingsError` naming every problem."""
-    settings = _get_value(file, load_file(file, read_upstream_settings))
+    settings = load_settings(file, read_upstream_settings)
     if settings.listen is not None and settings.operator_token is None:
         message = "required when listen is given"
         _raise_for(file, [Problem(path="operator_token", line=1, message=message)])
     return settings
 
 
+def load_settings(file: Path, read: Read[T]) -> T:
+    """Return settings read with a reader, or raise `SettingsError` naming every problem."""
+    return _get_value(file, load_file(file, read))
+
+
 def load_file(file: Path, read: Read[T]) -> Loaded[T]:
     """Read a YAML file with a reader."""
     try:
--- /dev/null
+++ b/cottonlug/core/cluster/calls.py
@@ -0,0 +1,110 @@
+"""What callers, upstreams and operators ask of the cluster, whichever host they reach."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from ..ids import UpstreamId
+from .model import Configuration, Heartbeat, JobSpec, JobState, Value
+
+
+class Submit(Value, frozen=True, tag="submit"):
+    """Submit a job; `path` is that of the request, whose end after the prefix is the job's id.
+
+    A job that need not be kept is answered when it has ended; its caller waits for `patience_ms`.
+    """
+
+    host: str
+    path: str
+    spec: JobSpec
+    patience_ms: int = 0
+
+
+class Abandon(Value, frozen=True, tag="abandon"):
+    """Nobody waits any more for a job that need not be kept."""
+
+    host: str
+    path: str
+
+
+class AskState(Value, frozen=True, tag="state"):
+    """Ask for a job's state, or for the number of pending jobs where no id follows the prefix."""
+
+    host: str
+    path: str
+
+
+class Cancel(Value, frozen=True, tag="cancel"):
+    """Cancel a job."""
+
+    host: str
+    path: str
+
+
+class Beat(Value, frozen=True, tag="beat"):
+    """Pass on an upstream's heartbeat."""
+
+    heartbeat: Heartbeat
+
+
+class Leave(Value, frozen=True, tag="leave"):
+    """Pass on that an upstream leaves now."""
+
+    upstream: UpstreamId
+
+
+class Configure(Value, frozen=True, tag="configure"):
+    """Put a configuration in force, unless a newer one is."""
+
+    configuration: Configuration
+
+
+class AskConfiguration(Value, frozen=True, tag="configuration"):
+    """Ask for the newest configuration."""
+
+
+class Greet(Value, frozen=True, tag="greet"):
+    """Ask whether the cluster can be reached, and who leads it."""
+
+
+Call = Submit | Abandon | AskState | Cancel | Beat | Leave | Configure | AskConfiguration | Greet
+
+
+class Outcome(Enum):
+    """What became of a call."""
+
+    DONE = "done"
+    REJECTED = "rejected"
+    """Not done and never will be; ask again after `retry_after_ms`."""
+    UNAVAILABLE = "unavailable"
+    """Not done and never will be, for want of a leader or a configuration."""
+    UNKNOWN = "unknown"
+    """It may or may not have been done."""
+    NO_QUEUE = "no_queue"
+    NO_JOB = "no_job"
+    INVALID = "invalid"
+    UNSUPPORTED = "unsupported"
+
+
+class Answer(Value, frozen=True):
+    """The answer to a call; only the fields that belong to it are set."""
+
+    outcome: Outcome
+    detail: str = ""
+    state: JobState | None = None
+    pending: int | None = None
+    retry_after_ms: int | None = None
+    document: str | None = None
+    leader: str | None = None
+    """Address for calls of entry hosts, where it is known."""
+    leader_control: str | None = None
+    """Address of the leader for upstreams and operators."""
+    hosts: tuple[str, ...] = ()
+    """Addresses for calls of all known control hosts."""
+    max_body_bytes: int | None = None
+
+
+call_decoder: msgspec.json.Decoder[Call] = msgspec.json.Decoder(Call)
+answer_decoder = msgspec.json.Decoder(Answer)
--- /dev/null
+++ b/cottonlug/core/cluster/checks.py
@@ -0,0 +1,69 @@
+"""What is wrong with a configuration or a job, in words for whoever sent it."""
+
+from __future__ import annotations
+
+import re
+
+from .model import Configuration, JobSpec, QueueKey
+
+JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
+MAX_PAYLOAD_BYTES = 4_000
+MAX_TASKS = 4_096
+"""Tasks of a job; the size to design for is 1,100."""
+
+
+def find_configuration_problem(configuration: Configuration) -> str | None:
+    """Return why a configuration cannot be put in force, or None."""
+    if configuration.version < 1:
+        return "the version must be 1 or more"
+    services = [service.name for service in configuration.services]
+    if len(set(services)) < len(services):
+        return "a service is given twice"
+    seen: set[QueueKey] = set()
+    for queue in configuration.queues:
+        if queue.service not in services:
+            return f"queue {queue.name!r} names the unknown service {queue.service!r}"
+        if queue.key in seen:
+            return f"queue {queue.name!r} has the host and prefix of another one"
+        if queue.timeout_ms < 1:
+            return f"queue {queue.name!r} has no timeout"
+        if not queue.prefix.startswith("/"):
+            return f"queue {queue.name!r} has a prefix that does not begin with /"
+        if queue.max_attempts < 1:
+            return f"queue {queue.name!r} allows no attempt"
+        seen.add(queue.key)
+    return None
+
+
+def find_job_problem(spec: JobSpec) -> str | None:
+    """Return why a job can never be accepted, or None."""
+    if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
+        return f"the payload is longer than {MAX_PAYLOAD_BYTES} bytes"
+    if not spec.steps:
+        return "a job has at least one step"
+    if sum(step.count for step in spec.steps) > MAX_TASKS:
+        return f"a job has at most {MAX_TASKS} tasks"
+    for number, step in enumerate(spec.steps):
+        if step.count < 1:
+            return f"step {number} has no tasks"
+        if min(step.needs.cpu_millis, step.needs.memory_mb, step.needs.gpus) < 0:
+            return f"step {number} needs less than nothing"
+        if any(not 0 <= earlier < number for earlier in step.depends_on):
+            return f"step {number} depends on a step that is not an earlier one"
+    return None
+
+
+def find_unsupported(spec: JobSpec) -> str | None:
+    """Return the first thing a job asks for that is not built yet (docs/jobs.md), or None."""
+    if spec.long_running:
+        return "long_running"
+    if spec.repeat_count:
+        return "repeat_count"
+    for step in spec.steps:
+        if step.gang:
+            return "gang"
+        if step.fills:
+            return "fills"
+        if step.max_unavailable:
+            return "max_unavailable"
+    return None
--- /dev/null
+++ b/cottonlug/core/cluster/commands.py
@@ -0,0 +1,91 @@
+"""Commands of the replicated log: what the cluster must never forget."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..ids import UpstreamId
+from .model import Configuration, EndReport, JobId, JobSpec, Queue, UpstreamInfo, Value
+
+
+class AcceptJob(Value, frozen=True, tag="accept"):
+    """Keep a job; `queue` is its queue as it was at that moment, `at_ms` the wall-clock time."""
+
+    job: JobId
+    queue: Queue
+    spec: JobSpec
+    at_ms: int
+
+
+class CancelJob(Value, frozen=True, tag="cancel"):
+    """End a job by its caller's wish."""
+
+    job: JobId
+    at_ms: int
+
+
+class NoteEnds(Value, frozen=True, tag="ends"):
+    """Take note of ends that an upstream has listed, in its order, up to the number `through`.
+
+    Ends of jobs that need not be kept are left out.
+    """
+
+    upstream: UpstreamId
+    through: int
+    ends: tuple[EndReport, ...]
+    at_ms: int
+
+
+class ForgetJobs(Value, frozen=True, tag="forget"):
+    """Drop jobs that ended long enough ago."""
+
+    jobs: tuple[JobId, ...]
+
+
+class AddUpstream(Value, frozen=True, tag="add_upstream"):
+    """Know a life of an upstream; comes before the first order to it."""
+
+    info: UpstreamInfo
+
+
+class RemoveUpstreams(Value, frozen=True, tag="remove_upstreams"):
+    """Forget lives of upstreams on which nothing can run any more."""
+
+    upstreams: tuple[UpstreamId, ...]
+
+
+class SetDraining(Value, frozen=True, tag="drain"):
+    """An upstream is leaving: no new work goes to it, under any leader."""
+
+    upstream: UpstreamId
+
+
+class SetConfiguration(Value, frozen=True, tag="configure"):
+    """Put a configuration in force unless one as new already is."""
+
+    configuration: Configuration
+
+
+Command = (
+    AcceptJob
+    | CancelJob
+    | NoteEnds
+    | ForgetJobs
+    | AddUpstream
+    | RemoveUpstreams
+    | SetDraining
+    | SetConfiguration
+)
+
+_decoder = msgspec.json.Decoder(tuple[Command, ...])
+_encoder = msgspec.json.Encoder()
+
+
+def encode_commands(commands: tuple[Command, ...]) -> str:
+    """Return commands as the data of one log entry."""
+    return _encoder.encode(commands).decode()
+
+
+def decode_commands(data: str) -> tuple[Command, ...]:
+    """Return the commands of one log entry."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/cottonlug/core/cluster/dispatch.py
@@ -0,0 +1,764 @@
+"""What one leader decides while its term lasts: which task starts where, what is stopped and seen.
+
+The record is the replicated truth; all that is kept here besides can be learnt again. The program
+round it delivers events and then takes orders to carry out and commands to propose.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from ..ids import UpstreamId
+from .backlog import Backlog, Batch
+from .commands import (
+    AcceptJob,
+    AddUpstream,
+    CancelJob,
+    Command,
+    NoteEnds,
+    RemoveUpstreams,
+    SetDraining,
+)
+from .lives import LeaseTerms, Life
+from .model import (
+    EndReport,
+    Heartbeat,
+    JobId,
+    JobState,
+    LookReply,
+    Needs,
+    RunNumber,
+    RunReport,
+    ServiceName,
+    TaskRef,
+    UpstreamInfo,
+)
+from .orders import (
+    CallFailure,
+    LookOrder,
+    Order,
+    Run,
+    RunPhase,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+)
+from .placement import choose_life, find_rank
+from .records import JobRecord, Records, end_job, note_end
+
+LOOK_WAIT = timedelta(milliseconds=400)
+"""How long a look may be parked; under half of the shortest lease, so that one may be lost."""
+LOOK_RETRY = timedelta(milliseconds=100)
+STOP_RETRY = timedelta(milliseconds=200)
+SILENT_AFTER = timedelta(seconds=10)
+"""Without heartbeats for that long, and with nothing running, a life is forgotten."""
+AVOID_AFTER_REFUSAL = timedelta(milliseconds=300)
+RUNS_PER_TERM = 4_096
+"""Run numbers of a later term are higher than all of an earlier one."""
+ORPHAN_GRACE = timedelta(milliseconds=1_500)
+"""How long a new leader lets runs of unknown jobs go on: gateways submit their jobs again."""
+KEEP_ENDED = timedelta(seconds=10)
+"""How long the end of a job that need not be kept is remembered, for a late second submission."""
+LONGEST_LIST = 500
+"""A look lists at most that many ends; a full list may hide more."""
+
+
+NO_RUN = RunNumber(0)
+
+
+class TaskPhase(Enum):
+    """Where an unfinished task stands for this leader."""
+
+    BLOCKED = "blocked"
+    """Waits for earlier steps."""
+    QUEUED = "queued"
+    RUNNING = "running"
+    NOTING = "noting"
+    """Its run has ended; the record has yet to take note."""
+    UNKNOWN = "unknown"
+    """An earlier leader may have started it."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Task:
+    """An unfinished task."""
+
+    phase: TaskPhase
+    life: UpstreamId | None = None
+    run: RunNumber = NO_RUN
+
+
+@dataclass(slots=True, kw_only=True)
+class OpenJob:
+    """A job that has not ended, and its tasks."""
+
+    record: JobRecord
+    tasks: dict[TaskRef, Task] = field(default_factory=dict)
+    has_begun: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class DispatchCounts:
+    """What a leader has done, for metrics and the dump."""
+
+    starts: int = 0
+    started: int = 0
+    refused_starts: int = 0
+    unknown_starts: int = 0
+    stops: int = 0
+    looks: int = 0
+    failed_looks: int = 0
+    lapsed_runs: int = 0
+    ends: int = 0
+
+
+Note = Callable[[str, dict[str, str | int]], None]
+"""Called for each decision worth a log line, with its name and inputs."""
+WallTime = Callable[[], int]
+"""Return the wall-clock time in milliseconds."""
+
+
+class Dispatch:
+    """The decisions of one leader."""
+
+    def __init__(
+        self,
+        *,
+        records: Records,
+        term: int,
+        terms: LeaseTerms,
+        now: timedelta,
+        wall_ms: WallTime,
+        note: Note,
+        on_end: Callable[[JobId], None],
+    ) -> None:
+        self.records = records
+        self.counts = DispatchCounts()
+        self.lives: dict[UpstreamId, Life] = {}
+        self.backlog = Backlog()
+        self._term = term
+        self._terms = terms
+        self._note = note
+        self._on_end = on_end
+        self._wall_ms = wall_ms
+        self._jobs: dict[JobId, OpenJob] = {}
+        self._orders: list[Order] = []
+        self._proposals: list[Command] = []
+        self._joining: set[UpstreamId] = set()
+        self._unseen: set[UpstreamId] = set()
+        self._settled_at = now + terms.lapse_after
+        self._is_settled = False
+        self._by_address: dict[str, UpstreamId] = {}
+        self._forget_at = now + KEEP_ENDED
+        self._orphans_until = now + ORPHAN_GRACE
+        self._orphan_ends: dict[JobId, list[EndReport]] = {}
+        self._ended: dict[JobId, tuple[JobState, timedelta]] = {}
+        for record in records.upstreams.values():
+            self._add_life(record.info, record.noted, record.draining, now)
+            self._unseen.add(record.info.id)
+        for job in records.jobs.values():
+            if job.is_open:
+                self._open_job(job, TaskPhase.UNKNOWN, now)
+
+    # What comes in
+
+    def take_heartbeat(self, heartbeat: Heartbeat, now: timedelta) -> None:
+        """Learn that an upstream lives, and whether it is leaving."""
+        life = self.lives.get(heartbeat.info.id)
+        if life is None:
+            if heartbeat.info.id not in self._joining:
+                self._joining.add(heartbeat.info.id)
+                self._proposals.append(AddUpstream(info=heartbeat.info))
+            return
+        if heartbeat.sequence < life.sequence:
+            return
+        life.sequence = heartbeat.sequence
+        life.heard_at = now
+        if heartbeat.clock_ms is not None:
+            life.take_clock(heartbeat.clock_ms, now)
+        if heartbeat.draining:
+            self.take_leave(life.info.id)
+        if not life.is_fenced and not life.look_is_out:
+            life.look_due = now
+
+    def take_leave(self, upstream: UpstreamId) -> None:
+        """Send no more work to an upstream."""
+        life = self.lives.get(upstream)
+        if life is not None and not life.draining:
+            life.draining = True
+            self._proposals.append(SetDraining(upstream=upstream))
+            self._note("upstream_leaving", {"upstream": upstream})
+
+    def submit(self, record: JobRecord, now: timedelta) -> None:
+        """Take a job that need not be kept; what an earlier leader started of it goes on."""
+        phase = TaskPhase.QUEUED if self._is_settled else TaskPhase.UNKNOWN
+        self._open_job(record, phase, now)
+        job = self._jobs[record.id]
+        for end in self._orphan_ends.pop(record.id, []):
+            note_end(record, end, self._wall_ms())
+            self._take_noted_end(end, now)
+        for life in self.lives.values():
+            for run in [each for each in life.runs.values() if each.task.job == record.id]:
+                self._adopt_orphan(job, life, run)
+
+    def abandon(self, id: JobId, now: timedelta) -> None:
+        """Give up a job that need not be kept, since nobody waits for it any more."""
+        job = self._jobs.get(id)
+        if job is not None and job.record.spec.best_effort:
+            end_job(job.record, JobState.CANCELLED, self._wall_ms())
+            self._close_if_ended(id, now)
+
+    def take_applied(self, command: Command, now: timedelta) -> None:
+        """Act on a command that the record has just carried out."""
+        if isinstance(command, AcceptJob):
+            job = self.records.jobs.get(command.job)
+            if job is not None and job.is_open and job.id not in self._jobs:
+                self._open_job(job, TaskPhase.QUEUED, now)
+        elif isinstance(command, NoteEnds):
+            self._take_noted(command, now)
+        elif isinstance(command, CancelJob):
+            self._close_if_ended(command.job, now)
+        elif isinstance(command, AddUpstream):
+            self._joining.discard(command.info.id)
+            if command.info.id not in self.lives:
+                self._add_life(command.info, 0, False, now)
+        elif isinstance(command, RemoveUpstreams):
+            for upstream in command.upstreams:
+                self._drop_life(upstream)
+
+    def take_start_answer(
+        self,
+        order: StartOrder,
+        outcome: StartOutcome,
+        clock_ms: int | None,
+        now: timedelta,
+    ) -> None:
+        """Learn what became of a start."""
+        life = self.lives.get(order.upstream.id)
+        if life is None:
+            return
+        if clock_ms is not None:
+            life.take_clock(clock_ms, now)
+        run = life.runs.get((order.task, order.run))
+        if outcome is StartOutcome.LIFE_ENDED:
+            self._end_life(life, now)
+        if run is None or run.phase is not RunPhase.STARTING:
+            return
+        if outcome is StartOutcome.STARTED:
+            self.counts.started += 1
+            run.phase = RunPhase.RUNNING
+            run.since = now
+            return
+        if outcome is StartOutcome.UNKNOWN:
+            self.counts.unknown_starts += 1
+            run.phase = RunPhase.UNSURE
+            run.stop_wanted = True
+            life.avoid_until = now + AVOID_AFTER_REFUSAL
+            return
+        self.counts.refused_starts += 1
+        self._note(
+            "start_refused",
+            {"upstream": life.info.id, "job": order.task.job, "reason": outcome.value},
+        )
+        life.avoid_until = now + AVOID_AFTER_REFUSAL
+        life.remove_run((order.task, order.run))
+        self._requeue(order.task, order.run, now)
+
+    def take_stop_answer(
+        self, order: StopOrder, failure: CallFailure | None, now: timedelta
+    ) -> None:
+        """Learn whether a stop has arrived."""
+        life = self.lives.get(order.upstream.id)
+        if life is None:
+            return
+        if failure is CallFailure.LIFE_ENDED:
+            self._end_life(life, now)
+            return
+        run = life.runs.get((order.task, order.run))
+        if run is None:
+            return
+        run.stop_is_out = False
+        if failure is None:
+            run.stopped_at = now
+        else:
+            run.stop_due = now + STOP_RETRY
+
+    def take_look(
+        self,
+        order: LookOrder,
+        reply: LookReply | CallFailure,
+        sent_at: timedelta,
+        now: timedelta,
+    ) -> None:
+        """Learn what runs and what has ended at an upstream."""
+        life = self.lives.get(order.upstream.id)
+        if life is None:
+            return
+        life.look_is_out = False
+        if isinstance(reply, CallFailure):
+            self._take_failed_look(life, reply, now)
+            return
+        life.failed_looks = 0
+        life.contact_at = now
+        life.look_due = now
+        life.confirmed = max(life.confirmed, order.last_seen)
+        life.take_clock(reply.clock_ms, now)
+        if not life.is_fenced:
+            life.is_fenced = True
+            self._note("upstream_adopted", {"upstream": life.info.id})
+        self._unseen.discard(life.info.id)
+        self._take_ends(life, reply.ended, now)
+        for report in reply.running:
+            self._take_running(life, report, now)
+        if len(reply.ended) < LONGEST_LIST:
+            self._drop_vanished(life, reply, sent_at, now)
+
+    def tick(self, now: timedelta) -> None:
+        """Do everything that is due and fill free room; take orders and proposals afterwards."""
+        self._settle(now)
+        for life in list(self.lives.values()):
+            self._lapse(life, now)
+            self._stop_runs(life, now)
+        self._fill(now)
+        for life in self.lives.values():
+            self._look(life, now)
+        self._forget_silent(now)
+        if now >= self._forget_at:
+            self._forget_ended(now)
+
+    def take_orders(self) -> list[Order]:
+        """Return what is to be sent to upstreams."""
+        orders, self._orders = self._orders, []
+        return orders
+
+    def take_proposals(self) -> list[Command]:
+        """Return what is to be put into the log."""
+        proposals, self._proposals = self._proposals, []
+        return proposals
+
+    # What is asked
+
+    def find_ended(self, id: JobId) -> JobState | None:
+        """Return how a job that need not be kept ended a short while ago."""
+        ended = self._ended.get(id)
+        return ended[0] if ended is not None else None
+
+    def is_open(self, id: JobId) -> bool:
+        """Whether a job is under way here."""
+        return id in self._jobs
+
+    def find_state(self, job: JobRecord) -> JobState:
+        """Return a job's state as callers see it."""
+        if job.state.is_final:
+            return job.state
+        opened = self._jobs.get(job.id)
+        has_begun = opened is not None and opened.has_begun
+        return JobState.RUNNING if has_begun else JobState.QUEUED
+
+    def count_pending(self, host: str, prefix: str) -> int:
+        """Return how many jobs of a queue have had no start yet."""
+        return sum(
+            1
+            for job in self._jobs.values()
+            if not job.has_begun and job.record.queue.key == (host, prefix)
+        )
+
+    def count_jobs(self) -> int:
+        """Return how many jobs are open."""
+        return len(self._jobs)
+
+    # Jobs
+
+    def _open_job(self, record: JobRecord, phase: TaskPhase, now: timedelta) -> None:
+        job = OpenJob(record=record)
+        self._jobs[record.id] = job
+        for ref in record.list_refs():
+            task = record.get_task(ref)
+            if not task.is_done:
+                job.tasks[ref] = Task(phase=phase, run=RunNumber(task.last_run))
+        job.has_begun = bool(record.done_count) or any(
+            task.last_run for task in record.tasks.values()
+        )
+        if phase is TaskPhase.QUEUED:
+            for task_state in job.tasks.values():
+                task_state.phase = TaskPhase.BLOCKED
+            self._unblock(job, now)
+
+    def _unblock(self, job: OpenJob, now: timedelta) -> None:
+        """Queue the tasks of steps whose earlier steps are done."""
+        for number, step in enumerate(job.record.spec.steps):
+            if not all(job.record.is_step_done(earlier) for earlier in step.depends_on):
+                continue
+            blocked = [
+                ref.place
+                for ref, task in job.tasks.items()
+                if ref.step == number and task.phase is TaskPhase.BLOCKED
+            ]
+            self._queue(job, number, blocked, now)
+
+    def _queue(self, job: OpenJob, number: int, indexes: list[int], now: timedelta) -> None:
+        if not indexes:
+            return
+        step = job.record.spec.steps[number]
+        for index in indexes:
+            job.tasks[TaskRef(job.record.id, 0, number, index)].phase = TaskPhase.QUEUED
+        rank = find_rank(job.record, step, now)
+        batch = Batch(job=job.record, number=number, step=step, rank=rank, waiting=indexes)
+        self.backlog.add(batch)
+
+    def _requeue(self, ref: TaskRef, run: RunNumber, now: timedelta) -> None:
+        """Queue a task again whose run is surely over without an end."""
+        job = self._jobs.get(ref.job)
+        task = job.tasks.get(ref) if job is not None else None
+        if job is None or task is None or task.phase is not TaskPhase.RUNNING or task.run != run:
+            return
+        self._queue(job, ref.step, [ref.place], now)
+
+    def _close_if_ended(self, id: JobId, now: timedelta) -> None:
+        job = self._jobs.get(id)
+        if job is None or job.record.is_open:
+            return
+        del self._jobs[id]
+        if job.record.spec.best_effort:
+            self._ended[id] = (job.record.state, now)
+        self.backlog.drop_job(id)
+        for ref, task in job.tasks.items():
+            if task.phase is TaskPhase.RUNNING and task.life is not None:
+                self._want_stop(task.life, ref, task.run)
+        self._note("job_ended", {"job": id, "state": job.record.state.value})
+        self._on_end(id)
+
+    def _forget_ended(self, now: timedelta) -> None:
+        self._forget_at = now + KEEP_ENDED
+        limit = now - KEEP_ENDED
+        self._ended = {id: end for id, end in self._ended.items() if end[1] >= limit}
+        if now >= self._orphans_until:
+            self._orphan_ends.clear()
+
+    def _want_stop(self, upstream: UpstreamId, ref: TaskRef, run: RunNumber) -> None:
+        life = self.lives.get(upstream)
+        found = life.runs.get((ref, run)) if life is not None else None
+        if found is not None:
+            found.stop_wanted = True
+
+    # Ends
+
+    def _take_ends(self, life: Life, ended: tuple[EndReport, ...], now: timedelta) -> None:
+        new = tuple(end for end in ended if end.number > max(life.proposed, life.noted))
+        if not new:
+            return
+        life.proposed = new[-1].number
+        self.counts.ends += len(new)
+        kept: list[EndReport] = []
+        for end in new:
+            life.remove_run((end.task, end.run))
+            self._mark_noting(end)
+            if end.task.job in self.records.jobs:
+                kept.append(end)
+            else:
+                self._note_here(end, now)
+        if not kept:
+            life.noted = max(life.noted, life.proposed)
+            return
+        command = NoteEnds(
+            upstream=life.info.id,
+            through=life.proposed,
+            ends=tuple(kept),
+            at_ms=self._wall_ms(),
+        )
+        self._proposals.append(command)
+
+    def _mark_noting(self, end: EndReport) -> None:
+        job = self._jobs.get(end.task.job)
+        task = job.tasks.get(end.task) if job is not None else None
+        if task is None:
+            return
+        is_current = task.phase is TaskPhase.RUNNING and task.run == end.run
+        if is_current or task.phase is TaskPhase.UNKNOWN:
+            task.phase = TaskPhase.NOTING
+            task.run = RunNumber(max(task.run, end.run))
+
+    def _note_here(self, end: EndReport, now: timedelta) -> None:
+        """Take note of an end that need not be kept."""
+        job = self._jobs.get(end.task.job)
+        if job is not None:
+            note_end(job.record, end, self._wall_ms())
+            self._take_noted_end(end, now)
+        elif now < self._orphans_until:
+            self._orphan_ends.setdefault(end.task.job, []).append(end)
+
+    def _take_noted(self, command: NoteEnds, now: timedelta) -> None:
+        life = self.lives.get(command.upstream)
+        if life is not None:
+            life.noted = max(life.noted, command.through)
+            life.look_due = now
+        for end in command.ends:
+            self._take_noted_end(end, now)
+
+    def _take_noted_end(self, end: EndReport, now: timedelta) -> None:
+        job = self._jobs.get(end.task.job)
+        if job is None:
+            return
+        if not job.record.is_open:
+            self._close_if_ended(end.task.job, now)
+            return
+        job.has_begun = True
+        task = job.tasks.get(end.task)
+        if task is None:
+            return
+        if job.record.get_task(end.task).is_done:
+            # A run that was given up may have ended as done before its lease did.
+            if task.phase is TaskPhase.RUNNING and task.life is not None:
+                self._want_stop(task.life, end.task, task.run)
+            elif task.phase is TaskPhase.QUEUED:
+                self._unqueue(end.task)
+            del job.tasks[end.task]
+            if job.record.is_step_done(end.task.step):
+                self._unblock(job, now)
+        elif task.phase is TaskPhase.NOTING:
+            self._queue(job, end.task.step, [end.task.place], now)
+
+    def _unqueue(self, ref: TaskRef) -> None:
+        for batch in self.backlog:
+            if batch.job.id == ref.job and batch.number == ref.step and ref.place in batch.waiting:
+                batch.waiting.remove(ref.place)
+
+    # Runs
+
+    def _take_running(self, life: Life, report: RunReport, now: timedelta) -> None:
+        key = (report.task, report.run)
+        run = life.runs.get(key)
+        if run is not None:
+            run.percent = report.percent
+            if run.phase is not RunPhase.RUNNING:
+                run.phase = RunPhase.RUNNING
+            return
+        job = self._jobs.get(report.task.job)
+        record = job.record if job is not None else self.records.jobs.get(report.task.job)
+        steps = record.spec.steps if record is not None else ()
+        is_known = report.task.step < len(steps)
+        run = Run(
+            task=report.task,
+            run=report.run,
+            needs=steps[report.task.step].needs if is_known else Needs(),
+            phase=RunPhase.RUNNING,
+            since=now,
+            percent=report.percent,
+            is_orphan=record is None,
+        )
+        life.add_run(run)
+        # An earlier leader may have renewed its lease until the term began.
+        life.lapse_at = max(life.lapse_at, now + self._terms.lapse_after)
+        if job is not None:
+            self._adopt(job, life, run)
+        elif not run.is_orphan or now >= self._orphans_until:
+            run.stop_wanted = True
+
+    def _adopt_orphan(self, job: OpenJob, life: Life, run: Run) -> None:
+        """Take over a run whose job has just become known."""
+        life.remove_run((run.task, run.run))
+        steps = job.record.spec.steps
+        if run.task.step < len(steps):
+            run.needs = steps[run.task.step].needs
+        run.is_orphan = False
+        life.add_run(run)
+        self._adopt(job, life, run)
+
+    def _adopt(self, job: OpenJob, life: Life, run: Run) -> None:
+        """Let a run go on that this leader did not start, or stop it where that cannot be."""
+        task = job.tasks.get(run.task)
+        waits = (TaskPhase.UNKNOWN, TaskPhase.QUEUED)
+        if task is None or task.phase not in waits or run.run < task.run or run.stop_wanted:
+            run.stop_wanted = True
+            return
+        if task.phase is TaskPhase.QUEUED:
+            self._unqueue(run.task)
+        task.phase = TaskPhase.RUNNING
+        task.life = life.info.id
+        task.run = run.run
+        job.has_begun = True
+
+    def _drop_vanished(
+        self, life: Life, reply: LookReply, sent_at: timedelta, now: timedelta
+    ) -> None:
+        """Give up runs that were stopped before this look was sent and are not there."""
+        there = {(report.task, report.run) for report in reply.running}
+        for key, run in list(life.runs.items()):
+            is_stopped = run.stopped_at is not None and run.stopped_at <= sent_at
+            if is_stopped and key not in there:
+                life.remove_run(key)
+                self._requeue(run.task, run.run, now)
+
+    def _stop_runs(self, life: Life, now: timedelta) -> None:
+        if life.is_over:
+            return
+        for run in life.runs.values():
+            if run.is_orphan and now >= self._orphans_until:
+                run.stop_wanted = True
+            wanted = run.stop_wanted and run.stopped_at is None and not run.stop_is_out
+            if wanted and now >= run.stop_due and run.phase is not RunPhase.STARTING:
+                run.stop_is_out = True
+                self.counts.stops += 1
+                order = StopOrder(upstream=life.info, task=run.task, run=run.run)
+                self._orders.append(order)
+
+    def _lapse(self, life: Life, now: timedelta) -> None:
+        """Give up all runs of a life whose leases have surely ended without an answer."""
+        if not life.runs or now < life.lapse_at:
+            return
+        # A run cannot outlive the lease, whatever the last looks said.
+        self._note("lease_lapsed", {"upstream": life.info.id, "runs": len(life.runs)})
+        life.is_fenced = False
+        self._give_up_runs(life, now)
+
+    def _give_up_runs(self, life: Life, now: timedelta) -> None:
+        for key, run in list(life.runs.items()):
+            self.counts.lapsed_runs += 1
+            life.remove_run(key)
+            self._requeue(run.task, run.run, now)
+
+    # Placement
+
+    def _fill(self, now: timedelta) -> None:
+        if not len(self.backlog):
+            return
+        by_service: dict[ServiceName, list[Life]] = {}
+        for life in self.lives.values():
+            if life.takes_work(now):
+                by_service.setdefault(life.info.service, []).append(life)
+        for batch in self.backlog:
+            lives = by_service.get(self._find_service(batch.job), [])
+            self._fill_batch(batch, lives, now)
+        self.backlog.drop_empty()
+
+    def _find_service(self, job: JobRecord) -> ServiceName:
+        """Return the service that the job's queue is sent to now."""
+        configuration = self.records.configuration
+        if configuration is not None:
+            for queue in configuration.queues:
+                if queue.key == job.queue.key:
+                    return queue.service
+        return job.queue.service
+
+    def _fill_batch(self, batch: Batch, lives: list[Life], now: timedelta) -> None:
+        while batch.waiting:
+            life = choose_life(batch, lives)
+            if life is None:
+                return
+            self._start(batch, batch.waiting.pop(), life, now)
+
+    def _start(self, batch: Batch, index: int, life: Life, now: timedelta) -> None:
+        ref = TaskRef(batch.job.id, 0, batch.number, index)
+        job = self._jobs[ref.job]
+        task = job.tasks[ref]
+        expires_ms = life.grant(now)
+        assert expires_ms is not None, "only a fenced life takes work, and its clock is known"
+        task.run = RunNumber(max(task.run + 1, self._term * RUNS_PER_TERM))
+        task.phase = TaskPhase.RUNNING
+        task.life = life.info.id
+        job.has_begun = True
+        run = Run(task=ref, run=task.run, needs=batch.needs, phase=RunPhase.STARTING, since=now)
+        life.add_run(run)
+        life.look_due = min(life.look_due, now)
+        self.counts.starts += 1
+        order = StartOrder(
+            upstream=life.info,
+            task=ref,
+            run=task.run,
+            payload=batch.job.spec.payload,
+            checkpoint=batch.job.get_task(ref).checkpoint,
+            expires_ms=expires_ms,
+        )
+        self._orders.append(order)
+
+    # Looks
+
+    def _look(self, life: Life, now: timedelta) -> None:
+        if life.look_is_out or life.is_over or now < life.look_due:
+            return
+        if life.proposed > life.noted:
+            return
+        has_news = life.noted > life.confirmed
+        if life.is_fenced and not life.runs and not has_news:
+            return
+        expires_ms = life.grant(now) if life.runs else None
+        is_calm = life.is_fenced and life.failed_looks == 0 and not self._awaits_stop(life)
+        wait = LOOK_WAIT if life.runs and is_calm else timedelta()
+        life.look_is_out = True
+        self.counts.looks += 1
+        order = LookOrder(
+            upstream=life.info, last_seen=life.noted, expires_ms=expires_ms, wait=wait
+        )
+        self._orders.append(order)
+
+    def _awaits_stop(self, life: Life) -> bool:
+        return any(run.phase is RunPhase.UNSURE for run in life.runs.values())
+
+    def _take_failed_look(self, life: Life, failure: CallFailure, now: timedelta) -> None:
+        self.counts.failed_looks += 1
+        if failure is CallFailure.LIFE_ENDED:
+            self._end_life(life, now)
+            return
+        life.failed_looks += 1
+        life.look_due = now + LOOK_RETRY * min(life.failed_looks, 10)
+
+    # Lives
+
+    def _add_life(self, info: UpstreamInfo, noted: int, draining: bool, now: timedelta) -> None:
+        life = Life(
+            info=info,
+            terms=self._terms,
+            noted=noted,
+            proposed=noted,
+            draining=draining,
+            heard_at=now,
+            look_due=now,
+        )
+        self.lives[info.id] = life
+        earlier = self.lives.get(self._by_address.get(info.address, info.id))
+        self._by_address[info.address] = info.id
+        if earlier is not None and earlier.info.id != info.id:
+            # Only an answer shows which of the two lives holds the address now.
+            earlier.look_due = now
+
+    def _end_life(self, life: Life, now: timedelta) -> None:
+        """A later life holds the address: nothing of this one can run any more."""
+        if life.is_over:
+            return
+        life.is_over = True
+        self._unseen.discard(life.info.id)
+        self._note("upstream_gone", {"upstream": life.info.id, "runs": len(life.runs)})
+        self._give_up_runs(life, now)
+        self._proposals.append(RemoveUpstreams(upstreams=(life.info.id,)))
+
+    def _drop_life(self, upstream: UpstreamId) -> None:
+        life = self.lives.pop(upstream, None)
+        self._unseen.discard(upstream)
+        if life is not None and self._by_address.get(life.info.address) == upstream:
+            del self._by_address[life.info.address]
+
+    def _forget_silent(self, now: timedelta) -> None:
+        for life in self.lives.values():
+            heard_at = max(life.heard_at or timedelta(), life.contact_at or timedelta())
+            if life.is_over or life.runs or now - heard_at < SILENT_AFTER:
+                continue
+            life.is_over = True
+            self._note("upstream_silent", {"upstream": life.info.id})
+            self._proposals.append(RemoveUpstreams(upstreams=(life.info.id,)))
+
+    # The beginning of a term
+
+    def _settle(self, now: timedelta) -> None:
+        """Once nothing unknown can run any more, queue what an earlier leader left open."""
+        if self._is_settled or (self._unseen and now < self._settled_at):
+            return
+        self._is_settled = True
+        self._note("term_settled", {"term": self._term, "unseen": len(self._unseen)})
+        for job in self._jobs.values():
+            for task in job.tasks.values():
+                if task.phase is TaskPhase.UNKNOWN:
+                    task.phase = TaskPhase.BLOCKED
+            self._unblock(job, now)
--- /dev/null
+++ b/cottonlug/core/cluster/lives.py
@@ -0,0 +1,133 @@
+"""Lives of upstreams as one leader sees them: clock, lease, runs and room."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from ..clock import to_milliseconds
+from .model import Needs, RunNumber, TaskRef, UpstreamInfo
+from .orders import Run
+
+RunKey = tuple[TaskRef, RunNumber]
+
+SLOWEST_CLOCK = 0.98
+"""An upstream's steady clock may run this much slower than ours (the platform's bound: 2%)."""
+LAPSE_MARGIN = timedelta(milliseconds=120)
+"""Added to the end of a lease before anybody counts on it, for timers and answers under way."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseTerms:
+    """How long an upstream lets a lease last."""
+
+    longest: timedelta
+
+    @property
+    def lapse_after(self) -> timedelta:
+        """The time after which a lease that was asked for now has surely ended."""
+        return self.longest / SLOWEST_CLOCK + LAPSE_MARGIN
+
+
+@dataclass(slots=True, kw_only=True)
+class Life:
+    """One life of an upstream."""
+
+    info: UpstreamInfo
+    terms: LeaseTerms
+    noted: int
+    """Up to which end note was taken by the record."""
+    draining: bool = False
+    is_over: bool = False
+    is_fenced: bool = False
+    """Whether it has answered a look of this leader's term, so that its runs are known."""
+    proposed: int = 0
+    """Up to which end note was proposed."""
+    confirmed: int = 0
+    """Up to which end the upstream was told that note was taken."""
+    sequence: int = 0
+    heard_at: timedelta | None = None
+    contact_at: timedelta | None = None
+    failed_looks: int = 0
+    look_is_out: bool = False
+    look_due: timedelta = timedelta()
+    avoid_until: timedelta = timedelta()
+    lapse_at: timedelta = timedelta()
+    """From when on nothing can run there unless a lease is renewed."""
+    runs: dict[RunKey, Run] = field(default_factory=dict)
+    _used_cpu: int = 0
+    _used_memory: int = 0
+    _used_gpus: int = 0
+    _clock_ms: float | None = None
+    _clock_at: timedelta = timedelta()
+
+    def take_clock(self, clock_ms: int, now: timedelta) -> None:
+        """Learn from an answer what time it is at the upstream, at the least."""
+        known = self._estimate_clock(now)
+        if known is None or clock_ms >= known:
+            self._clock_ms = float(clock_ms)
+            self._clock_at = now
+
+    def grant(self, now: timedelta) -> int | None:
+        """Return an end of lease on the upstream's clock, and remember that it may get it."""
+        clock_ms = self._estimate_clock(now)
+        if clock_ms is None:
+            return None
+        self.lapse_at = max(self.lapse_at, now + self.terms.lapse_after)
+        return int(clock_ms) + to_milliseconds(self.terms.longest)
+
+    def add_run(self, run: Run) -> None:
+        """Count a run against the room."""
+        self.runs[(run.task, run.run)] = run
+        self._change_use(run.needs, 1)
+
+    def remove_run(self, key: RunKey) -> Run | None:
+        """Give the room of a run back."""
+        run = self.runs.pop(key, None)
+        if run is not None:
+            self._change_use(run.needs, -1)
+        return run
+
+    @property
+    def free_cpu(self) -> int:
+        """Processor room that is left, in thousandths of a core."""
+        return self.info.capacity.cpu_millis - self._used_cpu
+
+    def has_room(self, needs: Needs) -> bool:
+        """Whether a task fits."""
+        capacity = self.info.capacity
+        return (
+            needs.cpu_millis <= capacity.cpu_millis - self._used_cpu
+            and needs.memory_mb <= capacity.memory_mb - self._used_memory
+            and needs.gpus <= capacity.gpus - self._used_gpus
+        )
+
+    def could_hold(self, needs: Needs) -> bool:
+        """Whether a task would fit if nothing else ran."""
+        capacity = self.info.capacity
+        return (
+            needs.cpu_millis <= capacity.cpu_millis
+            and needs.memory_mb <= capacity.memory_mb
+            and needs.gpus <= capacity.gpus
+        )
+
+    def takes_work(self, now: timedelta) -> bool:
+        """Whether a start may be sent at all."""
+        return (
+            self.is_fenced
+            and not self.draining
+            and not self.is_over
+            and self.failed_looks == 0
+            and now >= self.avoid_until
+        )
+
+    def _change_use(self, needs: Needs, sign: int) -> None:
+        self._used_cpu += sign * needs.cpu_millis
+        self._used_memory += sign * needs.memory_mb
+        self._used_gpus += sign * needs.gpus
+
+    def _estimate_clock(self, now: timedelta) -> float | None:
+        if self._clock_ms is None:
+            return None
+        elapsed = (now - self._clock_at) / timedelta(milliseconds=1)
+        return self._clock_ms + elapsed * SLOWEST_CLOCK
--- /dev/null
+++ b/cottonlug/core/cluster/model.py
@@ -0,0 +1,197 @@
+"""Jobs, queues, services and upstreams as the cluster knows them."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple, NewType
+
+import msgspec
+
+from ..ids import DomainName, UpstreamId
+
+JobId = NewType("JobId", str)
+RunNumber = NewType("RunNumber", int)
+ServiceName = NewType("ServiceName", str)
+ConfigurationVersion = NewType("ConfigurationVersion", int)
+
+
+class Value(msgspec.Struct, kw_only=True, frozen=True, omit_defaults=True):
+    """Base of values that are stored or sent between hosts."""
+
+
+class TaskRef(NamedTuple):
+    """One task of one occurrence of a job; `occurrence` is 0 for a job that does not repeat.
+
+    `place` counts the tasks of a step from 0.
+    """
+
+    job: JobId
+    occurrence: int
+    step: int
+    place: int
+
+
+class Needs(Value, frozen=True):
+    """What one task takes of an upstream."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+
+class StepSpec(Value, frozen=True):
+    """Tasks that run alike; `depends_on` numbers earlier steps that must be done first."""
+
+    count: int
+    needs: Needs = Needs()
+    estimate_ms: int = 0
+    depends_on: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_upstream: int = 0
+    speculative: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    max_unavailable: int = 0
+
+
+class JobSpec(Value, frozen=True):
+    """A job as its caller submitted it."""
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    best_effort: bool = False
+    long_running: bool = False
+    repeat_count: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+class QueueKey(NamedTuple):
+    """What callers address a queue by."""
+
+    host: str
+    prefix: str
+
+
+class Queue(Value, frozen=True):
+    """Where jobs wait, and how they are treated; `priority` 0 comes first."""
+
+    name: str
+    host: str
+    prefix: str
+    service: ServiceName
+    timeout_ms: int
+    target_latency_ms: int = 0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    needs_advice: bool = False
+
+    @property
+    def key(self) -> QueueKey:
+        """What callers address this queue by."""
+        return QueueKey(self.host, self.prefix)
+
+
+class Service(Value, frozen=True):
+    """A set of upstreams; `rejects_overload` tells whether they guard their own capacity."""
+
+    name: ServiceName
+    rejects_overload: bool = True
+    max_connections: int = 0
+
+
+class Configuration(Value, frozen=True):
+    """A whole configuration in force; `document` is what the operator sent, word for word."""
+
+    version: ConfigurationVersion
+    queues: tuple[Queue, ...]
+    services: tuple[Service, ...]
+    max_body_bytes: int
+    document: str
+
+
+class JobState(Enum):
+    """Where a job stands; the last three are final."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing can change any more."""
+        return self in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+
+
+class EndKind(Enum):
+    """How a run ended at its upstream."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class Capacity(Value, frozen=True):
+    """What an upstream has to give."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+
+class UpstreamInfo(Value, frozen=True):
+    """One life of an upstream, as it describes itself; after a crash it has another id."""
+
+    id: UpstreamId
+    service: ServiceName
+    address: str
+    domain: DomainName
+    capacity: Capacity
+    labels: tuple[str, ...] = ()
+
+
+class Heartbeat(Value, frozen=True):
+    """What an upstream says about itself; `sequence` rises with each heartbeat."""
+
+    info: UpstreamInfo
+    sequence: int
+    draining: bool
+    clock_ms: int | None = None
+
+
+class EndReport(Value, frozen=True):
+    """The end of one run as listed by its upstream, where ends are numbered from 1."""
+
+    number: int
+    task: TaskRef
+    run: RunNumber
+    how: EndKind
+    checkpoint: str = ""
+
+
+class RunReport(Value, frozen=True):
+    """One run that an upstream says it is at work on."""
+
+    task: TaskRef
+    run: RunNumber
+    checkpoint: str = ""
+    percent: int = 0
+
+
+class LookReply(Value, frozen=True):
+    """What an upstream holds at the moment; `clock_ms` is on its own clock."""
+
+    clock_ms: int
+    running: tuple[RunReport, ...]
+    ended: tuple[EndReport, ...]
--- /dev/null
+++ b/cottonlug/core/cluster/orders.py
@@ -0,0 +1,97 @@
+"""What a leader tells upstreams, and what it learns from their answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from .model import Needs, RunNumber, TaskRef, UpstreamInfo
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StartOrder:
+    """Start a run; void once the upstream's clock has passed `expires_ms`."""
+
+    upstream: UpstreamInfo
+    task: TaskRef
+    run: RunNumber
+    payload: str
+    checkpoint: str
+    expires_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopOrder:
+    """Stop a run; one that is not there yet is refused from then on."""
+
+    upstream: UpstreamInfo
+    task: TaskRef
+    run: RunNumber
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LookOrder:
+    """Ask for all runs and ends, renew the lease, and confirm ends up to `last_seen`.
+
+    The upstream may keep the answer for up to `wait` until a run ends. Without `expires_ms` the
+    lease stays as it is.
+    """
+
+    upstream: UpstreamInfo
+    last_seen: int
+    expires_ms: int | None
+    wait: timedelta
+
+
+Order = StartOrder | StopOrder | LookOrder
+
+
+class StartOutcome(Enum):
+    """What became of a start; only `UNKNOWN` leaves open whether it may run."""
+
+    STARTED = "started"
+    FENCED = "fenced"
+    OUTDATED = "outdated"
+    LATE = "late"
+    NO_ROOM = "no_room"
+    UNHEALTHY = "unhealthy"
+    INVALID = "invalid"
+    LIFE_ENDED = "life_ended"
+    NOT_SENT = "not_sent"
+    UNKNOWN = "unknown"
+
+
+class CallFailure(Enum):
+    """Why a stop or a look brought no answer."""
+
+    LIFE_ENDED = "life_ended"
+    NO_ANSWER = "no_answer"
+    REFUSED = "refused"
+
+
+class RunPhase(Enum):
+    """How sure the leader is of a run."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    UNSURE = "unsure"
+
+
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """One run as the leader knows it."""
+
+    task: TaskRef
+    run: RunNumber
+    needs: Needs
+    phase: RunPhase
+    since: timedelta
+    percent: int = 0
+    is_orphan: bool = False
+    """Whether its job is not known, but may be submitted again."""
+    stop_wanted: bool = False
+    stop_due: timedelta = timedelta()
+    stop_is_out: bool = False
+    stopped_at: timedelta | None = None
+    """When the upstream acknowledged the stop."""
--- /dev/null
+++ b/cottonlug/core/cluster/placement.py
@@ -0,0 +1,45 @@
+"""Which waiting step comes first, and which upstream a task goes to."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+from .backlog import Batch
+from .lives import Life
+from .model import StepSpec
+from .records import JobRecord
+
+
+def find_rank(job: JobRecord, step: StepSpec, now: timedelta) -> tuple[float, ...]:
+    """Return the place of a step's tasks: priority first, then age."""
+    return (job.queue.priority, now.total_seconds())
+
+
+def choose_life(batch: Batch, lives: Sequence[Life]) -> Life | None:
+    """Return the life that a task fits best: near its data, then with the least room left over."""
+    best: Life | None = None
+    best_score: tuple[int, int] | None = None
+    for life in lives:
+        if not life.has_room(batch.needs) or not _is_allowed(batch, life):
+            continue
+        rack = batch.step.data_rack
+        is_far = 1 if rack and rack not in life.info.labels else 0
+        score = (is_far, life.free_cpu)
+        if best_score is None or score < best_score:
+            best, best_score = life, score
+    return best
+
+
+def _is_allowed(batch: Batch, life: Life) -> bool:
+    step = batch.step
+    if step.required_label and step.required_label not in life.info.labels:
+        return False
+    if not step.max_per_upstream:
+        return True
+    same = sum(
+        1
+        for run in life.runs.values()
+        if run.task.job == batch.job.id and run.task.step == batch.number
+    )
+    return same < step.max_per_upstream
--- /dev/null
+++ b/cottonlug/core/cluster/records.py
@@ -0,0 +1,221 @@
+"""The replicated record: jobs, their ends, the known upstreams and the configuration.
+
+Every host of the log applies the same commands in the same order, so nothing here may depend on a
+clock or on chance.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from ..ids import UpstreamId
+from .commands import (
+    AcceptJob,
+    AddUpstream,
+    CancelJob,
+    Command,
+    ForgetJobs,
+    NoteEnds,
+    RemoveUpstreams,
+    SetConfiguration,
+    SetDraining,
+)
+from .model import (
+    Configuration,
+    EndKind,
+    EndReport,
+    JobId,
+    JobSpec,
+    JobState,
+    Queue,
+    TaskRef,
+    UpstreamInfo,
+    Value,
+)
+
+
+class TaskRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """What is kept of one task."""
+
+    is_done: bool = False
+    failed_runs: int = 0
+    last_run: int = 0
+    checkpoint: str = ""
+
+
+_NEW_TASK = TaskRecord()
+
+
+class JobRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """What is kept of one job; the payload goes when the job ends."""
+
+    id: JobId
+    queue: Queue
+    spec: JobSpec
+    accepted_ms: int
+    state: JobState = JobState.QUEUED
+    ended_ms: int = 0
+    tasks: dict[str, TaskRecord] = {}
+    done_count: int = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the job has not ended."""
+        return not self.state.is_final
+
+    def get_task(self, ref: TaskRef) -> TaskRecord:
+        """Return the record of a task, to be read only."""
+        return self.tasks.get(_name(ref), _NEW_TASK)
+
+    def open_task(self, ref: TaskRef) -> TaskRecord:
+        """Return the record of a task, to be changed."""
+        return self.tasks.setdefault(_name(ref), TaskRecord())
+
+    def list_refs(self) -> Iterator[TaskRef]:
+        """Return every task of the job."""
+        for number, step in enumerate(self.spec.steps):
+            for index in range(step.count):
+                yield TaskRef(self.id, 0, number, index)
+
+    def is_step_done(self, number: int) -> bool:
+        """Whether every task of a step has ended as done."""
+        step = self.spec.steps[number]
+        refs = (TaskRef(self.id, 0, number, index) for index in range(step.count))
+        return all(self.get_task(ref).is_done for ref in refs)
+
+    @property
+    def task_count(self) -> int:
+        """How many tasks the job has."""
+        return sum(step.count for step in self.spec.steps)
+
+
+class UpstreamRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """A known life of an upstream, and up to which of its ends note was taken."""
+
+    info: UpstreamInfo
+    noted: int = 0
+    draining: bool = False
+
+
+class Saved(Value, frozen=True):
+    """The whole state, as a snapshot holds it."""
+
+    configuration: Configuration | None
+    jobs: tuple[JobRecord, ...]
+    upstreams: tuple[UpstreamRecord, ...]
+
+
+_decoder = msgspec.json.Decoder(Saved)
+
+
+class Records:
+    """The state machine under the replicated log."""
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self.jobs: dict[JobId, JobRecord] = {}
+        self.upstreams: dict[UpstreamId, UpstreamRecord] = {}
+
+    def apply(self, command: Command) -> None:
+        """Carry out one committed command; one that comes twice changes nothing the second time."""
+        if isinstance(command, NoteEnds):
+            self._note_ends(command)
+        elif isinstance(command, AcceptJob):
+            self._accept(command)
+        elif isinstance(command, CancelJob):
+            self._cancel(command)
+        elif isinstance(command, ForgetJobs):
+            for job in command.jobs:
+                self.jobs.pop(job, None)
+        elif isinstance(command, AddUpstream):
+            record = UpstreamRecord(info=command.info)
+            self.upstreams.setdefault(command.info.id, record)
+        elif isinstance(command, RemoveUpstreams):
+            for upstream in command.upstreams:
+                self.upstreams.pop(upstream, None)
+        elif isinstance(command, SetDraining):
+            if command.upstream in self.upstreams:
+                self.upstreams[command.upstream].draining = True
+        else:
+            self._configure(command)
+
+    def encode(self) -> str:
+        """Return the whole state as the data of a snapshot."""
+        saved = Saved(
+            configuration=self.configuration,
+            jobs=tuple(self.jobs.values()),
+            upstreams=tuple(self.upstreams.values()),
+        )
+        return msgspec.json.encode(saved).decode()
+
+    def restore(self, data: str) -> None:
+        """Replace the whole state by that of a snapshot; an empty one is the beginning."""
+        saved = _decoder.decode(data) if data else Saved(configuration=None, jobs=(), upstreams=())
+        self.configuration = saved.configuration
+        self.jobs = {job.id: job for job in saved.jobs}
+        self.upstreams = {record.info.id: record for record in saved.upstreams}
+
+    def _accept(self, command: AcceptJob) -> None:
+        if command.job in self.jobs:
+            return
+        self.jobs[command.job] = JobRecord(
+            id=command.job,
+            queue=command.queue,
+            spec=command.spec,
+            accepted_ms=command.at_ms,
+        )
+
+    def _cancel(self, command: CancelJob) -> None:
+        job = self.jobs.get(command.job)
+        if job is not None and job.is_open:
+            end_job(job, JobState.CANCELLED, command.at_ms)
+
+    def _note_ends(self, command: NoteEnds) -> None:
+        upstream = self.upstreams.get(command.upstream)
+        noted = upstream.noted if upstream is not None else 0
+        for end in command.ends:
+            job = self.jobs.get(end.task.job)
+            if end.number > noted and job is not None:
+                note_end(job, end, command.at_ms)
+        if upstream is not None:
+            upstream.noted = max(noted, command.through)
+
+    def _configure(self, command: SetConfiguration) -> None:
+        current = self.configuration
+        if current is None or command.configuration.version > current.version:
+            self.configuration = command.configuration
+
+
+def note_end(job: JobRecord, end: EndReport, at_ms: int) -> None:
+    """Take note of the end of one run in the record of its job."""
+    if not job.is_open:
+        return
+    task = job.open_task(end.task)
+    task.last_run = max(task.last_run, end.run)
+    if end.checkpoint:
+        task.checkpoint = end.checkpoint
+    if task.is_done:
+        return
+    if end.how is EndKind.DONE:
+        task.is_done = True
+        job.done_count += 1
+        if job.done_count == job.task_count:
+            end_job(job, JobState.COMPLETED, at_ms)
+    elif end.how is EndKind.FAILED:
+        task.failed_runs += 1
+        if task.failed_runs >= job.queue.max_attempts:
+            end_job(job, JobState.FAILED, at_ms)
+
+
+def end_job(job: JobRecord, state: JobState, at_ms: int) -> None:
+    """End a job; what only an open job needs is dropped."""
+    job.state = state
+    job.ended_ms = at_ms
+    job.tasks = {}
+    job.spec = msgspec.structs.replace(job.spec, payload="")
+
+
+def _name(ref: TaskRef) -> str:
+    return f"{ref.occurrence}.{ref.step}.{ref.place}"
--- a/cottonlug/core/consensus/member.py
+++ b/cottonlug/core/consensus/member.py
@@ -62,8 +62,11 @@
         timing: Timing,
         chance: Chance,
         now: timedelta,
+        saves_late: bool = False,
     ) -> None:
         self.id = id
+        self._saves_late = saves_late
+        self._saved = Index(0)
         self.role = Role.FOLLOWER
         self.term = stored.hard_state.term
         self.leader: MemberId | None = None
@@ -165,6 +168,21 @@
         self._delivered = self.commit
         return output
 
+    def find_silent(self, now: timedelta, span: timedelta) -> list[MemberId]:
+        """Return the other members not heard for a span; for the leader only."""
+        return [
+            member for member, progress in self._progress.items() if now - progress.heard_at >= span
+        ]
+
+    def note_saved(self) -> None:
+        """Count this member for all that it has, which is now on its disk.
+
+        For a program with `saves_late`, which as a leader sends entries before it saves them.
+        """
+        self._saved = self.log.last_index
+        if self.role is Role.LEADER and self._advance_commit():
+            self._replicate_all()
+
     def matched(self, member: MemberId) -> Index:
         """Return how far another member's log is known to agree; for the leader only."""
         progress = self._progress.get(member)
@@ -289,6 +307,8 @@
         self.role = Role.LEADER
         self.leader = self.id
         self._progress = {}
+        # Every vote and entry before this moment was saved before it was answered for.
+        self._saved = self.log.last_index
         self._append_new(EntryKind.EMPTY, "", None)
         self._set_members()
         self._replicate_all()
@@ -396,7 +416,7 @@
     def _advance_commit(self) -> bool:
         """Commit what a majority of voters has, if its last entry is of this term."""
         matched = {member: progress.matched for member, progress in self._progress.items()}
-        matched[self.id] = self.log.last_index
+        matched[self.id] = self._saved if self._saves_late else self.log.last_index
         index = find_quorum_index(self.members.voters, matched)
         if index <= self.commit or self.log.find_term(index) != self.term:
             return False
--- a/cottonlug/core/consensus/replacement.py
+++ b/cottonlug/core/consensus/replacement.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from .member import Member
 from .types import MemberId, Members
 
+USUAL_VOTERS = 3
+"""With more voters than this, one that is lost is removed without a successor."""
 
-def plan_change(leader: Member, current: Mapping[str, MemberId]) -> Members | None:
+
+def plan_change(
+    leader: Member, current: Mapping[str, MemberId], lost: Collection[MemberId] = ()
+) -> Members | None:
     """Return the next set of members, or None where nothing is to be done.
 
     `current` gives, for each host that should vote, the member id of its present disk. A host whose
     id is not known to the log first learns; once it has everything that is committed, the id of its
-    old disk is removed, and then the new id is given its vote.
+    old disk is removed, and then the new id is given its vote. A new host takes the place of a
+    voter that is lost, if there is one.
     """
     members = leader.members
     for host, member in current.items():
@@ -25,6 +31,7 @@
         if leader.matched(member) < leader.commit:
             continue
         old = [voter for voter in members.voters if get_host(voter) == host]
+        old = old or [voter for voter in members.voters if voter in lost][:1]
         if old:
             voters = tuple(voter for voter in members.voters if voter not in old)
             return Members(voters=voters, learners=members.learners)
@@ -33,6 +40,18 @@
     return None
 
 
+def plan_removal(leader: Member, lost: Collection[MemberId]) -> Members | None:
+    """Return the members without one that is lost, where there are more voters than usual."""
+    members = leader.members
+    if len(members.voters) <= USUAL_VOTERS:
+        return None
+    gone = next((voter for voter in members.voters if voter in lost), None)
+    if gone is None:
+        return None
+    voters = tuple(voter for voter in members.voters if voter != gone)
+    return Members(voters=voters, learners=members.learners)
+
+
 def get_host(member: MemberId) -> str:
     """Return the host part of a member id, which is `<host>/<life of its disk>`."""
     return member.partition("/")[0]
--- a/cottonlug/core/control_messages.py
+++ b/cottonlug/core/control_messages.py
@@ -13,6 +13,9 @@
     host: HostId
     member: types.MemberId
     is_empty: bool
+    may_begin: bool = False
+    leader: str | None = None
+    hosts: tuple[str, ...] = ()
 
 
 class ConsensusBatch(Message):
--- /dev/null
+++ b/cottonlug/net/asgi.py
@@ -0,0 +1,90 @@
+"""A plain ASGI application for listeners that carry many small calls.
+
+litestar's request handling would be most of their cost (docs/design/exchange.md).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from litestar.types import Receive, Send
+
+
+@dataclass(slots=True, kw_only=True)
+class HttpRequest:
+    """One whole request."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True, kw_only=True)
+class HttpResponse:
+    """One whole response; JSON unless `content_type` says otherwise."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+    content_type: str = "application/json"
+    close: bool = False
+    """Close the connection after this response."""
+
+
+class NoResponse(Exception):  # noqa: N818 - not an error, but how an ASGI server is told to hang up
+    """Raised by a handler that must not answer: the connection is broken off."""
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+AsgiApp = Callable[[Any, Receive, Send], Awaitable[None]]
+
+
+def build_asgi(handle: Handler, max_body_bytes: Callable[[], int]) -> AsgiApp:
+    """Return an ASGI application round a handler, with bounded bodies."""
+
+    async def app(scope: Any, receive: Receive, send: Send) -> None:
+        body = await _read_body(receive, max_body_bytes())
+        if body is None:
+            response = HttpResponse(status=413, body=b'{"error":"the body is too large"}')
+        else:
+            headers = {
+                name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]
+            }
+            request = HttpRequest(
+                method=scope["method"], path=scope["path"], headers=headers, body=body
+            )
+            response = await handle(request)
+        await _send(send, response)
+
+    return app
+
+
+async def _read_body(receive: Receive, limit: int) -> bytes | None:
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message: Any = await receive()
+        if message["type"] == "http.disconnect":
+            raise NoResponse("the body was cut short")
+        part = message.get("body", b"")
+        size += len(part)
+        if size > limit:
+            return None
+        parts.append(part)
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+async def _send(send: Send, response: HttpResponse) -> None:
+    headers = [
+        (b"content-type", response.content_type.encode()),
+        (b"content-length", b"%d" % len(response.body)),
+    ]
+    headers += [(name.encode(), value.encode()) for name, value in response.headers.items()]
+    if response.close:
+        headers.append((b"connection", b"close"))
+    await send({"type": "http.response.start", "status": response.status, "headers": headers})
+    await send({"type": "http.response.body", "body": response.body, "more_body": False})
--- /dev/null
+++ b/cottonlug/net/connections.py
@@ -0,0 +1,241 @@
+"""A lean HTTP/1.1 client for many small calls, on asyncio and httptools.
+
+httpx costs about four times as much a call (docs/design/platform.md), which an entry host or a
+leader on a small machine cannot spare. A connection carries one call at a time; idle ones are kept.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import cast
+
+import httptools
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..config.options import Address
+from .clients import HttpReply, TransportError
+
+DEFAULT_CONNECT_TIMEOUT = timedelta(milliseconds=500)
+"""Longer than a lost opening packet on a quiet link, shorter than a caller waits."""
+DEFAULT_MAX_CONNECTIONS = 32
+MAX_REPLY_BYTES = 32 * 1024 * 1024
+
+
+class _Connection(asyncio.Protocol):
+    """One connection; `call` sends a request and waits for its reply."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._waiting: asyncio.Future[HttpReply] | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._body: list[bytes] = []
+        self._size = 0
+        self.is_open = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are not subclasses of asyncio's.
+        self._transport = cast(asyncio.Transport, transport)
+        self.is_open = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_open = False
+        self._fail(f"connection lost: {exc or 'closed by the other side'}")
+
+    def data_received(self, data: bytes) -> None:
+        if self._parser is None:
+            # Nobody asked: the other side is not in step with us.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"not HTTP: {error}")
+            self.close()
+
+    # Calls of the parser
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > MAX_REPLY_BYTES:
+            self.close()
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        parser, waiting = self._parser, self._waiting
+        self._parser, self._waiting = None, None
+        if parser is None or waiting is None:
+            return
+        if not parser.should_keep_alive():
+            self.close()
+        if not waiting.done():
+            reply = HttpReply(status=parser.get_status_code(), body=b"".join(self._body))
+            waiting.set_result(reply)
+
+    # Use
+
+    def send(self, data: bytes) -> asyncio.Future[HttpReply]:
+        """Write a whole request and return the future of its reply."""
+        assert self._transport is not None
+        self._body = []
+        self._size = 0
+        self._parser = httptools.HttpResponseParser(self)
+        self._waiting = asyncio.get_running_loop().create_future()
+        self._transport.write(data)
+        return self._waiting
+
+    def close(self) -> None:
+        """Close at once; a reply that is due is lost."""
+        self.is_open = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _fail(self, message: str) -> None:
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None and not waiting.done():
+            waiting.set_exception(ConnectionError(message))
+
+
+@dataclass(slots=True, kw_only=True)
+class ConnectionCounts:
+    """How often connections were opened and calls made or lost."""
+
+    opened: int = 0
+    calls: int = 0
+    failed: int = 0
+
+
+class ConnectionPool:
+    """Connections to one address."""
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        connect_timeout: timedelta = DEFAULT_CONNECT_TIMEOUT,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    ) -> None:
+        self.address = address
+        self.counts = ConnectionCounts()
+        self._connect_seconds = connect_timeout.total_seconds()
+        self._idle: list[_Connection] = []
+        self._busy: set[_Connection] = set()
+        self._room = asyncio.Semaphore(max_connections)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        timeout: timedelta,
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[HttpReply, TransportError]:
+        """Make one call; an idle connection that breaks before a reply leaves its fate unknown."""
+        data = _build_request(self.address, method, path, body, headers or {})
+        self.counts.calls += 1
+        try:
+            async with asyncio.timeout(timeout.total_seconds()), self._room:
+                connection = await self._take()
+                if isinstance(connection, TransportError):
+                    self.counts.failed += 1
+                    return Err(connection)
+                return await self._exchange(connection, data)
+        except TimeoutError:
+            self.counts.failed += 1
+            return Err(TransportError(message="no reply in time", unsent=False))
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in (*self._idle, *self._busy):
+            connection.close()
+        self._idle.clear()
+
+    async def _exchange(
+        self, connection: _Connection, data: bytes
+    ) -> Result[HttpReply, TransportError]:
+        self._busy.add(connection)
+        try:
+            reply = await connection.send(data)
+        except ConnectionError as error:
+            self.counts.failed += 1
+            return Err(TransportError(message=str(error), unsent=False))
+        except BaseException:
+            # Timed out or cancelled: the reply may still come, so the connection is of no more use.
+            connection.close()
+            raise
+        finally:
+            self._busy.discard(connection)
+        if connection.is_open:
+            self._idle.append(connection)
+        return Success(reply)
+
+    async def _take(self) -> _Connection | TransportError:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open:
+                return connection
+        loop = asyncio.get_running_loop()
+        opening = loop.create_connection(_Connection, self.address.host, self.address.port)
+        try:
+            async with asyncio.timeout(self._connect_seconds):
+                _, connection = await opening
+        except (OSError, TimeoutError) as error:
+            reason = str(error) or "no answer in time"
+            return TransportError(message=f"cannot connect: {reason}", unsent=True)
+        self.counts.opened += 1
+        return connection
+
+
+@dataclass(slots=True, kw_only=True)
+class ConnectionPools:
+    """One pool for each address, made when it is first needed."""
+
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
+    _pools: dict[Address, ConnectionPool] = field(default_factory=dict)
+
+    def get(self, address: Address) -> ConnectionPool:
+        """Return the pool of an address."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = ConnectionPool(address=address, max_connections=self.max_connections)
+            self._pools[address] = pool
+        return pool
+
+    def drop(self, address: Address) -> None:
+        """Close the connections to an address that is not used any more."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for address in list(self._pools):
+            self.drop(address)
+
+    def count_opened(self) -> int:
+        """Return how many connections the present pools have opened."""
+        return sum(pool.counts.opened for pool in self._pools.values())
+
+
+def parse_address(text: str) -> Address | None:
+    """Return the address in a text such as 10.0.0.4:8080, or None."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        return None
+    return Address(host, int(port))
+
+
+def _build_request(
+    address: Address, method: str, path: str, body: bytes, headers: Mapping[str, str]
+) -> bytes:
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if body:
+        lines += ["Content-Type: application/json"]
+    lines += [f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
--- /dev/null
+++ b/cottonlug/platform/configurations.py
@@ -0,0 +1,92 @@
+"""Bodies of configurations as the platform's operator sends them."""
+
+from __future__ import annotations
+
+import msgspec
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..core.cluster.model import (
+    Configuration,
+    ConfigurationVersion,
+    Queue,
+    Service,
+    ServiceName,
+)
+
+DEFAULT_MAX_BODY_BYTES = 262_144
+
+
+class _RouteBody(msgspec.Struct):
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: int
+    name: str = ""
+    route_type: str = ""
+    target_latency_ms: int = 0
+    priority: int = 0  # 0 comes first
+    max_attempts: int = 1  # failed runs of a task after which its job has failed
+    stretch: float = 1.0
+    advice: dict[str, float] | None = None
+
+
+class _ServiceBody(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+    rejects_overload: bool = True
+
+
+class _LimitsBody(msgspec.Struct):
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+
+
+class _ConfigurationBody(msgspec.Struct):
+    version: int
+    routes: list[_RouteBody]
+    services: list[_ServiceBody]
+    limits: _LimitsBody = msgspec.field(default_factory=_LimitsBody)
+
+
+_decoder = msgspec.json.Decoder(_ConfigurationBody)
+
+
+def decode_configuration(body: bytes) -> Result[Configuration, str]:
+    """Return the configuration in a body, or why it cannot be read in full."""
+    try:
+        read = _decoder.decode(body)
+        document = body.decode()
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(str(error))
+    return Success(
+        Configuration(
+            version=ConfigurationVersion(read.version),
+            queues=tuple(_build_queue(route) for route in read.routes),
+            services=tuple(_build_service(service) for service in read.services),
+            max_body_bytes=read.limits.max_body_bytes,
+            document=document,
+        )
+    )
+
+
+def _build_queue(route: _RouteBody) -> Queue:
+    return Queue(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        service=ServiceName(route.service),
+        timeout_ms=route.timeout_ms,
+        target_latency_ms=route.target_latency_ms,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        needs_advice=route.advice is not None,
+    )
+
+
+def _build_service(service: _ServiceBody) -> Service:
+    return Service(
+        name=ServiceName(service.name),
+        rejects_overload=service.rejects_overload,
+        max_connections=service.max_conns,
+    )
--- /dev/null
+++ b/cottonlug/platform/front.py
@@ -0,0 +1,107 @@
+"""The interface for callers: jobs, their states, cancels and counts; and the balancer's check."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure as Err
+
+from ..core.clock import to_milliseconds
+from ..core.cluster.calls import Answer, AskState, Call, Cancel, Outcome, Submit
+from ..net.asgi import Handler, HttpRequest, HttpResponse
+from .jobs import STATE_WORDS, decode_job
+
+READY = "/ready"
+DEADLINE_HEADER = "x-timeout-ms"
+DEFAULT_PATIENCE = timedelta(milliseconds=1_500)
+ANSWER_MARGIN = timedelta(milliseconds=40)
+"""Time that an answer takes to reach the caller, with room for a busy host."""
+RETRY_AFTER_SECONDS = "1"
+
+STATUS_OF_OUTCOME = {
+    Outcome.DONE: 200,
+    Outcome.REJECTED: 429,
+    Outcome.UNAVAILABLE: 503,
+    Outcome.UNKNOWN: 504,
+    Outcome.NO_QUEUE: 404,
+    Outcome.NO_JOB: 410,
+    Outcome.INVALID: 400,
+    Outcome.UNSUPPORTED: 503,
+}
+
+AnswerCall = Callable[[Call, timedelta], Awaitable[Answer]]
+
+
+def build_front_handler(answer: AnswerCall, is_stopping: Callable[[], bool]) -> Handler:
+    """Return the handler of the platform's interface for callers."""
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        call = _decode_call(request)
+        if isinstance(call, HttpResponse):
+            response = call
+        else:
+            response = _encode_answer(await answer(call, _read_patience(request)))
+        response.close = is_stopping()
+        return response
+
+    return handle
+
+
+def build_readiness_handler(is_ready: Callable[[], bool]) -> Handler:
+    """Return the handler of the balancer's check."""
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        if request.path != READY:
+            return HttpResponse(status=404)
+        return HttpResponse(status=200 if is_ready() else 503)
+
+    return handle
+
+
+def _decode_call(request: HttpRequest) -> Call | HttpResponse:
+    host = request.headers.get("host", "")
+    if request.method == "GET":
+        return AskState(host=host, path=request.path)
+    if request.method == "DELETE":
+        return Cancel(host=host, path=request.path)
+    if request.method != "POST":
+        return HttpResponse(status=405)
+    decoded = decode_job(request.body)
+    patience_ms = to_milliseconds(_read_patience(request))
+    if isinstance(decoded, Err):
+        body = msgspec.json.encode({"error": decoded.failure()})
+        return HttpResponse(status=400, body=body)
+    return Submit(host=host, path=request.path, spec=decoded.unwrap(), patience_ms=patience_ms)
+
+
+def _read_patience(request: HttpRequest) -> timedelta:
+    text = request.headers.get(DEADLINE_HEADER, "")
+    given = timedelta(milliseconds=int(text)) if text.isdecimal() else DEFAULT_PATIENCE
+    return given - ANSWER_MARGIN
+
+
+def _encode_answer(answer: Answer) -> HttpResponse:
+    status = STATUS_OF_OUTCOME[answer.outcome]
+    if answer.outcome is Outcome.DONE:
+        return HttpResponse(status=status, body=_encode_done(answer))
+    headers = {}
+    if status in (429, 503) and answer.outcome is not Outcome.UNSUPPORTED:
+        headers["retry-after"] = _encode_retry_after(answer)
+    body = msgspec.json.encode({"error": answer.detail})
+    return HttpResponse(status=status, body=body, headers=headers)
+
+
+def _encode_done(answer: Answer) -> bytes:
+    if answer.state is not None:
+        return msgspec.json.encode({"state": STATE_WORDS[answer.state]})
+    if answer.pending is not None:
+        return msgspec.json.encode({"pending": answer.pending})
+    return b"{}"
+
+
+def _encode_retry_after(answer: Answer) -> str:
+    if answer.retry_after_ms is None:
+        return RETRY_AFTER_SECONDS
+    return str(max(1, -(-answer.retry_after_ms // 1000)))
--- /dev/null
+++ b/cottonlug/platform/workers.py
@@ -0,0 +1,177 @@
+"""Calls to the platform's workers: starts, stops and looks."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from returns.result import Failure as Err
+from returns.result import Result
+
+from ..core.clock import to_milliseconds
+from ..core.cluster.model import (
+    EndKind,
+    EndReport,
+    LookReply,
+    RunNumber,
+    RunReport,
+    UpstreamInfo,
+)
+from ..core.cluster.orders import (
+    CallFailure,
+    LookOrder,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+)
+from ..net.clients import HttpReply, TransportError
+from ..net.connections import ConnectionPools, parse_address
+from .jobs import name_task, parse_task
+
+START = "/run-start"
+STOP = "/run-stop"
+LOOK = "/hold"
+LIFE_HEADER = "X-Expect-Instance"
+ANOTHER_LIFE = 421
+CALL_TIMEOUT = timedelta(milliseconds=350)
+"""A start or stop is answered within a few milliseconds, or with an order lost within seconds."""
+
+_REASONS = {
+    "fence": StartOutcome.FENCED,
+    "old": StartOutcome.OUTDATED,
+    "late": StartOutcome.LATE,
+    "room": StartOutcome.NO_ROOM,
+}
+_END_WORDS = {
+    "done": EndKind.DONE,
+    "failed": EndKind.FAILED,
+    "stopped": EndKind.STOPPED,
+    "lapsed": EndKind.LAPSED,
+    "broken": EndKind.BROKEN,
+    "alone": EndKind.ALONE,
+}
+
+
+class _ReplyBody(msgspec.Struct):
+    clock_ms: int | None = None
+    reason: str = ""
+    running: list[list[Any]] = []  # [task, run, saved, percent, ...]
+    finished: list[list[Any]] = []  # [number, task, run, how, saved]
+
+
+_decoder = msgspec.json.Decoder(_ReplyBody)
+
+
+class WorkerClient:
+    """The one client of the platform's workers."""
+
+    def __init__(self, *, pools: ConnectionPools) -> None:
+        self._pools = pools
+
+    async def start(self, order: StartOrder, token: int) -> tuple[StartOutcome, int | None]:
+        """Send a start; return what became of it and the worker's clock where it was told."""
+        body: dict[str, Any] = {
+            "task": name_task(order.task),
+            "run_id": order.run,
+            "task_spec": order.payload,
+            "expires_ms": order.expires_ms,
+            "fencing_token": token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        sent = await self._call(order.upstream, START, body, CALL_TIMEOUT)
+        if isinstance(sent, Err):
+            unsent = sent.failure().unsent
+            return (StartOutcome.NOT_SENT if unsent else StartOutcome.UNKNOWN), None
+        reply = sent.unwrap()
+        read = _read_reply(reply)
+        clock_ms = read.clock_ms if read is not None else None
+        return _find_start_outcome(reply.status, read), clock_ms
+
+    async def stop(self, order: StopOrder, token: int) -> CallFailure | None:
+        """Send a stop."""
+        body = {"task": name_task(order.task), "run_id": order.run, "fencing_token": token}
+        sent = await self._call(order.upstream, STOP, body, CALL_TIMEOUT)
+        if isinstance(sent, Err):
+            return CallFailure.NO_ANSWER
+        return _find_failure(sent.unwrap())
+
+    async def look(self, order: LookOrder, token: int) -> LookReply | CallFailure:
+        """Ask what runs and what has ended, and renew the lease."""
+        body: dict[str, Any] = {"fencing_token": token, "last_seen": order.last_seen}
+        if order.expires_ms is not None:
+            body["expires_ms"] = order.expires_ms
+        wait_ms = to_milliseconds(order.wait)
+        if wait_ms:
+            body["wait_ms"] = wait_ms
+        sent = await self._call(order.upstream, LOOK, body, CALL_TIMEOUT + order.wait)
+        if isinstance(sent, Err):
+            return CallFailure.NO_ANSWER
+        failure = _find_failure(sent.unwrap())
+        if failure is not None:
+            return failure
+        read = _read_reply(sent.unwrap())
+        if read is None or read.clock_ms is None:
+            return CallFailure.REFUSED
+        return LookReply(
+            clock_ms=read.clock_ms,
+            running=tuple(run for row in read.running if (run := _read_run(row)) is not None),
+            ended=tuple(end for row in read.finished if (end := _read_end(row)) is not None),
+        )
+
+    async def _call(
+        self, upstream: UpstreamInfo, path: str, body: dict[str, Any], timeout: timedelta
+    ) -> Result[HttpReply, TransportError]:
+        address = parse_address(upstream.address)
+        if address is None:
+            return Err(TransportError(message=f"{upstream.address} is no address", unsent=True))
+        pool = self._pools.get(address)
+        headers = {LIFE_HEADER: upstream.id}
+        data = msgspec.json.encode(body)
+        return await pool.call("POST", path, data, timeout=timeout, headers=headers)
+
+
+def _find_start_outcome(status: int, read: _ReplyBody | None) -> StartOutcome:
+    if status == 200:
+        return StartOutcome.STARTED
+    if status == 409:
+        reason = read.reason if read is not None else ""
+        return _REASONS.get(reason, StartOutcome.INVALID)
+    if status in (429, 503):
+        return StartOutcome.UNHEALTHY
+    if status == ANOTHER_LIFE:
+        return StartOutcome.LIFE_ENDED
+    if status == 400:
+        return StartOutcome.INVALID
+    return StartOutcome.UNKNOWN
+
+
+def _find_failure(reply: HttpReply) -> CallFailure | None:
+    if reply.status == 200:
+        return None
+    return CallFailure.LIFE_ENDED if reply.status == ANOTHER_LIFE else CallFailure.REFUSED
+
+
+def _read_reply(reply: HttpReply) -> _ReplyBody | None:
+    try:
+        return _decoder.decode(reply.body)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+
+
+def _read_run(row: list[Any]) -> RunReport | None:
+    ref = parse_task(row[0])
+    if ref is None:
+        return None
+    return RunReport(task=ref, run=RunNumber(row[1]), checkpoint=row[2], percent=int(row[3]))
+
+
+def _read_end(row: list[Any]) -> EndReport | None:
+    ref = parse_task(row[1])
+    how = _END_WORDS.get(row[3])
+    if ref is None or how is None:
+        return None
+    return EndReport(
+        number=row[0], task=ref, run=RunNumber(row[2]), how=how, checkpoint=row[4] or ""
+    )
--- a/cottonlug/runtime/clocks.py
+++ b/cottonlug/runtime/clocks.py
@@ -14,5 +14,8 @@
         return datetime.now(UTC)
 
     def monotonic(self) -> timedelta:
-        """Return the monotonic time."""
-        return timedelta(seconds=time.monotonic())
+        """Return the time since the machine started, which goes on while it is suspended.
+
+        A lease must not outlast a suspension, which `time.monotonic` does not count.
+        """
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
--- /dev/null
+++ b/cottonlug/runtime/cluster_dump.py
@@ -0,0 +1,58 @@
+"""State dumps of control hosts and gateways."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .control_host import ControlHost
+from .gateway import Gateway
+
+
+def build_control_dump(host: ControlHost) -> dict[str, Any]:
+    """Return the state of a control host."""
+    member = host.replica.member
+    records = host.replicated.records
+    dump: dict[str, Any] = {
+        "term": int(host.replica.term),
+        "leader": host.replica.leader_host,
+        "is_leader": host.replica.is_leader,
+        "members": member.members if member is not None else None,
+        "commit": int(member.commit) if member is not None else None,
+        "version": records.configuration.version if records.configuration is not None else None,
+        "jobs": len(records.jobs),
+        "upstreams": len(records.upstreams),
+    }
+    if host.leading is not None:
+        dump["leading"] = _dump_dispatch(host)
+    return dump
+
+
+def _dump_dispatch(host: ControlHost) -> dict[str, Any]:
+    assert host.leading is not None
+    dispatch = host.leading.dispatch
+    return {
+        "open_jobs": dispatch.count_jobs(),
+        "waiting_tasks": dispatch.backlog.count_tasks(),
+        "counts": dispatch.counts,
+        "upstreams": [
+            {
+                "id": life.info.id,
+                "fenced": life.is_fenced,
+                "draining": life.draining,
+                "runs": len(life.runs),
+                "free_cpu": life.free_cpu,
+                "failed_looks": life.failed_looks,
+            }
+            for life in dispatch.lives.values()
+        ],
+    }
+
+
+def build_gateway_dump(gateway: Gateway) -> dict[str, Any]:
+    """Return the state of a gateway."""
+    return {
+        "ready": gateway.is_ready(),
+        "stopping": gateway.is_stopping,
+        "leader": gateway.leader,
+        "hosts": gateway.hosts,
+    }
--- /dev/null
+++ b/cottonlug/runtime/control_host.py
@@ -0,0 +1,184 @@
+"""A control host: a replica of the log that answers calls, as leader or by asking the leader."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure as Err
+
+from ..config.cluster import ControlSettings
+from ..core.clock import Clock
+from ..core.cluster.calls import (
+    Answer,
+    Call,
+    Greet,
+    Outcome,
+    answer_decoder,
+    call_decoder,
+)
+from ..core.cluster.lives import LeaseTerms
+from ..core.control_messages import ConsensusBatch
+from ..net.asgi import HttpRequest, HttpResponse
+from ..net.connections import ConnectionPools, parse_address
+from .leading import Leading, UpstreamPort
+from .replica import (
+    HELLO_PATH,
+    JOIN_PATH,
+    MESSAGES_PATH,
+    JoinRequest,
+    Replica,
+    ReplicaSettings,
+)
+from .replicated import ReplicatedRecords
+
+CALL_PATH = "/v1/call"
+PASSED_ON = "x-passed-on"
+"""Header of a call that another control host passed on, so that none goes round in circles."""
+PASS_ON_TIMEOUT = timedelta(seconds=3)
+CHECK_SECONDS = 0.025
+
+
+class ControlHost:
+    """State of one control host."""
+
+    def __init__(
+        self,
+        *,
+        settings: ControlSettings,
+        clock: Clock,
+        port: UpstreamPort,
+        on_failure: Callable[[BaseException], None],
+    ) -> None:
+        self.leading: Leading | None = None
+        self.replicated = ReplicatedRecords()
+        self._settings = settings
+        self._clock = clock
+        self._port = port
+        self._pools = ConnectionPools()
+        self._is_stopping = False
+        self._checking: asyncio.Task[None] | None = None
+        self.replica = Replica(
+            settings=ReplicaSettings(
+                address=settings.listen.peers,
+                seeds=tuple(settings.seeds),
+                may_begin=settings.may_begin,
+                data_folder=settings.data_folder,
+            ),
+            clock=clock,
+            machine=self.replicated,
+            on_progress=self._check_leading,
+            on_failure=on_failure,
+        )
+
+    async def start(self) -> str | None:
+        """Begin to take part; return why that failed, or None."""
+        error = await self.replica.start()
+        self._checking = asyncio.create_task(self._check_forever())
+        return error
+
+    async def hand_over(self) -> None:
+        """Stop leading, if this host does, and have another voter take over."""
+        self._is_stopping = True
+        self._check_leading()
+        await self.replica.hand_over()
+
+    async def stop(self) -> None:
+        """Stop taking part."""
+        self._is_stopping = True
+        if self._checking is not None:
+            self._checking.cancel()
+        self._check_leading()
+        await self.replica.stop()
+        self._pools.close()
+
+    async def answer(self, call: Call, *, passed_on: bool = False) -> Answer:
+        """Answer a call here, if this host leads, or by asking the leader."""
+        if self.leading is not None and self.replica.has_lease():
+            if isinstance(call, Greet):
+                return self._answer_greeting(has_leader=True)
+            return await self.leading.answer(call)
+        leader = self.replica.leader_host
+        is_own = leader == str(self._settings.listen.peers)
+        if passed_on or leader is None or is_own:
+            return self._answer_greeting(has_leader=False)
+        return await self._pass_on(leader, call)
+
+    async def handle_peer(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request of another host of the cluster."""
+        try:
+            if request.path == MESSAGES_PATH:
+                batch = msgspec.json.decode(request.body, type=ConsensusBatch)
+                return _reply(self.replica.receive(batch))
+            if request.path == CALL_PATH:
+                call = call_decoder.decode(request.body)
+                return _reply(await self.answer(call, passed_on=PASSED_ON in request.headers))
+            if request.path == JOIN_PATH:
+                join = msgspec.json.decode(request.body, type=JoinRequest)
+                return _reply(self.replica.take_join(join))
+            if request.path == HELLO_PATH:
+                return _reply(self.replica.greet())
+        except msgspec.MsgspecError as error:
+            return HttpResponse(status=400, body=msgspec.json.encode({"error": str(error)}))
+        return HttpResponse(status=404)
+
+    # Parts
+
+    def _answer_greeting(self, *, has_leader: bool) -> Answer:
+        configuration = self.replicated.records.configuration
+        return Answer(
+            outcome=Outcome.DONE if has_leader else Outcome.UNAVAILABLE,
+            detail="" if has_leader else "no leader at the moment",
+            leader=self.replica.leader_host,
+            hosts=self.replica.hosts,
+            max_body_bytes=configuration.max_body_bytes if configuration is not None else None,
+        )
+
+    async def _pass_on(self, leader: str, call: Call) -> Answer:
+        address = parse_address(leader)
+        assert address is not None, "members are named by their addresses"
+        body = msgspec.json.encode(call)
+        pool = self._pools.get(address)
+        headers = {PASSED_ON: "1"}
+        sent = await pool.call("POST", CALL_PATH, body, timeout=PASS_ON_TIMEOUT, headers=headers)
+        if isinstance(sent, Err):
+            error = sent.failure()
+            outcome = Outcome.UNAVAILABLE if error.unsent else Outcome.UNKNOWN
+            return Answer(outcome=outcome, detail=f"the leader cannot be reached: {error.message}")
+        reply = sent.unwrap()
+        if reply.status != 200:
+            return Answer(outcome=Outcome.UNKNOWN, detail=f"the leader answered {reply.status}")
+        return answer_decoder.decode(reply.body)
+
+    async def _check_forever(self) -> None:
+        while True:
+            self._check_leading()
+            await asyncio.sleep(CHECK_SECONDS)
+
+    def _check_leading(self) -> None:
+        """Begin or end to lead as the log says."""
+        replica = self.replica
+        leads = (
+            replica.is_leader
+            and not self._is_stopping
+            and self.replicated.ready_term == replica.term
+        )
+        if self.leading is not None and (not leads or self.leading.term != replica.term):
+            self.leading.stop()
+            self.leading = None
+        if leads and self.leading is None:
+            self.leading = Leading(
+                replica=replica,
+                replicated=self.replicated,
+                port=self._port,
+                clock=self._clock,
+                terms=LeaseTerms(longest=self._settings.longest_lease),
+                keep_ended=self._settings.keep_ended,
+                control_address=str(self._settings.listen.control),
+            )
+
+
+def _reply(message: msgspec.Struct) -> HttpResponse:
+    return HttpResponse(status=200, body=msgspec.json.encode(message))
--- /dev/null
+++ b/cottonlug/runtime/leading.py
@@ -0,0 +1,368 @@
+"""One leader's term: it decides through `Dispatch`, carries out orders and answers calls."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Hashable
+from datetime import timedelta
+from typing import Protocol
+
+from ..core.clock import Clock
+from ..core.cluster.admission import find_rejection
+from ..core.cluster.calls import (
+    Abandon,
+    Answer,
+    AskConfiguration,
+    AskState,
+    Beat,
+    Call,
+    Cancel,
+    Configure,
+    Leave,
+    Outcome,
+    Submit,
+)
+from ..core.cluster.checks import (
+    JOB_ID_PATTERN,
+    find_configuration_problem,
+    find_job_problem,
+    find_unsupported,
+)
+from ..core.cluster.commands import (
+    AcceptJob,
+    AddUpstream,
+    CancelJob,
+    Command,
+    ForgetJobs,
+    SetConfiguration,
+    SetDraining,
+    encode_commands,
+)
+from ..core.cluster.dispatch import Dispatch
+from ..core.cluster.lives import LeaseTerms
+from ..core.cluster.model import JobId, JobState, LookReply, Queue
+from ..core.cluster.orders import (
+    CallFailure,
+    LookOrder,
+    Order,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+)
+from ..core.cluster.queues import find_queue
+from ..core.cluster.records import JobRecord
+from .events import Event, log_event
+from .replica import Replica
+from .replicated import ReplicatedRecords, Waiters
+
+TICK_SECONDS = 0.02
+FORGET_EVERY = timedelta(seconds=5)
+COMMIT_TIMEOUT = timedelta(seconds=2)
+"""How long a call waits for its command; its fate is unknown afterwards."""
+
+
+class UpstreamPort(Protocol):
+    """How orders reach upstreams."""
+
+    async def start(self, order: StartOrder, token: int) -> tuple[StartOutcome, int | None]:
+        """Send a start; return what became of it and the upstream's clock where it was told."""
+        ...
+
+    async def stop(self, order: StopOrder, token: int) -> CallFailure | None:
+        """Send a stop."""
+        ...
+
+    async def look(self, order: LookOrder, token: int) -> LookReply | CallFailure:
+        """Ask what runs and what has ended."""
+        ...
+
+
+class Leading:
+    """What a host does while it leads one term."""
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        replicated: ReplicatedRecords,
+        port: UpstreamPort,
+        clock: Clock,
+        terms: LeaseTerms,
+        keep_ended: timedelta,
+        control_address: str,
+    ) -> None:
+        self.term = replica.term
+        self._replica = replica
+        self._records = replicated.records
+        self._port = port
+        self._clock = clock
+        self._keep_ended = keep_ended
+        self._control_address = control_address
+        self.waiters = Waiters()
+        self.dispatch = Dispatch(
+            records=self._records,
+            term=int(self.term),
+            terms=terms,
+            now=clock.monotonic(),
+            wall_ms=self._read_wall,
+            note=_note_decision,
+            on_end=self._take_end,
+        )
+        self._proposals: list[Command] = []
+        self._is_awake = False
+        self._calls: set[asyncio.Task[None]] = set()
+        self._forget_at = clock.monotonic() + FORGET_EVERY
+        replicated.listener = self._take_applied
+        self._timer = asyncio.create_task(self._tick_forever())
+        log_event(Event.LEADING, term=int(self.term), jobs=self.dispatch.count_jobs())
+
+    def stop(self) -> None:
+        """End the term: nothing more is ordered, and whoever waits learns that it is not known."""
+        self._timer.cancel()
+        for task in self._calls:
+            task.cancel()
+        self.waiters.give_up()
+        log_event(Event.NOT_LEADING, term=int(self.term))
+
+    # Calls
+
+    async def answer(self, call: Call) -> Answer:
+        """Carry out one call; only called while the lease of this leader lasts."""
+        if isinstance(call, AskState):
+            return self._answer_state(call)
+        if isinstance(call, Submit):
+            return await self._answer_submit(call)
+        if isinstance(call, Abandon):
+            return self._answer_abandon(call)
+        if isinstance(call, Cancel):
+            return await self._answer_cancel(call)
+        if isinstance(call, Beat):
+            return await self._answer_beat(call)
+        if isinstance(call, Leave):
+            return await self._answer_leave(call)
+        if isinstance(call, Configure):
+            return await self._answer_configure(call)
+        if isinstance(call, AskConfiguration):
+            return self._answer_configuration()
+        return Answer(outcome=Outcome.DONE)
+
+    def _find_queue(self, host: str, path: str) -> tuple[Queue, JobId] | Answer:
+        configuration = self._records.configuration
+        if configuration is None:
+            return Answer(outcome=Outcome.UNAVAILABLE, detail="no configuration yet")
+        found = find_queue(configuration, host, path)
+        return found if found is not None else Answer(outcome=Outcome.NO_QUEUE)
+
+    async def _answer_submit(self, call: Submit) -> Answer:
+        found = self._find_queue(call.host, call.path)
+        if isinstance(found, Answer):
+            return found
+        queue, job = found
+        if job in self._records.jobs:
+            return Answer(outcome=Outcome.DONE)
+        if call.spec.best_effort and self.dispatch.find_ended(job) is not None:
+            return Answer(outcome=Outcome.DONE, state=self.dispatch.find_ended(job))
+        if call.spec.best_effort and self.dispatch.is_open(job):
+            return await self._wait_end(job)
+        if ("job", job) in self.waiters:
+            return await self._wait(("job", job))
+        if JOB_ID_PATTERN.fullmatch(job) is None:
+            return Answer(outcome=Outcome.INVALID, detail="the id is not 16 hexadecimal digits")
+        problem = find_job_problem(call.spec)
+        if problem is not None:
+            return Answer(outcome=Outcome.INVALID, detail=problem)
+        unsupported = find_unsupported(call.spec)
+        if unsupported is not None:
+            return Answer(outcome=Outcome.UNSUPPORTED, detail=unsupported)
+        rejection = find_rejection(self.dispatch, queue, call.spec)
+        if rejection is not None:
+            log_event(Event.SUBMISSION_REFUSED, job=job, reason=rejection.reason)
+            return Answer(
+                outcome=Outcome.REJECTED,
+                detail=rejection.reason,
+                retry_after_ms=rejection.retry_after_ms,
+            )
+        if call.spec.best_effort:
+            return await self._run_to_end(job, queue, call)
+        command = AcceptJob(job=job, queue=queue, spec=call.spec, at_ms=self._read_wall())
+        return await self._propose_and_wait(command, ("job", job))
+
+    async def _run_to_end(self, job: JobId, queue: Queue, call: Submit) -> Answer:
+        """Run a job that need not be kept, and answer when it has ended."""
+        record = JobRecord(id=job, queue=queue, spec=call.spec, accepted_ms=self._read_wall())
+        self.dispatch.submit(record, self._clock.monotonic())
+        self._wake()
+        return await self._wait_end(job)
+
+    async def _wait_end(self, job: JobId) -> Answer:
+        if not await self.waiters.wait_for(("end", job)):
+            return Answer(outcome=Outcome.UNKNOWN, detail="this host does not lead any more")
+        state = self.dispatch.find_ended(job)
+        if state is JobState.CANCELLED:
+            return Answer(outcome=Outcome.UNKNOWN, detail="the job was given up")
+        return Answer(outcome=Outcome.DONE, state=state)
+
+    def _answer_abandon(self, call: Abandon) -> Answer:
+        found = self._find_queue(call.host, call.path)
+        if isinstance(found, Answer):
+            return found
+        self.dispatch.abandon(found[1], self._clock.monotonic())
+        self._wake()
+        return Answer(outcome=Outcome.DONE)
+
+    def _answer_state(self, call: AskState) -> Answer:
+        found = self._find_queue(call.host, call.path)
+        if isinstance(found, Answer):
+            return found
+        queue, job = found
+        if not job:
+            pending = self.dispatch.count_pending(queue.host, queue.prefix)
+            return Answer(outcome=Outcome.DONE, pending=pending)
+        record = self._records.jobs.get(job)
+        if record is None or record.queue.key != queue.key:
+            return Answer(outcome=Outcome.NO_JOB)
+        return Answer(outcome=Outcome.DONE, state=self.dispatch.find_state(record))
+
+    async def _answer_cancel(self, call: Cancel) -> Answer:
+        found = self._find_queue(call.host, call.path)
+        if isinstance(found, Answer):
+            return found
+        _, job = found
+        record = self._records.jobs.get(job)
+        if record is None and ("job", job) not in self.waiters:
+            return Answer(outcome=Outcome.NO_JOB)
+        if record is not None and not record.is_open:
+            return Answer(outcome=Outcome.DONE, state=record.state)
+        command = CancelJob(job=job, at_ms=self._read_wall())
+        return await self._propose_and_wait(command, ("cancel", job))
+
+    async def _answer_beat(self, call: Beat) -> Answer:
+        heartbeat = call.heartbeat
+        self.dispatch.take_heartbeat(heartbeat, self._clock.monotonic())
+        self._wake()
+        known = self._records.upstreams.get(heartbeat.info.id)
+        if heartbeat.draining and known is not None and not known.draining:
+            # Every later leader must know before the upstream counts on it.
+            return await self._wait(("draining", heartbeat.info.id))
+        return Answer(outcome=Outcome.DONE, leader_control=self._control_address)
+
+    async def _answer_leave(self, call: Leave) -> Answer:
+        known = self._records.upstreams.get(call.upstream)
+        if known is None or known.draining:
+            return Answer(outcome=Outcome.DONE)
+        self.dispatch.take_leave(call.upstream)
+        self._wake()
+        return await self._wait(("draining", call.upstream))
+
+    async def _answer_configure(self, call: Configure) -> Answer:
+        configuration = call.configuration
+        problem = find_configuration_problem(configuration)
+        if problem is not None:
+            log_event(Event.RULES_REFUSED, version=configuration.version, problem=problem)
+            return Answer(outcome=Outcome.INVALID, detail=problem)
+        current = self._records.configuration
+        if current is not None and configuration.version <= current.version:
+            return Answer(outcome=Outcome.DONE)
+        command = SetConfiguration(configuration=configuration)
+        return await self._propose_and_wait(command, ("version", configuration.version))
+
+    def _answer_configuration(self) -> Answer:
+        configuration = self._records.configuration
+        if configuration is None:
+            return Answer(outcome=Outcome.UNAVAILABLE, detail="no configuration yet")
+        return Answer(outcome=Outcome.DONE, document=configuration.document)
+
+    async def _propose_and_wait(self, command: Command, key: Hashable) -> Answer:
+        waiting = self.waiters.wait_for(key)
+        self._proposals.append(command)
+        self._wake()
+        return await self._finish(waiting)
+
+    async def _wait(self, key: Hashable) -> Answer:
+        return await self._finish(self.waiters.wait_for(key))
+
+    async def _finish(self, waiting: asyncio.Future[bool]) -> Answer:
+        await asyncio.wait([waiting], timeout=COMMIT_TIMEOUT.total_seconds())
+        if waiting.done() and waiting.result():
+            return Answer(outcome=Outcome.DONE, leader_control=self._control_address)
+        return Answer(outcome=Outcome.UNKNOWN, detail="no majority decided in time")
+
+    # Decisions
+
+    def _take_applied(self, command: Command) -> None:
+        self.dispatch.take_applied(command, self._clock.monotonic())
+        if isinstance(command, AcceptJob):
+            self.waiters.resolve(("job", command.job))
+        elif isinstance(command, CancelJob):
+            self.waiters.resolve(("cancel", command.job))
+        elif isinstance(command, SetConfiguration):
+            version = command.configuration.version
+            self.waiters.resolve(("version", version))
+            log_event(Event.RULES_IN_FORCE, version=version)
+        elif isinstance(command, SetDraining):
+            self.waiters.resolve(("draining", command.upstream))
+        elif isinstance(command, AddUpstream):
+            log_event(Event.UPSTREAM_OPENED, upstream=command.info.id, at=command.info.address)
+        self._wake()
+
+    def _take_end(self, job: JobId) -> None:
+        self.waiters.resolve(("end", job))
+
+    def _wake(self) -> None:
+        """Decide again once everything that has arrived by now was taken in."""
+        if not self._is_awake:
+            self._is_awake = True
+            asyncio.get_running_loop().call_soon(self._decide)
+
+    def _decide(self) -> None:
+        self._is_awake = False
+        if self._replica.term != self.term or not self._replica.has_lease():
+            return
+        now = self._clock.monotonic()
+        self.dispatch.tick(now)
+        for order in self.dispatch.take_orders():
+            task = asyncio.create_task(self._carry_out(order))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+        self._proposals += self.dispatch.take_proposals()
+        if self._proposals:
+            proposals, self._proposals = self._proposals, []
+            self._replica.propose(encode_commands(tuple(proposals)))
+
+    async def _carry_out(self, order: Order) -> None:
+        sent_at = self._clock.monotonic()
+        token = int(self.term)
+        if isinstance(order, StartOrder):
+            outcome, clock_ms = await self._port.start(order, token)
+            self.dispatch.take_start_answer(order, outcome, clock_ms, self._clock.monotonic())
+        elif isinstance(order, StopOrder):
+            failure = await self._port.stop(order, token)
+            self.dispatch.take_stop_answer(order, failure, self._clock.monotonic())
+        else:
+            reply = await self._port.look(order, token)
+            self.dispatch.take_look(order, reply, sent_at, self._clock.monotonic())
+        self._wake()
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._forget_ended()
+            self._wake()
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _forget_ended(self) -> None:
+        now = self._clock.monotonic()
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_EVERY
+        limit = self._read_wall() - int(self._keep_ended / timedelta(milliseconds=1))
+        jobs = self._records.jobs.values()
+        old = tuple(job.id for job in jobs if not job.is_open and job.ended_ms < limit)
+        if old:
+            self._proposals.append(ForgetJobs(jobs=old))
+
+    def _read_wall(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
+
+
+def _note_decision(name: str, fields: dict[str, str | int]) -> None:
+    log_event(Event.DECISION, decision=name, **fields)
--- a/cottonlug/runtime/process.py
+++ b/cottonlug/runtime/process.py
@@ -28,6 +28,10 @@
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGUSR1, lambda: dump_state(build_dump))
 
+    def watch_reload(self, reload: Callable[[], None]) -> None:
+        """Call `reload` on SIGHUP."""
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+
     def fail(self, error: BaseException) -> None:
         """Stop because an invariant is broken."""
         self.failure = error
--- /dev/null
+++ b/cottonlug/runtime/replica.py
@@ -0,0 +1,537 @@
+"""One host of a replicated log: its disk, its messages and the member's timers.
+
+The state machine on top is passed in. A leader sends entries before it has synced them and counts
+itself only afterwards (`Member.note_saved`): with all voters well, two other disks decide, and the
+leader's loop does not wait for its own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any, Protocol
+
+import msgspec
+from returns.result import Failure as Err
+from returns.result import Success
+
+from ..config.options import Address
+from ..core.clock import Clock
+from ..core.consensus.member import Member
+from ..core.consensus.progress import is_quorum
+from ..core.consensus.replacement import get_host, plan_change, plan_removal
+from ..core.consensus.timing import Timing
+from ..core.consensus.types import (
+    AppendReply,
+    Entry,
+    EntryKind,
+    Envelope,
+    Index,
+    MemberId,
+    Members,
+    Output,
+    Role,
+    Snapshot,
+    SnapshotRequest,
+    Term,
+)
+from ..core.control_messages import ConsensusBatch, Hello
+from ..core.ids import HostId
+from ..net.connections import ConnectionPools, parse_address
+from ..storage.files import FolderFiles
+from ..storage.journal import Journal, StorageError, open_journal
+from .events import Event, log_event
+
+TIMING = Timing(heartbeat=timedelta(milliseconds=100), election=timedelta(milliseconds=500))
+"""A new leader within 1 s, so that most leases (1 s) are renewed; a slow sync takes 270 ms."""
+LEADER_LEASE = timedelta(milliseconds=400)
+"""After a majority answered, no other can lead for at least one election timeout, less a margin."""
+TICK_SECONDS = 0.025
+CALL_TIMEOUT = timedelta(milliseconds=450)
+SNAPSHOT_TIMEOUT = timedelta(seconds=5)
+SAVE_AFTER = timedelta(milliseconds=20)
+"""A leader saves what the others have not made safe by then."""
+SAVE_AT_LEAST = timedelta(seconds=1)
+COMPACT_AFTER_BYTES = 8 * 1024 * 1024
+"""Size of the log's entries before a snapshot replaces them; a disk has 128 MB."""
+GREET_SECONDS = 0.25
+LOST_AFTER = timedelta(seconds=4)
+"""A voter that was silent for so long may be replaced by one that asks to join."""
+
+MESSAGES_PATH = "/v1/consensus"
+HELLO_PATH = "/v1/hello"
+JOIN_PATH = "/v1/join"
+
+
+class StateMachine(Protocol):
+    """What is replicated."""
+
+    def apply(self, entry: Entry) -> None:
+        """Carry out a committed entry."""
+        ...
+
+    def encode(self) -> str:
+        """Return the whole state."""
+        ...
+
+    def restore(self, data: str) -> None:
+        """Replace the whole state."""
+        ...
+
+
+class JoinRequest(msgspec.Struct, kw_only=True, frozen=True):
+    """A member that is not among the members asks the leader to be taken in."""
+
+    member: MemberId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaSettings:
+    """Where a replica finds its disk and the others; addresses are those for calls of peers."""
+
+    address: Address
+    seeds: tuple[Address, ...]
+    may_begin: bool
+    data_folder: Path
+
+
+@dataclass(slots=True, kw_only=True)
+class Peer:
+    """Another member: what waits to be sent to it, and when it last answered."""
+
+    address: Address
+    news: asyncio.Event
+    outbox: list[Any]
+    task: asyncio.Task[None] | None = None
+    is_well: bool = False
+    acked_at: timedelta | None = None
+    """When the last batch was sent that it has answered in our present term."""
+
+
+@dataclass(slots=True, kw_only=True)
+class ReplicaCounts:
+    """For metrics and the dump."""
+
+    syncs: int = 0
+    entries: int = 0
+    elections: int = 0
+    snapshots: int = 0
+
+
+class Replica:
+    """State of one host of the log."""
+
+    def __init__(
+        self,
+        *,
+        settings: ReplicaSettings,
+        clock: Clock,
+        machine: StateMachine,
+        on_progress: Callable[[], None],
+        on_failure: Callable[[BaseException], None],
+    ) -> None:
+        self.member: Member | None = None
+        self.counts = ReplicaCounts()
+        self._settings = settings
+        self._clock = clock
+        self._machine = machine
+        self._on_progress = on_progress
+        self._on_failure = on_failure
+        self._journal: Journal | None = None
+        self._pools = ConnectionPools()
+        self._peers: dict[str, Peer] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._joiners: dict[str, MemberId] = {}
+        self._known_hosts: set[str] = {str(seed) for seed in settings.seeds}
+        self._unsaved: list[Output] = []
+        self._unsaved_since: timedelta | None = None
+        self._log_bytes = 0
+        self._seen_leader: tuple[MemberId | None, Term] = (None, Term(0))
+
+    # Life
+
+    async def start(self) -> str | None:
+        """Read the journal and begin to take part; return why that failed, or None."""
+        try:
+            files = FolderFiles(folder=self._settings.data_folder)
+        except OSError as error:
+            return f"cannot use the data folder {self._settings.data_folder}: {error.strerror}"
+        new_id = MemberId(f"{self._settings.address}/{secrets.token_hex(4)}")
+        opened = open_journal(files, new_id)
+        if isinstance(opened, Err):
+            _report_storage(opened.failure())
+            return str(opened.failure().message)
+        self._journal = opened.unwrap()
+        if self._journal.cut_bytes:
+            log_event(Event.STORAGE_TORN, cut_bytes=self._journal.cut_bytes)
+        self._build_member()
+        self._tasks.append(asyncio.create_task(self._guard(self._tick_forever())))
+        self._tasks.append(asyncio.create_task(self._guard(self._find_others_forever())))
+        return None
+
+    async def hand_over(self) -> None:
+        """Ask another voter to lead, if this one does."""
+        if self.member is None or self.member.role is not Role.LEADER:
+            return
+        self.member.transfer(self._clock.monotonic())
+        self._pump()
+
+    async def stop(self) -> None:
+        """Save what is not saved yet and stop."""
+        self._save_late()
+        peers = [peer.task for peer in self._peers.values() if peer.task is not None]
+        for task in (*self._tasks, *peers):
+            task.cancel()
+        await asyncio.gather(*self._tasks, *peers, return_exceptions=True)
+        self._pools.close()
+
+    # What is asked
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this host leads the log."""
+        return self.member is not None and self.member.role is Role.LEADER
+
+    @property
+    def leader_host(self) -> str | None:
+        """Address of the leader for calls of peers, where it is known."""
+        if self.member is None or self.member.leader is None:
+            return None
+        return get_host(self.member.leader)
+
+    @property
+    def term(self) -> Term:
+        """The present term."""
+        return self.member.term if self.member is not None else Term(0)
+
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """Addresses of all known control hosts."""
+        return tuple(sorted(self._known_hosts))
+
+    def has_lease(self) -> bool:
+        """Whether this host leads and no other can, as far as a majority has said so lately."""
+        member = self.member
+        if member is None or member.role is not Role.LEADER:
+            return False
+        limit = self._clock.monotonic() - LEADER_LEASE
+        recent = {member.id}
+        for voter in member.members.voters:
+            peer = self._peers.get(get_host(voter))
+            if peer is not None and peer.acked_at is not None and peer.acked_at > limit:
+                recent.add(voter)
+        return is_quorum(member.members.voters, recent)
+
+    def propose(self, data: str) -> bool:
+        """Append a command; False where this host does not lead."""
+        if self.member is None:
+            return False
+        proposed = self.member.propose(data, self._clock.monotonic())
+        self._pump()
+        return isinstance(proposed, Success)
+
+    # Calls from other hosts
+
+    def greet(self) -> Hello:
+        """Return what this member says of itself."""
+        assert self._journal is not None, "started before it listens"
+        return Hello(
+            host=HostId(str(self._settings.address)),
+            member=self._journal.member,
+            is_empty=self._journal.is_empty,
+            may_begin=self._settings.may_begin,
+            leader=self.leader_host,
+            hosts=self.hosts,
+        )
+
+    def take_join(self, request: JoinRequest) -> Hello:
+        """Remember a member that asks to be taken in; only a leader acts on it."""
+        host = get_host(request.member)
+        self._joiners[host] = request.member
+        self._known_hosts.add(host)
+        return self.greet()
+
+    def receive(self, batch: ConsensusBatch) -> ConsensusBatch:
+        """Take in another member's messages and return what there is to say to it."""
+        self._take_in(batch)
+        host = get_host(batch.sender)
+        peer = self._peers.get(host)
+        messages: list[Any] = []
+        if peer is not None:
+            messages, peer.outbox = peer.outbox, []
+        assert self._journal is not None
+        return ConsensusBatch(sender=self._journal.member, messages=messages)
+
+    # The member and its disk
+
+    def _build_member(self) -> None:
+        assert self._journal is not None
+        stored = self._journal.stored
+        self.member = Member(
+            id=self._journal.member,
+            stored=stored,
+            timing=TIMING,
+            chance=random.random,
+            now=self._clock.monotonic(),
+            saves_late=True,
+        )
+        self.member.note_saved()
+        self._log_bytes = sum(len(entry.data) for entry in stored.entries)
+        self._machine.restore(stored.snapshot.data)
+        for entry in stored.entries:
+            if entry.index <= stored.applied:
+                self._machine.apply(entry)
+        self._learn_hosts()
+
+    def _pump(self) -> None:
+        """Save, send and apply what the member put out; a leader may send before it saves."""
+        while self.member is not None and self._journal is not None:
+            output = self.member.take_output()
+            if not (output.must_save or output.messages or output.committed):
+                break
+            if not self._keep(output):
+                return
+            for envelope in output.messages:
+                self._post(envelope)
+            if output.restore and output.snapshot is not None:
+                self._machine.restore(output.snapshot.data)
+                self._log_bytes = 0
+                self.counts.snapshots += 1
+                log_event(Event.SNAPSHOT_RESTORED, index=output.snapshot.index)
+            for entry in output.committed:
+                self._machine.apply(entry)
+            if any(entry.kind is EntryKind.MEMBERS for entry in output.committed):
+                self._learn_hosts()
+            self._compact(output)
+        self._note_leader()
+        self._on_progress()
+
+    def _keep(self, output: Output) -> bool:
+        """Save an output now, or later where only a leader's new entries are in it."""
+        assert self.member is not None
+        if not output.must_save:
+            return True
+        self._log_bytes += sum(len(entry.data) for entry in output.entries)
+        self.counts.entries += len(output.entries)
+        only_entries = (
+            output.hard_state is None and output.snapshot is None and output.truncate_from is None
+        )
+        if only_entries and self.member.role is Role.LEADER and not output.committed:
+            self._unsaved.append(output)
+            if self._unsaved_since is None:
+                self._unsaved_since = self._clock.monotonic()
+            return True
+        return self._flush_unsaved() and self._save(output)
+
+    def _flush_unsaved(self) -> bool:
+        """Save and sync what was put off."""
+        if not self._unsaved:
+            return True
+        entries = [entry for output in self._unsaved for entry in output.entries]
+        self._unsaved = []
+        self._unsaved_since = None
+        return self._save(Output(entries=entries))
+
+    def _save_late(self) -> None:
+        """Save what was put off and count this member for it."""
+        if self._unsaved and self._flush_unsaved() and self.member is not None:
+            self.member.note_saved()
+            self._pump()
+
+    def _save(self, output: Output) -> bool:
+        """Save and sync; leave the quorum where the disk failed, which can promise nothing more."""
+        assert self._journal is not None
+        self.counts.syncs += 1
+        saved = self._journal.save(output)
+        if isinstance(saved, Success):
+            return True
+        _report_storage(saved.failure())
+        self.member = None
+        return False
+
+    def _save_if_due(self, now: timedelta) -> None:
+        if self._unsaved_since is None or self.member is None:
+            return
+        waiting = now - self._unsaved_since
+        is_needed = self.member.commit < self.member.log.last_index and waiting >= SAVE_AFTER
+        if is_needed or waiting >= SAVE_AT_LEAST or self.member.role is not Role.LEADER:
+            self._save_late()
+
+    def _compact(self, output: Output) -> None:
+        if not output.committed or self._log_bytes < COMPACT_AFTER_BYTES or self.member is None:
+            return
+        if not self._flush_unsaved():
+            return
+        self.member.note_saved()
+        self.member.compact(self._machine.encode(), output.committed[-1].index)
+        self._log_bytes = 0
+        self.counts.snapshots += 1
+
+    def _note_leader(self) -> None:
+        if self.member is None:
+            return
+        seen = (self.member.leader, self.member.term)
+        if seen != self._seen_leader:
+            self._seen_leader = seen
+            self.counts.elections += 1
+            for peer in self._peers.values():
+                peer.acked_at = None
+            log_event(Event.LEADER_CHANGED, leader=self.member.leader, term=self.member.term)
+
+    def _learn_hosts(self) -> None:
+        if self.member is not None:
+            members = self.member.members
+            self._known_hosts.update(get_host(each) for each in members.voters + members.learners)
+
+    # Messages
+
+    def _post(self, envelope: Envelope) -> None:
+        peer = self._open_peer(get_host(envelope.to))
+        if peer is None:
+            return
+        message = envelope.message
+        if isinstance(message, SnapshotRequest):
+            # Only the newest is of use, and it is large.
+            peer.outbox = [each for each in peer.outbox if not isinstance(each, SnapshotRequest)]
+        peer.outbox.append(message)
+        peer.news.set()
+
+    def _open_peer(self, host: str) -> Peer | None:
+        peer = self._peers.get(host)
+        if peer is not None:
+            return peer
+        address = parse_address(host)
+        if address is None:
+            return None
+        peer = Peer(address=address, news=asyncio.Event(), outbox=[])
+        self._peers[host] = peer
+        peer.task = asyncio.create_task(self._guard(self._send_forever(peer)))
+        return peer
+
+    async def _send_forever(self, peer: Peer) -> None:
+        assert self._journal is not None
+        while True:
+            await peer.news.wait()
+            peer.news.clear()
+            messages, peer.outbox = peer.outbox, []
+            if messages:
+                await self._send(peer, messages)
+
+    async def _send(self, peer: Peer, messages: list[Any]) -> None:
+        assert self._journal is not None
+        batch = ConsensusBatch(sender=self._journal.member, messages=messages)
+        sent_at, term = self._clock.monotonic(), self.term
+        is_large = any(isinstance(message, SnapshotRequest) for message in messages)
+        timeout = SNAPSHOT_TIMEOUT if is_large else CALL_TIMEOUT
+        pool = self._pools.get(peer.address)
+        sent = await pool.call("POST", MESSAGES_PATH, msgspec.json.encode(batch), timeout=timeout)
+        if isinstance(sent, Err) or sent.unwrap().status != 200:
+            # Lost messages are made up for by the next heartbeat.
+            peer.is_well = False
+            peer.outbox = []
+            return
+        reply = _batch_decoder.decode(sent.unwrap().body)
+        peer.is_well = True
+        if any(isinstance(each, AppendReply) and each.term == term for each in reply.messages):
+            peer.acked_at = sent_at
+        self._take_in(reply)
+
+    def _take_in(self, batch: ConsensusBatch) -> None:
+        if self.member is None or not batch.messages:
+            return
+        for message in batch.messages:
+            self.member.receive(message, self._clock.monotonic())
+        self._pump()
+
+    # Timers
+
+    async def _guard(self, work: Coroutine[None, None, None]) -> None:
+        try:
+            await work
+        except Exception as error:
+            log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
+            self._on_failure(error)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            now = self._clock.monotonic()
+            self._save_if_due(now)
+            if self.member is not None:
+                self.member.tick(now)
+                self._pump()
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _find_others_forever(self) -> None:
+        """Begin together, take in hosts that ask, and ask to be taken in."""
+        while True:
+            member = self.member
+            if member is not None and member.role is Role.LEADER:
+                self._change_members()
+            elif member is not None and member.leader is None:
+                await self._look_for_members()
+            await asyncio.sleep(GREET_SECONDS)
+
+    async def _look_for_members(self) -> None:
+        assert self.member is not None and self._journal is not None
+        request = msgspec.json.encode(JoinRequest(member=self.member.id))
+        hosts = self._known_hosts - {str(self._settings.address)}
+        found = await asyncio.gather(*(self._ask_to_join(host, request) for host in hosts))
+        hellos = [hello for hello in found if hello is not None]
+        for hello in hellos:
+            self._known_hosts.update(hello.hosts)
+        if self._journal.is_empty and not self.member.members.voters:
+            self._begin_together({str(hello.host): hello for hello in hellos})
+
+    async def _ask_to_join(self, host: str, request: bytes) -> Hello | None:
+        address = parse_address(host)
+        if address is None:
+            return None
+        pool = self._pools.get(address)
+        sent = await pool.call("POST", JOIN_PATH, request, timeout=CALL_TIMEOUT)
+        if isinstance(sent, Err) or sent.unwrap().status != 200:
+            return None
+        return _hello_decoder.decode(sent.unwrap().body)
+
+    def _begin_together(self, hellos: dict[str, Hello]) -> None:
+        """Make the first set of members once all seeds answer and all their disks are new."""
+        own = self.greet()
+        hellos[str(own.host)] = own
+        seeds = sorted(str(seed) for seed in self._settings.seeds)
+        if any(seed not in hellos or not hellos[seed].is_empty for seed in seeds):
+            return
+        beginners = [seed for seed in seeds if hellos[seed].may_begin]
+        if not beginners or beginners[0] != str(own.host):
+            return
+        members = Members(voters=tuple(hellos[seed].member for seed in seeds))
+        first = Snapshot(index=Index(1), term=Term(0), members=members, data="")
+        if self._save(Output(snapshot=first, restore=True)):
+            self._build_member()
+
+    def _change_members(self) -> None:
+        """Take one step towards members that are all there."""
+        member = self.member
+        assert member is not None
+        now = self._clock.monotonic()
+        lost = member.find_silent(now, LOST_AFTER)
+        planned = plan_change(member, self._joiners, lost) or plan_removal(member, lost)
+        if planned is None:
+            return
+        changed = member.change_members(planned, now)
+        if isinstance(changed, Success):
+            voters = ", ".join(planned.voters)
+            log_event(Event.MEMBERS_CHANGED, voters=voters, learners=", ".join(planned.learners))
+        self._pump()
+
+
+_batch_decoder = msgspec.json.Decoder(ConsensusBatch)
+_hello_decoder = msgspec.json.Decoder(Hello)
+
+
+def _report_storage(error: StorageError) -> None:
+    event = Event.STORAGE_DAMAGED if error.damaged else Event.STORAGE_FAILED
+    log_event(event, error=error.message)
