Gateways stand in while no leader can be reached; a later term follows a deputy's

Change: roster to gateways, deputy with a token between two leaders', gateways greet whoever decides, jobs of silent gateways are given up, runs of unknown jobs are adopted when the job is submitted again.

--- a/cottonlug/commands/cluster.py
+++ b/cottonlug/commands/cluster.py
@@ -87,7 +87,8 @@
     set_up_logging(settings.log)
     log_event(Event.STARTED, host=settings.host, domain=settings.domain, pid=os.getpid())
     life = Life()
-    gateway = Gateway(settings=settings, clock=SystemClock())
+    pools = ConnectionPools(max_connections=CONNECTIONS_PER_UPSTREAM)
+    gateway = Gateway(settings=settings, clock=SystemClock(), port=WorkerClient(pools=pools))
     life.watch_signals(lambda: build_gateway_dump(gateway))
     life.watch_reload(lambda: _reload_seeds(gateway, config))
     handler = build_front_handler(gateway.call, gateway.abandon, lambda: gateway.is_stopping)
@@ -97,8 +98,9 @@
     readiness = _listen(
         build_readiness_handler(gateway.is_ready), settings.listen.readiness, READINESS_BODY_BYTES
     )
+    peers = _listen(gateway.handle_peer, settings.listen.peers, PEER_BODY_BYTES)
     gateway.start()
-    error = await callers.start() or await readiness.start()
+    error = await peers.start() or await callers.start() or await readiness.start()
     if error is not None:
         print(error, file=sys.stderr)
         return ExitCode.UNAVAILABLE
@@ -109,6 +111,8 @@
     await asyncio.sleep(BALANCER_SECONDS)
     await _stop_listeners([callers, readiness], settings.drain_limit.total_seconds() / 2)
     gateway.stop()
+    await _stop_listeners([peers], HANDED_OVER_SECONDS)
+    pools.close()
     log_event(Event.STOPPED, host=settings.host)
     return ExitCode.OK
 
--- a/cottonlug/config/cluster.py
+++ b/cottonlug/config/cluster.py
@@ -34,9 +34,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewayListeners:
-    """Addresses of a gateway: for callers, for the balancer's checks, and for metrics."""
+    """Addresses of a gateway: for callers, the balancer's checks, other gateways, and metrics."""
 
     callers: Address
+    peers: Address
     readiness: Address
     metrics: Address | None
 
@@ -65,6 +66,7 @@
     domain: DomainName
     listen: GatewayListeners
     seeds: list[Address]
+    longest_lease: timedelta
     drain_limit: timedelta
     log: LogSettings
 
@@ -75,6 +77,7 @@
     "metrics": Option(read_address, None),
 }
 _GATEWAY_LISTENERS: Options = {
+    "peers": Option(read_address),
     "callers": Option(read_address),
     "readiness": Option(read_address),
     "metrics": Option(read_address, None),
@@ -84,6 +87,7 @@
     "domain": Option(read_name),
     "seeds": Option(read_list(read_address)),
     "peer_port": Option(read_integer(1, 65_535), None),
+    "longest_lease": Option(read_span, timedelta(seconds=1)),
     "drain_limit": Option(read_span, timedelta(seconds=5)),
     "log": Option(read_log_section, LogSettings()),
 }
@@ -92,7 +96,6 @@
     "listen": Option(read_section(_CONTROL_LISTENERS, ControlListeners)),
     "may_begin": Option(read_boolean, False),
     "data_folder": Option(read_path),
-    "longest_lease": Option(read_span, timedelta(seconds=1)),
     "keep_ended": Option(read_span, timedelta(seconds=150)),
 }
 _GATEWAY: Options = {
--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -8,6 +8,7 @@
 
 from ..ids import UpstreamId
 from .model import Configuration, Heartbeat, JobSpec, JobState, Value
+from .records import UpstreamRecord
 
 
 class Submit(Value, frozen=True, tag="submit"):
@@ -20,8 +21,12 @@
     path: str
     spec: JobSpec
     patience_ms: int = 0
+    gateway: str = ""
+    """Address of the gateway that waits for the answer."""
     may_have_begun: bool = False
     """Whether an earlier try has an unknown outcome: it can no longer be rejected as not run."""
+    deputy_term: int = 0
+    """The term in which a deputy may have begun it; only a leader of a later term may go on."""
 
 
 class Abandon(Value, frozen=True, tag="abandon"):
@@ -68,12 +73,30 @@
 
 
 class Greet(Value, frozen=True, tag="greet"):
-    """Ask whether the cluster can be reached, and who leads it."""
+    """Tell that a gateway lives; ask who leads, and for a roster newer than the one it has."""
 
+    gateway: str = ""
+    roster: str = ""
+
+
+NO_CONFIGURATION = "no configuration yet"
+"""Detail of an answer by a leader that has had none so far."""
 
 Call = Submit | Abandon | AskState | Cancel | Beat | Leave | Configure | AskConfiguration | Greet
 
 
+class Roster(Value, frozen=True):
+    """What a gateway must know to stand in while no leader can be reached."""
+
+    version: str
+    term: int
+    configuration: Configuration | None
+    upstreams: tuple[UpstreamRecord, ...]
+    gateways: tuple[str, ...]
+    keeps_jobs: bool
+    """Whether jobs are under way whose ends must be kept, which a deputy cannot do."""
+
+
 class Outcome(Enum):
     """What became of a call."""
 
@@ -106,6 +129,9 @@
     hosts: tuple[str, ...] = ()
     """Addresses for calls of all known control hosts."""
     max_body_bytes: int | None = None
+    roster: Roster | None = None
+    is_deputy: bool = False
+    """Whether the answer is that of a gateway that stands in for a leader."""
 
 
 call_decoder: msgspec.json.Decoder[Call] = msgspec.json.Decoder(Call)
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -120,6 +120,20 @@
     """How long the job may take, from `opened_at`."""
     tasks: dict[TaskRef, Task] = field(default_factory=dict)
     has_begun: bool = False
+    gateway: str = ""
+    """Address of the gateway that waits for its end, if one does."""
+    settle_at: timedelta = timedelta()
+    """Until then its unknown tasks may run at an upstream out of sight."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Submission:
+    """Who waits for a job, and whether another host may have begun it."""
+
+    gateway: str
+    may_have_begun: bool
+    settle_after: timedelta
+    """How long what another host began may go on at an upstream out of sight."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -159,6 +173,8 @@
     ) -> None:
         self.records = records
         self.counts = DispatchCounts()
+        self.is_fenced_off = False
+        """Whether an upstream has taken orders under a higher token: this term is over there."""
         self.lives: dict[UpstreamId, Life] = {}
         self.backlog = Backlog()
         self._forecast = Forecast()
@@ -176,6 +192,7 @@
         self._unseen: set[UpstreamId] = set()
         self._settled_at = now + terms.lapse_after
         self._is_settled = False
+        self._has_unsure_jobs = False
         self._by_address: dict[str, UpstreamId] = {}
         self._forget_at = now + KEEP_ENDED
         self._orphans_until = now + ORPHAN_GRACE
@@ -219,13 +236,19 @@
             self._proposals.append(SetDraining(upstream=upstream))
             self._note("upstream_leaving", {"upstream": upstream})
 
-    def submit(self, record: JobRecord, now: timedelta, *, may_have_begun: bool = False) -> None:
-        """Take a job that need not be kept; what an earlier leader started of it goes on."""
-        phase = TaskPhase.QUEUED if self._is_settled else TaskPhase.UNKNOWN
+    def submit(self, record: JobRecord, submission: Submission, now: timedelta) -> None:
+        """Take a job that need not be kept; what another host started of it goes on."""
+        # What runs at an upstream out of sight ends when its lease does.
+        is_unsure = submission.may_have_begun and bool(self._unseen_now())
+        phase = TaskPhase.UNKNOWN if is_unsure or not self._is_settled else TaskPhase.QUEUED
         self.rejections.pop(record.id, None)
         self._open_job(record, phase, now)
         job = self._jobs[record.id]
-        job.has_begun = job.has_begun or may_have_begun
+        job.gateway = submission.gateway
+        job.has_begun = job.has_begun or submission.may_have_begun
+        if is_unsure:
+            job.settle_at = now + submission.settle_after
+            self._has_unsure_jobs = True
         for end in self._orphan_ends.pop(record.id, []):
             note_end(record, end, self._wall_ms())
             self._take_noted_end(end, now)
@@ -240,6 +263,13 @@
             end_job(job.record, JobState.CANCELLED, self._wall_ms())
             self._close_if_ended(id, now)
 
+    def abandon_silent(self, is_heard: Callable[[str], bool], now: timedelta) -> None:
+        """Give up the jobs of gateways that are not heard: they may have gone to another host."""
+        for job in list(self._jobs.values()):
+            if job.gateway and not is_heard(job.gateway):
+                self._note("gateway_silent", {"gateway": job.gateway, "job": job.record.id})
+                self.abandon(job.record.id, now)
+
     def take_applied(self, command: Command, now: timedelta) -> None:
         """Act on a command that the record has just carried out."""
         if isinstance(command, AcceptJob):
@@ -272,6 +302,8 @@
         if clock_ms is not None:
             life.take_clock(clock_ms, now)
         run = life.runs.get((order.task, order.run))
+        if outcome is StartOutcome.FENCED:
+            self.is_fenced_off = True
         if outcome is StartOutcome.LIFE_ENDED:
             self._end_life(life, now)
         if run is None or run.phase is not RunPhase.STARTING:
@@ -303,6 +335,8 @@
         life = self.lives.get(order.upstream.id)
         if life is None:
             return
+        if failure is CallFailure.FENCED:
+            self.is_fenced_off = True
         if failure is CallFailure.LIFE_ENDED:
             self._end_life(life, now)
             return
@@ -468,7 +502,8 @@
         if job is None or job.record.is_open:
             return
         del self._jobs[id]
-        if job.record.spec.best_effort and id not in self.rejections:
+        if job.record.spec.best_effort and job.record.state is not JobState.CANCELLED:
+            # A job that was given up may be submitted again, and then runs again.
             self._ended[id] = (job.record.state, now)
         self.backlog.drop_job(id)
         for ref, task in job.tasks.items():
@@ -838,6 +873,8 @@
 
     def _take_failed_look(self, life: Life, failure: CallFailure, now: timedelta) -> None:
         self.counts.failed_looks += 1
+        if failure is CallFailure.FENCED:
+            self.is_fenced_off = True
         if failure is CallFailure.LIFE_ENDED:
             self._end_life(life, now)
             return
@@ -893,12 +930,25 @@
 
     def _settle(self, now: timedelta) -> None:
         """Once nothing unknown can run any more, queue what an earlier leader left open."""
-        if self._is_settled or (self._unseen and now < self._settled_at):
+        if not self._is_settled and (not self._unseen or now >= self._settled_at):
+            self._is_settled = True
+            self._has_unsure_jobs = True
+            self._note("term_settled", {"term": self._term, "unseen": len(self._unseen)})
+        if not self._is_settled or not self._has_unsure_jobs:
             return
-        self._is_settled = True
-        self._note("term_settled", {"term": self._term, "unseen": len(self._unseen)})
+        self._has_unsure_jobs = False
         for job in self._jobs.values():
-            for task in job.tasks.values():
-                if task.phase is TaskPhase.UNKNOWN:
-                    task.phase = TaskPhase.BLOCKED
-            self._unblock(job, now)
+            if now >= job.settle_at:
+                self._queue_unknown(job, now)
+            elif any(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values()):
+                self._has_unsure_jobs = True
+
+    def _queue_unknown(self, job: OpenJob, now: timedelta) -> None:
+        for task in job.tasks.values():
+            if task.phase is TaskPhase.UNKNOWN:
+                task.phase = TaskPhase.BLOCKED
+        self._unblock(job, now)
+
+    def _unseen_now(self) -> list[Life]:
+        """Return the lives that may run something that nobody here knows of."""
+        return [life for life in self.lives.values() if not life.is_fenced and not life.is_over]
--- a/cottonlug/core/cluster/orders.py
+++ b/cottonlug/core/cluster/orders.py
@@ -67,6 +67,8 @@
 
     LIFE_ENDED = "life_ended"
     NO_ANSWER = "no_answer"
+    FENCED = "fenced"
+    """The upstream has seen a higher token than ours."""
     REFUSED = "refused"
 
 
--- a/cottonlug/platform/workers.py
+++ b/cottonlug/platform/workers.py
@@ -37,8 +37,9 @@
 CALL_TIMEOUT = timedelta(milliseconds=350)
 """A start or stop is answered within a few milliseconds, or with an order lost within seconds."""
 
+FENCED = "fence"
 _REASONS = {
-    "fence": StartOutcome.FENCED,
+    FENCED: StartOutcome.FENCED,
     "old": StartOutcome.OUTDATED,
     "late": StartOutcome.LATE,
     "room": StartOutcome.NO_ROOM,
@@ -150,7 +151,11 @@
 def _find_failure(reply: HttpReply) -> CallFailure | None:
     if reply.status == 200:
         return None
-    return CallFailure.LIFE_ENDED if reply.status == ANOTHER_LIFE else CallFailure.REFUSED
+    if reply.status == ANOTHER_LIFE:
+        return CallFailure.LIFE_ENDED
+    read = _read_reply(reply)
+    is_fenced = reply.status == 409 and read is not None and read.reason == FENCED
+    return CallFailure.FENCED if is_fenced else CallFailure.REFUSED
 
 
 def _read_reply(reply: HttpReply) -> _ReplyBody | None:
--- a/cottonlug/runtime/cluster_dump.py
+++ b/cottonlug/runtime/cluster_dump.py
@@ -53,6 +53,7 @@
     return {
         "ready": gateway.is_ready(),
         "stopping": gateway.is_stopping,
-        "leader": gateway.leader,
+        "decider": gateway.decider,
+        "is_deputy": gateway.deputy is not None,
         "hosts": gateway.hosts,
     }
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -23,7 +23,7 @@
 from ..core.control_messages import ConsensusBatch
 from ..net.asgi import HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
-from .leading import Leading, UpstreamPort
+from .leading import Leading, LeadingSettings, UpstreamPort
 from .replica import (
     HELLO_PATH,
     JOIN_PATH,
@@ -97,13 +97,12 @@
     async def answer(self, call: Call, *, passed_on: bool = False) -> Answer:
         """Answer a call here, if this host leads, or by asking the leader."""
         if self.leading is not None and self.replica.has_lease():
-            if isinstance(call, Greet):
-                return self._answer_greeting(has_leader=True)
-            return await self.leading.answer(call)
+            answer = await self.leading.answer(call)
+            return self._add_hosts(answer) if isinstance(call, Greet) else answer
         leader = self.replica.leader_host
         is_own = leader == str(self._settings.listen.peers)
         if passed_on or leader is None or is_own:
-            return self._answer_greeting(has_leader=False)
+            return self._add_hosts(Answer(outcome=Outcome.UNAVAILABLE, detail="no leader"))
         return await self._pass_on(leader, call)
 
     async def handle_peer(self, request: HttpRequest) -> HttpResponse:
@@ -126,11 +125,11 @@
 
     # Parts
 
-    def _answer_greeting(self, *, has_leader: bool) -> Answer:
+    def _add_hosts(self, answer: Answer) -> Answer:
+        """Return an answer with what a gateway needs to find its way."""
         configuration = self.replicated.records.configuration
-        return Answer(
-            outcome=Outcome.DONE if has_leader else Outcome.UNAVAILABLE,
-            detail="" if has_leader else "no leader at the moment",
+        return msgspec.structs.replace(
+            answer,
             leader=self.replica.leader_host,
             hosts=self.replica.hosts,
             max_body_bytes=configuration.max_body_bytes if configuration is not None else None,
@@ -170,13 +169,15 @@
             self.leading = None
         if leads and self.leading is None:
             self.leading = Leading(
-                replica=replica,
+                authority=replica,
                 replicated=self.replicated,
                 port=self._port,
                 clock=self._clock,
-                terms=LeaseTerms(longest=self._settings.longest_lease),
-                keep_ended=self._settings.keep_ended,
-                control_address=str(self._settings.listen.control),
+                settings=LeadingSettings(
+                    terms=LeaseTerms(longest=self._settings.longest_lease),
+                    keep_ended=self._settings.keep_ended,
+                    control_address=str(self._settings.listen.control),
+                ),
             )
 
 
--- /dev/null
+++ b/cottonlug/runtime/deputy.py
@@ -0,0 +1,93 @@
+"""A gateway that decides for want of a leader: jobs that need not be kept go on being served.
+
+Pattern: all control hosts are off for seconds, or a failure domain is cut off with its gateways and
+upstreams. Such jobs need no log, so any one host may decide, if two can never run a task at once:
+
+- upstreams take orders under the highest token only, and a deputy's lies between two leaders';
+- whoever decides gives up the jobs of a gateway that it does not hear (`GATEWAY_SILENT`), and a
+  gateway takes its jobs elsewhere only after a longer silence (`DEPUTY_AFTER`);
+- a job that may have begun waits until every upstream was seen, or its leases have lapsed.
+
+Among gateways that reach no leader, the one with the lowest address stands in. A roster from the
+last leader tells it the upstreams and the configuration. It takes no configuration, keeps nothing.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from ..core.clock import Clock
+from ..core.cluster.calls import Roster
+from ..core.cluster.commands import decode_commands
+from ..core.cluster.lives import LeaseTerms
+from .leading import Leading, LeadingSettings, UpstreamPort
+from .replicated import ReplicatedRecords
+
+DEPUTY_AFTER = timedelta(milliseconds=1_000)
+"""Longer than an election takes (0.3 to 0.7 s) and than `GATEWAY_SILENT` with a wide margin."""
+
+
+class DeputyAuthority:
+    """The right of a deputy to decide: until an upstream shows a higher token."""
+
+    def __init__(self, *, term: int, replicated: ReplicatedRecords) -> None:
+        self._term = term
+        self._replicated = replicated
+        self.is_over = False
+
+    @property
+    def term(self) -> int:
+        """The term of the last known leader."""
+        return self._term
+
+    def has_lease(self) -> bool:
+        """Whether nobody has taken over."""
+        return not self.is_over
+
+    def propose(self, data: str) -> bool:
+        """Carry out commands here at once; nothing is kept."""
+        for command in decode_commands(data):
+            self._replicated.records.apply(command)
+            if self._replicated.listener is not None:
+                self._replicated.listener(command)
+        return True
+
+    def renew(self) -> None:
+        """Stand down: another host has a higher token."""
+        self.is_over = True
+
+
+class Deputy:
+    """One time of standing in."""
+
+    def __init__(
+        self,
+        *,
+        roster: Roster,
+        level: int,
+        port: UpstreamPort,
+        clock: Clock,
+        longest_lease: timedelta,
+    ) -> None:
+        replicated = ReplicatedRecords()
+        records = replicated.records
+        records.configuration = roster.configuration
+        records.upstreams = {record.info.id: record for record in roster.upstreams}
+        self.authority = DeputyAuthority(term=roster.term, replicated=replicated)
+        self.leading = Leading(
+            authority=self.authority,
+            replicated=replicated,
+            port=port,
+            clock=clock,
+            settings=LeadingSettings(
+                terms=LeaseTerms(longest=longest_lease),
+                keep_ended=timedelta(),
+                control_address=None,
+                level=level,
+            ),
+        )
+
+    def stop(self) -> None:
+        """Decide nothing more."""
+        self.authority.renew()
+        self.leading.stop()
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections.abc import Hashable
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
 from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.admission import Rejection
 from ..core.cluster.calls import (
+    NO_CONFIGURATION,
     Abandon,
     Answer,
     AskConfiguration,
@@ -18,8 +20,10 @@
     Call,
     Cancel,
     Configure,
+    Greet,
     Leave,
     Outcome,
+    Roster,
     Submit,
 )
 from ..core.cluster.checks import (
@@ -34,13 +38,14 @@
     CancelJob,
     Command,
     ForgetJobs,
+    NoteEnds,
     SetConfiguration,
     SetDraining,
     encode_commands,
 )
-from ..core.cluster.dispatch import Dispatch
+from ..core.cluster.dispatch import Dispatch, Submission
 from ..core.cluster.lives import LeaseTerms
-from ..core.cluster.model import JobId, JobState, LookReply, Queue
+from ..core.cluster.model import JobId, LookReply, Queue
 from ..core.cluster.orders import (
     CallFailure,
     LookOrder,
@@ -52,11 +57,16 @@
 from ..core.cluster.queues import find_queue
 from ..core.cluster.records import JobRecord
 from .events import Event, log_event
-from .replica import Replica
 from .replicated import ReplicatedRecords, Waiters
 
 TICK_SECONDS = 0.02
 FORGET_EVERY = timedelta(seconds=5)
+TOKENS_PER_TERM = 1_000_000
+"""Room for the tokens of deputies between those of two leaders."""
+GATEWAY_SILENT = timedelta(milliseconds=650)
+"""Jobs of a gateway not heard for so long are given up; it takes them elsewhere no sooner."""
+HELD_UP = timedelta(milliseconds=150)
+"""Between two decisions there are 20 ms, unless the process was held up."""
 COMMIT_TIMEOUT = timedelta(seconds=2)
 """How long a call waits for its command; its fate is unknown afterwards."""
 
@@ -77,32 +87,67 @@
         ...
 
 
+class Authority(Protocol):
+    """Why this host may decide: the lease of a leader, or a deputy's for want of a leader."""
+
+    @property
+    def term(self) -> int:
+        """The present term."""
+        ...
+
+    def has_lease(self) -> bool:
+        """Whether no other can decide in this term."""
+        ...
+
+    def propose(self, data: str) -> bool:
+        """Put commands into the log."""
+        ...
+
+    def renew(self) -> None:
+        """Give the present term up, and begin a later one if that can be had."""
+        ...
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeadingSettings:
+    """What does not change from term to term."""
+
+    terms: LeaseTerms
+    keep_ended: timedelta
+    control_address: str | None
+    """Address of this host for upstreams, where it serves them."""
+    level: int = 0
+    """Deputies of one term take ever higher levels, so that their tokens rise."""
+
+
 class Leading:
     """What a host does while it leads one term."""
 
     def __init__(
         self,
         *,
-        replica: Replica,
+        authority: Authority,
         replicated: ReplicatedRecords,
         port: UpstreamPort,
         clock: Clock,
-        terms: LeaseTerms,
-        keep_ended: timedelta,
-        control_address: str,
+        settings: LeadingSettings,
     ) -> None:
-        self.term = replica.term
-        self._replica = replica
+        self.term = authority.term
+        self.token = int(authority.term) * TOKENS_PER_TERM + settings.level
+        self._authority = authority
         self._records = replicated.records
         self._port = port
         self._clock = clock
-        self._keep_ended = keep_ended
-        self._control_address = control_address
+        self._settings = settings
+        self._control_address = settings.control_address
+        self._heard: dict[str, timedelta] = {}
+        self._roster_number = 0
+        self._decided_at = clock.monotonic()
         self.waiters = Waiters()
         self.dispatch = Dispatch(
             records=self._records,
-            term=int(self.term),
-            terms=terms,
+            term=self.token,
+            terms=settings.terms,
             now=clock.monotonic(),
             wall_ms=self._read_wall,
             note=_note_decision,
@@ -114,7 +159,9 @@
         self._forget_at = clock.monotonic() + FORGET_EVERY
         replicated.listener = self._take_applied
         self._timer = asyncio.create_task(self._tick_forever())
-        log_event(Event.LEADING, term=int(self.term), jobs=self.dispatch.count_jobs())
+        log_event(
+            Event.LEADING, term=int(self.term), token=self.token, jobs=self.dispatch.count_jobs()
+        )
 
     def stop(self) -> None:
         """End the term: nothing more is ordered, and whoever waits learns that it is not known."""
@@ -130,6 +177,8 @@
         """Carry out one call; only called while the lease of this leader lasts."""
         if isinstance(call, AskState):
             return self._answer_state(call)
+        if isinstance(call, Greet):
+            return self._answer_greeting(call)
         if isinstance(call, Submit):
             return await self._answer_submit(call)
         if isinstance(call, Abandon):
@@ -149,7 +198,7 @@
     def _find_queue(self, host: str, path: str) -> tuple[Queue, JobId] | Answer:
         configuration = self._records.configuration
         if configuration is None:
-            return Answer(outcome=Outcome.UNAVAILABLE, detail="no configuration yet")
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_CONFIGURATION)
         found = find_queue(configuration, host, path)
         return found if found is not None else Answer(outcome=Outcome.NO_QUEUE)
 
@@ -158,6 +207,10 @@
         if isinstance(found, Answer):
             return found
         queue, job = found
+        if call.deputy_term >= self.term:
+            # The deputy's token is higher than ours: take a later term before going on.
+            self._authority.renew()
+            return Answer(outcome=Outcome.UNKNOWN, detail="a later term is needed after a deputy's")
         if job in self._records.jobs:
             return Answer(outcome=Outcome.DONE)
         if call.spec.best_effort and self.dispatch.find_ended(job) is not None:
@@ -186,18 +239,23 @@
         """Run a job that need not be kept, and answer when it has ended."""
         record = JobRecord(id=job, queue=queue, spec=call.spec, accepted_ms=self._read_wall())
         now = self._clock.monotonic()
-        self.dispatch.submit(record, now, may_have_begun=call.may_have_begun)
+        submission = Submission(
+            gateway=call.gateway,
+            may_have_begun=call.may_have_begun,
+            settle_after=self._settings.terms.lapse_after + GATEWAY_SILENT,
+        )
+        self.dispatch.submit(record, submission, now)
         self._wake()
         return await self._wait_end(job)
 
     async def _wait_end(self, job: JobId) -> Answer:
-        if not await self.waiters.wait_for(("end", job)):
+        if self.dispatch.is_open(job) and not await self.waiters.wait_for(("end", job)):
             return Answer(outcome=Outcome.UNKNOWN, detail="this host does not lead any more")
         rejection = self.dispatch.rejections.get(job)
         if rejection is not None:
             return _reject(job, rejection)
         state = self.dispatch.find_ended(job)
-        if state is JobState.CANCELLED:
+        if state is None:
             return Answer(outcome=Outcome.UNKNOWN, detail="the job was given up")
         return Answer(outcome=Outcome.DONE, state=state)
 
@@ -222,6 +280,36 @@
             return Answer(outcome=Outcome.NO_JOB)
         return Answer(outcome=Outcome.DONE, state=self.dispatch.find_state(record))
 
+    def _answer_greeting(self, call: Greet) -> Answer:
+        """Tell a gateway what it needs to know, and count on it for its jobs."""
+        now = self._clock.monotonic()
+        if call.gateway:
+            if call.gateway not in self._heard:
+                self._roster_number += 1
+            self._heard[call.gateway] = now
+        version = f"{self.term}.{self._roster_number}"
+        roster = None if call.roster == version else self._build_roster(version)
+        return Answer(outcome=Outcome.DONE, roster=roster)
+
+    def _build_roster(self, version: str) -> Roster:
+        records = self._records
+        return Roster(
+            version=version,
+            term=int(self.term),
+            configuration=records.configuration,
+            upstreams=tuple(records.upstreams.values()),
+            gateways=tuple(sorted(self._heard)),
+            keeps_jobs=any(job.is_open for job in records.jobs.values()),
+        )
+
+    def hear(self, gateway: str) -> None:
+        """Count on a gateway that has been heard otherwise than by a greeting."""
+        self._heard[gateway] = self._clock.monotonic()
+
+    def _is_heard(self, gateway: str) -> bool:
+        heard_at = self._heard.get(gateway)
+        return heard_at is not None and self._clock.monotonic() - heard_at < GATEWAY_SILENT
+
     async def _answer_cancel(self, call: Cancel) -> Answer:
         found = self._find_queue(call.host, call.path)
         if isinstance(found, Answer):
@@ -268,7 +356,7 @@
     def _answer_configuration(self) -> Answer:
         configuration = self._records.configuration
         if configuration is None:
-            return Answer(outcome=Outcome.UNAVAILABLE, detail="no configuration yet")
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_CONFIGURATION)
         return Answer(outcome=Outcome.DONE, document=configuration.document)
 
     async def _propose_and_wait(self, command: Command, key: Hashable) -> Answer:
@@ -290,6 +378,8 @@
 
     def _take_applied(self, command: Command) -> None:
         self.dispatch.take_applied(command, self._clock.monotonic())
+        if not isinstance(command, NoteEnds | ForgetJobs):
+            self._roster_number += 1
         if isinstance(command, AcceptJob):
             self.waiters.resolve(("job", command.job))
         elif isinstance(command, CancelJob):
@@ -315,9 +405,19 @@
 
     def _decide(self) -> None:
         self._is_awake = False
-        if self._replica.term != self.term or not self._replica.has_lease():
+        if self._authority.term != self.term or not self._authority.has_lease():
             return
         now = self._clock.monotonic()
+        was_held_up = now - self._decided_at > HELD_UP
+        self._decided_at = now
+        if was_held_up:
+            # What has arrived in the meantime is taken in before anything is decided.
+            return
+        if self.dispatch.is_fenced_off and any(self._is_heard(each) for each in self._heard):
+            self.dispatch.is_fenced_off = False
+            self._authority.renew()
+            return
+        self.dispatch.abandon_silent(self._is_heard, now)
         self.dispatch.tick(now)
         for order in self.dispatch.take_orders():
             task = asyncio.create_task(self._carry_out(order))
@@ -326,11 +426,11 @@
         self._proposals += self.dispatch.take_proposals()
         if self._proposals:
             proposals, self._proposals = self._proposals, []
-            self._replica.propose(encode_commands(tuple(proposals)))
+            self._authority.propose(encode_commands(tuple(proposals)))
 
     async def _carry_out(self, order: Order) -> None:
         sent_at = self._clock.monotonic()
-        token = int(self.term)
+        token = self.token
         if isinstance(order, StartOrder):
             outcome, clock_ms = await self._port.start(order, token)
             self.dispatch.take_start_answer(order, outcome, clock_ms, self._clock.monotonic())
@@ -353,7 +453,7 @@
         if now < self._forget_at:
             return
         self._forget_at = now + FORGET_EVERY
-        limit = self._read_wall() - int(self._keep_ended / timedelta(milliseconds=1))
+        limit = self._read_wall() - int(self._settings.keep_ended / timedelta(milliseconds=1))
         jobs = self._records.jobs.values()
         old = tuple(job.id for job in jobs if not job.is_open and job.ended_ms < limit)
         if old:
--- a/cottonlug/runtime/replica.py
+++ b/cottonlug/runtime/replica.py
@@ -39,6 +39,7 @@
     Snapshot,
     SnapshotRequest,
     Term,
+    TransferRequest,
 )
 from ..core.control_messages import ConsensusBatch, Hello
 from ..core.ids import HostId
@@ -181,6 +182,15 @@
         self.member.transfer(self._clock.monotonic())
         self._pump()
 
+    def renew(self) -> None:
+        """Campaign for a later term, as a leader whose token an upstream does not take any more."""
+        member = self.member
+        if member is None or member.role is not Role.LEADER or not self.has_lease():
+            return
+        request = TransferRequest(term=member.term, sender=member.id)
+        member.receive(request, self._clock.monotonic())
+        self._pump()
+
     async def stop(self) -> None:
         """Save what is not saved yet and stop."""
         self._save_late()
