--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -55,13 +55,13 @@
     LEADING = EventKind(4006, logging.INFO, "this host leads and decides from now on")
     NOT_LEADING = EventKind(4007, logging.INFO, "this host does not lead any more")
     READINESS_CHANGED = EventKind(4008, logging.INFO, "readiness for callers changed")
-    DECISION = EventKind(6001, logging.INFO, "a decision about an upstream or a job")
-    CALL_FAILED = EventKind(6002, logging.WARNING, "a call of a caller was not carried out")
     DECIDER_CHANGED = EventKind(4009, logging.INFO, "calls go to another host from now on")
     STANDING_IN = EventKind(4010, logging.WARNING, "this gateway stands in for want of a leader")
     STORAGE_FAILED = EventKind(5001, logging.ERROR, "the data folder cannot be written")
     STORAGE_TORN = EventKind(5002, logging.WARNING, "a torn tail of a log file was cut")
     STORAGE_DAMAGED = EventKind(5003, logging.ERROR, "a file of the data folder is damaged")
+    DECISION = EventKind(6001, logging.INFO, "a decision about an upstream or a job")
+    CALL_FAILED = EventKind(6002, logging.WARNING, "a call of a caller was not carried out")
 
 
 _LEVELS = {
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -155,6 +155,9 @@
                     call = self._mark_begun(call, is_deputy)
             elif answer.outcome is Outcome.UNAVAILABLE:
                 nobody_since = nobody_since or now
+            elif answer.outcome is Outcome.REJECTED and is_unknown:
+                # An earlier try may have run: "not run" cannot be said any more.
+                break
             else:
                 return answer
             await asyncio.sleep(RETRY_SECONDS)
--- /dev/null
+++ b/cottonlug/tests/model_upstreams.py
@@ -0,0 +1,410 @@
+"""A model of upstreams that take orders, and of a network that loses, repeats and delays them.
+
+It stands in for the users' workers: leases on a slow clock, fencing tokens, run numbers, two lists
+in every look, orders carried out seconds late. What must never happen is asserted where it would.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from ..core.cluster.commands import AcceptJob, Command
+from ..core.cluster.dispatch import Dispatch, Submission
+from ..core.cluster.lives import LeaseTerms
+from ..core.cluster.model import (
+    Capacity,
+    EndKind,
+    EndReport,
+    Heartbeat,
+    JobId,
+    JobSpec,
+    LookReply,
+    Needs,
+    Queue,
+    RunNumber,
+    RunReport,
+    ServiceName,
+    StepSpec,
+    TaskRef,
+    UpstreamInfo,
+)
+from ..core.cluster.orders import CallFailure, LookOrder, Order, StartOrder, StartOutcome, StopOrder
+from ..core.cluster.records import JobRecord, Records
+from ..core.ids import DomainName, UpstreamId
+
+TERMS = LeaseTerms(longest=timedelta(seconds=1))
+SERVICE = ServiceName("service")
+ANSWER_LIMIT = timedelta(milliseconds=350)
+TASK_CPU = 7_000
+"""Every task takes as much, of 16,000: two fit an upstream."""
+COMMIT = timedelta(milliseconds=15)
+
+
+def milliseconds(count: float) -> timedelta:
+    """Return a span of that many milliseconds."""
+    return timedelta(milliseconds=count)
+
+
+def build_queue(max_attempts: int = 3, target_ms: int = 60) -> Queue:
+    """Return a queue of the model's service."""
+    return Queue(
+        name="queue",
+        host="host",
+        prefix="/q/",
+        service=SERVICE,
+        timeout_ms=1_500,
+        target_latency_ms=target_ms,
+        max_attempts=max_attempts,
+        stretch=1.6,
+    )
+
+
+def build_spec(*, tasks: int = 4, run_ms: int = 60, kept: bool = False) -> JobSpec:
+    """Return a job of one step."""
+    step = StepSpec(count=tasks, needs=Needs(cpu_millis=TASK_CPU), estimate_ms=run_ms)
+    return JobSpec(payload="payload", steps=(step,), best_effort=not kept)
+
+
+def build_info(name: str, cpu: int = 16_000) -> UpstreamInfo:
+    """Return an upstream of the model's service."""
+    return UpstreamInfo(
+        id=UpstreamId(name),
+        service=SERVICE,
+        address=f"10.0.0.{name.strip('u') or 1}:80",
+        domain=DomainName("domain"),
+        capacity=Capacity(cpu_millis=cpu, memory_mb=1_000),
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class ModelRun:
+    """A run at a model upstream."""
+
+    ref: TaskRef
+    run: RunNumber
+    needs: Needs
+    ends_at: timedelta
+    how: EndKind
+
+
+@dataclass(slots=True, kw_only=True)
+class World:
+    """Time, events, and what must hold over all upstreams."""
+
+    random: random.Random
+    now: timedelta = timedelta()
+    lost_share: float = 0.0
+    late_share: float = 0.0
+    failed_share: float = 0.0
+    events: list[tuple[timedelta, int, Callable[[], None]]] = field(default_factory=list)
+    counter: itertools.count[int] = field(default_factory=itertools.count)
+    running: dict[TaskRef, str] = field(default_factory=dict)
+    noted_done: set[TaskRef] = field(default_factory=set)
+    kept: set[JobId] = field(default_factory=set)
+    starts: int = 0
+    started_jobs: set[JobId] = field(default_factory=set)
+
+    def at(self, delay: timedelta, act: Callable[[], None]) -> None:
+        """Do something later."""
+        heapq.heappush(self.events, (self.now + delay, next(self.counter), act))
+
+    def run_until(self, end: timedelta) -> None:
+        """Let everything happen until a moment."""
+        while self.events and self.events[0][0] <= end:
+            at, _, act = heapq.heappop(self.events)
+            self.now = at
+            act()
+        self.now = end
+
+
+@dataclass(slots=True, kw_only=True)
+class ModelUpstream:
+    """One life of an upstream."""
+
+    world: World
+    info: UpstreamInfo
+    rate: float
+    """How fast its steady clock runs, 0.98 to 1."""
+    run_times: Callable[[], timedelta]
+    is_up: bool = True
+    token: int = 0
+    expires_ms: float = 0.0
+    number: int = 0
+    ended: list[EndReport] = field(default_factory=list)
+    runs: dict[TaskRef, ModelRun] = field(default_factory=dict)
+    barred: dict[TaskRef, int] = field(default_factory=dict)
+    parked: list[Callable[[], None]] = field(default_factory=list)
+
+    def clock_ms(self) -> int:
+        """Return the time on its own steady clock."""
+        return int(self.world.now / milliseconds(1) * self.rate)
+
+    def start(self, order: StartOrder, token: int, needs: Needs) -> StartOutcome:
+        """Carry out a start."""
+        self._advance()
+        if token < self.token:
+            return StartOutcome.FENCED
+        self.token = token
+        present = self.runs.get(order.task)
+        if present is not None and present.run == order.run:
+            return StartOutcome.STARTED
+        if order.run <= self.barred.get(order.task, 0):
+            self._extend(order.expires_ms)
+            return StartOutcome.OUTDATED
+        if order.expires_ms <= self.clock_ms():
+            return StartOutcome.LATE
+        used = sum(run.needs.cpu_millis for run in self.runs.values())
+        if present is not None or used + needs.cpu_millis > self.info.capacity.cpu_millis:
+            self._extend(order.expires_ms)
+            return StartOutcome.NO_ROOM
+        self._begin(order, needs)
+        return StartOutcome.STARTED
+
+    def stop(self, order: StopOrder, token: int) -> CallFailure | None:
+        """Carry out a stop."""
+        self._advance()
+        if token < self.token:
+            return CallFailure.FENCED
+        self.token = token
+        self.barred[order.task] = max(self.barred.get(order.task, 0), order.run)
+        run = self.runs.get(order.task)
+        if run is not None and run.run == order.run:
+            self._end(run, EndKind.STOPPED)
+        return None
+
+    def hold(self, order: LookOrder, token: int) -> CallFailure | None:
+        """Take in a look; the reply is made by `report`."""
+        self._advance()
+        if token < self.token:
+            return CallFailure.FENCED
+        self.token = token
+        for end in self.ended:
+            if end.number <= order.last_seen and end.how is EndKind.DONE:
+                self.world.noted_done.add(end.task)
+        self.ended = [end for end in self.ended if end.number > order.last_seen]
+        if order.expires_ms is not None:
+            self._extend(order.expires_ms)
+        return None
+
+    def report(self) -> LookReply:
+        """Return both lists."""
+        self._advance()
+        return LookReply(
+            clock_ms=self.clock_ms(),
+            running=tuple(RunReport(task=run.ref, run=run.run) for run in self.runs.values()),
+            ended=tuple(self.ended[:500]),
+        )
+
+    def crash(self) -> None:
+        """Lose everything."""
+        self.is_up = False
+        for ref in self.runs:
+            self.world.running.pop(ref, None)
+        self.runs = {}
+
+    def _begin(self, order: StartOrder, needs: Needs) -> None:
+        world = self.world
+        ref = order.task
+        assert (
+            ref not in world.running
+        ), f"{ref} runs at {world.running.get(ref)} and {self.info.id}"
+        if ref.job in world.kept:
+            assert ref not in world.noted_done, f"{ref} starts again after its end was noted"
+        world.running[ref] = self.info.id
+        world.starts += 1
+        world.started_jobs.add(ref.job)
+        how = EndKind.FAILED if world.random.random() < world.failed_share else EndKind.DONE
+        taken = self.run_times()
+        run = ModelRun(ref=ref, run=order.run, needs=needs, ends_at=world.now + taken, how=how)
+        self.runs[ref] = run
+        self._extend(order.expires_ms)
+        world.at(taken, lambda: self._finish(run))
+
+    def _finish(self, run: ModelRun) -> None:
+        self._advance()
+        if self.is_up and self.runs.get(run.ref) is run:
+            self._end(run, run.how)
+
+    def _end(self, run: ModelRun, how: EndKind) -> None:
+        del self.runs[run.ref]
+        self.world.running.pop(run.ref, None)
+        self.barred[run.ref] = max(self.barred.get(run.ref, 0), run.run)
+        self.number += 1
+        self.ended.append(EndReport(number=self.number, task=run.ref, run=run.run, how=how))
+        parked, self.parked = self.parked, []
+        for wake in parked:
+            wake()
+
+    def _extend(self, expires_ms: int) -> None:
+        longest_ms = TERMS.longest / milliseconds(1)
+        self.expires_ms = max(self.expires_ms, min(expires_ms, self.clock_ms() + longest_ms))
+        left = milliseconds((self.expires_ms - self.clock_ms()) / self.rate + 1)
+        self.world.at(left, self._advance)
+
+    def _advance(self) -> None:
+        """Kill everything whose lease has ended."""
+        if self.is_up and self.runs and self.clock_ms() >= self.expires_ms:
+            for run in list(self.runs.values()):
+                self._end(run, EndKind.LAPSED)
+
+
+@dataclass(slots=True, kw_only=True)
+class Leader:
+    """A dispatch in the world: it ticks, sends its orders and commits its proposals."""
+
+    world: World
+    upstreams: dict[UpstreamId, ModelUpstream]
+    records: Records
+    token: int
+    is_over: bool = False
+    cut_off: set[UpstreamId] = field(default_factory=set)
+    ended: list[JobId] = field(default_factory=list)
+    dispatch: Dispatch = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.dispatch = Dispatch(
+            records=self.records,
+            term=self.token,
+            terms=TERMS,
+            now=self.world.now,
+            wall_ms=lambda: int(self.world.now / milliseconds(1)),
+            note=lambda name, fields: None,
+            on_end=self.ended.append,
+        )
+        self._tick_forever()
+
+    def submit(self, id: str, spec: JobSpec, queue: Queue, *, may_have_begun: bool = False) -> None:
+        """Submit a job as a gateway does, or put it into the log where it must be kept."""
+        job = JobId(id)
+        if not spec.best_effort:
+            self.world.kept.add(job)
+            self._commit(AcceptJob(job=job, queue=queue, spec=spec, at_ms=0))
+            return
+        if self.dispatch.is_open(job):
+            return
+        record = JobRecord(id=job, queue=queue, spec=spec, accepted_ms=0)
+        submission = Submission(
+            gateway="",
+            may_have_begun=may_have_begun,
+            settle_after=TERMS.lapse_after + milliseconds(650),
+        )
+        self.dispatch.submit(record, submission, self.world.now)
+        self.act()
+
+    def beat(self, upstream: ModelUpstream, sequence: int) -> None:
+        """Deliver a heartbeat."""
+        heartbeat = Heartbeat(info=upstream.info, sequence=sequence, draining=False)
+        self.dispatch.take_heartbeat(heartbeat, self.world.now)
+        self.act()
+
+    def act(self) -> None:
+        """Decide, send and propose."""
+        if self.is_over:
+            return
+        self.dispatch.tick(self.world.now)
+        for order in self.dispatch.take_orders():
+            self._send(order)
+        for command in self.dispatch.take_proposals():
+            self.world.at(COMMIT, lambda command=command: self._commit(command))  # type: ignore[misc]
+
+    def _commit(self, command: Command) -> None:
+        # What a leader has proposed may be committed after it was lost.
+        self.records.apply(command)
+        if not self.is_over:
+            self.dispatch.take_applied(command, self.world.now)
+            self.act()
+
+    def _tick_forever(self) -> None:
+        if not self.is_over:
+            self.act()
+            self.world.at(milliseconds(20), self._tick_forever)
+
+    def _send(self, order: Order) -> None:
+        world = self.world
+        upstream = self.upstreams[order.upstream.id]
+        sent_at = world.now
+        if isinstance(order, LookOrder) and world.kept:
+            noted = self.records.upstreams[order.upstream.id].noted
+            assert order.last_seen <= noted, "an end is confirmed before it is in the record"
+        wait = order.wait if isinstance(order, LookOrder) else timedelta()
+        answered = [False]
+
+        def answer(value: object) -> None:
+            if answered[0] or self.is_over:
+                return
+            answered[0] = True
+            self._take_answer(order, value, sent_at, upstream)
+            self.act()
+
+        world.at(ANSWER_LIMIT + wait, lambda: answer(None))
+        if order.upstream.id in self.cut_off:
+            return
+        fate = world.random.random()
+        there, back = milliseconds(world.random.uniform(0.5, 4)), milliseconds(
+            world.random.uniform(0.5, 4)
+        )
+        if fate < world.late_share:
+            late = milliseconds(world.random.uniform(2_000, 12_000))
+            world.at(late, lambda: self._deliver(order, upstream, lambda value: None))
+            return
+        loses_answer = fate < world.late_share + world.lost_share
+
+        def reply(value: object) -> None:
+            if not loses_answer:
+                world.at(back, lambda: answer(value))
+
+        world.at(there, lambda: self._deliver(order, upstream, reply))
+        if fate > 0.98:
+            world.at(there * 3, lambda: self._deliver(order, upstream, lambda value: None))
+
+    def _deliver(
+        self, order: Order, upstream: ModelUpstream, reply: Callable[[object], None]
+    ) -> None:
+        if not upstream.is_up:
+            return
+        if isinstance(order, StartOrder):
+            # As the job says, also for orders that come late.
+            reply(upstream.start(order, self.token, Needs(cpu_millis=TASK_CPU)))
+        elif isinstance(order, StopOrder):
+            reply(upstream.stop(order, self.token) or "stopped")
+        else:
+            failure = upstream.hold(order, self.token)
+            if failure is not None:
+                reply(failure)
+            elif upstream.ended or not order.wait:
+                reply(upstream.report())
+            else:
+                self._park(upstream, order.wait, reply)
+
+    def _park(
+        self, upstream: ModelUpstream, wait: timedelta, reply: Callable[[object], None]
+    ) -> None:
+        is_done = [False]
+
+        def wake() -> None:
+            if not is_done[0] and upstream.is_up:
+                is_done[0] = True
+                reply(upstream.report())
+
+        upstream.parked.append(wake)
+        self.world.at(wait, wake)
+
+    def _take_answer(
+        self, order: Order, value: object, sent_at: timedelta, upstream: ModelUpstream
+    ) -> None:
+        now = self.world.now
+        if isinstance(order, StartOrder):
+            outcome = value if isinstance(value, StartOutcome) else StartOutcome.UNKNOWN
+            clock_ms = upstream.clock_ms() if value is not None else None
+            self.dispatch.take_start_answer(order, outcome, clock_ms, now)
+        elif isinstance(order, StopOrder):
+            failure = None if value == "stopped" else CallFailure.NO_ANSWER
+            self.dispatch.take_stop_answer(order, failure, now)
+        else:
+            reply = value if isinstance(value, LookReply) else CallFailure.NO_ANSWER
+            self.dispatch.take_look(order, reply, sent_at, now)
--- /dev/null
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -0,0 +1,190 @@
+"""The leader's decisions against the model of upstreams, with invariants asserted inside it."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+import pytest
+
+from ..core.cluster.model import JobId, JobState
+from ..core.cluster.records import Records
+from ..core.ids import UpstreamId
+from .model_upstreams import (
+    Leader,
+    ModelUpstream,
+    World,
+    build_info,
+    build_queue,
+    build_spec,
+    milliseconds,
+)
+
+UPSTREAMS = 4
+
+
+def build_world(seed: int, **shares: float) -> tuple[World, dict[UpstreamId, ModelUpstream]]:
+    chance = random.Random(seed)
+    world = World(random=chance, **shares)  # type: ignore[arg-type]
+    upstreams: dict[UpstreamId, ModelUpstream] = {}
+    for number in range(1, UPSTREAMS + 1):
+        info = build_info(f"u{number}")
+        upstreams[info.id] = ModelUpstream(
+            world=world,
+            info=info,
+            rate=chance.uniform(0.98, 1.0),
+            run_times=lambda: milliseconds(chance.lognormvariate(4.2, 0.4)),
+        )
+    return world, upstreams
+
+
+def start_leader(
+    world: World, upstreams: dict[UpstreamId, ModelUpstream], records: Records, token: int
+) -> Leader:
+    leader = Leader(world=world, upstreams=upstreams, records=records, token=token)
+    for upstream in upstreams.values():
+        if upstream.is_up:
+            leader.beat(upstream, sequence=token)
+    return leader
+
+
+def test_runs_a_job_that_need_not_be_kept() -> None:
+    world, upstreams = build_world(1)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.submit("a" * 16, build_spec(tasks=8), build_queue())
+    world.run_until(milliseconds(1_000))
+    assert leader.dispatch.find_ended(JobId("a" * 16)) is JobState.COMPLETED
+    assert world.starts == 8
+
+
+def test_a_given_up_job_may_be_submitted_again() -> None:
+    """Failed on mizan-hq scale-1: a second try was told that its job had ended as cancelled."""
+    world, upstreams = build_world(2)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    job = "b" * 16
+    leader.submit(job, build_spec(run_ms=60), build_queue())
+    world.run_until(milliseconds(110))
+    leader.dispatch.abandon(JobId(job), world.now)
+    assert leader.dispatch.find_ended(JobId(job)) is None
+    leader.submit(job, build_spec(run_ms=60), build_queue(), may_have_begun=True)
+    world.run_until(milliseconds(2_000))
+    assert leader.dispatch.find_ended(JobId(job)) is JobState.COMPLETED
+
+
+def test_a_new_leader_takes_over_what_runs() -> None:
+    """The runs of a lost leader go on when the gateway submits their job again."""
+    world, upstreams = build_world(3)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda: milliseconds(900)
+    records = Records()
+    first = start_leader(world, upstreams, records, 1)
+    world.run_until(milliseconds(100))
+    first.submit("c" * 16, build_spec(tasks=4, run_ms=900), build_queue())
+    world.run_until(milliseconds(200))
+    assert world.starts == 4
+    first.is_over = True
+    world.run_until(milliseconds(700))
+    second = start_leader(world, upstreams, records, 2)
+    second.submit("c" * 16, build_spec(tasks=4, run_ms=900), build_queue(), may_have_begun=True)
+    world.run_until(milliseconds(1_500))
+    assert second.dispatch.find_ended(JobId("c" * 16)) is JobState.COMPLETED
+    assert world.starts == 4
+
+
+def test_runs_of_a_job_that_nobody_submits_again_are_stopped() -> None:
+    world, upstreams = build_world(4)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda: timedelta(seconds=60)
+    records = Records()
+    first = start_leader(world, upstreams, records, 1)
+    world.run_until(milliseconds(100))
+    first.submit("d" * 16, build_spec(tasks=4, run_ms=900), build_queue())
+    world.run_until(milliseconds(200))
+    first.is_over = True
+    second = start_leader(world, upstreams, records, 2)
+    world.run_until(milliseconds(3_000))
+    assert not world.running
+    assert all(not life.runs for life in second.dispatch.lives.values())
+
+
+def test_a_job_that_may_have_begun_is_not_rejected() -> None:
+    """Failed on mizan-hq scale-1 and mvpl-skywatch scale-2 (REFUSED): it had run under another."""
+    world, upstreams = build_world(5)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    for number in range(40):
+        leader.submit(f"{number:016x}", build_spec(tasks=8, run_ms=60), build_queue())
+    begun = "f" * 16
+    leader.submit(begun, build_spec(tasks=8, run_ms=60), build_queue(), may_have_begun=True)
+    world.run_until(milliseconds(3_000))
+    assert leader.dispatch.rejections, "the load was meant to be too much"
+    assert JobId(begun) not in leader.dispatch.rejections
+
+
+def test_rejected_jobs_have_not_run() -> None:
+    world, upstreams = build_world(6)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    for number in range(60):
+        leader.submit(f"{number:016x}", build_spec(tasks=8, run_ms=60), build_queue())
+    world.run_until(milliseconds(3_000))
+    assert leader.dispatch.rejections
+    assert not world.started_jobs & set(leader.dispatch.rejections)
+
+
+def run_campaign(seed: int, *, kept: bool) -> None:
+    """Play faults for 8 s with up to four leaders, then let everything end."""
+    world, upstreams = build_world(seed, lost_share=0.06, late_share=0.03, failed_share=0.02)
+    chance = random.Random(seed + 1_000_000)
+    for upstream in upstreams.values():
+        # Long runs are still there when an answer is lost, a leader changes or a lease lapses.
+        upstream.run_times = lambda: milliseconds(chance.choice((60, 700, 2_500)))
+    records = Records()
+    leader = start_leader(world, upstreams, records, 1)
+    jobs: list[str] = []
+    spec = build_spec(tasks=3, run_ms=900, kept=kept)
+    queue = build_queue(max_attempts=50)
+    token = 1
+    for step in range(80):
+        world.run_until(milliseconds(100 + step * 100))
+        if chance.random() < 0.2:
+            jobs.append(f"{step:016x}")
+            leader.submit(jobs[-1], spec, queue)
+        if chance.random() < 0.05:
+            leader.is_over = True
+            world.run_until(world.now + milliseconds(chance.uniform(50, 1_500)))
+            token += 1
+            leader = start_leader(world, upstreams, records, token)
+            for job in jobs if not kept else ():
+                leader.submit(job, spec, queue, may_have_begun=True)
+        if chance.random() < 0.06:
+            leader.cut_off = {chance.choice(list(upstreams))}
+        elif chance.random() < 0.07:
+            leader.cut_off = set()
+        if chance.random() < 0.2:
+            for upstream in upstreams.values():
+                if upstream.is_up and upstream.info.id not in leader.cut_off:
+                    leader.beat(upstream, sequence=1_000 + step)
+    leader.cut_off = set()
+    world.lost_share = world.late_share = world.failed_share = 0.0
+    for upstream in upstreams.values():
+        leader.beat(upstream, sequence=10_000)
+    world.run_until(world.now + timedelta(seconds=40))
+    for job in jobs:
+        if kept:
+            assert records.jobs[JobId(job)].state is JobState.COMPLETED, (seed, job)
+        else:
+            assert not leader.dispatch.is_open(JobId(job)), (seed, job)
+    assert not world.running
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_campaign_of_jobs_that_need_not_be_kept(seed: int) -> None:
+    run_campaign(seed, kept=False)
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_campaign_of_kept_jobs(seed: int) -> None:
+    run_campaign(seed, kept=True)
--- /dev/null
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -0,0 +1,282 @@
+"""What a gateway answers when those who decide change, and when one stands in."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+from ..config.cluster import GatewayListeners, GatewaySettings
+from ..config.defaults import LogSettings
+from ..config.options import Address
+from ..core.clock import ManualClock
+from ..core.cluster.calls import Answer, Call, Greet, Outcome, Roster, Submit
+from ..core.cluster.model import Configuration, ConfigurationVersion, LookReply, Service
+from ..core.cluster.orders import CallFailure, LookOrder, StartOrder, StartOutcome, StopOrder
+from ..core.cluster.records import UpstreamRecord
+from ..core.ids import DomainName, HostId
+from ..runtime.deputy import DEPUTY_AFTER
+from ..runtime.gateway import Gateway
+from ..runtime.leading import GATEWAY_SILENT
+from .model_upstreams import SERVICE, build_info, build_queue, build_spec, milliseconds
+
+PATIENCE = timedelta(seconds=1)
+JOB = "0123456789abcdef"
+
+
+class IdlePort:
+    """Upstreams that take every start and never end a run."""
+
+    def __init__(self) -> None:
+        self.tokens: set[int] = set()
+
+    async def start(self, order: StartOrder, token: int) -> tuple[StartOutcome, int | None]:
+        self.tokens.add(token)
+        return StartOutcome.STARTED, 1_000
+
+    async def stop(self, order: StopOrder, token: int) -> CallFailure | None:
+        return None
+
+    async def look(self, order: LookOrder, token: int) -> LookReply | CallFailure:
+        self.tokens.add(token)
+        await asyncio.sleep(order.wait.total_seconds())
+        return LookReply(clock_ms=1_000, running=(), ended=())
+
+
+def build_gateway(clock: ManualClock, number: int = 1) -> Gateway:
+    peers = Address(f"10.0.0.{number}", 7_000)
+    listen = GatewayListeners(
+        callers=Address("10.0.0.1", 80),
+        readiness=Address("10.0.0.1", 81),
+        peers=peers,
+        metrics=None,
+    )
+    settings = GatewaySettings(
+        host=HostId(f"g{number}"),
+        domain=DomainName("domain"),
+        listen=listen,
+        seeds=[Address("10.0.1.1", 7_000)],
+        longest_lease=timedelta(seconds=1),
+        drain_limit=timedelta(seconds=5),
+        log=LogSettings(),
+    )
+    return Gateway(settings=settings, clock=clock, port=IdlePort())
+
+
+def build_clock() -> ManualClock:
+    return ManualClock(start=datetime(2026, 1, 1, tzinfo=UTC))
+
+
+def build_roster(count: int = 2, keeps_jobs: bool = False) -> Roster:
+    configuration = Configuration(
+        version=ConfigurationVersion(1),
+        queues=(build_queue(),),
+        services=(Service(name=SERVICE),),
+        max_body_bytes=1_000,
+        document="{}",
+    )
+    return Roster(
+        version="1.1",
+        term=5,
+        configuration=configuration,
+        upstreams=(UpstreamRecord(info=build_info("u1")),),
+        gateways=tuple(f"10.0.0.{number}:7000" for number in range(1, count + 1)),
+        keeps_jobs=keeps_jobs,
+    )
+
+
+def answer_in_turn(gateway: Gateway, answers: list[Answer]) -> list[Call]:
+    """Have a gateway's tries answered from a list; return what was tried."""
+    tried: list[Call] = []
+
+    async def try_once(call: Call, timeout: timedelta) -> Answer:
+        tried.append(call)
+        return answers.pop(0)
+
+    gateway._try = try_once  # type: ignore[method-assign]
+    return tried
+
+
+def submit() -> Submit:
+    return Submit(host="host", path=f"/q/{JOB}", spec=build_spec())
+
+
+def test_rejected_after_an_unknown_try_is_not_said_to_have_not_run() -> None:
+    """Failed on mvpl-skywatch scale-2: 429 for a job that an earlier leader had run (REFUSED)."""
+    gateway = build_gateway(build_clock())
+    answers = [Answer(outcome=Outcome.UNKNOWN), Answer(outcome=Outcome.REJECTED)]
+    tried = answer_in_turn(gateway, answers)
+    answer = asyncio.run(gateway.call(submit(), PATIENCE))
+    assert answer.outcome is Outcome.UNKNOWN
+    second = tried[1]
+    assert isinstance(second, Submit)
+    assert second.may_have_begun
+
+
+def test_rejected_at_the_first_try_is_passed_on() -> None:
+    gateway = build_gateway(build_clock())
+    rejected = Answer(outcome=Outcome.REJECTED, retry_after_ms=2_000)
+    answer_in_turn(gateway, [rejected])
+    assert asyncio.run(gateway.call(submit(), PATIENCE)) == rejected
+
+
+def test_a_try_at_a_deputy_is_told_to_the_next_leader() -> None:
+    gateway = build_gateway(build_clock())
+    gateway._roster = build_roster()
+    gateway._decider_is_deputy = True
+    answers = [Answer(outcome=Outcome.UNKNOWN), Answer(outcome=Outcome.DONE)]
+    tried = answer_in_turn(gateway, answers)
+    asyncio.run(gateway.call(submit(), PATIENCE))
+    second = tried[1]
+    assert isinstance(second, Submit)
+    assert second.deputy_term == 5
+
+
+def connect(gateways: list[Gateway], cut: Callable[[Gateway, str], bool]) -> None:
+    """Let gateways ask one another; control hosts do not answer."""
+    by_address = {gateway._own: gateway for gateway in gateways}
+
+    def build_ask(asking: Gateway) -> Any:
+        async def ask(host: str, call: Call, timeout: timedelta) -> Answer:
+            if host not in by_address or cut(asking, host):
+                return Answer(outcome=Outcome.UNAVAILABLE, detail="cannot connect")
+            return await by_address[host]._answer_peer(call)
+
+        return ask
+
+    for gateway in gateways:
+        gateway._ask = build_ask(gateway)  # type: ignore[method-assign]
+
+
+def prepare(count: int, clock: ManualClock, **roster: Any) -> list[Gateway]:
+    gateways = [build_gateway(clock, number) for number in range(1, count + 1)]
+    for gateway in gateways:
+        gateway._roster = build_roster(count, **roster)
+    return gateways
+
+
+def test_the_lowest_gateway_stands_in_and_the_others_follow() -> None:
+    async def play() -> None:
+        clock = build_clock()
+        gateways = prepare(3, clock)
+        connect(gateways, lambda asking, host: False)
+        clock.advance(DEPUTY_AFTER)
+        for gateway in reversed(gateways):
+            await gateway._replace_leader()
+        assert [gateway.deputy is not None for gateway in gateways] == [True, False, False]
+        for gateway in gateways[1:]:
+            await gateway._replace_leader()
+            assert gateway.decider == gateways[0]._own
+            assert gateway.is_ready()
+        gateways[0].stop()
+
+    asyncio.run(play())
+
+
+def test_nobody_stands_in_before_the_span_or_beside_a_leader_that_another_reaches() -> None:
+    async def play() -> None:
+        clock = build_clock()
+        gateways = prepare(2, clock)
+        connect(gateways, lambda asking, host: False)
+        clock.advance(DEPUTY_AFTER - milliseconds(1))
+        await gateways[0]._replace_leader()
+        assert gateways[0].deputy is None
+        gateways[1]._follow("10.0.1.1:7000", is_deputy=False)
+        clock.advance(milliseconds(2))
+        await gateways[0]._replace_leader()
+        assert gateways[0].deputy is None
+
+    asyncio.run(play())
+
+
+def test_nobody_stands_in_while_jobs_must_be_kept() -> None:
+    async def play() -> None:
+        clock = build_clock()
+        gateways = prepare(1, clock, keeps_jobs=True)
+        connect(gateways, lambda asking, host: False)
+        clock.advance(DEPUTY_AFTER)
+        await gateways[0]._replace_leader()
+        assert gateways[0].deputy is None
+
+    asyncio.run(play())
+
+
+def test_tokens_of_deputies_rise_and_stay_below_the_next_leader() -> None:
+    async def play() -> list[int]:
+        clock = build_clock()
+        gateways = prepare(2, clock)
+        connect(gateways, lambda asking, host: True)
+        clock.advance(DEPUTY_AFTER)
+        tokens = []
+        for gateway in (gateways[0], gateways[1], gateways[0]):
+            await gateway._replace_leader()
+            assert gateway.deputy is not None
+            tokens.append(gateway.deputy.leading.token)
+            gateway._stand_down()
+        return tokens
+
+    tokens = asyncio.run(play())
+    assert tokens == sorted(set(tokens))
+    assert tokens[0] > 5_000_000 and tokens[-1] < 6_000_000
+
+
+def test_a_deputy_that_was_held_up_stands_down() -> None:
+    async def play() -> None:
+        clock = build_clock()
+        gateways = prepare(1, clock)
+        connect(gateways, lambda asking, host: False)
+        clock.advance(DEPUTY_AFTER)
+        await gateways[0]._replace_leader()
+        assert gateways[0].deputy is not None
+        clock.advance(timedelta(seconds=3))
+        await gateways[0]._replace_leader()
+        assert gateways[0].deputy is None
+
+    asyncio.run(play())
+
+
+def test_a_leader_asks_for_a_later_term_after_a_deputy() -> None:
+    """A deputy's token is above the leader's of the same term: it must not go on under its own."""
+
+    async def play() -> None:
+        clock = build_clock()
+        gateways = prepare(1, clock)
+        connect(gateways, lambda asking, host: False)
+        clock.advance(DEPUTY_AFTER)
+        await gateways[0]._replace_leader()
+        deputy = gateways[0].deputy
+        assert deputy is not None
+        # The deputy plays the leader here: it has the same term as the deputy before it.
+        call = Submit(host="host", path=f"/q/{JOB}", spec=build_spec(), deputy_term=5)
+        answer = await deputy.leading.answer(call)
+        assert answer.outcome is Outcome.UNKNOWN
+        assert deputy.authority.is_over
+        gateways[0].stop()
+
+    asyncio.run(play())
+
+
+def test_jobs_of_a_silent_gateway_are_given_up_before_it_may_take_them_elsewhere() -> None:
+    async def play() -> None:
+        clock = build_clock()
+        gateways = prepare(1, clock)
+        connect(gateways, lambda asking, host: False)
+        clock.advance(DEPUTY_AFTER)
+        await gateways[0]._replace_leader()
+        deputy = gateways[0].deputy
+        assert deputy is not None
+        leading = deputy.leading
+        await leading.answer(Greet(gateway="10.0.0.9:7000"))
+        call = Submit(host="host", path=f"/q/{JOB}", spec=build_spec(), gateway="10.0.0.9:7000")
+        waiting = asyncio.create_task(leading.answer(call))
+        await asyncio.sleep(0)
+        assert leading.dispatch.count_jobs() == 1
+        clock.advance(GATEWAY_SILENT)
+        leading.dispatch.abandon_silent(leading._is_heard, clock.monotonic())
+        assert leading.dispatch.count_jobs() == 0
+        assert (await waiting).outcome is Outcome.UNKNOWN
+        gateways[0].stop()
+
+    assert GATEWAY_SILENT + milliseconds(200) < DEPUTY_AFTER
+    asyncio.run(play())
--- /dev/null
+++ b/cottonlug/tests/test_cluster_policy.py
@@ -0,0 +1,216 @@
+"""Order, rejection and guards under the loads that they are meant for, without a network."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+from ..core.cluster.admission import Inflow, estimate_wait
+from ..core.cluster.backlog import Backlog, Batch, Tier
+from ..core.cluster.checks import find_configuration_problem, find_job_problem
+from ..core.cluster.forecast import Forecast
+from ..core.cluster.guards import FAILURES_IN_A_ROW, LONGEST_PAUSE, Health
+from ..core.cluster.lives import Life
+from ..core.cluster.model import (
+    Configuration,
+    ConfigurationVersion,
+    JobId,
+    JobSpec,
+    JobState,
+    Needs,
+    Service,
+    ServiceName,
+    StepSpec,
+)
+from ..core.cluster.placement import choose_life
+from ..core.cluster.records import JobRecord, Records
+from .model_upstreams import (
+    SERVICE,
+    TERMS,
+    build_info,
+    build_queue,
+    build_spec,
+    milliseconds,
+)
+from .test_cluster_dispatch import build_world, start_leader
+
+SECOND = timedelta(seconds=1)
+
+
+def build_batch(name: str, *, latest_start: float, last_use: float, cpu: int = 7_000) -> Batch:
+    step = StepSpec(count=1, needs=Needs(cpu_millis=cpu), estimate_ms=60)
+    record = JobRecord(id=JobId(name), queue=build_queue(), spec=build_spec(), accepted_ms=0)
+    return Batch(
+        job=record,
+        number=0,
+        step=step,
+        latest_start=milliseconds(latest_start),
+        last_use=milliseconds(last_use),
+        work_ms=420.0,
+        waiting=[0],
+    )
+
+
+def test_jobs_that_can_be_in_time_go_before_late_ones() -> None:
+    backlog = Backlog()
+    backlog.add(build_batch("old", latest_start=10, last_use=500))
+    backlog.add(build_batch("urgent", latest_start=100, last_use=600))
+    backlog.add(build_batch("patient", latest_start=300, last_use=900))
+    moved = backlog.demote(milliseconds(50))
+    assert [batch.job.id for batch in moved] == ["old"]
+    assert [batch.job.id for batch in backlog] == ["urgent", "patient", "old"]
+    backlog.demote(milliseconds(550))
+    assert [batch.tier for batch in backlog] == [Tier.LATE, Tier.LATE, Tier.HOPELESS]
+
+
+def test_after_a_pause_new_jobs_are_in_time_within_a_second() -> None:
+    """Load: a second without service at three quarters of the room, then the same load again."""
+    world, upstreams = build_world(1)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    chance = random.Random(1)
+    for number in range(30):
+        leader.submit(f"{number:016x}", build_spec(tasks=2, run_ms=60), build_queue())
+    world.run_until(milliseconds(1_100))
+    late = []
+    for number in range(100, 130):
+        job = f"{number:016x}"
+        leader.submit(job, build_spec(tasks=2, run_ms=60), build_queue())
+        world.run_until(world.now + milliseconds(chance.uniform(30, 50)))
+        late.append(job)
+    world.run_until(world.now + milliseconds(400))
+    states = [leader.dispatch.find_ended(JobId(job)) for job in late]
+    assert states.count(JobState.COMPLETED) >= 27
+
+
+def test_rejection_tells_when_to_come_back() -> None:
+    world, upstreams = build_world(2)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    for number in range(60):
+        leader.submit(f"{number:016x}", build_spec(tasks=8, run_ms=60), build_queue())
+    rejection = leader.dispatch.find_rejection(build_queue(), build_spec(), world.now)
+    assert rejection is not None
+    assert timedelta() < rejection.retry_after < timedelta(seconds=10)
+
+
+def test_nothing_is_rejected_while_there_is_room() -> None:
+    world, upstreams = build_world(3)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    assert leader.dispatch.find_rejection(build_queue(), build_spec(), world.now) is None
+
+
+def test_inflow_decays_and_wait_grows_with_it() -> None:
+    inflow = Inflow()
+    inflow.take(50_000, timedelta())
+    before = inflow.find_rate(milliseconds(10))
+    assert before > inflow.find_rate(milliseconds(600)) > inflow.find_rate(2 * SECOND) == 0.0
+    assert estimate_wait(1_000, 90, 100) > estimate_wait(1_000, 10, 100)
+    assert estimate_wait(1_000, 200, 100) < timedelta(hours=1), "even an overload leaves a little"
+
+
+def test_forecast_learns_what_declarations_are_worth() -> None:
+    forecast = Forecast()
+    queue = build_queue()
+    step = StepSpec(count=1, estimate_ms=100)
+    for _ in range(100):
+        forecast.learn(queue.key, step, milliseconds(200))
+    assert milliseconds(190) < forecast.predict(queue.key, step) <= milliseconds(200)
+
+
+def test_objective_follows_the_longest_chain() -> None:
+    steps = (
+        StepSpec(count=1, estimate_ms=100),
+        StepSpec(count=1, estimate_ms=50),
+        StepSpec(count=1, estimate_ms=200, depends_on=(0,)),
+    )
+    objective = Forecast().find_objective(build_queue(target_ms=60), steps)
+    assert abs(objective - milliseconds(1.6 * 300 + 60)) < milliseconds(1)
+
+
+def test_an_upstream_that_fails_all_is_set_aside_and_tried_again() -> None:
+    health = Health()
+    now = timedelta()
+    found = [health.take_failure(now) for _ in range(FAILURES_IN_A_ROW)]
+    assert found == [False] * (FAILURES_IN_A_ROW - 1) + [True]
+    assert health.is_set_aside(now)
+    assert not health.is_set_aside(now + LONGEST_PAUSE)
+
+
+def test_one_failure_in_a_while_sets_nobody_aside() -> None:
+    health = Health()
+    for _ in range(50):
+        assert not health.take_failure(timedelta())
+        assert not health.take_done(1.0, timedelta())
+
+
+def test_a_slow_upstream_is_set_aside() -> None:
+    health = Health()
+    assert any(health.take_done(6.5, timedelta()) for _ in range(5))
+
+
+def test_a_poison_job_fails_after_its_attempts() -> None:
+    world, upstreams = build_world(4, failed_share=1.0)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.submit("a" * 16, build_spec(tasks=1), build_queue(max_attempts=3))
+    world.run_until(timedelta(seconds=10))
+    assert leader.dispatch.find_ended(JobId("a" * 16)) is JobState.FAILED
+    assert world.starts == 3
+
+
+def test_a_run_that_stands_still_is_moved() -> None:
+    world, upstreams = build_world(5)
+    hanging = next(iter(upstreams.values()))
+    hanging.run_times = lambda: timedelta(seconds=60)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.submit("a" * 16, build_spec(tasks=8), build_queue())
+    world.run_until(timedelta(seconds=2))
+    assert leader.dispatch.find_ended(JobId("a" * 16)) is JobState.COMPLETED
+
+
+def build_life(name: str, cpu: int) -> Life:
+    return Life(info=build_info(name, cpu), terms=TERMS, noted=0)
+
+
+def test_the_tightest_fit_is_taken() -> None:
+    lives = [build_life("u1", 32_000), build_life("u2", 15_000), build_life("u3", 20_000)]
+    batch = build_batch("a", latest_start=0, last_use=0, cpu=14_000)
+    chosen = choose_life(batch, lives)
+    assert chosen is not None
+    assert chosen.info.id == "u2"
+
+
+def test_nothing_fits_where_there_is_no_room() -> None:
+    batch = build_batch("a", latest_start=0, last_use=0, cpu=14_000)
+    assert choose_life(batch, [build_life("u1", 13_999)]) is None
+
+
+def build_configuration(**changes: object) -> Configuration:
+    values: dict[str, object] = {
+        "version": ConfigurationVersion(1),
+        "queues": (build_queue(),),
+        "services": (Service(name=SERVICE),),
+        "max_body_bytes": 1_000,
+        "document": "{}",
+    }
+    return Configuration(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def test_configurations_are_checked() -> None:
+    assert find_configuration_problem(build_configuration()) is None
+    assert find_configuration_problem(build_configuration(services=()))
+    assert find_configuration_problem(build_configuration(queues=(build_queue(), build_queue())))
+    other = Service(name=ServiceName("other"))
+    assert find_configuration_problem(build_configuration(services=(other,)))
+    assert find_configuration_problem(build_configuration(version=0))
+
+
+def test_jobs_are_checked() -> None:
+    assert find_job_problem(build_spec()) is None
+    assert find_job_problem(JobSpec(payload="", steps=()))
+    assert find_job_problem(JobSpec(payload="x" * 4_001, steps=build_spec().steps))
+    backwards = (StepSpec(count=1, depends_on=(0,)),)
+    assert find_job_problem(JobSpec(payload="", steps=backwards))
