--- a/cottonlug/commands/cluster.py
+++ b/cottonlug/commands/cluster.py
@@ -88,7 +88,12 @@
     log_event(Event.STARTED, host=settings.host, domain=settings.domain, pid=os.getpid())
     life = Life()
     pools = ConnectionPools(max_connections=CONNECTIONS_PER_UPSTREAM)
-    gateway = Gateway(settings=settings, clock=SystemClock(), port=WorkerClient(pools=pools))
+    gateway = Gateway(
+        settings=settings,
+        clock=SystemClock(),
+        port=WorkerClient(pools=pools),
+        on_failure=life.fail,
+    )
     life.watch_signals(lambda: build_gateway_dump(gateway))
     life.watch_reload(lambda: _reload_seeds(gateway, config))
     handler = build_front_handler(gateway.call, gateway.abandon, lambda: gateway.is_stopping)
@@ -106,6 +111,8 @@
         return ExitCode.UNAVAILABLE
     log_event(Event.READY, host=settings.host)
     await life.wait_stop()
+    if life.failure is not None:
+        return ExitCode.BROKEN_INVARIANT
     log_event(Event.DRAINING, host=settings.host)
     gateway.is_stopping = True
     await asyncio.sleep(BALANCER_SECONDS)
--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -108,9 +108,23 @@
             if any(batch.job.id == job for batch in batches):
                 self._tiers[tier] = [batch for batch in batches if batch.job.id != job]
 
-    def measure_work(self, tier: Tier) -> float:
-        """Return the expected core-milliseconds that wait in a tier."""
-        return sum(batch.whole_work_ms for batch in self._tiers[tier])
+    def measure_on_time(self, latest_start: timedelta) -> float:
+        """Return the core-milliseconds that go before a job in time with this latest start."""
+        ahead = 0.0
+        for batch in self._tiers[Tier.ON_TIME]:
+            if batch.latest_start > latest_start:
+                break
+            ahead += batch.whole_work_ms
+        return ahead
+
+    def measure_late(self, last_use: timedelta) -> float:
+        """Return the core-milliseconds that go before a late job with this last use."""
+        ahead = 0.0
+        for batch in self._tiers[Tier.LATE]:
+            if batch.last_use > last_use:
+                break
+            ahead += batch.whole_work_ms
+        return ahead
 
     def count_tasks(self) -> int:
         """Return how many tasks wait."""
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -56,8 +56,8 @@
 from .placement import choose_life
 from .records import JobRecord, Records, end_job, note_end
 
-LOOK_WAIT = timedelta(milliseconds=400)
-"""How long a look may be parked; under half of the shortest lease, so that one may be lost."""
+LOOK_WAIT = timedelta(milliseconds=300)
+"""How long a look may be parked; a lease (1 s) then outlasts the change to another leader."""
 LOOK_RETRY = timedelta(milliseconds=100)
 STOP_RETRY = timedelta(milliseconds=200)
 SILENT_AFTER = timedelta(seconds=10)
@@ -440,11 +440,8 @@
         objective = self._forecast.find_objective(record.queue, record.spec.steps)
         job = OpenJob(record=record, opened_at=now, objective=objective)
         self._jobs[record.id] = job
-        for step in record.spec.steps:
-            predicted_ms = self._forecast.predict(record.queue.key, step) / timedelta(
-                milliseconds=1
-            )
-            self._inflow.take(predicted_ms * step.count * step.needs.cpu_millis / 1000, now)
+        if phase is TaskPhase.QUEUED:
+            self._count_inflow(record, now)
         for ref in record.list_refs():
             task = record.get_task(ref)
             if not task.is_done:
@@ -457,6 +454,13 @@
                 task_state.phase = TaskPhase.BLOCKED
             self._unblock(job, now)
 
+    def _count_inflow(self, record: JobRecord, now: timedelta) -> None:
+        """Count the work of a new job; what is submitted again has been counted before."""
+        for step in record.spec.steps:
+            predicted = self._forecast.predict(record.queue.key, step)
+            cores = step.count * step.needs.cpu_millis / 1000
+            self._inflow.take(predicted / timedelta(milliseconds=1) * cores, now)
+
     def _unblock(self, job: OpenJob, now: timedelta) -> None:
         """Queue the tasks of steps whose earlier steps are done."""
         for number, step in enumerate(job.record.spec.steps):
@@ -777,17 +781,26 @@
         moved = self.backlog.demote(now)
         if not moved:
             return
-        room = measure_room(life for life in self.lives.values() if life.takes_work(now))
+        room = self._measure_room(now)
         rate = self._inflow.find_rate(now)
-        late_ms = self.backlog.measure_work(Tier.LATE)
-        wait = estimate_wait(late_ms, rate, room)
         for batch in moved:
+            wait = estimate_wait(self.backlog.measure_late(batch.last_use), rate, room)
             is_lost = batch.tier is Tier.HOPELESS or now + wait > batch.last_use
             job = self._jobs.get(batch.job.id)
             if job is None or job.has_begun or not is_lost or not batch.job.spec.best_effort:
                 continue
             self._reject(job, "cannot be served in time", wait, now)
 
+    def _measure_room(self, now: timedelta) -> float:
+        """Return the cores to reckon with; at the beginning of a term, also those not seen yet."""
+        is_new = now < self._orphans_until
+        return measure_room(
+            life
+            for life in self.lives.values()
+            if life.takes_work(now)
+            or (is_new and not (life.is_fenced or life.draining or life.is_over))
+        )
+
     def _reject(self, job: OpenJob, reason: str, wait: timedelta, now: timedelta) -> None:
         """End a job of which nothing has run, and tell its caller when to come back."""
         self.rejections[job.record.id] = Rejection(reason=reason, retry_after=wait)
@@ -797,11 +810,12 @@
 
     def find_rejection(self, queue: Queue, spec: JobSpec, now: timedelta) -> Rejection | None:
         """Return why a job is not taken at the moment, or None."""
-        room = measure_room(life for life in self.lives.values() if life.takes_work(now))
+        room = self._measure_room(now)
         if room <= 0.0:
             return None
         objective = self._forecast.find_objective(queue, spec.steps)
-        work_ms = self.backlog.measure_work(Tier.ON_TIME)
+        chain = self._forecast.find_chain(queue.key, spec.steps, 0)
+        work_ms = self.backlog.measure_on_time(now + objective - chain)
         wait = estimate_wait(work_ms, 0.0, room)
         if wait <= objective * LATE_FACTOR:
             return None
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -57,6 +57,7 @@
         self._settings = settings
         self._clock = clock
         self._port = port
+        self._on_failure = on_failure
         self._pools = ConnectionPools()
         self._is_stopping = False
         self._checking: asyncio.Task[None] | None = None
@@ -173,6 +174,7 @@
                 replicated=self.replicated,
                 port=self._port,
                 clock=self._clock,
+                on_failure=self._on_failure,
                 settings=LeadingSettings(
                     terms=LeaseTerms(longest=self._settings.longest_lease),
                     keep_ended=self._settings.keep_ended,
--- a/cottonlug/runtime/deputy.py
+++ b/cottonlug/runtime/deputy.py
@@ -20,11 +20,11 @@
 from ..core.cluster.calls import Roster
 from ..core.cluster.commands import decode_commands
 from ..core.cluster.lives import LeaseTerms
-from .leading import Leading, LeadingSettings, UpstreamPort
+from .leading import Leading, LeadingSettings, OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords
 
-DEPUTY_AFTER = timedelta(milliseconds=1_000)
-"""Longer than an election takes (0.3 to 0.7 s) and than `GATEWAY_SILENT` with a wide margin."""
+DEPUTY_AFTER = timedelta(milliseconds=800)
+"""Longer than an election takes (0.35 to 0.7 s) and than `GATEWAY_SILENT` with a wide margin."""
 
 
 class DeputyAuthority:
@@ -68,6 +68,7 @@
         port: UpstreamPort,
         clock: Clock,
         longest_lease: timedelta,
+        on_failure: OnFailure,
     ) -> None:
         replicated = ReplicatedRecords()
         records = replicated.records
@@ -79,6 +80,7 @@
             replicated=replicated,
             port=port,
             clock=clock,
+            on_failure=on_failure,
             settings=LeadingSettings(
                 terms=LeaseTerms(longest=longest_lease),
                 keep_ended=timedelta(),
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -30,11 +30,11 @@
 from .control_host import CALL_PATH
 from .deputy import DEPUTY_AFTER, Deputy
 from .events import Event, log_event
-from .leading import UpstreamPort
+from .leading import OnFailure, UpstreamPort
 
 GREET_SECONDS = 0.15
 GREET_TIMEOUT = timedelta(milliseconds=250)
-"""A leader counts on a gateway that it hears within 650 ms, so that one greeting may be lost."""
+"""A leader counts on a gateway that it hears within 500 ms, so that one greeting may be lost."""
 READY_FOR = timedelta(milliseconds=1_200)
 """A host is ready for callers for so long after it last reached one that decides."""
 RETRY_SECONDS = 0.05
@@ -53,7 +53,15 @@
 class Gateway:
     """State of one entry host."""
 
-    def __init__(self, *, settings: GatewaySettings, clock: Clock, port: UpstreamPort) -> None:
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        clock: Clock,
+        port: UpstreamPort,
+        on_failure: OnFailure,
+    ) -> None:
+        self._on_failure = on_failure
         self.max_body_bytes = DEFAULT_MAX_BODY_BYTES
         self.is_stopping = False
         self.deputy: Deputy | None = None
@@ -72,7 +80,6 @@
         self._level = 0
         self._was_ready = False
         self._tasks: list[asyncio.Task[None]] = []
-        self._turn = 0
         self._checked_at = clock.monotonic()
         self._background: set[asyncio.Task[Answer]] = set()
         self._lost: dict[str, asyncio.Event] = {}
@@ -307,25 +314,29 @@
             self._leave(host)
 
     async def _greet_leader(self) -> None:
-        """Greet the host known as leader, or else a control host in turn."""
+        """Greet the host known as leader, or else all control hosts at once."""
+        known = None if self._decider_is_deputy else self._decider
+        if known is not None and await self._greet(known):
+            return
+        others = [host for host in self._hosts if host != known]
+        await asyncio.gather(*(self._greet(host) for host in others))
+
+    async def _greet(self, host: str) -> bool:
+        """Greet a control host; follow the leader that it is, or that it passed the greeting to."""
         version = self._roster.version if self._roster is not None else ""
         greeting = Greet(gateway=self._own, roster=version)
-        known = None if self._decider_is_deputy else self._decider
-        host = known or self._hosts[self._turn % len(self._hosts)]
         answer = await self._ask(host, greeting, GREET_TIMEOUT)
         if answer.hosts:
             self._hosts = sorted({*answer.hosts})
         if answer.max_body_bytes is not None:
             self.max_body_bytes = answer.max_body_bytes
         if answer.outcome is not Outcome.DONE:
-            self._turn += 1
-            if answer.leader in self._hosts:
-                self._turn = self._hosts.index(answer.leader)
-            return
+            return False
         self._follow(answer.leader or host, is_deputy=False)
         if answer.roster is not None:
             self._roster = answer.roster
             self._level = 0
+        return True
 
     async def _find_deputy(self, roster: Roster) -> None:
         """Follow a gateway that stands in, or stand in where no lower one can be reached."""
@@ -365,6 +376,7 @@
             port=self._port,
             clock=self._clock,
             longest_lease=self._settings.longest_lease,
+            on_failure=self._on_failure,
         )
         self.deputy.leading.hear(self._own)
         self._decider = self._own
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
@@ -63,7 +63,7 @@
 FORGET_EVERY = timedelta(seconds=5)
 TOKENS_PER_TERM = 1_000_000
 """Room for the tokens of deputies between those of two leaders."""
-GATEWAY_SILENT = timedelta(milliseconds=650)
+GATEWAY_SILENT = timedelta(milliseconds=500)
 """Jobs of a gateway not heard for so long are given up; it takes them elsewhere no sooner."""
 HELD_UP = timedelta(milliseconds=150)
 """Between two decisions there are 20 ms, unless the process was held up."""
@@ -71,6 +71,9 @@
 """How long a call waits for its command; its fate is unknown afterwards."""
 
 
+OnFailure = Callable[[BaseException], None]
+
+
 class UpstreamPort(Protocol):
     """How orders reach upstreams."""
 
@@ -131,7 +134,9 @@
         port: UpstreamPort,
         clock: Clock,
         settings: LeadingSettings,
+        on_failure: OnFailure,
     ) -> None:
+        self._on_failure = on_failure
         self.term = authority.term
         self.token = int(authority.term) * TOKENS_PER_TERM + settings.level
         self._authority = authority
@@ -405,6 +410,14 @@
 
     def _decide(self) -> None:
         self._is_awake = False
+        try:
+            self._decide_now()
+        except Exception as error:
+            # Whatever went wrong here would go wrong again: another host has to decide.
+            log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
+            self._on_failure(error)
+
+    def _decide_now(self) -> None:
         if self._authority.term != self.term or not self._authority.has_lease():
             return
         now = self._clock.monotonic()
--- a/cottonlug/runtime/replica.py
+++ b/cottonlug/runtime/replica.py
@@ -48,9 +48,9 @@
 from ..storage.journal import Journal, StorageError, open_journal
 from .events import Event, log_event
 
-TIMING = Timing(heartbeat=timedelta(milliseconds=100), election=timedelta(milliseconds=500))
-"""A new leader within 1 s, so that most leases (1 s) are renewed; a slow sync takes 270 ms."""
-LEADER_LEASE = timedelta(milliseconds=400)
+TIMING = Timing(heartbeat=timedelta(milliseconds=70), election=timedelta(milliseconds=350))
+"""A new leader within 0.7 s, so that most leases (1 s) are renewed; a slow sync takes 270 ms."""
+LEADER_LEASE = timedelta(milliseconds=280)
 """After a majority answered, no other can lead for at least one election timeout, less a margin."""
 TICK_SECONDS = 0.025
 CALL_TIMEOUT = timedelta(milliseconds=450)
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -44,6 +44,10 @@
         return LookReply(clock_ms=1_000, running=(), ended=())
 
 
+def fail(error: BaseException) -> None:
+    raise error
+
+
 def build_gateway(clock: ManualClock, number: int = 1) -> Gateway:
     peers = Address(f"10.0.0.{number}", 7_000)
     listen = GatewayListeners(
@@ -61,7 +65,7 @@
         drain_limit=timedelta(seconds=5),
         log=LogSettings(),
     )
-    return Gateway(settings=settings, clock=clock, port=IdlePort())
+    return Gateway(settings=settings, clock=clock, port=IdlePort(), on_failure=fail)
 
 
 def build_clock() -> ManualClock:
@@ -280,3 +284,23 @@
 
     assert GATEWAY_SILENT + milliseconds(200) < DEPUTY_AFTER
     asyncio.run(play())
+
+
+def test_a_lost_leader_is_not_waited_for_where_another_host_knows_the_next() -> None:
+    """Failed on mizan-hq scale-1: a wiped leader was greeted for a second beside its successor."""
+
+    async def play() -> None:
+        gateway = build_gateway(build_clock())
+        gateway._hosts = ["10.0.1.1:7000", "10.0.1.2:7000"]
+        gateway._follow("10.0.1.1:7000", is_deputy=False)
+
+        async def ask(host: str, call: Call, timeout: timedelta) -> Answer:
+            if host == "10.0.1.1:7000":
+                return Answer(outcome=Outcome.UNKNOWN, detail="no reply in time")
+            return Answer(outcome=Outcome.DONE, leader="10.0.1.3:7000")
+
+        gateway._ask = ask  # type: ignore[method-assign]
+        await gateway._greet_leader()
+        assert gateway.decider == "10.0.1.3:7000"
+
+    asyncio.run(play())
--- a/cottonlug/tests/test_cluster_policy.py
+++ b/cottonlug/tests/test_cluster_policy.py
@@ -214,3 +214,28 @@
     assert find_job_problem(JobSpec(payload="x" * 4_001, steps=build_spec().steps))
     backwards = (StepSpec(count=1, depends_on=(0,)),)
     assert find_job_problem(JobSpec(payload="", steps=backwards))
+
+
+def test_an_urgent_job_is_not_rejected_for_patient_work_behind_it() -> None:
+    """Failed on mizan-hq scale-1: long jobs in the backlog had short ones rejected in 5 ms."""
+    world, upstreams = build_world(6)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    for number in range(20):
+        leader.submit(f"{number:016x}", build_spec(tasks=8, run_ms=5_000), build_queue())
+    assert leader.dispatch.find_rejection(build_queue(), build_spec(run_ms=60), world.now) is None
+
+
+def test_a_new_leader_reckons_with_upstreams_that_it_has_not_seen_yet() -> None:
+    """Failed on mizan-hq scale-1: right after a change of leader nearly everything was rejected."""
+    world, upstreams = build_world(7)
+    records = Records()
+    leader = start_leader(world, upstreams, records, 1)
+    world.run_until(milliseconds(100))
+    leader.is_over = True
+    second = start_leader(world, upstreams, records, 2)
+    second.cut_off = set(list(upstreams)[1:])
+    world.run_until(milliseconds(130))
+    for number in range(8):
+        second.submit(f"{number:016x}", build_spec(tasks=2, run_ms=60), build_queue())
+    assert second.dispatch.find_rejection(build_queue(), build_spec(), world.now) is None
