A question for the state of a job that is about to end waits for its commit, at most 60 ms

Cause: callers ask right after the last run ends and then not again for some 300 ms; the commit of the end (20 ms) had not come by then, so kept jobs were shown 0.3 s late. Ruled out: a slow commit (starts follow the submission by 25 ms, which holds one commit).

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -414,6 +414,12 @@
         """Whether a job is under way here."""
         return id in self._jobs
 
+    def is_ending(self, id: JobId) -> bool:
+        """Whether all that is left of a job runs or has ended, so that it may end at any moment."""
+        job = self._jobs.get(id)
+        last = (TaskPhase.RUNNING, TaskPhase.NOTING)
+        return job is not None and all(task.phase in last for task in job.tasks.values())
+
     def find_state(self, job: JobRecord) -> JobState:
         """Return a job's state as callers see it."""
         if job.state.is_final:
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -67,6 +67,8 @@
 """Jobs of a gateway not heard for so long are given up; it takes them elsewhere no sooner."""
 HELD_UP = timedelta(milliseconds=150)
 """Between two decisions there are 20 ms, unless the process was held up."""
+STATE_WAIT = timedelta(milliseconds=60)
+"""How long a question for the state of a job waits that is about to end; a commit takes 20 ms."""
 COMMIT_TIMEOUT = timedelta(seconds=2)
 """How long a call waits for its command; its fate is unknown afterwards."""
 
@@ -181,7 +183,7 @@
     async def answer(self, call: Call) -> Answer:
         """Carry out one call; only called while the lease of this leader lasts."""
         if isinstance(call, AskState):
-            return self._answer_state(call)
+            return await self._answer_state(call)
         if isinstance(call, Greet):
             return self._answer_greeting(call)
         if isinstance(call, Submit):
@@ -272,7 +274,7 @@
         self._wake()
         return Answer(outcome=Outcome.DONE)
 
-    def _answer_state(self, call: AskState) -> Answer:
+    async def _answer_state(self, call: AskState) -> Answer:
         found = self._find_queue(call.host, call.path)
         if isinstance(found, Answer):
             return found
@@ -283,6 +285,10 @@
         record = self._records.jobs.get(job)
         if record is None or record.queue.key != queue.key:
             return Answer(outcome=Outcome.NO_JOB)
+        if self.dispatch.is_ending(job):
+            # Callers ask again much later than a commit takes.
+            waiting = self.waiters.wait_for(("end", job))
+            await asyncio.wait([waiting], timeout=STATE_WAIT.total_seconds())
         return Answer(outcome=Outcome.DONE, state=self.dispatch.find_state(record))
 
     def _answer_greeting(self, call: Greet) -> Answer:
