Logs to standard output, bounded and sampled; metrics as text with histograms; cottonlug explain

Routine decisions are written for one job in 16, drawn by its id; what refuses, fails or moves work always.

--- a/cottonlug/cli.py
+++ b/cottonlug/cli.py
@@ -12,7 +12,7 @@
 from returns.result import Failure as Err
 
 from . import __version__
-from .commands import cluster, demo, jobs, operations, serve
+from .commands import cluster, demo, explanation, jobs, operations, serve
 from .commands.exits import ExitCode
 from .commands.output import print_refusal
 from .commands.workloads import Flavour, build_example_job
@@ -167,6 +167,17 @@
     raise typer.Exit(jobs.mint_ids(_build_target(host, token_file, as_json), count))
 
 
+@app.command(epilog="Example: cottonlug explain 5c0e7a21d94b36f8 control.log gateway.log")
+def explain(
+    id: Annotated[str, typer.Argument(metavar="ID", help="Id of a job.")],
+    files: Annotated[
+        list[Path] | None, typer.Argument(help="Log files; none: standard input.")
+    ] = None,
+) -> None:
+    """Print one job's story, in order, from the logs of many processes."""
+    raise typer.Exit(explanation.explain_request(id, files or []))
+
+
 @app.command(epilog="Example: cottonlug dump --host 127.0.0.1:7201 --token-file tokens/operators")
 def dump(host: HostOption, token_file: TokenOption, as_json: JsonOption = False) -> None:
     """Print the state of a process (its operators' listener)."""
--- a/cottonlug/commands/cluster.py
+++ b/cottonlug/commands/cluster.py
@@ -19,9 +19,16 @@
 from ..platform.workers import WorkerClient
 from ..runtime.clocks import SystemClock
 from ..runtime.cluster_dump import build_control_dump, build_gateway_dump
+from ..runtime.cluster_metrics import (
+    build_control_metrics,
+    build_gateway_metrics,
+    build_metrics_handler,
+)
 from ..runtime.control_host import ControlHost
-from ..runtime.events import Event, log_event, set_up_logging
+from ..runtime.events import Event, log_event, set_up_output
 from ..runtime.gateway import Gateway
+from ..runtime.log_output import LogOutput
+from ..runtime.metrics import Metrics
 from ..runtime.process import Life, run_loop
 from .exits import ExitCode
 
@@ -48,7 +55,8 @@
 
 async def _serve_control(config: Path) -> int:
     settings = load_control_settings(config)
-    set_up_logging(settings.log)
+    output = LogOutput(descriptor=sys.stdout.fileno())
+    set_up_output(settings.log, output)
     log_event(Event.STARTED, host=settings.host, domain=settings.domain, pid=os.getpid())
     life = Life()
     pools = ConnectionPools(max_connections=CONNECTIONS_PER_UPSTREAM)
@@ -64,7 +72,8 @@
         build_control_handler(host.answer), settings.listen.control, CONTROL_BODY_BYTES
     )
     peers = _listen(host.handle_peer, settings.listen.peers, PEER_BODY_BYTES)
-    error = await host.start() or await peers.start() or await control.start()
+    metrics = _listen_metrics(build_control_metrics(host, output), settings.listen.metrics)
+    error = await host.start() or await _start_all([peers, control, *metrics])
     if error is not None:
         print(error, file=sys.stderr)
         return ExitCode.UNAVAILABLE
@@ -75,7 +84,7 @@
     log_event(Event.DRAINING, host=settings.host)
     await host.hand_over()
     await asyncio.sleep(HANDED_OVER_SECONDS)
-    await _stop_listeners([control, peers], settings.drain_limit.total_seconds() / 2)
+    await _stop_listeners([control, peers, *metrics], settings.drain_limit.total_seconds() / 2)
     await host.stop()
     pools.close()
     log_event(Event.STOPPED, host=settings.host)
@@ -84,7 +93,8 @@
 
 async def _serve_gateway(config: Path) -> int:
     settings = load_gateway_settings(config)
-    set_up_logging(settings.log)
+    output = LogOutput(descriptor=sys.stdout.fileno())
+    set_up_output(settings.log, output)
     log_event(Event.STARTED, host=settings.host, domain=settings.domain, pid=os.getpid())
     life = Life()
     pools = ConnectionPools(max_connections=CONNECTIONS_PER_UPSTREAM)
@@ -105,7 +115,8 @@
     )
     peers = _listen(gateway.handle_peer, settings.listen.peers, PEER_BODY_BYTES)
     gateway.start()
-    error = await peers.start() or await callers.start() or await readiness.start()
+    metrics = _listen_metrics(build_gateway_metrics(gateway, output), settings.listen.metrics)
+    error = await _start_all([peers, callers, readiness, *metrics])
     if error is not None:
         print(error, file=sys.stderr)
         return ExitCode.UNAVAILABLE
@@ -116,7 +127,7 @@
     log_event(Event.DRAINING, host=settings.host)
     gateway.is_stopping = True
     await asyncio.sleep(BALANCER_SECONDS)
-    await _stop_listeners([callers, readiness], settings.drain_limit.total_seconds() / 2)
+    await _stop_listeners([callers, readiness, *metrics], settings.drain_limit.total_seconds() / 2)
     gateway.stop()
     await _stop_listeners([peers], HANDED_OVER_SECONDS)
     pools.close()
@@ -129,6 +140,21 @@
     return Listener(app=app, address=address)
 
 
+def _listen_metrics(metrics: Metrics, address: Address | None) -> list[Listener]:
+    if address is None:
+        return []
+    return [_listen(build_metrics_handler(metrics), address, READINESS_BODY_BYTES)]
+
+
+async def _start_all(listeners: list[Listener]) -> str | None:
+    """Start listeners in turn; return why one failed, or None."""
+    for listener in listeners:
+        error = await listener.start()
+        if error is not None:
+            return error
+    return None
+
+
 async def _stop_listeners(listeners: list[Listener], seconds: float) -> None:
     """Finish what is being answered, but no longer than a while."""
     stopping = [asyncio.create_task(listener.stop()) for listener in listeners]
--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -126,6 +126,10 @@
             ahead += batch.whole_work_ms
         return ahead
 
+    def count_batches(self) -> int:
+        """Return how many batches wait."""
+        return len(self)
+
     def count_tasks(self) -> int:
         """Return how many tasks wait."""
         return sum(len(batch.waiting) for batch in self)
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -149,6 +149,8 @@
     failed_looks: int = 0
     lapsed_runs: int = 0
     ends: int = 0
+    rejected_jobs: int = 0
+    moved_runs: int = 0
 
 
 Note = Callable[[str, dict[str, str | int]], None]
@@ -448,6 +450,17 @@
         self._jobs[record.id] = job
         if phase is TaskPhase.QUEUED:
             self._count_inflow(record, now)
+        self._note(
+            "job_taken",
+            {
+                "job": record.id,
+                "queue": record.queue.name,
+                "tasks": record.task_count,
+                "objective_ms": to_milliseconds(objective),
+                "phase": phase.value,
+                "waiting": self.backlog.count_batches(),
+            },
+        )
         for ref in record.list_refs():
             task = record.get_task(ref)
             if not task.is_done:
@@ -519,7 +532,19 @@
         for ref, task in job.tasks.items():
             if task.phase is TaskPhase.RUNNING and task.life is not None:
                 self._want_stop(task.life, ref, task.run)
-        self._note("job_ended", {"job": id, "state": job.record.state.value})
+        took_ms = to_milliseconds(now - job.opened_at)
+        objective_ms = to_milliseconds(job.objective)
+        name = "job_ended" if job.record.state is JobState.COMPLETED else "job_given_up"
+        name = "job_late" if name == "job_ended" and took_ms > objective_ms else name
+        self._note(
+            name,
+            {
+                "job": id,
+                "state": job.record.state.value,
+                "took_ms": took_ms,
+                "objective_ms": objective_ms,
+            },
+        )
         self._on_end(id)
 
     def _forget_ended(self, now: timedelta) -> None:
@@ -572,8 +597,19 @@
         if job is None or run.is_orphan:
             return
         step = job.record.spec.steps[end.task.step]
+        taken = now - run.since
+        self._note(
+            "run_ended",
+            {
+                "job": end.task.job,
+                "task": f"{end.task.step}.{end.task.place}",
+                "upstream": life.info.id,
+                "how": end.how.value,
+                "took_ms": to_milliseconds(taken),
+                "expected_ms": to_milliseconds(self._forecast.predict(job.record.queue.key, step)),
+            },
+        )
         if end.how is EndKind.DONE:
-            taken = now - run.since
             ratio = taken / self._forecast.predict(job.record.queue.key, step)
             self._forecast.learn(job.record.queue.key, step, taken)
             if health.take_done(ratio, now):
@@ -598,6 +634,7 @@
             if now - run.since < limit + STALL_SLACK or run.percent >= STALL_PERCENT:
                 continue
             task.moves += 1
+            self.counts.moved_runs += 1
             run.stop_wanted = True
             self._note(
                 "run_stalled",
@@ -809,6 +846,7 @@
 
     def _reject(self, job: OpenJob, reason: str, wait: timedelta, now: timedelta) -> None:
         """End a job of which nothing has run, and tell its caller when to come back."""
+        self.counts.rejected_jobs += 1
         self.rejections[job.record.id] = Rejection(reason=reason, retry_after=wait)
         self._note("job_rejected", {"job": job.record.id, "wait_ms": to_milliseconds(wait)})
         end_job(job.record, JobState.CANCELLED, self._wall_ms())
@@ -858,6 +896,18 @@
         life.add_run(run)
         life.look_due = min(life.look_due, now)
         self.counts.starts += 1
+        self._note(
+            "run_started",
+            {
+                "job": ref.job,
+                "task": f"{ref.step}.{ref.place}",
+                "run": task.run,
+                "upstream": life.info.id,
+                "tier": batch.tier.value,
+                "free_cpu": life.free_cpu,
+                "waiting": self.backlog.count_batches(),
+            },
+        )
         order = StartOrder(
             upstream=life.info,
             task=ref,
--- /dev/null
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -0,0 +1,98 @@
+"""Metrics of control hosts and gateways."""
+
+from __future__ import annotations
+
+import dataclasses
+import resource
+
+from ..net.asgi import Handler, HttpRequest, HttpResponse
+from .control_host import ControlHost
+from .gateway import Gateway
+from .log_output import LogOutput
+from .metrics import Metrics
+
+_KB_PER_MB = 1024
+
+
+def build_control_metrics(host: ControlHost, output: LogOutput) -> Metrics:
+    """Return the metrics of a control host."""
+
+    def count() -> dict[str, float]:
+        counts: dict[str, float] = dict.fromkeys(_DISPATCH_COUNTS, 0.0)
+        if host.leading is not None:
+            counts.update(dataclasses.asdict(host.leading.dispatch.counts))
+        counts.update(dataclasses.asdict(host.replica.counts))
+        counts["log_lines_left_out"] = output.left_out
+        return counts
+
+    def gauge() -> dict[str, float]:
+        gauges = {"term": float(host.replica.term), "is_leader": float(host.replica.is_leader)}
+        gauges.update(dict.fromkeys(_DISPATCH_GAUGES, 0.0))
+        gauges["jobs_kept"] = len(host.replicated.records.jobs)
+        gauges["peak_memory_mb"] = _read_peak_memory()
+        if host.leading is not None:
+            gauges.update(_gauge_dispatch(host))
+        return gauges
+
+    return Metrics(counters=count, gauges=gauge)
+
+
+def build_gateway_metrics(gateway: Gateway, output: LogOutput) -> Metrics:
+    """Return the metrics of a gateway, with the time its calls take."""
+
+    def count() -> dict[str, float]:
+        counts = {f"calls_{name}": float(value) for name, value in gateway.outcomes.items()}
+        counts["log_lines_left_out"] = output.left_out
+        return counts
+
+    def gauge() -> dict[str, float]:
+        return {
+            "ready": float(gateway.is_ready()),
+            "is_deputy": float(gateway.deputy is not None),
+            "peak_memory_mb": _read_peak_memory(),
+        }
+
+    metrics = Metrics(counters=count, gauges=gauge)
+    gateway.record_call = metrics.add_histogram("call_ms", CALL_BOUNDS_MS)
+    return metrics
+
+
+def build_metrics_handler(metrics: Metrics) -> Handler:
+    """Return the handler that shows metrics as text."""
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        if request.path != "/metrics":
+            return HttpResponse(status=404)
+        return HttpResponse(status=200, body=metrics.render().encode(), content_type="text/plain")
+
+    return handle
+
+
+CALL_BOUNDS_MS = (5.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0)
+_DISPATCH_COUNTS = (
+    "starts", "started", "refused_starts", "unknown_starts", "stops", "looks", "failed_looks",
+    "lapsed_runs", "ends", "rejected_jobs", "moved_runs",
+)  # fmt: skip
+_DISPATCH_GAUGES = (
+    "open_jobs", "waiting_tasks", "upstreams", "upstreams_working", "upstreams_draining",
+    "free_cpu_millis",
+)  # fmt: skip
+
+
+def _gauge_dispatch(host: ControlHost) -> dict[str, float]:
+    assert host.leading is not None
+    dispatch = host.leading.dispatch
+    lives = list(dispatch.lives.values())
+    working = [life for life in lives if life.is_fenced and not life.draining]
+    return {
+        "open_jobs": dispatch.count_jobs(),
+        "waiting_tasks": dispatch.backlog.count_tasks(),
+        "upstreams": len(lives),
+        "upstreams_working": len(working),
+        "upstreams_draining": sum(life.draining for life in lives),
+        "free_cpu_millis": sum(life.free_cpu for life in working),
+    }
+
+
+def _read_peak_memory() -> float:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / _KB_PER_MB
--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -12,6 +12,7 @@
 from absl import logging as absl_logging
 
 from ..config.defaults import LogFormat, LogLevel, LogSettings
+from .log_output import LogHandler, LogOutput
 
 Field = str | int | float | bool | None | list[str]
 
@@ -108,6 +109,16 @@
         logging.getLogger(noisy).setLevel(logging.WARNING)
 
 
+def set_up_output(settings: LogSettings, output: LogOutput) -> None:
+    """Send all logs to an output that never waits, through absl's logger."""
+    set_up_logging(settings)
+    formatter = _JsonFormatter() if settings.format is LogFormat.JSON else _TextFormatter()
+    handler = LogHandler(output=output)
+    handler.setFormatter(formatter)
+    logging.root.removeHandler(absl_logging.get_absl_handler())
+    logging.root.addHandler(handler)
+
+
 def log_event(event: Event, **fields: Field) -> None:
     """Log one event with its fields."""
     number, level, text = event.value
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
@@ -65,6 +66,10 @@
         self.max_body_bytes = DEFAULT_MAX_BODY_BYTES
         self.is_stopping = False
         self.deputy: Deputy | None = None
+        self.outcomes: dict[str, int] = {outcome.value: 0 for outcome in Outcome}
+        """How many calls had which outcome."""
+        self.record_call: Callable[[float], object] = lambda took_ms: None
+        """Called with the milliseconds that each call took."""
         self._settings = settings
         self._own = str(settings.listen.peers)
         self._clock = clock
@@ -132,6 +137,8 @@
         if isinstance(call, Submit):
             call = msgspec.structs.replace(call, gateway=self._own)
         answer = await self._call(call, patience)
+        self.outcomes[answer.outcome.value] += 1
+        self.record_call((self._clock.monotonic() - began_at) / timedelta(milliseconds=1))
         if answer.outcome not in _ORDINARY:
             log_event(
                 Event.CALL_FAILED,
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -56,6 +56,7 @@
 )
 from ..core.cluster.queues import find_queue
 from ..core.cluster.records import JobRecord
+from .decisions import note_decision
 from .events import Event, log_event
 from .replicated import ReplicatedRecords, Waiters
 
@@ -157,7 +158,7 @@
             terms=settings.terms,
             now=clock.monotonic(),
             wall_ms=self._read_wall,
-            note=_note_decision,
+            note=note_decision,
             on_end=self._take_end,
         )
         self._proposals: list[Command] = []
@@ -488,7 +489,3 @@
         Event.SUBMISSION_REFUSED, job=job, reason=rejection.reason, retry_after_ms=retry_after_ms
     )
     return Answer(outcome=Outcome.REJECTED, detail=rejection.reason, retry_after_ms=retry_after_ms)
-
-
-def _note_decision(name: str, fields: dict[str, str | int]) -> None:
-    log_event(Event.DECISION, decision=name, **fields)
--- /dev/null
+++ b/cottonlug/tests/test_cluster_logs.py
@@ -0,0 +1,95 @@
+"""Logs that nobody reads, the sample of routine lines, metrics as text, and one job's story."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+from pathlib import Path
+
+import pytest
+
+from ..commands.exits import ExitCode
+from ..commands.explanation import explain_request, read_lines
+from ..runtime.decisions import SAMPLE_ONE_IN, is_sampled
+from ..runtime.log_output import BUFFER_BYTES, LogOutput
+from ..runtime.metrics import Metrics
+
+LINE = json.dumps({"message": "x" * 200})
+
+
+def test_a_reader_that_never_reads_holds_nothing_up() -> None:
+    """The pipe and the buffer fill; routine lines go first, then all, and both are counted."""
+    reading, writing = os.pipe()
+    output = LogOutput(descriptor=writing)
+    for _ in range(5_000):
+        output.write_record(LINE, logging.INFO)
+    routine = output.left_out
+    assert 0 < routine < 5_000
+    output.write_record(LINE, logging.WARNING)
+    assert output.left_out == routine, "there is still room for what matters more"
+    for _ in range(5_000):
+        output.write_record(LINE, logging.WARNING)
+    assert output._size <= BUFFER_BYTES + len(LINE) + 1
+    os.set_blocking(reading, False)
+    text = b""
+    while True:
+        output.flush()
+        try:
+            text += os.read(reading, 1 << 20)
+        except BlockingIOError:
+            break
+    told = [line for line in read_lines(text.decode().splitlines()) if "lines" in line]
+    assert sum(line["lines"] for line in told) == output.left_out
+    os.close(reading)
+    os.close(writing)
+
+
+def test_a_closed_reader_does_not_end_the_process() -> None:
+    reading, writing = os.pipe()
+    os.close(reading)
+    output = LogOutput(descriptor=writing)
+    output.write_record(LINE, logging.INFO)
+    os.close(writing)
+
+
+def test_a_job_is_in_the_sample_whole_or_not_at_all() -> None:
+    jobs = [f"{number:016x}" for number in range(3_200)]
+    sampled = [job for job in jobs if is_sampled(job)]
+    assert sampled == [job for job in jobs if is_sampled(job)]
+    assert abs(len(sampled) - 3_200 / SAMPLE_ONE_IN) < 60
+
+
+def test_a_story_is_told_in_order_from_many_files(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    first = tmp_path / "gateway.log"
+    second = tmp_path / "control.log"
+    first.write_text(
+        '  0.05 edge-1 {"time": "2026-01-01T00:00:03", "event": 6002, "message": "failed", '
+        '"path": "/q/abc"}\nno json\n{"time": "2026-01-01T00:00:00", "path": "/q/other"}\n'
+    )
+    second.write_text(
+        '{"time": "2026-01-01T00:00:01", "event": 6001, "decision": "job_taken", "job": "abc"}\n'
+        '{"time": "2026-01-01T00:00:02", "event": 6001, "decision": "run_ended", "job": "abc"}\n'
+    )
+    assert explain_request("abc", [first, second]) is ExitCode.OK
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.split()[2].rstrip(":") for line in lines] == ["job_taken", "run_ended", "failed"]
+    assert explain_request("nobody", [first, second]) is not ExitCode.OK
+
+
+def test_histograms_are_shown_in_the_usual_text_format() -> None:
+    metrics = Metrics(counters=lambda: {"calls": 3.0}, gauges=lambda: {"ready": 1.0})
+    record = metrics.add_histogram("call_ms", (10.0, 100.0))
+    for value in (5, 50, 500):
+        record(value)
+    lines = metrics.render().splitlines()
+    assert "cottonlug_calls 3" in lines
+    assert [line for line in lines if "call_ms" in line] == [
+        'cottonlug_call_ms_bucket{le="10"} 1',
+        'cottonlug_call_ms_bucket{le="100"} 2',
+        'cottonlug_call_ms_bucket{le="+Inf"} 3',
+        "cottonlug_call_ms_sum 555",
+        "cottonlug_call_ms_count 3",
+    ]
