--- /dev/null
+++ b/cottonlug/core/cluster/filler.py
@@ -0,0 +1,114 @@
+"""Fills free room with waiting tasks, and sheds what would not be served in time."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from .admission import Rejection, estimate_wait
+from .backlog import Batch, Tier
+from .life_table import LifeTable
+from .lives import Life
+from .model import JobSpec, Queue, RunNumber, ServiceName, TaskRef
+from .open_jobs import LATE_FACTOR, OpenJobs, TaskPhase
+from .orders import Run, RunPhase, StartOrder
+from .placement import choose_life
+from .records import JobRecord
+from .term import Term
+
+
+class Filler:
+    """Starts tasks."""
+
+    def __init__(self, *, term: Term, lives: LifeTable, jobs: OpenJobs) -> None:
+        self._term = term
+        self._lives = lives
+        self._jobs = jobs
+
+    def fill(self, now: timedelta) -> None:
+        """Start waiting tasks as long as any of them fits."""
+        if not len(self._jobs.backlog):
+            return
+        self._shed(now)
+        by_service = self._lives.find_working(now)
+        for batch in self._jobs.backlog:
+            lives = by_service.get(self._find_service(batch.job), [])
+            self._fill_batch(batch, lives, now)
+        self._jobs.backlog.drop_empty()
+
+    def _shed(self, now: timedelta) -> None:
+        """Give up, at once, jobs not begun that will not be served while that is of use."""
+        moved = self._jobs.backlog.demote(now)
+        if not moved:
+            return
+        room = self._lives.measure_room(now)
+        rate = self._jobs.inflow.find_rate(now)
+        for batch in moved:
+            wait = estimate_wait(self._jobs.backlog.measure_late(batch.last_use), rate, room)
+            is_lost = batch.tier is Tier.HOPELESS or now + wait > batch.last_use
+            job = self._jobs.jobs.get(batch.job.id)
+            if job is None or job.has_begun or not is_lost or not batch.job.spec.best_effort:
+                continue
+            self._jobs.reject(job, "cannot be served in time", wait, now)
+
+    def find_rejection(self, queue: Queue, spec: JobSpec, now: timedelta) -> Rejection | None:
+        """Return why a job is not taken at the moment, or None."""
+        room = self._lives.measure_room(now)
+        if room <= 0.0:
+            return None
+        objective = self._jobs.forecast.find_objective(queue, spec.steps)
+        chain = self._jobs.forecast.find_chain(queue.key, spec.steps, 0)
+        work_ms = self._jobs.backlog.measure_on_time(now + objective - chain)
+        wait = estimate_wait(work_ms, 0.0, room)
+        if wait <= objective * LATE_FACTOR:
+            return None
+        return Rejection(reason="the work before it takes too long", retry_after=wait)
+
+    def _find_service(self, job: JobRecord) -> ServiceName:
+        """Return the service that the job's queue is sent to now."""
+        queues = self._term.records.queues
+        queue = queues.get(job.queue.key) if queues is not None else None
+        return (queue or job.queue).service
+
+    def _fill_batch(self, batch: Batch, lives: list[Life], now: timedelta) -> None:
+        while batch.waiting:
+            life = choose_life(batch, lives)
+            if life is None:
+                return
+            self._start(batch, batch.waiting.pop(), life, now)
+
+    def _start(self, batch: Batch, index: int, life: Life, now: timedelta) -> None:
+        ref = TaskRef(batch.job.id, 0, batch.number, index)
+        job = self._jobs.jobs[ref.job]
+        task = job.tasks[ref]
+        expires_ms = life.grant(now)
+        assert expires_ms is not None, "only a fenced life takes work, and its clock is known"
+        last_run = max(task.run, batch.job.get_task(ref).last_run)
+        task.run = RunNumber(max(last_run + 1, self._term.first_run))
+        task.phase = TaskPhase.RUNNING
+        task.life = life.info.id
+        job.has_begun = True
+        run = Run(task=ref, run=task.run, needs=batch.needs, phase=RunPhase.STARTING, since=now)
+        life.add_run(run)
+        life.look_due = min(life.look_due, now)
+        self._term.counts.starts += 1
+        self._term.note(
+            "run_started",
+            {
+                "job": ref.job,
+                "task": f"{ref.step}.{ref.place}",
+                "run": task.run,
+                "upstream": life.info.id,
+                "tier": batch.tier.value,
+                "free_cpu": life.free_cpu,
+                "waiting": self._jobs.backlog.count_batches(),
+            },
+        )
+        order = StartOrder(
+            upstream=life.info,
+            task=ref,
+            run=task.run,
+            payload=batch.job.spec.payload,
+            checkpoint=batch.job.get_task(ref).checkpoint,
+            expires_ms=expires_ms,
+        )
+        self._term.orders.append(order)
--- /dev/null
+++ b/cottonlug/core/cluster/life_table.py
@@ -0,0 +1,97 @@
+"""All lives of upstreams that a leader knows, and which of them take work."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from ..ids import UpstreamId
+from .admission import measure_room
+from .guards import MOST_SET_ASIDE, Health
+from .lives import Life
+from .model import RunNumber, ServiceName, TaskRef, UpstreamInfo
+from .term import Term
+
+ORPHAN_GRACE = timedelta(milliseconds=1_500)
+"""How long a new leader lets runs of unknown jobs go on: gateways submit their jobs again."""
+
+
+class LifeTable:
+    """Lives by id."""
+
+    def __init__(self, *, term: Term) -> None:
+        self.by_id: dict[UpstreamId, Life] = {}
+        self.unseen: set[UpstreamId] = set()
+        """Lives of earlier terms that have not answered in this one."""
+        self._term = term
+        self._by_address: dict[str, UpstreamId] = {}
+        self._health: dict[UpstreamId, Health] = {}
+        for record in term.records.upstreams.values():
+            self.add(record.info, record.noted, record.draining, term.began_at)
+            self.unseen.add(record.info.id)
+
+    def is_grace(self, now: timedelta) -> bool:
+        """Whether the term is so young that unknown runs may still find their jobs."""
+        return now < self._term.began_at + ORPHAN_GRACE
+
+    def add(self, info: UpstreamInfo, noted: int, draining: bool, now: timedelta) -> None:
+        """Begin to watch a life; an earlier one at its address is asked whether it is over."""
+        life = Life(
+            info=info,
+            terms=self._term.lease,
+            noted=noted,
+            proposed=noted,
+            draining=draining,
+            heard_at=now,
+            look_due=now,
+        )
+        self.by_id[info.id] = life
+        earlier = self.by_id.get(self._by_address.get(info.address, info.id))
+        self._by_address[info.address] = info.id
+        if earlier is not None and earlier.info.id != info.id:
+            # Only an answer shows which of the two lives holds the address now.
+            earlier.look_due = now
+
+    def drop(self, upstream: UpstreamId) -> None:
+        """Forget a life."""
+        life = self.by_id.pop(upstream, None)
+        self._health.pop(upstream, None)
+        self.unseen.discard(upstream)
+        if life is not None and self._by_address.get(life.info.address) == upstream:
+            del self._by_address[life.info.address]
+
+    def list_unseen(self) -> list[Life]:
+        """Return the lives that may run something that nobody here knows of."""
+        return [life for life in self.by_id.values() if not life.is_fenced and not life.is_over]
+
+    def get_health(self, life: Life) -> Health:
+        """Return how the runs at a life have gone."""
+        return self._health.setdefault(life.info.id, Health())
+
+    def find_working(self, now: timedelta) -> dict[ServiceName, list[Life]]:
+        """Return the lives that take work, by service, without those set aside."""
+        by_service: dict[ServiceName, list[Life]] = {}
+        for life in self.by_id.values():
+            if life.takes_work(now):
+                by_service.setdefault(life.info.service, []).append(life)
+        for service, lives in by_service.items():
+            well = [life for life in lives if not self.get_health(life).is_set_aside(now)]
+            if len(well) >= len(lives) * (1.0 - MOST_SET_ASIDE):
+                by_service[service] = well
+        return by_service
+
+    def measure_room(self, now: timedelta) -> float:
+        """Return the cores to reckon with; at the beginning of a term, also those not seen yet."""
+        is_new = self.is_grace(now)
+        return measure_room(
+            life
+            for life in self.by_id.values()
+            if life.takes_work(now)
+            or (is_new and not (life.is_fenced or life.draining or life.is_over))
+        )
+
+    def want_stop(self, upstream: UpstreamId, ref: TaskRef, run: RunNumber) -> None:
+        """Have a run stopped as soon as it can be."""
+        life = self.by_id.get(upstream)
+        found = life.runs.get((ref, run)) if life is not None else None
+        if found is not None:
+            found.stop_wanted = True
--- /dev/null
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -0,0 +1,274 @@
+"""Jobs that have not ended, as one leader knows them: their tasks, and what of them waits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from ..clock import to_milliseconds
+from ..ids import UpstreamId
+from .admission import Inflow, Rejection
+from .backlog import Backlog, Batch
+from .forecast import Forecast
+from .life_table import LifeTable
+from .model import EndReport, JobId, JobState, RunNumber, TaskRef
+from .records import JobRecord, end_job
+from .term import Term
+
+KEEP_ENDED = timedelta(seconds=10)
+"""How long the end of a job that need not be kept is remembered, for a late second submission."""
+LATE_FACTOR = 3
+"""An answer after more than this many times the objective is worth nothing (the users' rules)."""
+NO_RUN = RunNumber(0)
+
+
+class TaskPhase(Enum):
+    """Where an unfinished task stands for this leader."""
+
+    BLOCKED = "blocked"
+    """Waits for earlier steps."""
+    QUEUED = "queued"
+    RUNNING = "running"
+    NOTING = "noting"
+    """Its run has ended; the record has yet to take note."""
+    UNKNOWN = "unknown"
+    """An earlier leader may have started it."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Task:
+    """An unfinished task."""
+
+    phase: TaskPhase
+    life: UpstreamId | None = None
+    run: RunNumber = NO_RUN
+    moves: int = 0
+    """How often it was stopped to be started elsewhere."""
+
+
+@dataclass(slots=True, kw_only=True)
+class OpenJob:
+    """A job that has not ended, and its tasks."""
+
+    record: JobRecord
+    opened_at: timedelta
+    objective: timedelta
+    """How long the job may take, from `opened_at`."""
+    tasks: dict[TaskRef, Task] = field(default_factory=dict)
+    has_begun: bool = False
+    gateway: str = ""
+    """Address of the gateway that waits for its end, if one does."""
+    settle_at: timedelta = timedelta()
+    """Until then its unknown tasks may run at an upstream out of sight."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Submission:
+    """Who waits for a job, and whether another host may have begun it."""
+
+    gateway: str
+    may_have_begun: bool
+    settle_after: timedelta
+    """How long what another host began may go on at an upstream out of sight."""
+
+
+class OpenJobs:
+    """Open jobs by id, and the backlog of their tasks."""
+
+    def __init__(self, *, term: Term, lives: LifeTable) -> None:
+        self.jobs: dict[JobId, OpenJob] = {}
+        self.backlog = Backlog()
+        self.forecast = Forecast()
+        self.inflow = Inflow()
+        self.ended: dict[JobId, tuple[JobState, timedelta]] = {}
+        self.rejections: dict[JobId, Rejection] = {}
+        """Why jobs were given up that had not begun."""
+        self._term = term
+        self._lives = lives
+        self._forget_at = term.began_at + KEEP_ENDED
+        for record in term.records.jobs.values():
+            if record.is_open:
+                self.open(record, TaskPhase.UNKNOWN, term.began_at)
+
+    def open(self, record: JobRecord, phase: TaskPhase, now: timedelta) -> None:
+        """Take a job in; its tasks are unknown where another host may have begun them."""
+        objective = self.forecast.find_objective(record.queue, record.spec.steps)
+        job = OpenJob(record=record, opened_at=now, objective=objective)
+        self.jobs[record.id] = job
+        if phase is TaskPhase.QUEUED:
+            self._count_inflow(record, now)
+        self._term.note(
+            "job_taken",
+            {
+                "job": record.id,
+                "queue": record.queue.name,
+                "tasks": record.task_count,
+                "objective_ms": to_milliseconds(objective),
+                "phase": phase.value,
+                "waiting": self.backlog.count_batches(),
+            },
+        )
+        for ref in record.list_refs():
+            task = record.get_task(ref)
+            if not task.is_done:
+                job.tasks[ref] = Task(phase=phase, run=RunNumber(task.last_run))
+        job.has_begun = bool(record.done_count) or any(
+            task.last_run for task in record.tasks.values()
+        )
+        if phase is TaskPhase.QUEUED:
+            for task_state in job.tasks.values():
+                task_state.phase = TaskPhase.BLOCKED
+            self.unblock(job, now)
+
+    def _count_inflow(self, record: JobRecord, now: timedelta) -> None:
+        """Count the work of a new job; what is submitted again has been counted before."""
+        for step in record.spec.steps:
+            predicted = self.forecast.predict(record.queue.key, step)
+            cores = step.count * step.needs.cpu_millis / 1000
+            self.inflow.take(predicted / timedelta(milliseconds=1) * cores, now)
+
+    def unblock(self, job: OpenJob, now: timedelta) -> None:
+        """Queue the tasks of steps whose earlier steps are done."""
+        for number, step in enumerate(job.record.spec.steps):
+            if not all(job.record.is_step_done(earlier) for earlier in step.depends_on):
+                continue
+            blocked = [
+                ref.place
+                for ref, task in job.tasks.items()
+                if ref.step == number and task.phase is TaskPhase.BLOCKED
+            ]
+            self.queue(job, number, blocked, now)
+
+    def queue(self, job: OpenJob, number: int, indexes: list[int], now: timedelta) -> None:
+        """Queue tasks of one step."""
+        if not indexes:
+            return
+        step = job.record.spec.steps[number]
+        for index in indexes:
+            job.tasks[TaskRef(job.record.id, 0, number, index)].phase = TaskPhase.QUEUED
+        queue = job.record.queue
+        chain = self.forecast.find_chain(queue.key, job.record.spec.steps, number)
+        predicted_ms = self.forecast.predict(queue.key, step) / timedelta(milliseconds=1)
+        batch = Batch(
+            job=job.record,
+            number=number,
+            step=step,
+            latest_start=job.opened_at + job.objective - chain,
+            last_use=job.opened_at + job.objective * LATE_FACTOR - chain,
+            work_ms=predicted_ms * step.needs.cpu_millis / 1000,
+            waiting=indexes,
+        )
+        self.backlog.add(batch)
+
+    def requeue(self, ref: TaskRef, run: RunNumber, now: timedelta) -> None:
+        """Queue a task again whose run is surely over without an end."""
+        job = self.jobs.get(ref.job)
+        task = job.tasks.get(ref) if job is not None else None
+        if job is None or task is None or task.phase is not TaskPhase.RUNNING or task.run != run:
+            return
+        self.queue(job, ref.step, [ref.place], now)
+
+    def unqueue(self, ref: TaskRef) -> None:
+        """Take a task out of the backlog."""
+        for batch in self.backlog:
+            if batch.job.id == ref.job and batch.number == ref.step and ref.place in batch.waiting:
+                batch.waiting.remove(ref.place)
+
+    def mark_noting(self, end: EndReport) -> None:
+        """Hold a task whose run has ended until note is taken of it."""
+        job = self.jobs.get(end.task.job)
+        task = job.tasks.get(end.task) if job is not None else None
+        if task is None:
+            return
+        is_current = task.phase is TaskPhase.RUNNING and task.run == end.run
+        if is_current or task.phase is TaskPhase.UNKNOWN:
+            task.phase = TaskPhase.NOTING
+            task.run = RunNumber(max(task.run, end.run))
+
+    def queue_unknown(self, job: OpenJob, now: timedelta) -> None:
+        """Queue the unknown tasks of a job: nothing of them can run any more."""
+        for task in job.tasks.values():
+            if task.phase is TaskPhase.UNKNOWN:
+                task.phase = TaskPhase.BLOCKED
+        self.unblock(job, now)
+
+    def close_if_ended(self, id: JobId, now: timedelta) -> None:
+        """Drop a job whose record says that it has ended, and have its runs stopped."""
+        job = self.jobs.get(id)
+        if job is None or job.record.is_open:
+            return
+        del self.jobs[id]
+        if job.record.spec.best_effort and job.record.state is not JobState.CANCELLED:
+            # A job that was given up may be submitted again, and then runs again.
+            self.ended[id] = (job.record.state, now)
+        self.backlog.drop_job(id)
+        for ref, task in job.tasks.items():
+            if task.phase is TaskPhase.RUNNING and task.life is not None:
+                self._lives.want_stop(task.life, ref, task.run)
+        took_ms = to_milliseconds(now - job.opened_at)
+        objective_ms = to_milliseconds(job.objective)
+        name = "job_ended" if job.record.state is JobState.COMPLETED else "job_given_up"
+        name = "job_late" if name == "job_ended" and took_ms > objective_ms else name
+        self._term.note(
+            name,
+            {
+                "job": id,
+                "state": job.record.state.value,
+                "took_ms": took_ms,
+                "objective_ms": objective_ms,
+            },
+        )
+        self._term.on_end(id)
+
+    def reject(self, job: OpenJob, reason: str, wait: timedelta, now: timedelta) -> None:
+        """End a job of which nothing has run, and tell its caller when to come back."""
+        self._term.counts.rejected_jobs += 1
+        self.rejections[job.record.id] = Rejection(reason=reason, retry_after=wait)
+        self._term.note("job_rejected", {"job": job.record.id, "wait_ms": to_milliseconds(wait)})
+        end_job(job.record, JobState.CANCELLED, self._term.wall_ms())
+        self.close_if_ended(job.record.id, now)
+
+    def forget_ended(self, now: timedelta) -> None:
+        """Forget how jobs ended long enough ago."""
+        if now < self._forget_at:
+            return
+        self._forget_at = now + KEEP_ENDED
+        limit = now - KEEP_ENDED
+        self.ended = {id: end for id, end in self.ended.items() if end[1] >= limit}
+        self.rejections.clear()
+
+    def find_ended(self, id: JobId) -> JobState | None:
+        """Return how a job that need not be kept ended a short while ago."""
+        ended = self.ended.get(id)
+        return ended[0] if ended is not None else None
+
+    def is_open(self, id: JobId) -> bool:
+        """Whether a job is under way here."""
+        return id in self.jobs
+
+    def is_ending(self, id: JobId) -> bool:
+        """Whether all that is left of a job runs or has ended, so that it may end at any moment."""
+        job = self.jobs.get(id)
+        last = (TaskPhase.RUNNING, TaskPhase.NOTING)
+        return job is not None and all(task.phase in last for task in job.tasks.values())
+
+    def find_state(self, job: JobRecord) -> JobState:
+        """Return a job's state as callers see it."""
+        if job.state.is_final:
+            return job.state
+        opened = self.jobs.get(job.id)
+        has_begun = opened is not None and opened.has_begun
+        return JobState.RUNNING if has_begun else JobState.QUEUED
+
+    def count_pending(self, host: str, prefix: str) -> int:
+        """Return how many jobs of a queue have had no start yet."""
+        return sum(
+            1
+            for job in self.jobs.values()
+            if not job.has_begun and job.record.queue.key == (host, prefix)
+        )
+
+    def count_jobs(self) -> int:
+        """Return how many jobs are open."""
+        return len(self.jobs)
--- a/cottonlug/core/cluster/queues.py
+++ b/cottonlug/core/cluster/queues.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
-from .model import Configuration, JobId, Queue
+from .model import Configuration, JobId, Queue, QueueKey
 
 
-def find_queue(configuration: Configuration, host: str, path: str) -> tuple[Queue, JobId] | None:
-    """Return the queue with the longest prefix that a path begins with, and what follows it."""
-    name = host.rpartition(":")[0] if ":" in host else host
-    best: Queue | None = None
-    for queue in configuration.queues:
-        if queue.host != name or not path.startswith(queue.prefix):
-            continue
-        if best is None or len(queue.prefix) > len(best.prefix):
-            best = queue
-    if best is None:
+class QueueIndex:
+    """The queues of one configuration, by what callers address them by."""
+
+    def __init__(self, *, configuration: Configuration) -> None:
+        self._by_key = {queue.key: queue for queue in configuration.queues}
+        self._by_host: dict[str, list[Queue]] = {}
+        for queue in sorted(configuration.queues, key=lambda each: -len(each.prefix)):
+            self._by_host.setdefault(queue.host, []).append(queue)
+
+    def get(self, key: QueueKey) -> Queue | None:
+        """Return the queue with exactly this host and prefix."""
+        return self._by_key.get(key)
+
+    def find(self, host: str, path: str) -> tuple[Queue, JobId] | None:
+        """Return the queue with the longest prefix that a path begins with, and what follows it."""
+        name = host.rpartition(":")[0] if ":" in host else host
+        for queue in self._by_host.get(name, []):
+            if path.startswith(queue.prefix):
+                return queue, JobId(path[len(queue.prefix) :])
         return None
-    return best, JobId(path[len(best.prefix) :])
--- a/cottonlug/core/cluster/records.py
+++ b/cottonlug/core/cluster/records.py
@@ -34,6 +34,7 @@
     UpstreamInfo,
     Value,
 )
+from .queues import QueueIndex
 
 
 class TaskRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -115,6 +116,7 @@
 
     def __init__(self) -> None:
         self.configuration: Configuration | None = None
+        self.queues: QueueIndex | None = None
         self.jobs: dict[JobId, JobRecord] = {}
         self.upstreams: dict[UpstreamId, UpstreamRecord] = {}
 
@@ -153,10 +155,15 @@
     def restore(self, data: str) -> None:
         """Replace the whole state by that of a snapshot; an empty one is the beginning."""
         saved = _decoder.decode(data) if data else Saved(configuration=None, jobs=(), upstreams=())
-        self.configuration = saved.configuration
+        self.put_in_force(saved.configuration)
         self.jobs = {job.id: job for job in saved.jobs}
         self.upstreams = {record.info.id: record for record in saved.upstreams}
 
+    def put_in_force(self, configuration: Configuration | None) -> None:
+        """Decide by a configuration from now on."""
+        self.configuration = configuration
+        self.queues = None if configuration is None else QueueIndex(configuration=configuration)
+
     def _accept(self, command: AcceptJob) -> None:
         if command.job in self.jobs:
             return
@@ -185,7 +192,7 @@
     def _configure(self, command: SetConfiguration) -> None:
         current = self.configuration
         if current is None or command.configuration.version > current.version:
-            self.configuration = command.configuration
+            self.put_in_force(command.configuration)
 
 
 def note_end(job: JobRecord, end: EndReport, at_ms: int) -> None:
--- /dev/null
+++ b/cottonlug/core/cluster/term.py
@@ -0,0 +1,64 @@
+"""What the parts of one leader's decisions share while its term lasts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from .commands import Command
+from .lives import LeaseTerms
+from .model import JobId, RunNumber
+from .orders import Order
+from .records import Records
+
+Note = Callable[[str, dict[str, str | int]], None]
+"""Called for each decision worth a log line, with its name and inputs."""
+WallTime = Callable[[], int]
+"""Return the wall-clock time in milliseconds."""
+
+RUNS_PER_TERM = 4_096
+"""Run numbers of a later term are higher than all of an earlier one."""
+
+
+@dataclass(slots=True, kw_only=True)
+class DispatchCounts:
+    """What a leader has done, for metrics and the dump."""
+
+    starts: int = 0
+    started: int = 0
+    refused_starts: int = 0
+    unknown_starts: int = 0
+    stops: int = 0
+    looks: int = 0
+    failed_looks: int = 0
+    lapsed_runs: int = 0
+    ends: int = 0
+    rejected_jobs: int = 0
+    moved_runs: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Term:
+    """One term: what it may rely on, what it has to send, and what it has done.
+
+    `number` rises from leader to leader; it is the token of all orders.
+    """
+
+    number: int
+    began_at: timedelta
+    records: Records
+    lease: LeaseTerms
+    wall_ms: WallTime
+    note: Note
+    on_end: Callable[[JobId], None]
+    counts: DispatchCounts = field(default_factory=DispatchCounts)
+    orders: list[Order] = field(default_factory=list)
+    proposals: list[Command] = field(default_factory=list)
+    is_fenced_off: bool = False
+    """Whether an upstream has taken orders under a higher token: this term is over there."""
+
+    @property
+    def first_run(self) -> RunNumber:
+        """The lowest run number of this term."""
+        return RunNumber(self.number * RUNS_PER_TERM)
--- /dev/null
+++ b/cottonlug/core/cluster/watcher.py
@@ -0,0 +1,143 @@
+"""Looks at upstreams, stops, leases that lapse, and lives that end."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from .commands import RemoveUpstreams
+from .life_table import LifeTable
+from .lives import Life
+from .open_jobs import OpenJobs
+from .orders import CallFailure, LookOrder, RunPhase, StopOrder
+from .term import Term
+
+LOOK_WAIT = timedelta(milliseconds=300)
+"""How long a look may be parked; a lease (1 s) then outlasts the change to another leader."""
+LOOK_RETRY = timedelta(milliseconds=100)
+MOST_RETRY_STEPS = 10
+SILENT_AFTER = timedelta(seconds=10)
+"""Without heartbeats for that long, and with nothing running, a life is forgotten."""
+STALL_EVERY = timedelta(milliseconds=50)
+STALL_FACTOR = 3.0
+"""Declared times scatter by 0.4 on a logarithmic scale: three times the mean is past 2.7 sigma."""
+STALL_SLACK = timedelta(milliseconds=150)
+"""A run's progress is learnt with the next look, so that a young one says little."""
+STALL_PERCENT = 40
+"""A run that is this far is left to finish."""
+MOST_MOVES = 2
+
+
+class Watcher:
+    """Keeps leases alive and learns what has become of runs."""
+
+    def __init__(self, *, term: Term, lives: LifeTable, jobs: OpenJobs) -> None:
+        self._term = term
+        self._lives = lives
+        self._jobs = jobs
+
+    def look(self, life: Life, now: timedelta) -> None:
+        """Look at an upstream where its lease or its ends need it."""
+        if life.look_is_out or life.is_over or now < life.look_due:
+            return
+        if life.proposed > life.noted:
+            return
+        has_news = life.noted > life.confirmed
+        if life.is_fenced and not life.runs and not has_news:
+            return
+        expires_ms = life.grant(now) if life.runs else None
+        is_calm = life.is_fenced and life.failed_looks == 0 and not self._awaits_stop(life)
+        wait = LOOK_WAIT if life.runs and is_calm else timedelta()
+        life.look_is_out = True
+        self._term.counts.looks += 1
+        order = LookOrder(
+            upstream=life.info, last_seen=life.noted, expires_ms=expires_ms, wait=wait
+        )
+        self._term.orders.append(order)
+
+    def _awaits_stop(self, life: Life) -> bool:
+        return any(run.phase is RunPhase.UNSURE for run in life.runs.values())
+
+    def take_failed_look(self, life: Life, failure: CallFailure, now: timedelta) -> None:
+        """Learn that a look brought no answer."""
+        self._term.counts.failed_looks += 1
+        if failure is CallFailure.FENCED:
+            self.is_fenced_off = True
+        if failure is CallFailure.LIFE_ENDED:
+            self.end_life(life, now)
+            return
+        life.failed_looks += 1
+        life.look_due = now + LOOK_RETRY * min(life.failed_looks, MOST_RETRY_STEPS)
+
+    def stop_runs(self, life: Life, now: timedelta) -> None:
+        """Send the stops that are due."""
+        if life.is_over:
+            return
+        for run in life.runs.values():
+            if run.is_orphan and not self._lives.is_grace(now):
+                run.stop_wanted = True
+            wanted = run.stop_wanted and run.stopped_at is None and not run.stop_is_out
+            if wanted and now >= run.stop_due and run.phase is not RunPhase.STARTING:
+                run.stop_is_out = True
+                self._term.counts.stops += 1
+                order = StopOrder(upstream=life.info, task=run.task, run=run.run)
+                self._term.orders.append(order)
+
+    def move_stalled(self, life: Life, now: timedelta) -> None:
+        """Stop runs that stand still or are far too slow, so that they start elsewhere."""
+        if life.is_over or now < life.stall_due:
+            return
+        life.stall_due = now + STALL_EVERY
+        for run in life.runs.values():
+            job = self._jobs.jobs.get(run.task.job)
+            if job is None or run.stop_wanted or run.phase is not RunPhase.RUNNING:
+                continue
+            task = job.tasks.get(run.task)
+            if task is None or task.moves >= MOST_MOVES:
+                continue
+            step = job.record.spec.steps[run.task.step]
+            limit = self._jobs.forecast.predict(job.record.queue.key, step) * STALL_FACTOR
+            if now - run.since < limit + STALL_SLACK or run.percent >= STALL_PERCENT:
+                continue
+            task.moves += 1
+            self._term.counts.moved_runs += 1
+            run.stop_wanted = True
+            self._term.note(
+                "run_stalled",
+                {"upstream": life.info.id, "job": run.task.job, "percent": run.percent},
+            )
+            self._lives.get_health(life).take_stall(now)
+
+    def lapse(self, life: Life, now: timedelta) -> None:
+        """Give up all runs of a life whose leases have surely ended without an answer."""
+        if not life.runs or now < life.lapse_at:
+            return
+        # A run cannot outlive the lease, whatever the last looks said.
+        self._term.note("lease_lapsed", {"upstream": life.info.id, "runs": len(life.runs)})
+        life.is_fenced = False
+        self._give_up_runs(life, now)
+
+    def _give_up_runs(self, life: Life, now: timedelta) -> None:
+        for key, run in list(life.runs.items()):
+            self._term.counts.lapsed_runs += 1
+            life.remove_run(key)
+            self._jobs.requeue(run.task, run.run, now)
+
+    def end_life(self, life: Life, now: timedelta) -> None:
+        """A later life holds the address: nothing of this one can run any more."""
+        if life.is_over:
+            return
+        life.is_over = True
+        self._lives.unseen.discard(life.info.id)
+        self._term.note("upstream_gone", {"upstream": life.info.id, "runs": len(life.runs)})
+        self._give_up_runs(life, now)
+        self._term.proposals.append(RemoveUpstreams(upstreams=(life.info.id,)))
+
+    def forget_silent(self, now: timedelta) -> None:
+        """Forget lives that have been silent, with nothing running."""
+        for life in self._lives.by_id.values():
+            heard_at = max(life.heard_at or timedelta(), life.contact_at or timedelta())
+            if life.is_over or life.runs or now - heard_at < SILENT_AFTER:
+                continue
+            life.is_over = True
+            self._term.note("upstream_silent", {"upstream": life.info.id})
+            self._term.proposals.append(RemoveUpstreams(upstreams=(life.info.id,)))
--- a/cottonlug/runtime/cluster_dump.py
+++ b/cottonlug/runtime/cluster_dump.py
@@ -31,8 +31,8 @@
     assert host.leading is not None
     dispatch = host.leading.dispatch
     return {
-        "open_jobs": dispatch.count_jobs(),
-        "waiting_tasks": dispatch.backlog.count_tasks(),
+        "open_jobs": dispatch.jobs.count_jobs(),
+        "waiting_tasks": dispatch.jobs.backlog.count_tasks(),
         "counts": dispatch.counts,
         "upstreams": [
             {
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -85,8 +85,8 @@
     lives = list(dispatch.lives.values())
     working = [life for life in lives if life.is_fenced and not life.draining]
     return {
-        "open_jobs": dispatch.count_jobs(),
-        "waiting_tasks": dispatch.backlog.count_tasks(),
+        "open_jobs": dispatch.jobs.count_jobs(),
+        "waiting_tasks": dispatch.jobs.backlog.count_tasks(),
         "upstreams": len(lives),
         "upstreams_working": len(working),
         "upstreams_draining": sum(life.draining for life in lives),
--- a/cottonlug/runtime/deputy.py
+++ b/cottonlug/runtime/deputy.py
@@ -72,7 +72,7 @@
     ) -> None:
         replicated = ReplicatedRecords()
         records = replicated.records
-        records.configuration = roster.configuration
+        records.put_in_force(roster.configuration)
         records.upstreams = {record.info.id: record for record in roster.upstreams}
         self.authority = DeputyAuthority(term=roster.term, replicated=replicated)
         self.leading = Leading(
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -43,9 +43,10 @@
     SetDraining,
     encode_commands,
 )
-from ..core.cluster.dispatch import Dispatch, Submission
+from ..core.cluster.dispatch import Dispatch
 from ..core.cluster.lives import LeaseTerms
 from ..core.cluster.model import JobId, LookReply, Queue
+from ..core.cluster.open_jobs import Submission
 from ..core.cluster.orders import (
     CallFailure,
     LookOrder,
@@ -54,7 +55,6 @@
     StartOutcome,
     StopOrder,
 )
-from ..core.cluster.queues import find_queue
 from ..core.cluster.records import JobRecord
 from .decisions import note_decision
 from .events import Event, log_event
@@ -168,7 +168,10 @@
         replicated.listener = self._take_applied
         self._timer = asyncio.create_task(self._tick_forever())
         log_event(
-            Event.LEADING, term=int(self.term), token=self.token, jobs=self.dispatch.count_jobs()
+            Event.LEADING,
+            term=int(self.term),
+            token=self.token,
+            jobs=self.dispatch.jobs.count_jobs(),
         )
 
     def stop(self) -> None:
@@ -204,10 +207,10 @@
         return Answer(outcome=Outcome.DONE)
 
     def _find_queue(self, host: str, path: str) -> tuple[Queue, JobId] | Answer:
-        configuration = self._records.configuration
-        if configuration is None:
+        queues = self._records.queues
+        if queues is None:
             return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_CONFIGURATION)
-        found = find_queue(configuration, host, path)
+        found = queues.find(host, path)
         return found if found is not None else Answer(outcome=Outcome.NO_QUEUE)
 
     async def _answer_submit(self, call: Submit) -> Answer:
@@ -221,9 +224,9 @@
             return Answer(outcome=Outcome.UNKNOWN, detail="a later term is needed after a deputy's")
         if job in self._records.jobs:
             return Answer(outcome=Outcome.DONE)
-        if call.spec.best_effort and self.dispatch.find_ended(job) is not None:
-            return Answer(outcome=Outcome.DONE, state=self.dispatch.find_ended(job))
-        if call.spec.best_effort and self.dispatch.is_open(job):
+        if call.spec.best_effort and self.dispatch.jobs.find_ended(job) is not None:
+            return Answer(outcome=Outcome.DONE, state=self.dispatch.jobs.find_ended(job))
+        if call.spec.best_effort and self.dispatch.jobs.is_open(job):
             return await self._wait_end(job)
         if ("job", job) in self.waiters:
             return await self._wait(("job", job))
@@ -257,12 +260,12 @@
         return await self._wait_end(job)
 
     async def _wait_end(self, job: JobId) -> Answer:
-        if self.dispatch.is_open(job) and not await self.waiters.wait_for(("end", job)):
+        if self.dispatch.jobs.is_open(job) and not await self.waiters.wait_for(("end", job)):
             return Answer(outcome=Outcome.UNKNOWN, detail="this host does not lead any more")
-        rejection = self.dispatch.rejections.get(job)
+        rejection = self.dispatch.jobs.rejections.get(job)
         if rejection is not None:
             return _reject(job, rejection)
-        state = self.dispatch.find_ended(job)
+        state = self.dispatch.jobs.find_ended(job)
         if state is None:
             return Answer(outcome=Outcome.UNKNOWN, detail="the job was given up")
         return Answer(outcome=Outcome.DONE, state=state)
@@ -281,16 +284,16 @@
             return found
         queue, job = found
         if not job:
-            pending = self.dispatch.count_pending(queue.host, queue.prefix)
+            pending = self.dispatch.jobs.count_pending(queue.host, queue.prefix)
             return Answer(outcome=Outcome.DONE, pending=pending)
         record = self._records.jobs.get(job)
         if record is None or record.queue.key != queue.key:
             return Answer(outcome=Outcome.NO_JOB)
-        if self.dispatch.is_ending(job):
+        if self.dispatch.jobs.is_ending(job):
             # Callers ask again much later than a commit takes.
             waiting = self.waiters.wait_for(("end", job))
             await asyncio.wait([waiting], timeout=STATE_WAIT.total_seconds())
-        return Answer(outcome=Outcome.DONE, state=self.dispatch.find_state(record))
+        return Answer(outcome=Outcome.DONE, state=self.dispatch.jobs.find_state(record))
 
     def _answer_greeting(self, call: Greet) -> Answer:
         """Tell a gateway what it needs to know, and count on it for its jobs."""
@@ -434,7 +437,7 @@
             # What has arrived in the meantime is taken in before anything is decided.
             return
         if self.dispatch.is_fenced_off and any(self._is_heard(each) for each in self._heard):
-            self.dispatch.is_fenced_off = False
+            self.dispatch.forgive_fence()
             self._authority.renew()
             return
         self.dispatch.abandon_silent(self._is_heard, now)
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -14,7 +14,7 @@
 from datetime import timedelta
 
 from ..core.cluster.commands import AcceptJob, Command
-from ..core.cluster.dispatch import Dispatch, Submission
+from ..core.cluster.dispatch import Dispatch
 from ..core.cluster.lives import LeaseTerms
 from ..core.cluster.model import (
     Capacity,
@@ -33,6 +33,7 @@
     TaskRef,
     UpstreamInfo,
 )
+from ..core.cluster.open_jobs import Submission
 from ..core.cluster.orders import CallFailure, LookOrder, Order, StartOrder, StartOutcome, StopOrder
 from ..core.cluster.records import JobRecord, Records
 from ..core.ids import DomainName, UpstreamId
@@ -285,7 +286,7 @@
             self.world.kept.add(job)
             self._commit(AcceptJob(job=job, queue=queue, spec=spec, at_ms=0))
             return
-        if self.dispatch.is_open(job):
+        if self.dispatch.jobs.is_open(job):
             return
         record = JobRecord(id=job, queue=queue, spec=spec, accepted_ms=0)
         submission = Submission(
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -54,7 +54,7 @@
     world.run_until(milliseconds(100))
     leader.submit("a" * 16, build_spec(tasks=8), build_queue())
     world.run_until(milliseconds(1_000))
-    assert leader.dispatch.find_ended(JobId("a" * 16)) is JobState.COMPLETED
+    assert leader.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
     assert world.starts == 8
 
 
@@ -67,10 +67,10 @@
     leader.submit(job, build_spec(run_ms=60), build_queue())
     world.run_until(milliseconds(110))
     leader.dispatch.abandon(JobId(job), world.now)
-    assert leader.dispatch.find_ended(JobId(job)) is None
+    assert leader.dispatch.jobs.find_ended(JobId(job)) is None
     leader.submit(job, build_spec(run_ms=60), build_queue(), may_have_begun=True)
     world.run_until(milliseconds(2_000))
-    assert leader.dispatch.find_ended(JobId(job)) is JobState.COMPLETED
+    assert leader.dispatch.jobs.find_ended(JobId(job)) is JobState.COMPLETED
 
 
 def test_a_new_leader_takes_over_what_runs() -> None:
@@ -89,7 +89,7 @@
     second = start_leader(world, upstreams, records, 2)
     second.submit("c" * 16, build_spec(tasks=4, run_ms=900), build_queue(), may_have_begun=True)
     world.run_until(milliseconds(1_500))
-    assert second.dispatch.find_ended(JobId("c" * 16)) is JobState.COMPLETED
+    assert second.dispatch.jobs.find_ended(JobId("c" * 16)) is JobState.COMPLETED
     assert world.starts == 4
 
 
@@ -119,8 +119,8 @@
     begun = "f" * 16
     leader.submit(begun, build_spec(tasks=8, run_ms=60), build_queue(), may_have_begun=True)
     world.run_until(milliseconds(3_000))
-    assert leader.dispatch.rejections, "the load was meant to be too much"
-    assert JobId(begun) not in leader.dispatch.rejections
+    assert leader.dispatch.jobs.rejections, "the load was meant to be too much"
+    assert JobId(begun) not in leader.dispatch.jobs.rejections
 
 
 def test_rejected_jobs_have_not_run() -> None:
@@ -130,8 +130,8 @@
     for number in range(60):
         leader.submit(f"{number:016x}", build_spec(tasks=8, run_ms=60), build_queue())
     world.run_until(milliseconds(3_000))
-    assert leader.dispatch.rejections
-    assert not world.started_jobs & set(leader.dispatch.rejections)
+    assert leader.dispatch.jobs.rejections
+    assert not world.started_jobs & set(leader.dispatch.jobs.rejections)
 
 
 def run_campaign(seed: int, *, kept: bool) -> None:
@@ -176,7 +176,7 @@
         if kept:
             assert records.jobs[JobId(job)].state is JobState.COMPLETED, (seed, job)
         else:
-            assert not leader.dispatch.is_open(JobId(job)), (seed, job)
+            assert not leader.dispatch.jobs.is_open(JobId(job)), (seed, job)
     assert not world.running
 
 
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -275,10 +275,10 @@
         call = Submit(host="host", path=f"/q/{JOB}", spec=build_spec(), gateway="10.0.0.9:7000")
         waiting = asyncio.create_task(leading.answer(call))
         await asyncio.sleep(0)
-        assert leading.dispatch.count_jobs() == 1
+        assert leading.dispatch.jobs.count_jobs() == 1
         clock.advance(GATEWAY_SILENT)
         leading.dispatch.abandon_silent(leading._is_heard, clock.monotonic())
-        assert leading.dispatch.count_jobs() == 0
+        assert leading.dispatch.jobs.count_jobs() == 0
         assert (await waiting).outcome is Outcome.UNKNOWN
         gateways[0].stop()
 
--- a/cottonlug/tests/test_cluster_policy.py
+++ b/cottonlug/tests/test_cluster_policy.py
@@ -5,6 +5,8 @@
 import random
 from datetime import timedelta
 
+import msgspec
+
 from ..core.cluster.admission import Inflow, estimate_wait
 from ..core.cluster.backlog import Backlog, Batch, Tier
 from ..core.cluster.checks import find_configuration_problem, find_job_problem
@@ -23,6 +25,7 @@
     StepSpec,
 )
 from ..core.cluster.placement import choose_life
+from ..core.cluster.queues import QueueIndex
 from ..core.cluster.records import JobRecord, Records
 from .model_upstreams import (
     SERVICE,
@@ -79,7 +82,7 @@
         world.run_until(world.now + milliseconds(chance.uniform(30, 50)))
         late.append(job)
     world.run_until(world.now + milliseconds(400))
-    states = [leader.dispatch.find_ended(JobId(job)) for job in late]
+    states = [leader.dispatch.jobs.find_ended(JobId(job)) for job in late]
     assert states.count(JobState.COMPLETED) >= 27
 
 
@@ -156,7 +159,7 @@
     world.run_until(milliseconds(100))
     leader.submit("a" * 16, build_spec(tasks=1), build_queue(max_attempts=3))
     world.run_until(timedelta(seconds=10))
-    assert leader.dispatch.find_ended(JobId("a" * 16)) is JobState.FAILED
+    assert leader.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.FAILED
     assert world.starts == 3
 
 
@@ -168,7 +171,7 @@
     world.run_until(milliseconds(100))
     leader.submit("a" * 16, build_spec(tasks=8), build_queue())
     world.run_until(timedelta(seconds=2))
-    assert leader.dispatch.find_ended(JobId("a" * 16)) is JobState.COMPLETED
+    assert leader.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
 
 
 def build_life(name: str, cpu: int) -> Life:
@@ -239,3 +242,12 @@
     for number in range(8):
         second.submit(f"{number:016x}", build_spec(tasks=2, run_ms=60), build_queue())
     assert second.dispatch.find_rejection(build_queue(), build_spec(), world.now) is None
+
+
+def test_the_longest_prefix_selects_the_queue() -> None:
+    short, long = build_queue(), msgspec.structs.replace(build_queue(), prefix="/q/long/")
+    queues = QueueIndex(configuration=build_configuration(queues=(short, long)))
+    assert queues.find("host:80", "/q/abc") == (short, "abc")
+    assert queues.find("host", "/q/long/abc") == (long, "abc")
+    assert queues.find("host", "/other") is None
+    assert queues.find("other", "/q/abc") is None
