Count a leader's disk for what it saves at once; use a disk again after it failed for a while

Cause 1: entries that were saved beside a vote, or beside a commit, were not counted for the leader until its next late save; with one other disk of three that could have held the log up. Found by the new test of a failing disk, which failed on it; a test of its own holds it now.

--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -61,6 +61,7 @@
     STORAGE_FAILED = EventKind(5001, logging.ERROR, "the data folder cannot be written")
     STORAGE_TORN = EventKind(5002, logging.WARNING, "a torn tail of a log file was cut")
     STORAGE_DAMAGED = EventKind(5003, logging.ERROR, "a file of the data folder is damaged")
+    STORAGE_REOPENED = EventKind(5004, logging.INFO, "the data folder is used again")
     DECISION = EventKind(6001, logging.INFO, "a decision about an upstream or a job")
     CALL_FAILED = EventKind(6002, logging.WARNING, "a call of a caller was not carried out")
 
--- a/cottonlug/runtime/replica.py
+++ b/cottonlug/runtime/replica.py
@@ -58,6 +58,8 @@
 SAVE_AFTER = timedelta(milliseconds=20)
 """A leader saves what the others have not made safe by then."""
 SAVE_AT_LEAST = timedelta(seconds=1)
+REOPEN_AFTER = timedelta(seconds=1)
+"""A full disk may have room again by then; until then this host counts for nobody."""
 COMPACT_AFTER_BYTES = 8 * 1024 * 1024
 """Size of the log's entries before a snapshot replaces them; a disk has 128 MB."""
 GREET_SECONDS = 0.25
@@ -152,25 +154,16 @@
         self._unsaved: list[Output] = []
         self._unsaved_since: timedelta | None = None
         self._log_bytes = 0
+        self._reopen_at = timedelta()
         self._seen_leader: tuple[MemberId | None, Term] = (None, Term(0))
 
     # Life
 
     async def start(self) -> str | None:
         """Read the journal and begin to take part; return why that failed, or None."""
-        try:
-            files = FolderFiles(folder=self._settings.data_folder)
-        except OSError as error:
-            return f"cannot use the data folder {self._settings.data_folder}: {error.strerror}"
-        new_id = MemberId(f"{self._settings.address}/{secrets.token_hex(4)}")
-        opened = open_journal(files, new_id)
-        if isinstance(opened, Err):
-            _report_storage(opened.failure())
-            return str(opened.failure().message)
-        self._journal = opened.unwrap()
-        if self._journal.cut_bytes:
-            log_event(Event.STORAGE_TORN, cut_bytes=self._journal.cut_bytes)
-        self._build_member()
+        error = self._open()
+        if error is not None:
+            return error
         self._tasks.append(asyncio.create_task(self._guard(self._tick_forever())))
         self._tasks.append(asyncio.create_task(self._guard(self._find_others_forever())))
         return None
@@ -279,6 +272,33 @@
 
     # The member and its disk
 
+    def _open(self) -> str | None:
+        """Read the journal and build the member from it; return why that failed, or None."""
+        try:
+            files = FolderFiles(folder=self._settings.data_folder)
+        except OSError as error:
+            return f"cannot use the data folder {self._settings.data_folder}: {error.strerror}"
+        new_id = MemberId(f"{self._settings.address}/{secrets.token_hex(4)}")
+        opened = open_journal(files, new_id)
+        if isinstance(opened, Err):
+            _report_storage(opened.failure())
+            return str(opened.failure().message)
+        self._journal = opened.unwrap()
+        if self._journal.cut_bytes:
+            log_event(Event.STORAGE_TORN, cut_bytes=self._journal.cut_bytes)
+        self._build_member()
+        return None
+
+    def _reopen_if_due(self, now: timedelta) -> None:
+        """After a failed write, begin again from what the disk holds, as a restart would."""
+        if self.member is not None or now < self._reopen_at:
+            return
+        self._reopen_at = now + REOPEN_AFTER
+        self._unsaved = []
+        self._unsaved_since = None
+        if self._open() is None:
+            log_event(Event.STORAGE_REOPENED)
+
     def _build_member(self) -> None:
         assert self._journal is not None
         stored = self._journal.stored
@@ -336,7 +356,10 @@
             if self._unsaved_since is None:
                 self._unsaved_since = self._clock.monotonic()
             return True
-        return self._flush_unsaved() and self._save(output)
+        if not (self._flush_unsaved() and self._save(output)):
+            return False
+        self.member.note_saved()
+        return True
 
     def _flush_unsaved(self) -> bool:
         """Save and sync what was put off."""
@@ -362,6 +385,8 @@
             return True
         _report_storage(saved.failure())
         self.member = None
+        self._reopen_at = self._clock.monotonic() + REOPEN_AFTER
+        self._on_progress()
         return False
 
     def _save_if_due(self, now: timedelta) -> None:
@@ -470,6 +495,7 @@
     async def _tick_forever(self) -> None:
         while True:
             now = self._clock.monotonic()
+            self._reopen_if_due(now)
             self._save_if_due(now)
             if self.member is not None:
                 self.member.tick(now)
--- /dev/null
+++ b/cottonlug/tests/test_replica.py
@@ -0,0 +1,195 @@
+"""A replica on its disk: late saves, replaced hosts, and a disk that fails for a while."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from datetime import timedelta
+from pathlib import Path
+
+from ..config.options import Address
+from ..core.cluster.commands import ForgetJobs, SetDraining, encode_commands
+from ..core.consensus.member import Member
+from ..core.consensus.replacement import plan_change, plan_removal
+from ..core.consensus.timing import Timing
+from ..core.consensus.types import (
+    AppendReply,
+    HardState,
+    Index,
+    MemberId,
+    Members,
+    Role,
+    Snapshot,
+    Stored,
+    Term,
+    VoteReply,
+)
+from ..core.ids import UpstreamId
+from ..runtime.clocks import SystemClock
+from ..runtime.replica import Replica, ReplicaSettings
+from ..runtime.replicated import ReplicatedRecords
+
+A, B, C, D = (MemberId(f"10.0.0.{number}:1/x") for number in range(1, 5))
+NOW = timedelta(seconds=100)
+
+
+def build_leader(*voters: MemberId) -> Member:
+    """Return a member that has just been elected by all voters."""
+    members = Members(voters=voters)
+    snapshot = Snapshot(index=Index(1), term=Term(0), members=members, data="")
+    stored = Stored(hard_state=HardState(term=Term(0)), snapshot=snapshot)
+    member = Member(
+        id=A, stored=stored, timing=Timing(), chance=lambda: 0.0, now=timedelta(), saves_late=True
+    )
+    member.tick(NOW)
+    for pre in (True, False):
+        for voter in voters[1:]:
+            reply = VoteReply(term=Term(1), sender=voter, granted=True, pre=pre)
+            member.receive(reply, NOW)
+    assert member.role is Role.LEADER
+    member.take_output()
+    return member
+
+
+def acknowledge(member: Member, sender: MemberId, index: int) -> None:
+    reply = AppendReply(term=member.term, sender=sender, accepted=True, matched=Index(index))
+    member.receive(reply, NOW)
+
+
+def test_a_leader_that_saves_late_does_not_count_itself_before() -> None:
+    member = build_leader(A, B, C)
+    last = member.log.last_index
+    acknowledge(member, B, last)
+    assert member.commit < last, "one disk of three has it"
+    member.note_saved()
+    assert member.commit == last
+
+
+def test_the_disks_of_the_others_decide_without_the_leaders() -> None:
+    member = build_leader(A, B, C)
+    last = member.log.last_index
+    acknowledge(member, B, last)
+    acknowledge(member, C, last)
+    assert member.commit == last
+
+
+def test_a_new_host_takes_the_place_of_a_lost_one() -> None:
+    member = build_leader(A, B, C)
+    last = member.log.last_index
+    for voter in (B, C):
+        acknowledge(member, voter, last)
+    current = {"10.0.0.4:1": D}
+    planned = plan_change(member, current, lost=[C])
+    assert planned is not None
+    assert planned.learners == (D,)
+    member.change_members(planned, NOW)
+    last = member.log.last_index
+    for voter in (B, C, D):
+        acknowledge(member, voter, last)
+    planned = plan_change(member, current, lost=[C])
+    assert planned is not None
+    assert planned.voters == (A, B)
+    assert plan_removal(member, lost=[C]) is None, "three voters are not made two without need"
+
+
+def test_a_fourth_voter_that_is_lost_is_removed() -> None:
+    member = build_leader(A, B, C, D)
+    planned = plan_removal(member, lost=[D])
+    assert planned is not None
+    assert planned.voters == (A, B, C)
+
+
+def test_random_late_saves_never_commit_what_one_disk_has() -> None:
+    chance = random.Random(1)
+    member = build_leader(A, B, C)
+    saved, acknowledged = 1, {B: 1, C: 1}
+    for _ in range(500):
+        member.propose("x", NOW)
+        if chance.random() < 0.2:
+            member.note_saved()
+            saved = member.log.last_index
+        for voter in (B, C):
+            if chance.random() < 0.3:
+                acknowledged[voter] = chance.randint(acknowledged[voter], member.log.last_index)
+                acknowledge(member, voter, acknowledged[voter])
+        disks = sorted([saved, *acknowledged.values()])
+        assert member.commit <= disks[1]
+
+
+async def wait_until(condition) -> None:  # type: ignore[no-untyped-def]
+    async with asyncio.timeout(20):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def build_replica(folder: Path, replicated: ReplicatedRecords) -> Replica:
+    address = Address("127.0.0.1", 9)
+    settings = ReplicaSettings(
+        address=address, seeds=(address,), may_begin=True, data_folder=folder
+    )
+
+    def fail(error: BaseException) -> None:
+        raise error
+
+    return Replica(
+        settings=settings,
+        clock=SystemClock(),
+        machine=replicated,
+        on_progress=lambda: None,
+        on_failure=fail,
+    )
+
+
+def test_a_disk_that_fails_for_a_while_loses_nothing(tmp_path: Path) -> None:
+    """Found with a day of `disk_full`: the host stayed out of the quorum until it was restarted."""
+
+    async def play() -> None:
+        replicated = ReplicatedRecords()
+        replica = build_replica(tmp_path, replicated)
+        assert await replica.start() is None
+        await wait_until(lambda: replica.is_leader)
+        seen: list[object] = []
+        replicated.listener = seen.append
+        accepted = SetDraining(upstream=UpstreamId("kept"))
+        replica.propose(encode_commands((accepted,)))
+        await wait_until(lambda: accepted in seen)
+        journal = replica._journal
+        assert journal is not None
+
+        def fail_to_write(name: str, data: bytes) -> None:
+            raise OSError(28, "No space left on device")
+
+        journal._files.append = fail_to_write  # type: ignore[method-assign]
+        replica.propose(encode_commands((ForgetJobs(jobs=()),)))
+        await wait_until(lambda: replica.member is None)
+        await wait_until(lambda: replica.is_leader)
+        seen.clear()
+        later = SetDraining(upstream=UpstreamId("later"))
+        await wait_until(lambda: replicated.ready_term == replica.term)
+        replica.propose(encode_commands((later,)))
+        await wait_until(lambda: later in seen)
+        member = replica.member
+        assert member is not None
+        assert any("kept" in entry.data for entry in member.log.read(Index(2), 100))
+        await replica.stop()
+
+    asyncio.run(play())
+
+
+def test_what_is_saved_at_once_counts_at_once(tmp_path: Path) -> None:
+    """Failed before: entries saved beside a vote were not counted until a later save."""
+
+    async def play() -> None:
+        replicated = ReplicatedRecords()
+        replica = build_replica(tmp_path, replicated)
+        assert await replica.start() is None
+        await wait_until(lambda: replica.is_leader)
+        await wait_until(lambda: replicated.ready_term == replica.term)
+        await replica.stop()
+        again = build_replica(tmp_path, replicated)
+        assert await again.start() is None
+        await wait_until(lambda: again.is_leader)
+        await wait_until(lambda: replicated.ready_term == again.term)
+        await again.stop()
+
+    asyncio.run(play())
