--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -117,14 +117,10 @@
             ahead += batch.whole_work_ms
         return ahead
 
-    def measure_late(self, last_use: timedelta) -> float:
-        """Return the core-milliseconds that go before a late job with this last use."""
-        ahead = 0.0
-        for batch in self._tiers[Tier.LATE]:
-            if batch.last_use > last_use:
-                break
-            ahead += batch.whole_work_ms
-        return ahead
+    def measure_work(self) -> float:
+        """Return the core-milliseconds of all that waits and is still of use."""
+        useful = (*self._tiers[Tier.ON_TIME], *self._tiers[Tier.LATE])
+        return sum(batch.whole_work_ms for batch in useful)
 
     def count_batches(self) -> int:
         """Return how many batches wait."""
--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -40,15 +40,13 @@
         moved = self._jobs.backlog.demote(now)
         if not moved:
             return
-        room = self._lives.measure_room(now)
-        rate = self._jobs.inflow.find_rate(now)
+        wait = estimate_wait(self._jobs.backlog.measure_work(), self._lives.measure_room(now))
         for batch in moved:
-            wait = estimate_wait(self._jobs.backlog.measure_late(batch.last_use), rate, room)
-            is_lost = batch.tier is Tier.HOPELESS or now + wait > batch.last_use
             job = self._jobs.jobs.get(batch.job.id)
-            if job is None or job.has_begun or not is_lost or not batch.job.spec.best_effort:
+            if batch.tier is not Tier.HOPELESS or job is None or job.has_begun:
                 continue
-            self._jobs.reject(job, "cannot be served in time", wait, now)
+            if batch.job.spec.best_effort:
+                self._jobs.reject(job, "cannot be served in time", wait, now)
 
     def find_rejection(self, queue: Queue, spec: JobSpec, now: timedelta) -> Rejection | None:
         """Return why a job is not taken at the moment, or None."""
@@ -58,7 +56,7 @@
         objective = self._jobs.forecast.find_objective(queue, spec.steps)
         chain = self._jobs.forecast.find_chain(queue.key, spec.steps, 0)
         work_ms = self._jobs.backlog.measure_on_time(now + objective - chain)
-        wait = estimate_wait(work_ms, 0.0, room)
+        wait = estimate_wait(work_ms, room)
         if wait <= objective * LATE_FACTOR:
             return None
         return Rejection(reason="the work before it takes too long", retry_after=wait)
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -8,7 +8,7 @@
 
 from ..clock import to_milliseconds
 from ..ids import UpstreamId
-from .admission import Inflow, Rejection
+from .admission import Rejection
 from .backlog import Backlog, Batch
 from .forecast import Forecast
 from .life_table import LifeTable
@@ -80,7 +80,6 @@
         self.jobs: dict[JobId, OpenJob] = {}
         self.backlog = Backlog()
         self.forecast = Forecast()
-        self.inflow = Inflow()
         self.ended: dict[JobId, tuple[JobState, timedelta]] = {}
         self.rejections: dict[JobId, Rejection] = {}
         """Why jobs were given up that had not begun."""
@@ -96,8 +95,6 @@
         objective = self.forecast.find_objective(record.queue, record.spec.steps)
         job = OpenJob(record=record, opened_at=now, objective=objective)
         self.jobs[record.id] = job
-        if phase is TaskPhase.QUEUED:
-            self._count_inflow(record, now)
         self._term.note(
             "job_taken",
             {
@@ -121,13 +118,6 @@
                 task_state.phase = TaskPhase.BLOCKED
             self.unblock(job, now)
 
-    def _count_inflow(self, record: JobRecord, now: timedelta) -> None:
-        """Count the work of a new job; what is submitted again has been counted before."""
-        for step in record.spec.steps:
-            predicted = self.forecast.predict(record.queue.key, step)
-            cores = step.count * step.needs.cpu_millis / 1000
-            self.inflow.take(predicted / timedelta(milliseconds=1) * cores, now)
-
     def unblock(self, job: OpenJob, now: timedelta) -> None:
         """Queue the tasks of steps whose earlier steps are done."""
         for number, step in enumerate(job.record.spec.steps):
--- a/cottonlug/tests/test_cluster_policy.py
+++ b/cottonlug/tests/test_cluster_policy.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..core.cluster.admission import Inflow, estimate_wait
+from ..core.cluster.admission import estimate_wait
 from ..core.cluster.backlog import Backlog, Batch, Tier
 from ..core.cluster.checks import find_configuration_problem, find_job_problem
 from ..core.cluster.forecast import Forecast
@@ -104,13 +104,26 @@
     assert leader.dispatch.find_rejection(build_queue(), build_spec(), world.now) is None
 
 
-def test_inflow_decays_and_wait_grows_with_it() -> None:
-    inflow = Inflow()
-    inflow.take(50_000, timedelta())
-    before = inflow.find_rate(milliseconds(10))
-    assert before > inflow.find_rate(milliseconds(600)) > inflow.find_rate(2 * SECOND) == 0.0
-    assert estimate_wait(1_000, 90, 100) > estimate_wait(1_000, 10, 100)
-    assert estimate_wait(1_000, 200, 100) < timedelta(hours=1), "even an overload leaves a little"
+def test_the_wait_grows_with_the_work_and_shrinks_with_the_room() -> None:
+    assert estimate_wait(1_000, 10) == milliseconds(100)
+    assert estimate_wait(2_000, 10) > estimate_wait(1_000, 10) > estimate_wait(1_000, 20)
+    assert estimate_wait(1_000, 0) < timedelta(hours=1), "without any room it is still a span"
+
+
+def test_late_jobs_wait_as_long_as_they_are_of_use() -> None:
+    world, upstreams = build_world(8)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    for number in range(12):
+        leader.submit(f"{number:016x}", build_spec(tasks=4, run_ms=60), build_queue())
+    job = JobId(f"{11:016x}")
+    # The objective is 156 ms, and three times that is the last use.
+    world.run_until(milliseconds(100 + 300))
+    assert job not in leader.dispatch.jobs.rejections
+    world.run_until(milliseconds(2_000))
+    rejected = leader.dispatch.jobs.rejections
+    ended = [leader.dispatch.jobs.find_ended(JobId(f"{number:016x}")) for number in range(12)]
+    assert len(rejected) + ended.count(JobState.COMPLETED) == 12
 
 
 def test_forecast_learns_what_declarations_are_worth() -> None:
