--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: run test binary check-binary format bench capacity today stop clean
+.PHONY: run test test-hosts test-voters test-rest binary check-binary format bench capacity today stop clean
 
 run: .venv/made
 	$(BIN)/python -m cottonlug demo
@@ -11,7 +11,20 @@
 	$(BIN)/black --check cottonlug bench
 	$(BIN)/ruff check cottonlug bench
 	$(BIN)/mypy
-	$(BIN)/python -m pytest
+	$(MAKE) --jobs 3 --output-sync=target test-hosts test-voters test-rest
+
+# Three lanes at a time: tests of real processes wait for most of theirs, on ports of their own.
+HOST_TESTS := cottonlug/tests/test_processes.py
+VOTER_TESTS := cottonlug/tests/test_control_processes.py
+
+test-hosts:
+	COTTONLUG_TEST_LANE=1 $(BIN)/python -m pytest $(HOST_TESTS)
+
+test-voters:
+	COTTONLUG_TEST_LANE=2 $(BIN)/python -m pytest $(VOTER_TESTS)
+
+test-rest:
+	$(BIN)/python -m pytest --ignore $(HOST_TESTS) --ignore $(VOTER_TESTS)
 
 format: .venv/made
 	$(BIN)/ruff check --fix cottonlug bench
--- a/cottonlug/tests/processes.py
+++ b/cottonlug/tests/processes.py
@@ -132,9 +132,16 @@
     return 0.0
 
 
+PORTS_PER_LANE = 3_000
+
+
 def find_base_port() -> int:
-    """Return a base whose ports are free, below the range that outgoing connections use."""
-    for base in range(20_000, 32_000, 1_000):
+    """Return a base whose ports are free, below the range that outgoing connections use.
+
+    Test runs at the same time have lanes of their own (see the Makefile).
+    """
+    first = 20_000 + int(os.environ.get("COTTONLUG_TEST_LANE", "0")) * PORTS_PER_LANE
+    for base in range(first, first + PORTS_PER_LANE, 1_000):
         if all(_is_free(base + offset) for offset in (101, 102, 201, 301, 401, 501, 900)):
             return base
     raise SystemExit("no free ports")
