Start new jobs after a change of leader without waiting for leases of upstreams out of sight

Change: a new job waits 0.34 s at most (what a caller that lost its gateway may have begun elsewhere has ended by then, as it comes back after 1.3 s); any job starts once every upstream was seen. Both have tests that failed.

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -87,7 +87,7 @@
         self._joining: set[UpstreamId] = set()
         self._settled_at = now + terms.lapse_after
         self._is_settled = False
-        self._has_unsure_jobs = False
+        self._has_unsure_jobs = True
         self._orphan_ends: dict[JobId, list[EndReport]] = {}
 
     # What it knows
@@ -150,10 +150,10 @@
     def submit(self, record: JobRecord, submission: Submission, now: timedelta) -> None:
         """Take a job that need not be kept; what another host started of it goes on."""
         # What runs at an upstream out of sight ends when its lease does.
-        is_unsure = submission.may_have_begun and bool(self._lives.list_unseen())
-        phase = TaskPhase.UNKNOWN if is_unsure or not self._is_settled else TaskPhase.QUEUED
+        is_new = self._is_settled and not submission.may_have_begun
+        is_unsure = not is_new and bool(self._lives.list_unseen())
         self._jobs.rejections.pop(record.id, None)
-        self._jobs.open(record, phase, now)
+        self._jobs.open(record, TaskPhase.UNKNOWN if is_unsure else TaskPhase.QUEUED, now)
         job = self._jobs.jobs[record.id]
         job.gateway = submission.gateway
         job.has_begun = job.has_begun or submission.may_have_begun
@@ -480,15 +480,15 @@
         """Once nothing unknown can run any more, queue what an earlier leader left open."""
         if not self._is_settled and (not self._lives.unseen or now >= self._settled_at):
             self._is_settled = True
-            self._has_unsure_jobs = True
             self._term.note(
                 "term_settled", {"term": self._term.number, "unseen": len(self._lives.unseen)}
             )
-        if not self._is_settled or not self._has_unsure_jobs:
+        if not self._has_unsure_jobs:
             return
         self._has_unsure_jobs = False
+        is_all_seen = not self._lives.list_unseen()
         for job in self._jobs.jobs.values():
-            if now >= job.settle_at:
+            if is_all_seen or now >= job.settle_at:
                 self._jobs.queue_unknown(job, now)
             elif any(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values()):
                 self._has_unsure_jobs = True
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -89,6 +89,7 @@
         for record in term.records.jobs.values():
             if record.is_open:
                 self.open(record, TaskPhase.UNKNOWN, term.began_at)
+                self.jobs[record.id].settle_at = term.began_at + term.lease.lapse_after
 
     def open(self, record: JobRecord, phase: TaskPhase, now: timedelta) -> None:
         """Take a job in; its tasks are unknown where another host may have begun them."""
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -68,6 +68,9 @@
 """Jobs of a gateway not heard for so long are given up; it takes them elsewhere no sooner."""
 HELD_UP = timedelta(milliseconds=150)
 """Between two decisions there are 20 ms, unless the process was held up."""
+CALLER_RETRY = timedelta(milliseconds=1_300)
+"""A caller that lost its gateway waits at least so long before it sends a job again (the users'
+platform: its `retransmit` bound); by then most of what the job began has ended."""
 STATE_WAIT = timedelta(milliseconds=60)
 """How long a question for the state of a job waits that is about to end; a commit takes 20 ms."""
 COMMIT_TIMEOUT = timedelta(seconds=2)
@@ -250,10 +253,12 @@
         """Run a job that need not be kept, and answer when it has ended."""
         record = JobRecord(id=job, queue=queue, spec=call.spec, accepted_ms=self._read_wall())
         now = self._clock.monotonic()
+        longest = self._settings.terms.lapse_after + GATEWAY_SILENT
         submission = Submission(
             gateway=call.gateway,
             may_have_begun=call.may_have_begun,
-            settle_after=self._settings.terms.lapse_after + GATEWAY_SILENT,
+            # A caller whose gateway was lost sends its job again only after a while.
+            settle_after=longest if call.may_have_begun else longest - CALLER_RETRY,
         )
         self.dispatch.submit(record, submission, now)
         self._wake()
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -39,6 +39,7 @@
 from ..core.ids import DomainName, UpstreamId
 
 TERMS = LeaseTerms(longest=timedelta(seconds=1))
+SETTLE_AFTER = TERMS.lapse_after + timedelta(milliseconds=500)
 SERVICE = ServiceName("service")
 ANSWER_LIMIT = timedelta(milliseconds=350)
 TASK_CPU = 7_000
@@ -279,7 +280,15 @@
         )
         self._tick_forever()
 
-    def submit(self, id: str, spec: JobSpec, queue: Queue, *, may_have_begun: bool = False) -> None:
+    def submit(
+        self,
+        id: str,
+        spec: JobSpec,
+        queue: Queue,
+        *,
+        may_have_begun: bool = False,
+        settle_after: timedelta = SETTLE_AFTER,
+    ) -> None:
         """Submit a job as a gateway does, or put it into the log where it must be kept."""
         job = JobId(id)
         if not spec.best_effort:
@@ -292,7 +301,7 @@
         submission = Submission(
             gateway="",
             may_have_begun=may_have_begun,
-            settle_after=TERMS.lapse_after + milliseconds(650),
+            settle_after=settle_after,
         )
         self.dispatch.submit(record, submission, self.world.now)
         self.act()
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -11,6 +11,7 @@
 from ..core.cluster.records import Records
 from ..core.ids import UpstreamId
 from .model_upstreams import (
+    TERMS,
     Leader,
     ModelUpstream,
     World,
@@ -134,6 +135,49 @@
     assert not world.started_jobs & set(leader.dispatch.jobs.rejections)
 
 
+def start_beside_a_dead_upstream() -> tuple[World, Leader]:
+    """Return a new leader's world in which one upstream of four does not answer."""
+    world, upstreams = build_world(7)
+    records = Records()
+    first = start_leader(world, upstreams, records, 1)
+    world.run_until(milliseconds(100))
+    first.is_over = True
+    upstreams[UpstreamId("u4")].crash()
+    second = Leader(world=world, upstreams=upstreams, records=records, token=2)
+    world.run_until(milliseconds(130))
+    return world, second
+
+
+def test_a_new_job_does_not_wait_for_the_leases_of_a_dead_upstream() -> None:
+    """Failed on mizan-hq scale-1: every job waited 1.1 s after a change of leader."""
+    world, leader = start_beside_a_dead_upstream()
+    leader.submit("a" * 16, build_spec(tasks=2), build_queue(), settle_after=milliseconds(340))
+    world.run_until(milliseconds(130 + 340 + 400))
+    assert leader.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
+
+
+def test_a_job_that_may_have_begun_waits_for_them() -> None:
+    world, leader = start_beside_a_dead_upstream()
+    leader.submit("a" * 16, build_spec(tasks=2), build_queue(), may_have_begun=True)
+    world.run_until(milliseconds(130) + TERMS.lapse_after)
+    assert world.starts == 0
+    world.run_until(timedelta(seconds=4))
+    assert leader.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
+
+
+def test_a_job_submitted_before_all_were_seen_starts_when_they_are() -> None:
+    """Failed before: it waited for leases although every upstream had answered in 10 ms."""
+    world, upstreams = build_world(8)
+    records = Records()
+    first = start_leader(world, upstreams, records, 1)
+    world.run_until(milliseconds(100))
+    first.is_over = True
+    second = Leader(world=world, upstreams=upstreams, records=records, token=2)
+    second.submit("a" * 16, build_spec(tasks=2), build_queue(), may_have_begun=True)
+    world.run_until(milliseconds(500))
+    assert second.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
+
+
 def run_campaign(seed: int, *, kept: bool) -> None:
     """Play faults for 8 s with up to four leaders, then let everything end."""
     world, upstreams = build_world(seed, lost_share=0.06, late_share=0.03, failed_share=0.02)
