--- /dev/null
+++ b/cottonlug/core/cluster/adoption.py
@@ -0,0 +1,76 @@
+"""Runs at upstreams that the present leader did not start."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from .life_table import LifeTable
+from .lives import Life
+from .model import Needs, RunReport
+from .open_jobs import OpenJob, OpenJobs, TaskPhase
+from .orders import Run, RunPhase
+from .term import Term
+
+
+class Adopter:
+    """Lets runs of an earlier leader or a deputy go on where their jobs are known."""
+
+    def __init__(self, *, term: Term, lives: LifeTable, jobs: OpenJobs) -> None:
+        self._term = term
+        self._lives = lives
+        self._jobs = jobs
+
+    def take_running(self, life: Life, report: RunReport, now: timedelta) -> None:
+        """Learn that a run is at work; one that is not ours is adopted, borne or stopped."""
+        key = (report.task, report.run)
+        run = life.runs.get(key)
+        if run is not None:
+            run.percent = report.percent
+            if run.phase is not RunPhase.RUNNING:
+                run.phase = RunPhase.RUNNING
+            return
+        job = self._jobs.jobs.get(report.task.job)
+        record = job.record if job is not None else self._term.records.jobs.get(report.task.job)
+        steps = record.spec.steps if record is not None else ()
+        is_known = report.task.step < len(steps)
+        run = Run(
+            task=report.task,
+            run=report.run,
+            needs=steps[report.task.step].needs if is_known else Needs(),
+            phase=RunPhase.RUNNING,
+            since=now,
+            percent=report.percent,
+            is_orphan=record is None,
+        )
+        life.add_run(run)
+        # An earlier leader may have renewed its lease until the term began.
+        life.lapse_at = max(life.lapse_at, now + self._term.lease.lapse_after)
+        if job is not None:
+            self._adopt(job, life, run)
+        elif not run.is_orphan or not self._lives.is_grace(now):
+            run.stop_wanted = True
+
+    def adopt_orphan(self, job: OpenJob, life: Life, run: Run) -> None:
+        """Take over a run whose job has just become known."""
+        life.remove_run((run.task, run.run))
+        steps = job.record.spec.steps
+        if run.task.step < len(steps):
+            run.needs = steps[run.task.step].needs
+        run.is_orphan = False
+        life.add_run(run)
+        self._adopt(job, life, run)
+
+    def _adopt(self, job: OpenJob, life: Life, run: Run) -> None:
+        """Let a run go on that this leader did not start, or stop it where that cannot be."""
+        task = job.tasks.get(run.task)
+        waits = (TaskPhase.UNKNOWN, TaskPhase.QUEUED)
+        if task is None or task.phase not in waits:
+            run.stop_wanted = True
+            return
+        # One that is being stopped holds its task, too: no other run of it may begin until it ends.
+        if task.phase is TaskPhase.QUEUED:
+            self._jobs.unqueue(run.task)
+        task.phase = TaskPhase.RUNNING
+        task.life = life.info.id
+        task.run = run.run
+        job.has_begun = True
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -12,6 +12,7 @@
 from ..clock import to_milliseconds
 from ..ids import UpstreamId
 from .admission import Rejection
+from .adoption import Adopter
 from .commands import (
     AcceptJob,
     AddUpstream,
@@ -32,11 +33,9 @@
     JobSpec,
     JobState,
     LookReply,
-    Needs,
     Queue,
-    RunReport,
 )
-from .open_jobs import OpenJob, OpenJobs, Submission, TaskPhase
+from .open_jobs import OpenJobs, Submission, TaskPhase
 from .orders import (
     CallFailure,
     LookOrder,
@@ -83,6 +82,7 @@
         self._lives = LifeTable(term=self._term)
         self._jobs = OpenJobs(term=self._term, lives=self._lives)
         self._watcher = Watcher(term=self._term, lives=self._lives, jobs=self._jobs)
+        self._adopter = Adopter(term=self._term, lives=self._lives, jobs=self._jobs)
         self._filler = Filler(term=self._term, lives=self._lives, jobs=self._jobs)
         self._joining: set[UpstreamId] = set()
         self._settled_at = now + terms.lapse_after
@@ -165,7 +165,7 @@
             self._take_noted_end(end, now)
         for life in self._lives.by_id.values():
             for run in [each for each in life.runs.values() if each.task.job == record.id]:
-                self._adopt_orphan(job, life, run)
+                self._adopter.adopt_orphan(job, life, run)
 
     def abandon(self, id: JobId, now: timedelta) -> None:
         """Give up a job that need not be kept, since nobody waits for it any more."""
@@ -286,7 +286,7 @@
         self._lives.unseen.discard(life.info.id)
         self._take_ends(life, reply.ended, now)
         for report in reply.running:
-            self._take_running(life, report, now)
+            self._adopter.take_running(life, report, now)
         if len(reply.ended) < LONGEST_LIST:
             self._drop_vanished(life, reply, sent_at, now)
 
@@ -411,60 +411,6 @@
         elif task.phase is TaskPhase.NOTING:
             self._jobs.queue(job, end.task.step, [end.task.place], now)
 
-    def _take_running(self, life: Life, report: RunReport, now: timedelta) -> None:
-        key = (report.task, report.run)
-        run = life.runs.get(key)
-        if run is not None:
-            run.percent = report.percent
-            if run.phase is not RunPhase.RUNNING:
-                run.phase = RunPhase.RUNNING
-            return
-        job = self._jobs.jobs.get(report.task.job)
-        record = job.record if job is not None else self._term.records.jobs.get(report.task.job)
-        steps = record.spec.steps if record is not None else ()
-        is_known = report.task.step < len(steps)
-        run = Run(
-            task=report.task,
-            run=report.run,
-            needs=steps[report.task.step].needs if is_known else Needs(),
-            phase=RunPhase.RUNNING,
-            since=now,
-            percent=report.percent,
-            is_orphan=record is None,
-        )
-        life.add_run(run)
-        # An earlier leader may have renewed its lease until the term began.
-        life.lapse_at = max(life.lapse_at, now + self._term.lease.lapse_after)
-        if job is not None:
-            self._adopt(job, life, run)
-        elif not run.is_orphan or not self._lives.is_grace(now):
-            run.stop_wanted = True
-
-    def _adopt_orphan(self, job: OpenJob, life: Life, run: Run) -> None:
-        """Take over a run whose job has just become known."""
-        life.remove_run((run.task, run.run))
-        steps = job.record.spec.steps
-        if run.task.step < len(steps):
-            run.needs = steps[run.task.step].needs
-        run.is_orphan = False
-        life.add_run(run)
-        self._adopt(job, life, run)
-
-    def _adopt(self, job: OpenJob, life: Life, run: Run) -> None:
-        """Let a run go on that this leader did not start, or stop it where that cannot be."""
-        task = job.tasks.get(run.task)
-        waits = (TaskPhase.UNKNOWN, TaskPhase.QUEUED)
-        if task is None or task.phase not in waits:
-            run.stop_wanted = True
-            return
-        # One that is being stopped holds its task, too: no other run of it may begin until it ends.
-        if task.phase is TaskPhase.QUEUED:
-            self._jobs.unqueue(run.task)
-        task.phase = TaskPhase.RUNNING
-        task.life = life.info.id
-        task.run = run.run
-        job.has_begun = True
-
     def _drop_vanished(
         self, life: Life, reply: LookReply, sent_at: timedelta, now: timedelta
     ) -> None:
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -23,15 +23,11 @@
 from ..core.control_messages import ConsensusBatch
 from ..net.asgi import HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
-from .leading import Leading, LeadingSettings, UpstreamPort
-from .replica import (
-    HELLO_PATH,
-    JOIN_PATH,
-    MESSAGES_PATH,
-    JoinRequest,
-    Replica,
-    ReplicaSettings,
-)
+from .leading import Leading, LeadingSettings
+from .membership import JOIN_PATH, JoinRequest
+from .messenger import MESSAGES_PATH
+from .ports import UpstreamPort
+from .replica import HELLO_PATH, Replica, ReplicaSettings
 from .replicated import ReplicatedRecords
 
 CALL_PATH = "/v1/call"
--- a/cottonlug/runtime/deputy.py
+++ b/cottonlug/runtime/deputy.py
@@ -20,7 +20,8 @@
 from ..core.cluster.calls import Roster
 from ..core.cluster.commands import decode_commands
 from ..core.cluster.lives import LeaseTerms
-from .leading import Leading, LeadingSettings, OnFailure, UpstreamPort
+from .leading import Leading, LeadingSettings
+from .ports import OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords
 
 DEPUTY_AFTER = timedelta(milliseconds=800)
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -31,7 +31,7 @@
 from .control_host import CALL_PATH
 from .deputy import DEPUTY_AFTER, Deputy
 from .events import Event, log_event
-from .leading import OnFailure, UpstreamPort
+from .ports import OnFailure, UpstreamPort
 
 GREET_SECONDS = 0.15
 GREET_TIMEOUT = timedelta(milliseconds=250)
@@ -299,7 +299,7 @@
             if was_held_up or self.deputy.authority.is_over:
                 self._stand_down()
                 return
-            self.deputy.leading.hear(self._own)
+            self.deputy.leading.gateways.take_greeting(self._own)
             self._reached_at = now
             return
         if now - self._led_at < DEPUTY_AFTER or self._roster is None:
@@ -385,7 +385,7 @@
             longest_lease=self._settings.longest_lease,
             on_failure=self._on_failure,
         )
-        self.deputy.leading.hear(self._own)
+        self.deputy.leading.gateways.take_greeting(self._own)
         self._decider = self._own
         self._decider_is_deputy = True
         self._checked_at = self._clock.monotonic()
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Hashable
+from collections.abc import Hashable
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Protocol
 
 from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.admission import Rejection
@@ -23,7 +22,6 @@
     Greet,
     Leave,
     Outcome,
-    Roster,
     Submit,
 )
 from ..core.cluster.checks import (
@@ -45,27 +43,24 @@
 )
 from ..core.cluster.dispatch import Dispatch
 from ..core.cluster.lives import LeaseTerms
-from ..core.cluster.model import JobId, LookReply, Queue
+from ..core.cluster.model import JobId, Queue
 from ..core.cluster.open_jobs import Submission
 from ..core.cluster.orders import (
-    CallFailure,
-    LookOrder,
     Order,
     StartOrder,
-    StartOutcome,
     StopOrder,
 )
 from ..core.cluster.records import JobRecord
 from .decisions import note_decision
 from .events import Event, log_event
+from .gateways import GATEWAY_SILENT, Gateways
+from .ports import Authority, OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords, Waiters
 
 TICK_SECONDS = 0.02
 FORGET_EVERY = timedelta(seconds=5)
 TOKENS_PER_TERM = 1_000_000
 """Room for the tokens of deputies between those of two leaders."""
-GATEWAY_SILENT = timedelta(milliseconds=500)
-"""Jobs of a gateway not heard for so long are given up; it takes them elsewhere no sooner."""
 HELD_UP = timedelta(milliseconds=150)
 """Between two decisions there are 20 ms, unless the process was held up."""
 CALLER_RETRY = timedelta(milliseconds=1_300)
@@ -77,46 +72,6 @@
 """How long a call waits for its command; its fate is unknown afterwards."""
 
 
-OnFailure = Callable[[BaseException], None]
-
-
-class UpstreamPort(Protocol):
-    """How orders reach upstreams."""
-
-    async def start(self, order: StartOrder, token: int) -> tuple[StartOutcome, int | None]:
-        """Send a start; return what became of it and the upstream's clock where it was told."""
-        ...
-
-    async def stop(self, order: StopOrder, token: int) -> CallFailure | None:
-        """Send a stop."""
-        ...
-
-    async def look(self, order: LookOrder, token: int) -> LookReply | CallFailure:
-        """Ask what runs and what has ended."""
-        ...
-
-
-class Authority(Protocol):
-    """Why this host may decide: the lease of a leader, or a deputy's for want of a leader."""
-
-    @property
-    def term(self) -> int:
-        """The present term."""
-        ...
-
-    def has_lease(self) -> bool:
-        """Whether no other can decide in this term."""
-        ...
-
-    def propose(self, data: str) -> bool:
-        """Put commands into the log."""
-        ...
-
-    def renew(self) -> None:
-        """Give the present term up, and begin a later one if that can be had."""
-        ...
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeadingSettings:
     """What does not change from term to term."""
@@ -151,8 +106,7 @@
         self._clock = clock
         self._settings = settings
         self._control_address = settings.control_address
-        self._heard: dict[str, timedelta] = {}
-        self._roster_number = 0
+        self.gateways = Gateways(term=int(authority.term), clock=clock)
         self._decided_at = clock.monotonic()
         self.waiters = Waiters()
         self.dispatch = Dispatch(
@@ -302,34 +256,11 @@
 
     def _answer_greeting(self, call: Greet) -> Answer:
         """Tell a gateway what it needs to know, and count on it for its jobs."""
-        now = self._clock.monotonic()
-        if call.gateway:
-            if call.gateway not in self._heard:
-                self._roster_number += 1
-            self._heard[call.gateway] = now
-        version = f"{self.term}.{self._roster_number}"
-        roster = None if call.roster == version else self._build_roster(version)
+        self.gateways.take_greeting(call.gateway)
+        version = self.gateways.version
+        roster = None if call.roster == version else self.gateways.build_roster(self._records)
         return Answer(outcome=Outcome.DONE, roster=roster)
 
-    def _build_roster(self, version: str) -> Roster:
-        records = self._records
-        return Roster(
-            version=version,
-            term=int(self.term),
-            configuration=records.configuration,
-            upstreams=tuple(records.upstreams.values()),
-            gateways=tuple(sorted(self._heard)),
-            keeps_jobs=any(job.is_open for job in records.jobs.values()),
-        )
-
-    def hear(self, gateway: str) -> None:
-        """Count on a gateway that has been heard otherwise than by a greeting."""
-        self._heard[gateway] = self._clock.monotonic()
-
-    def _is_heard(self, gateway: str) -> bool:
-        heard_at = self._heard.get(gateway)
-        return heard_at is not None and self._clock.monotonic() - heard_at < GATEWAY_SILENT
-
     async def _answer_cancel(self, call: Cancel) -> Answer:
         found = self._find_queue(call.host, call.path)
         if isinstance(found, Answer):
@@ -399,7 +330,7 @@
     def _take_applied(self, command: Command) -> None:
         self.dispatch.take_applied(command, self._clock.monotonic())
         if not isinstance(command, NoteEnds | ForgetJobs):
-            self._roster_number += 1
+            self.gateways.note_change()
         if isinstance(command, AcceptJob):
             self.waiters.resolve(("job", command.job))
         elif isinstance(command, CancelJob):
@@ -441,11 +372,11 @@
         if was_held_up:
             # What has arrived in the meantime is taken in before anything is decided.
             return
-        if self.dispatch.is_fenced_off and any(self._is_heard(each) for each in self._heard):
+        if self.dispatch.is_fenced_off and self.gateways.is_any_heard():
             self.dispatch.forgive_fence()
             self._authority.renew()
             return
-        self.dispatch.abandon_silent(self._is_heard, now)
+        self.dispatch.abandon_silent(self.gateways.is_heard, now)
         self.dispatch.tick(now)
         for order in self.dispatch.take_orders():
             task = asyncio.create_task(self._carry_out(order))
--- /dev/null
+++ b/cottonlug/runtime/membership.py
@@ -0,0 +1,87 @@
+"""Which hosts belong to the replicated log: how they find one another, join and are replaced."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure as Err
+
+from ..config.options import Address
+from ..core.consensus.member import Member
+from ..core.consensus.replacement import get_host, plan_change, plan_removal
+from ..core.consensus.types import MemberId, Members
+from ..core.control_messages import Hello
+from ..net.connections import ConnectionPools, parse_address
+from .messenger import CALL_TIMEOUT
+
+JOIN_PATH = "/v1/join"
+LOST_AFTER = timedelta(seconds=4)
+"""A voter that was silent for so long may be replaced by one that asks to join."""
+
+
+class JoinRequest(msgspec.Struct, kw_only=True, frozen=True):
+    """A member that is not among the members asks the leader to be taken in."""
+
+    member: MemberId
+
+
+class Membership:
+    """The known hosts, and those that have asked to be taken in."""
+
+    def __init__(self, *, own: Address, seeds: tuple[Address, ...], pools: ConnectionPools) -> None:
+        self.hosts: set[str] = {str(seed) for seed in seeds}
+        self._own = str(own)
+        self._seeds = sorted(str(seed) for seed in seeds)
+        self._pools = pools
+        self._joiners: dict[str, MemberId] = {}
+
+    def learn(self, members: Members) -> None:
+        """Know the hosts of a set of members."""
+        self.hosts.update(get_host(each) for each in members.voters + members.learners)
+
+    def take_join(self, request: JoinRequest) -> None:
+        """Remember a member that asks to be taken in."""
+        host = get_host(request.member)
+        self._joiners[host] = request.member
+        self.hosts.add(host)
+
+    async def ask_to_join(self, member: MemberId) -> list[Hello]:
+        """Ask all known hosts to be taken in, and return what they say of themselves."""
+        request = msgspec.json.encode(JoinRequest(member=member))
+        others = self.hosts - {self._own}
+        found = await asyncio.gather(*(self._ask(host, request) for host in others))
+        hellos = [hello for hello in found if hello is not None]
+        for hello in hellos:
+            self.hosts.update(hello.hosts)
+        return hellos
+
+    def plan_beginning(self, own: Hello, hellos: Iterable[Hello]) -> Members | None:
+        """Return the first members, where all seeds answer, all are new, and we are to begin."""
+        by_host = {str(hello.host): hello for hello in (*hellos, own)}
+        if any(seed not in by_host or not by_host[seed].is_empty for seed in self._seeds):
+            return None
+        beginners = [seed for seed in self._seeds if by_host[seed].may_begin]
+        if not beginners or beginners[0] != self._own:
+            return None
+        return Members(voters=tuple(by_host[seed].member for seed in self._seeds))
+
+    def plan_step(self, leader: Member, now: timedelta) -> Members | None:
+        """Return the next step towards members that are all there, or None."""
+        lost = leader.find_silent(now, LOST_AFTER)
+        return plan_change(leader, self._joiners, lost) or plan_removal(leader, lost)
+
+    async def _ask(self, host: str, request: bytes) -> Hello | None:
+        address = parse_address(host)
+        if address is None:
+            return None
+        pool = self._pools.get(address)
+        sent = await pool.call("POST", JOIN_PATH, request, timeout=CALL_TIMEOUT)
+        if isinstance(sent, Err) or sent.unwrap().status != 200:
+            return None
+        return _decoder.decode(sent.unwrap().body)
+
+
+_decoder = msgspec.json.Decoder(Hello)
--- /dev/null
+++ b/cottonlug/runtime/messenger.py
@@ -0,0 +1,146 @@
+"""Messages of the replicated log to its other members, one batch at a time to each."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure as Err
+
+from ..config.options import Address
+from ..core.clock import Clock
+from ..core.consensus.replacement import get_host
+from ..core.consensus.types import (
+    AppendReply,
+    Envelope,
+    MemberId,
+    Message,
+    SnapshotRequest,
+    Term,
+)
+from ..core.control_messages import ConsensusBatch
+from ..net.connections import ConnectionPools, parse_address
+from .events import Event, log_event
+
+MESSAGES_PATH = "/v1/consensus"
+CALL_TIMEOUT = timedelta(milliseconds=450)
+"""A slow sync takes 270 ms; a connection gone silent is left after this."""
+SNAPSHOT_TIMEOUT = timedelta(seconds=5)
+
+GetSender = Callable[[], tuple[MemberId, Term]]
+
+
+@dataclass(slots=True, kw_only=True)
+class Peer:
+    """Another member: what waits to be sent to it, and when it last answered."""
+
+    address: Address
+    news: asyncio.Event
+    outbox: list[Message]
+    task: asyncio.Task[None] | None = None
+    acked_at: timedelta | None = None
+    """When the last batch was sent that it has answered in our present term."""
+
+
+class Messenger:
+    """The peers, by the address that names them."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        pools: ConnectionPools,
+        get_sender: GetSender,
+        take_reply: Callable[[ConsensusBatch], None],
+        on_failure: Callable[[BaseException], None],
+    ) -> None:
+        self._clock = clock
+        self._pools = pools
+        self._get_sender = get_sender
+        self._take_reply = take_reply
+        self._on_failure = on_failure
+        self._peers: dict[str, Peer] = {}
+
+    async def stop(self) -> None:
+        """Send nothing more."""
+        tasks = [peer.task for peer in self._peers.values() if peer.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def post(self, envelope: Envelope) -> None:
+        """Send a message with the next batch."""
+        peer = self._open_peer(get_host(envelope.to))
+        if peer is None:
+            return
+        message = envelope.message
+        if isinstance(message, SnapshotRequest):
+            # Only the newest is of use, and it is large.
+            peer.outbox = [each for each in peer.outbox if not isinstance(each, SnapshotRequest)]
+        peer.outbox.append(message)
+        peer.news.set()
+
+    def take_messages(self, host: str) -> list[Message]:
+        """Return what waits for a peer that has just called, to be its answer."""
+        peer = self._peers.get(host)
+        if peer is None:
+            return []
+        messages, peer.outbox = peer.outbox, []
+        return messages
+
+    def find_acked_at(self, host: str) -> timedelta | None:
+        """Return when the last batch was sent that a peer has answered in this term."""
+        peer = self._peers.get(host)
+        return peer.acked_at if peer is not None else None
+
+    def forget_acks(self) -> None:
+        """Count no answer of an earlier term."""
+        for peer in self._peers.values():
+            peer.acked_at = None
+
+    def _open_peer(self, host: str) -> Peer | None:
+        peer = self._peers.get(host)
+        if peer is not None:
+            return peer
+        address = parse_address(host)
+        if address is None:
+            return None
+        peer = Peer(address=address, news=asyncio.Event(), outbox=[])
+        self._peers[host] = peer
+        peer.task = asyncio.create_task(self._send_forever(peer))
+        return peer
+
+    async def _send_forever(self, peer: Peer) -> None:
+        try:
+            while True:
+                await peer.news.wait()
+                peer.news.clear()
+                messages, peer.outbox = peer.outbox, []
+                if messages:
+                    await self._send(peer, messages)
+        except Exception as error:
+            log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
+            self._on_failure(error)
+
+    async def _send(self, peer: Peer, messages: list[Message]) -> None:
+        sender, term = self._get_sender()
+        batch = ConsensusBatch(sender=sender, messages=messages)
+        sent_at = self._clock.monotonic()
+        is_large = any(isinstance(message, SnapshotRequest) for message in messages)
+        timeout = SNAPSHOT_TIMEOUT if is_large else CALL_TIMEOUT
+        pool = self._pools.get(peer.address)
+        sent = await pool.call("POST", MESSAGES_PATH, msgspec.json.encode(batch), timeout=timeout)
+        if isinstance(sent, Err) or sent.unwrap().status != 200:
+            # Lost messages are made up for by the next heartbeat.
+            peer.outbox = []
+            return
+        reply = _decoder.decode(sent.unwrap().body)
+        if any(isinstance(each, AppendReply) and each.term == term for each in reply.messages):
+            peer.acked_at = sent_at
+        self._take_reply(reply)
+
+
+_decoder = msgspec.json.Decoder(ConsensusBatch)
--- a/cottonlug/runtime/replica.py
+++ b/cottonlug/runtime/replica.py
@@ -14,9 +14,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Protocol
 
-import msgspec
 from returns.result import Failure as Err
 from returns.result import Success
 
@@ -24,37 +23,33 @@
 from ..core.clock import Clock
 from ..core.consensus.member import Member
 from ..core.consensus.progress import is_quorum
-from ..core.consensus.replacement import get_host, plan_change, plan_removal
+from ..core.consensus.replacement import get_host
 from ..core.consensus.timing import Timing
 from ..core.consensus.types import (
-    AppendReply,
     Entry,
     EntryKind,
-    Envelope,
     Index,
     MemberId,
-    Members,
     Output,
     Role,
     Snapshot,
-    SnapshotRequest,
     Term,
     TransferRequest,
 )
 from ..core.control_messages import ConsensusBatch, Hello
 from ..core.ids import HostId
-from ..net.connections import ConnectionPools, parse_address
+from ..net.connections import ConnectionPools
 from ..storage.files import FolderFiles
 from ..storage.journal import Journal, StorageError, open_journal
 from .events import Event, log_event
+from .membership import JoinRequest, Membership
+from .messenger import Messenger
 
 TIMING = Timing(heartbeat=timedelta(milliseconds=70), election=timedelta(milliseconds=350))
 """A new leader within 0.7 s, so that most leases (1 s) are renewed; a slow sync takes 270 ms."""
 LEADER_LEASE = timedelta(milliseconds=280)
 """After a majority answered, no other can lead for at least one election timeout, less a margin."""
 TICK_SECONDS = 0.025
-CALL_TIMEOUT = timedelta(milliseconds=450)
-SNAPSHOT_TIMEOUT = timedelta(seconds=5)
 SAVE_AFTER = timedelta(milliseconds=20)
 """A leader saves what the others have not made safe by then."""
 SAVE_AT_LEAST = timedelta(seconds=1)
@@ -63,12 +58,7 @@
 COMPACT_AFTER_BYTES = 8 * 1024 * 1024
 """Size of the log's entries before a snapshot replaces them; a disk has 128 MB."""
 GREET_SECONDS = 0.25
-LOST_AFTER = timedelta(seconds=4)
-"""A voter that was silent for so long may be replaced by one that asks to join."""
-
-MESSAGES_PATH = "/v1/consensus"
 HELLO_PATH = "/v1/hello"
-JOIN_PATH = "/v1/join"
 
 
 class StateMachine(Protocol):
@@ -87,12 +77,6 @@
         ...
 
 
-class JoinRequest(msgspec.Struct, kw_only=True, frozen=True):
-    """A member that is not among the members asks the leader to be taken in."""
-
-    member: MemberId
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReplicaSettings:
     """Where a replica finds its disk and the others; addresses are those for calls of peers."""
@@ -103,19 +87,6 @@
     data_folder: Path
 
 
-@dataclass(slots=True, kw_only=True)
-class Peer:
-    """Another member: what waits to be sent to it, and when it last answered."""
-
-    address: Address
-    news: asyncio.Event
-    outbox: list[Any]
-    task: asyncio.Task[None] | None = None
-    is_well: bool = False
-    acked_at: timedelta | None = None
-    """When the last batch was sent that it has answered in our present term."""
-
-
 @dataclass(slots=True, kw_only=True)
 class ReplicaCounts:
     """For metrics and the dump."""
@@ -147,10 +118,15 @@
         self._on_failure = on_failure
         self._journal: Journal | None = None
         self._pools = ConnectionPools()
-        self._peers: dict[str, Peer] = {}
+        self._messenger = Messenger(
+            clock=clock,
+            pools=self._pools,
+            get_sender=self._get_sender,
+            take_reply=self._take_in,
+            on_failure=on_failure,
+        )
         self._tasks: list[asyncio.Task[None]] = []
-        self._joiners: dict[str, MemberId] = {}
-        self._known_hosts: set[str] = {str(seed) for seed in settings.seeds}
+        self._membership = Membership(own=settings.address, seeds=settings.seeds, pools=self._pools)
         self._unsaved: list[Output] = []
         self._unsaved_since: timedelta | None = None
         self._log_bytes = 0
@@ -187,10 +163,10 @@
     async def stop(self) -> None:
         """Save what is not saved yet and stop."""
         self._save_late()
-        peers = [peer.task for peer in self._peers.values() if peer.task is not None]
-        for task in (*self._tasks, *peers):
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, *peers, return_exceptions=True)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._messenger.stop()
         self._pools.close()
 
     # What is asked
@@ -215,7 +191,7 @@
     @property
     def hosts(self) -> tuple[str, ...]:
         """Addresses of all known control hosts."""
-        return tuple(sorted(self._known_hosts))
+        return tuple(sorted(self._membership.hosts))
 
     def has_lease(self) -> bool:
         """Whether this host leads and no other can, as far as a majority has said so lately."""
@@ -225,8 +201,8 @@
         limit = self._clock.monotonic() - LEADER_LEASE
         recent = {member.id}
         for voter in member.members.voters:
-            peer = self._peers.get(get_host(voter))
-            if peer is not None and peer.acked_at is not None and peer.acked_at > limit:
+            acked_at = self._messenger.find_acked_at(get_host(voter))
+            if acked_at is not None and acked_at > limit:
                 recent.add(voter)
         return is_quorum(member.members.voters, recent)
 
@@ -254,21 +230,19 @@
 
     def take_join(self, request: JoinRequest) -> Hello:
         """Remember a member that asks to be taken in; only a leader acts on it."""
-        host = get_host(request.member)
-        self._joiners[host] = request.member
-        self._known_hosts.add(host)
+        self._membership.take_join(request)
         return self.greet()
 
     def receive(self, batch: ConsensusBatch) -> ConsensusBatch:
         """Take in another member's messages and return what there is to say to it."""
         self._take_in(batch)
-        host = get_host(batch.sender)
-        peer = self._peers.get(host)
-        messages: list[Any] = []
-        if peer is not None:
-            messages, peer.outbox = peer.outbox, []
-        assert self._journal is not None
-        return ConsensusBatch(sender=self._journal.member, messages=messages)
+        messages = self._messenger.take_messages(get_host(batch.sender))
+        return ConsensusBatch(sender=self._get_sender()[0], messages=messages)
+
+    def _get_sender(self) -> tuple[MemberId, Term]:
+        """Return under which id and in which term messages are sent."""
+        assert self._journal is not None, "started before it sends"
+        return self._journal.member, self.term
 
     # The member and its disk
 
@@ -327,7 +301,7 @@
             if not self._keep(output):
                 return
             for envelope in output.messages:
-                self._post(envelope)
+                self._messenger.post(envelope)
             if output.restore and output.snapshot is not None:
                 self._machine.restore(output.snapshot.data)
                 self._log_bytes = 0
@@ -414,67 +388,12 @@
         if seen != self._seen_leader:
             self._seen_leader = seen
             self.counts.elections += 1
-            for peer in self._peers.values():
-                peer.acked_at = None
+            self._messenger.forget_acks()
             log_event(Event.LEADER_CHANGED, leader=self.member.leader, term=self.member.term)
 
     def _learn_hosts(self) -> None:
         if self.member is not None:
-            members = self.member.members
-            self._known_hosts.update(get_host(each) for each in members.voters + members.learners)
-
-    # Messages
-
-    def _post(self, envelope: Envelope) -> None:
-        peer = self._open_peer(get_host(envelope.to))
-        if peer is None:
-            return
-        message = envelope.message
-        if isinstance(message, SnapshotRequest):
-            # Only the newest is of use, and it is large.
-            peer.outbox = [each for each in peer.outbox if not isinstance(each, SnapshotRequest)]
-        peer.outbox.append(message)
-        peer.news.set()
-
-    def _open_peer(self, host: str) -> Peer | None:
-        peer = self._peers.get(host)
-        if peer is not None:
-            return peer
-        address = parse_address(host)
-        if address is None:
-            return None
-        peer = Peer(address=address, news=asyncio.Event(), outbox=[])
-        self._peers[host] = peer
-        peer.task = asyncio.create_task(self._guard(self._send_forever(peer)))
-        return peer
-
-    async def _send_forever(self, peer: Peer) -> None:
-        assert self._journal is not None
-        while True:
-            await peer.news.wait()
-            peer.news.clear()
-            messages, peer.outbox = peer.outbox, []
-            if messages:
-                await self._send(peer, messages)
-
-    async def _send(self, peer: Peer, messages: list[Any]) -> None:
-        assert self._journal is not None
-        batch = ConsensusBatch(sender=self._journal.member, messages=messages)
-        sent_at, term = self._clock.monotonic(), self.term
-        is_large = any(isinstance(message, SnapshotRequest) for message in messages)
-        timeout = SNAPSHOT_TIMEOUT if is_large else CALL_TIMEOUT
-        pool = self._pools.get(peer.address)
-        sent = await pool.call("POST", MESSAGES_PATH, msgspec.json.encode(batch), timeout=timeout)
-        if isinstance(sent, Err) or sent.unwrap().status != 200:
-            # Lost messages are made up for by the next heartbeat.
-            peer.is_well = False
-            peer.outbox = []
-            return
-        reply = _batch_decoder.decode(sent.unwrap().body)
-        peer.is_well = True
-        if any(isinstance(each, AppendReply) and each.term == term for each in reply.messages):
-            peer.acked_at = sent_at
-        self._take_in(reply)
+            self._membership.learn(self.member.members)
 
     def _take_in(self, batch: ConsensusBatch) -> None:
         if self.member is None or not batch.messages:
@@ -514,36 +433,12 @@
 
     async def _look_for_members(self) -> None:
         assert self.member is not None and self._journal is not None
-        request = msgspec.json.encode(JoinRequest(member=self.member.id))
-        hosts = self._known_hosts - {str(self._settings.address)}
-        found = await asyncio.gather(*(self._ask_to_join(host, request) for host in hosts))
-        hellos = [hello for hello in found if hello is not None]
-        for hello in hellos:
-            self._known_hosts.update(hello.hosts)
-        if self._journal.is_empty and not self.member.members.voters:
-            self._begin_together({str(hello.host): hello for hello in hellos})
-
-    async def _ask_to_join(self, host: str, request: bytes) -> Hello | None:
-        address = parse_address(host)
-        if address is None:
-            return None
-        pool = self._pools.get(address)
-        sent = await pool.call("POST", JOIN_PATH, request, timeout=CALL_TIMEOUT)
-        if isinstance(sent, Err) or sent.unwrap().status != 200:
-            return None
-        return _hello_decoder.decode(sent.unwrap().body)
-
-    def _begin_together(self, hellos: dict[str, Hello]) -> None:
-        """Make the first set of members once all seeds answer and all their disks are new."""
-        own = self.greet()
-        hellos[str(own.host)] = own
-        seeds = sorted(str(seed) for seed in self._settings.seeds)
-        if any(seed not in hellos or not hellos[seed].is_empty for seed in seeds):
+        hellos = await self._membership.ask_to_join(self.member.id)
+        if not self._journal.is_empty or self.member is None or self.member.members.voters:
             return
-        beginners = [seed for seed in seeds if hellos[seed].may_begin]
-        if not beginners or beginners[0] != str(own.host):
+        members = self._membership.plan_beginning(self.greet(), hellos)
+        if members is None:
             return
-        members = Members(voters=tuple(hellos[seed].member for seed in seeds))
         first = Snapshot(index=Index(1), term=Term(0), members=members, data="")
         if self._save(Output(snapshot=first, restore=True)):
             self._build_member()
@@ -553,8 +448,7 @@
         member = self.member
         assert member is not None
         now = self._clock.monotonic()
-        lost = member.find_silent(now, LOST_AFTER)
-        planned = plan_change(member, self._joiners, lost) or plan_removal(member, lost)
+        planned = self._membership.plan_step(member, now)
         if planned is None:
             return
         changed = member.change_members(planned, now)
@@ -564,10 +458,6 @@
         self._pump()
 
 
-_batch_decoder = msgspec.json.Decoder(ConsensusBatch)
-_hello_decoder = msgspec.json.Decoder(Hello)
-
-
 def _report_storage(error: StorageError) -> None:
     event = Event.STORAGE_DAMAGED if error.damaged else Event.STORAGE_FAILED
     log_event(event, error=error.message)
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -18,7 +18,7 @@
 from ..core.ids import DomainName, HostId
 from ..runtime.deputy import DEPUTY_AFTER
 from ..runtime.gateway import Gateway
-from ..runtime.leading import GATEWAY_SILENT
+from ..runtime.gateways import GATEWAY_SILENT
 from .model_upstreams import SERVICE, build_info, build_queue, build_spec, milliseconds
 
 PATIENCE = timedelta(seconds=1)
@@ -277,7 +277,7 @@
         await asyncio.sleep(0)
         assert leading.dispatch.jobs.count_jobs() == 1
         clock.advance(GATEWAY_SILENT)
-        leading.dispatch.abandon_silent(leading._is_heard, clock.monotonic())
+        leading.dispatch.abandon_silent(leading.gateways.is_heard, clock.monotonic())
         assert leading.dispatch.jobs.count_jobs() == 0
         assert (await waiting).outcome is Outcome.UNKNOWN
         gateways[0].stop()
--- a/cottonlug/tests/test_replica.py
+++ b/cottonlug/tests/test_replica.py
@@ -24,8 +24,11 @@
     Term,
     VoteReply,
 )
-from ..core.ids import UpstreamId
+from ..core.control_messages import Hello
+from ..core.ids import HostId, UpstreamId
+from ..net.connections import ConnectionPools
 from ..runtime.clocks import SystemClock
+from ..runtime.membership import Membership
 from ..runtime.replica import Replica, ReplicaSettings
 from ..runtime.replicated import ReplicatedRecords
 
@@ -193,3 +196,32 @@
         await again.stop()
 
     asyncio.run(play())
+
+
+def build_hello(number: int, *, is_empty: bool = True, may_begin: bool = True) -> Hello:
+    host = f"10.0.0.{number}:1"
+    member = MemberId(f"{host}/x")
+    return Hello(host=HostId(host), member=member, is_empty=is_empty, may_begin=may_begin)
+
+
+def build_membership(own: int) -> Membership:
+    seeds = tuple(Address(f"10.0.0.{number}", 1) for number in (1, 2, 3))
+    return Membership(own=Address(f"10.0.0.{own}", 1), seeds=seeds, pools=ConnectionPools())
+
+
+def test_one_host_begins_once_all_seeds_are_there_and_new() -> None:
+    first, second, third = (build_hello(number) for number in (1, 2, 3))
+    planned = build_membership(1).plan_beginning(first, [second, third])
+    assert planned is not None
+    assert planned.voters == (first.member, second.member, third.member)
+    assert build_membership(2).plan_beginning(second, [first, third]) is None
+    assert build_membership(1).plan_beginning(first, [second]) is None
+    used = build_hello(3, is_empty=False)
+    assert build_membership(1).plan_beginning(first, [second, used]) is None
+
+
+def test_another_host_begins_where_the_first_one_may_not() -> None:
+    """The first one was restarted before the log began, and its settings say so."""
+    first, second, third = build_hello(1, may_begin=False), build_hello(2), build_hello(3)
+    assert build_membership(1).plan_beginning(first, [second, third]) is None
+    assert build_membership(2).plan_beginning(second, [first, third]) is not None
