--- a/cottonlug/runtime/gateways.py
+++ b/cottonlug/runtime/gateways.py
@@ -4,6 +4,8 @@
 
 from datetime import timedelta
 
+import msgspec
+
 from ..core.clock import Clock
 from ..core.cluster.calls import Roster
 from ..core.cluster.records import Records
@@ -48,11 +50,14 @@
         return any(self.is_heard(gateway) for gateway in self._heard)
 
     def build_roster(self, records: Records) -> Roster:
-        """Return what a gateway must know to stand in."""
+        """Return what a gateway must know to stand in; nobody reads a configuration back there."""
+        configuration = records.configuration
+        if configuration is not None:
+            configuration = msgspec.structs.replace(configuration, document="")
         return Roster(
             version=self.version,
             term=self._term,
-            configuration=records.configuration,
+            configuration=configuration,
             upstreams=tuple(records.upstreams.values()),
             gateways=tuple(sorted(self._heard)),
             keeps_jobs=any(job.is_open for job in records.jobs.values()),
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -14,11 +14,11 @@
 from ..core.cluster.calls import Answer, Call, Greet, Outcome, Roster, Submit
 from ..core.cluster.model import Configuration, ConfigurationVersion, LookReply, Service
 from ..core.cluster.orders import CallFailure, LookOrder, StartOrder, StartOutcome, StopOrder
-from ..core.cluster.records import UpstreamRecord
+from ..core.cluster.records import Records, UpstreamRecord
 from ..core.ids import DomainName, HostId
 from ..runtime.deputy import DEPUTY_AFTER
 from ..runtime.gateway import Gateway
-from ..runtime.gateways import GATEWAY_SILENT
+from ..runtime.gateways import GATEWAY_SILENT, Gateways
 from .model_upstreams import SERVICE, build_info, build_queue, build_spec, milliseconds
 
 PATIENCE = timedelta(seconds=1)
@@ -304,3 +304,22 @@
         assert gateway.decider == "10.0.1.3:7000"
 
     asyncio.run(play())
+
+
+def test_a_roster_holds_what_a_deputy_decides_by_and_no_more() -> None:
+    clock = build_clock()
+    gateways = Gateways(term=3, clock=clock)
+    gateways.take_greeting("10.0.0.2:7000")
+    gateways.take_greeting("10.0.0.1:7000")
+    records = Records()
+    records.put_in_force(build_roster().configuration)
+    roster = gateways.build_roster(records)
+    assert roster.gateways == ("10.0.0.1:7000", "10.0.0.2:7000")
+    assert roster.configuration is not None
+    assert roster.configuration.document == ""
+    assert roster.configuration.queues
+    before = gateways.version
+    gateways.take_greeting("10.0.0.2:7000")
+    assert gateways.version == before
+    gateways.note_change()
+    assert gateways.version != before
