--- a/cottonlug/core/cluster/guards.py
+++ b/cottonlug/core/cluster/guards.py
@@ -13,8 +13,9 @@
 
 FAILURES_IN_A_ROW = 3
 """One task in 500 fails by itself (the users' sheets), so three in a row are not chance."""
-FIRST_PAUSE = timedelta(milliseconds=800)
-LONGEST_PAUSE = timedelta(seconds=3)
+FIRST_PAUSE = timedelta(seconds=2)
+LONGEST_PAUSE = timedelta(seconds=6)
+"""Each return costs the jobs that are tried; what ails an upstream lasts for seconds."""
 SLOW_FACTOR = 2.2
 """Declared times scatter by 0.4 on a logarithmic scale; a mean of several runs does far less."""
 LEARNING_RATE = 0.3
@@ -31,6 +32,8 @@
     """Mean of the logarithm of real to expected run times."""
     pause: timedelta = FIRST_PAUSE
     set_aside_until: timedelta = timedelta()
+    is_on_trial: bool = False
+    """Whether it was set aside and has not finished a run well since: it gets one at a time."""
 
     def take_done(self, ratio: float, now: timedelta) -> bool:
         """Learn from a good run; return whether the upstream was just found slow."""
@@ -39,6 +42,7 @@
         if self.slowness < math.log(SLOW_FACTOR):
             if now >= self.set_aside_until:
                 self.pause = FIRST_PAUSE
+                self.is_on_trial = False
             return False
         self.slowness = math.log(SLOW_FACTOR) * 0.7
         return self._set_aside(now)
@@ -59,6 +63,7 @@
     def _set_aside(self, now: timedelta) -> bool:
         if self.is_set_aside(now):
             return False
+        self.is_on_trial = True
         self.set_aside_until = now + self.pause
         self.pause = min(self.pause * 2, LONGEST_PAUSE)
         return True
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -71,6 +71,7 @@
         """Return the lives that take work, by service, without those set aside."""
         by_service: dict[ServiceName, list[Life]] = {}
         for life in self.by_id.values():
+            life.is_on_trial = self.get_health(life).is_on_trial
             if life.takes_work(now):
                 by_service.setdefault(life.info.service, []).append(life)
         for service, lives in by_service.items():
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -52,6 +52,8 @@
     look_is_out: bool = False
     look_due: timedelta = timedelta()
     stall_due: timedelta = timedelta()
+    is_on_trial: bool = False
+    """Whether it gets one run at a time, after it was found failing, stalled or slow."""
     avoid_until: timedelta = timedelta()
     lapse_at: timedelta = timedelta()
     """From when on nothing can run there unless a lease is renewed."""
--- a/cottonlug/core/cluster/placement.py
+++ b/cottonlug/core/cluster/placement.py
@@ -18,6 +18,8 @@
     for life in lives:
         if not life.has_room(batch.needs) or not _is_allowed(batch, life):
             continue
+        if life.is_on_trial and life.runs:
+            continue
         rack = batch.step.data_rack
         is_far = 1 if rack and rack not in life.info.labels else 0
         score = (is_far, life.free_cpu)
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -108,6 +108,8 @@
     running: dict[TaskRef, str] = field(default_factory=dict)
     noted_done: set[TaskRef] = field(default_factory=set)
     kept: set[JobId] = field(default_factory=set)
+    needs: dict[JobId, Needs] = field(default_factory=dict)
+    """What a task of a job takes, where it is not the usual."""
     starts: int = 0
     started_jobs: set[JobId] = field(default_factory=set)
 
@@ -132,7 +134,8 @@
     info: UpstreamInfo
     rate: float
     """How fast its steady clock runs, 0.98 to 1."""
-    run_times: Callable[[], timedelta]
+    run_times: Callable[[JobId], timedelta]
+    """How long a task of a job runs there."""
     is_up: bool = True
     token: int = 0
     expires_ms: float = 0.0
@@ -221,7 +224,7 @@
         world.starts += 1
         world.started_jobs.add(ref.job)
         how = EndKind.FAILED if world.random.random() < world.failed_share else EndKind.DONE
-        taken = self.run_times()
+        taken = self.run_times(ref.job)
         run = ModelRun(ref=ref, run=order.run, needs=needs, ends_at=world.now + taken, how=how)
         self.runs[ref] = run
         self._extend(order.expires_ms)
@@ -266,6 +269,7 @@
     is_over: bool = False
     cut_off: set[UpstreamId] = field(default_factory=set)
     ended: list[JobId] = field(default_factory=list)
+    ended_at: dict[JobId, timedelta] = field(default_factory=dict)
     dispatch: Dispatch = field(init=False)
 
     def __post_init__(self) -> None:
@@ -276,10 +280,14 @@
             now=self.world.now,
             wall_ms=lambda: int(self.world.now / milliseconds(1)),
             note=lambda name, fields: None,
-            on_end=self.ended.append,
+            on_end=self._note_end,
         )
         self._tick_forever()
 
+    def _note_end(self, job: JobId) -> None:
+        self.ended.append(job)
+        self.ended_at[job] = self.world.now
+
     def submit(
         self,
         id: str,
@@ -375,11 +383,13 @@
     def _deliver(
         self, order: Order, upstream: ModelUpstream, reply: Callable[[object], None]
     ) -> None:
+        world = self.world
         if not upstream.is_up:
             return
         if isinstance(order, StartOrder):
             # As the job says, also for orders that come late.
-            reply(upstream.start(order, self.token, Needs(cpu_millis=TASK_CPU)))
+            needs = world.needs.get(order.task.job, Needs(cpu_millis=TASK_CPU))
+            reply(upstream.start(order, self.token, needs))
         elif isinstance(order, StopOrder):
             reply(upstream.stop(order, self.token) or "stopped")
         else:
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -34,7 +34,7 @@
             world=world,
             info=info,
             rate=chance.uniform(0.98, 1.0),
-            run_times=lambda: milliseconds(chance.lognormvariate(4.2, 0.4)),
+            run_times=lambda job: milliseconds(chance.lognormvariate(4.2, 0.4)),
         )
     return world, upstreams
 
@@ -78,7 +78,7 @@
     """The runs of a lost leader go on when the gateway submits their job again."""
     world, upstreams = build_world(3)
     for upstream in upstreams.values():
-        upstream.run_times = lambda: milliseconds(900)
+        upstream.run_times = lambda job: milliseconds(900)
     records = Records()
     first = start_leader(world, upstreams, records, 1)
     world.run_until(milliseconds(100))
@@ -97,7 +97,7 @@
 def test_runs_of_a_job_that_nobody_submits_again_are_stopped() -> None:
     world, upstreams = build_world(4)
     for upstream in upstreams.values():
-        upstream.run_times = lambda: timedelta(seconds=60)
+        upstream.run_times = lambda job: timedelta(seconds=60)
     records = Records()
     first = start_leader(world, upstreams, records, 1)
     world.run_until(milliseconds(100))
@@ -184,7 +184,7 @@
     chance = random.Random(seed + 1_000_000)
     for upstream in upstreams.values():
         # Long runs are still there when an answer is lost, a leader changes or a lease lapses.
-        upstream.run_times = lambda: milliseconds(chance.choice((60, 700, 2_500)))
+        upstream.run_times = lambda job: milliseconds(chance.choice((60, 700, 2_500)))
     records = Records()
     leader = start_leader(world, upstreams, records, 1)
     jobs: list[str] = []
--- a/cottonlug/tests/test_cluster_policy.py
+++ b/cottonlug/tests/test_cluster_policy.py
@@ -20,10 +20,13 @@
     JobSpec,
     JobState,
     Needs,
+    RunNumber,
     Service,
     ServiceName,
     StepSpec,
+    TaskRef,
 )
+from ..core.cluster.orders import Run, RunPhase
 from ..core.cluster.placement import choose_life
 from ..core.cluster.queues import QueueIndex
 from ..core.cluster.records import JobRecord, Records
@@ -179,7 +182,7 @@
 def test_a_run_that_stands_still_is_moved() -> None:
     world, upstreams = build_world(5)
     hanging = next(iter(upstreams.values()))
-    hanging.run_times = lambda: timedelta(seconds=60)
+    hanging.run_times = lambda job: timedelta(seconds=60)
     leader = start_leader(world, upstreams, Records(), 1)
     world.run_until(milliseconds(100))
     leader.submit("a" * 16, build_spec(tasks=8), build_queue())
@@ -264,3 +267,26 @@
     assert queues.find("host", "/q/long/abc") == (long, "abc")
     assert queues.find("host", "/other") is None
     assert queues.find("other", "/q/abc") is None
+
+
+def test_an_upstream_on_trial_gets_one_run_at_a_time() -> None:
+    """Found with bench/cluster.py: each return of a hanging upstream cost all the jobs it takes."""
+    health = Health()
+    assert health.take_stall(timedelta())
+    assert health.is_on_trial
+    life = build_life("u1", 32_000)
+    life.is_on_trial = True
+    batch = build_batch("a", latest_start=0, last_use=0, cpu=7_000)
+    assert choose_life(batch, [life]) is life
+    ref = TaskRef(JobId("a"), 0, 0, 0)
+    run = Run(
+        task=ref,
+        run=RunNumber(1),
+        needs=batch.needs,
+        phase=RunPhase.RUNNING,
+        since=timedelta(),
+    )
+    life.add_run(run)
+    assert choose_life(batch, [life]) is None
+    health.take_done(1.0, LONGEST_PAUSE)
+    assert not health.is_on_trial
