--- /dev/null
+++ b/cottonlug/tests/test_cluster_settings.py
@@ -0,0 +1,74 @@
+"""Settings of control hosts and gateways: read whole, with every problem at once."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from ..config.cluster import load_control_settings, load_gateway_settings
+from ..config.options import Address
+from ..exceptions import SettingsError
+
+CONTROL = """
+host: core-1
+domain: north
+listen:
+  control: 10.0.0.1:8166
+  peers: 10.0.0.1:7720
+seeds: ["10.0.0.1:8166", "10.0.0.2:8166"]
+peer_port: 7720
+may_begin: true
+data_folder: data
+longest_lease: 1000ms
+keep_ended: 120s
+"""
+GATEWAY = """
+host: edge-1
+domain: north
+listen:
+  callers: 10.0.0.9:8161
+  readiness: 10.0.0.9:8167
+  peers: 10.0.0.9:7720
+  metrics: 10.0.0.9:9464
+seeds: ["10.0.0.1:8166"]
+peer_port: 7720
+"""
+
+
+def write(folder: Path, text: str) -> Path:
+    file = folder / "settings.yaml"
+    file.write_text(text)
+    return file
+
+
+def test_a_control_host_knows_its_peers_by_their_own_port(tmp_path: Path) -> None:
+    settings = load_control_settings(write(tmp_path, CONTROL))
+    assert settings.seeds == [Address("10.0.0.1", 7720), Address("10.0.0.2", 7720)]
+    assert settings.may_begin
+    assert settings.data_folder == tmp_path / "data"
+    assert settings.longest_lease == timedelta(seconds=1)
+    assert settings.keep_ended == timedelta(minutes=2)
+
+
+def test_a_gateway_has_a_place_for_metrics(tmp_path: Path) -> None:
+    settings = load_gateway_settings(write(tmp_path, GATEWAY))
+    assert settings.listen.metrics == Address("10.0.0.9", 9464)
+    assert settings.drain_limit == timedelta(seconds=5)
+
+
+def test_all_problems_are_told_at_once_with_their_lines(tmp_path: Path) -> None:
+    text = CONTROL.replace("north", "No!").replace("1000ms", "soon").replace("may_begin", "begin")
+    with pytest.raises(SettingsError) as caught:
+        load_control_settings(write(tmp_path, text))
+    lines = str(caught.value).splitlines()
+    assert [word for word in ("line 3", "line 9", "line 11") if word not in str(caught.value)] == []
+    assert len(lines) == 3
+
+
+def test_missing_settings_are_named(tmp_path: Path) -> None:
+    with pytest.raises(SettingsError) as caught:
+        load_gateway_settings(write(tmp_path, "host: edge-1\n"))
+    for name in ("domain", "listen", "seeds"):
+        assert f"{name}: error: required" in str(caught.value)
