Have a deputy answer nothing that needs the log; cancel jobs that need not be kept; hear who leaves at once

Found by reading: a deputy accepted a job that must be kept (a false 200) and would have told 410 of kept jobs; an upstream first heard as it left was acknowledged and forgotten; a cancel of a job that need not be kept did nothing. Each has a test that failed. Ruled out: standing in with kept jobs under way (refused before, too).

--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -81,6 +81,8 @@
 
 NO_CONFIGURATION = "no configuration yet"
 """Detail of an answer by a leader that has had none so far."""
+NO_LOG = "a deputy has no log"
+"""Detail of a deputy's answer to a call that only a leader can carry out."""
 
 Call = Submit | Abandon | AskState | Cancel | Beat | Leave | Configure | AskConfiguration | Greet
 
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -127,6 +127,8 @@
             if heartbeat.info.id not in self._joining:
                 self._joining.add(heartbeat.info.id)
                 self._term.proposals.append(AddUpstream(info=heartbeat.info))
+            if heartbeat.draining:
+                self._term.proposals.append(SetDraining(upstream=heartbeat.info.id))
             return
         if heartbeat.sequence < life.sequence:
             return
@@ -174,6 +176,15 @@
             end_job(job.record, JobState.CANCELLED, self._term.wall_ms())
             self._jobs.close_if_ended(id, now)
 
+    def cancel(self, id: JobId, now: timedelta) -> bool:
+        """End a job that need not be kept by its caller's wish; False where there is none."""
+        job = self._jobs.jobs.get(id)
+        if job is None or not job.record.spec.best_effort:
+            return False
+        self._jobs.ended[id] = (JobState.CANCELLED, now)
+        self.abandon(id, now)
+        return True
+
     def abandon_silent(self, is_heard: Callable[[str], bool], now: timedelta) -> None:
         """Give up the jobs of gateways that are not heard: they may have gone to another host."""
         for job in list(self._jobs.jobs.values()):
@@ -195,6 +206,9 @@
             self._joining.discard(command.info.id)
             if command.info.id not in self._lives.by_id:
                 self._lives.add(command.info, 0, False, now)
+        elif isinstance(command, SetDraining):
+            if command.upstream in self._lives.by_id:
+                self._lives.by_id[command.upstream].draining = True
         elif isinstance(command, RemoveUpstreams):
             for upstream in command.upstreams:
                 self._lives.drop(upstream)
--- a/cottonlug/runtime/deputy.py
+++ b/cottonlug/runtime/deputy.py
@@ -86,6 +86,7 @@
                 terms=LeaseTerms(longest=longest_lease),
                 keep_ended=timedelta(),
                 control_address=None,
+                keeps_log=False,
                 level=level,
             ),
         )
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -15,6 +15,7 @@
 from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.calls import (
     NO_CONFIGURATION,
+    NO_LOG,
     Abandon,
     Answer,
     Call,
@@ -82,6 +83,8 @@
         self._reached_at: timedelta | None = None
         self._led_at = clock.monotonic()
         self._roster: Roster | None = None
+        self._deputy_term = 0
+        """The term in which the present or last deputy stands in."""
         self._level = 0
         self._was_ready = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -160,13 +163,16 @@
             left = give_up_at - now
             if left < LEAST_TIME or (nobody_since and now - nobody_since > NOBODY_PATIENCE):
                 break
-            is_deputy = self._decider_is_deputy
+            deputy_term = self._deputy_term if self._decider_is_deputy else 0
             answer = await self._try(call, left)
             if answer.outcome is Outcome.UNKNOWN:
                 is_unknown = True
                 nobody_since = None
                 if isinstance(call, Submit):
-                    call = self._mark_begun(call, is_deputy)
+                    deputy_term = max(deputy_term, call.deputy_term)
+                    call = msgspec.structs.replace(
+                        call, may_have_begun=True, deputy_term=deputy_term
+                    )
             elif answer.outcome is Outcome.UNAVAILABLE:
                 nobody_since = nobody_since or now
             elif answer.outcome is Outcome.REJECTED and is_unknown:
@@ -178,13 +184,6 @@
         outcome = Outcome.UNKNOWN if is_unknown else Outcome.UNAVAILABLE
         return Answer(outcome=outcome, detail="nobody could be reached in time who decides")
 
-    def _mark_begun(self, call: Submit, is_deputy: bool) -> Submit:
-        """Return a submission that tells who may have begun it."""
-        term = call.deputy_term
-        if is_deputy and self._roster is not None:
-            term = max(term, self._roster.term)
-        return msgspec.structs.replace(call, may_have_begun=True, deputy_term=term)
-
     async def _try(self, call: Call, timeout: timedelta) -> Answer:
         if self.deputy is not None:
             return await self.deputy.leading.answer(_to_deputy(call))
@@ -193,7 +192,8 @@
             return Answer(outcome=Outcome.UNAVAILABLE, detail="nobody is known who decides")
         sent_call = _to_deputy(call) if self._decider_is_deputy else call
         answer = await self._ask(host, sent_call, timeout)
-        if answer.outcome is Outcome.UNAVAILABLE and answer.detail != NO_CONFIGURATION:
+        still_decides = answer.detail in (NO_CONFIGURATION, NO_LOG)
+        if answer.outcome is Outcome.UNAVAILABLE and not still_decides:
             self._leave(host)
         return answer
 
@@ -254,6 +254,8 @@
 
     def _follow(self, host: str, *, is_deputy: bool) -> None:
         """Send calls to a host from now on; those to another one are sent again."""
+        if is_deputy and self._roster is not None:
+            self._deputy_term = self._roster.term
         if host != self._decider or is_deputy != self._decider_is_deputy:
             if self._decider is not None and host != self._decider:
                 self._lose(self._decider)
@@ -387,6 +389,7 @@
         )
         self.deputy.leading.gateways.take_greeting(self._own)
         self._decider = self._own
+        self._deputy_term = roster.term
         self._decider_is_deputy = True
         self._checked_at = self._clock.monotonic()
         log_event(Event.STANDING_IN, term=roster.term, at_level=level)
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -11,6 +11,7 @@
 from ..core.cluster.admission import Rejection
 from ..core.cluster.calls import (
     NO_CONFIGURATION,
+    NO_LOG,
     Abandon,
     Answer,
     AskConfiguration,
@@ -80,6 +81,8 @@
     keep_ended: timedelta
     control_address: str | None
     """Address of this host for upstreams, where it serves them."""
+    keeps_log: bool = True
+    """Whether commands are kept; a deputy answers no call that needs the log."""
     level: int = 0
     """Deputies of one term take ever higher levels, so that their tokens rise."""
 
@@ -143,6 +146,8 @@
 
     async def answer(self, call: Call) -> Answer:
         """Carry out one call; only called while the lease of this leader lasts."""
+        if not self._settings.keeps_log and not _needs_no_log(call):
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LOG)
         if isinstance(call, AskState):
             return await self._answer_state(call)
         if isinstance(call, Greet):
@@ -266,6 +271,9 @@
         if isinstance(found, Answer):
             return found
         _, job = found
+        if self.dispatch.cancel(job, self._clock.monotonic()):
+            self._wake()
+            return Answer(outcome=Outcome.DONE)
         record = self._records.jobs.get(job)
         if record is None and ("job", job) not in self.waiters:
             return Answer(outcome=Outcome.NO_JOB)
@@ -279,7 +287,7 @@
         self.dispatch.take_heartbeat(heartbeat, self._clock.monotonic())
         self._wake()
         known = self._records.upstreams.get(heartbeat.info.id)
-        if heartbeat.draining and known is not None and not known.draining:
+        if heartbeat.draining and (known is None or not known.draining):
             # Every later leader must know before the upstream counts on it.
             return await self._wait(("draining", heartbeat.info.id))
         return Answer(outcome=Outcome.DONE, leader_control=self._control_address)
@@ -422,6 +430,13 @@
         return int(self._clock.now().timestamp() * 1000)
 
 
+def _needs_no_log(call: Call) -> bool:
+    """Whether a call is about a job that need not be kept, or about nothing."""
+    if isinstance(call, Submit):
+        return call.spec.best_effort
+    return isinstance(call, Abandon | Greet)
+
+
 def _reject(job: JobId, rejection: Rejection) -> Answer:
     retry_after_ms = to_milliseconds(rejection.retry_after)
     log_event(
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -314,9 +314,9 @@
         self.dispatch.submit(record, submission, self.world.now)
         self.act()
 
-    def beat(self, upstream: ModelUpstream, sequence: int) -> None:
+    def beat(self, upstream: ModelUpstream, sequence: int, *, draining: bool = False) -> None:
         """Deliver a heartbeat."""
-        heartbeat = Heartbeat(info=upstream.info, sequence=sequence, draining=False)
+        heartbeat = Heartbeat(info=upstream.info, sequence=sequence, draining=draining)
         self.dispatch.take_heartbeat(heartbeat, self.world.now)
         self.act()
 
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -135,6 +135,35 @@
     assert not world.started_jobs & set(leader.dispatch.jobs.rejections)
 
 
+def test_a_cancelled_job_that_need_not_be_kept_stops_and_stays_cancelled() -> None:
+    world, upstreams = build_world(9)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda job: timedelta(seconds=60)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.submit("a" * 16, build_spec(tasks=4), build_queue())
+    world.run_until(milliseconds(150))
+    assert len(world.running) == 4
+    assert leader.dispatch.cancel(JobId("a" * 16), world.now)
+    world.run_until(milliseconds(1_000))
+    assert not world.running
+    assert leader.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.CANCELLED
+    assert not leader.dispatch.cancel(JobId("b" * 16), world.now)
+
+
+def test_an_upstream_that_is_first_heard_as_it_leaves_gets_no_work() -> None:
+    """Found by reading: its leaving was acknowledged and forgotten."""
+    world, upstreams = build_world(10)
+    leader = Leader(world=world, upstreams=upstreams, records=Records(), token=1)
+    for upstream in upstreams.values():
+        leader.beat(upstream, sequence=1, draining=True)
+    world.run_until(milliseconds(100))
+    leader.submit("a" * 16, build_spec(tasks=1), build_queue())
+    world.run_until(milliseconds(400))
+    assert world.starts == 0
+    assert all(record.draining for record in leader.records.upstreams.values())
+
+
 def start_beside_a_dead_upstream() -> tuple[World, Leader]:
     """Return a new leader's world in which one upstream of four does not answer."""
     world, upstreams = build_world(7)
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -7,11 +7,25 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
+import msgspec
+import pytest
+
 from ..config.cluster import GatewayListeners, GatewaySettings
 from ..config.defaults import LogSettings
 from ..config.options import Address
 from ..core.clock import ManualClock
-from ..core.cluster.calls import Answer, Call, Greet, Outcome, Roster, Submit
+from ..core.cluster.calls import (
+    NO_LOG,
+    Answer,
+    AskConfiguration,
+    AskState,
+    Call,
+    Cancel,
+    Greet,
+    Outcome,
+    Roster,
+    Submit,
+)
 from ..core.cluster.model import Configuration, ConfigurationVersion, LookReply, Service
 from ..core.cluster.orders import CallFailure, LookOrder, StartOrder, StartOutcome, StopOrder
 from ..core.cluster.records import Records, UpstreamRecord
@@ -128,7 +142,7 @@
 def test_a_try_at_a_deputy_is_told_to_the_next_leader() -> None:
     gateway = build_gateway(build_clock())
     gateway._roster = build_roster()
-    gateway._decider_is_deputy = True
+    gateway._follow("10.0.0.2:7000", is_deputy=True)
     answers = [Answer(outcome=Outcome.UNKNOWN), Answer(outcome=Outcome.DONE)]
     tried = answer_in_turn(gateway, answers)
     asyncio.run(gateway.call(submit(), PATIENCE))
@@ -323,3 +337,69 @@
     assert gateways.version == before
     gateways.note_change()
     assert gateways.version != before
+
+
+def stand_in() -> tuple[Gateway, ManualClock]:
+    """Return a gateway that stands in; to be called on a running loop, after which it is asked."""
+    clock = build_clock()
+    gateway = prepare(1, clock)[0]
+    connect([gateway], lambda asking, host: False)
+    clock.advance(DEPUTY_AFTER)
+    return gateway, clock
+
+
+@pytest.mark.parametrize(
+    "call",
+    [
+        Submit(host="host", path=f"/q/{JOB}", spec=build_spec(kept=True)),
+        AskState(host="host", path=f"/q/{JOB}"),
+        AskState(host="host", path="/q/"),
+        Cancel(host="host", path=f"/q/{JOB}"),
+        AskConfiguration(),
+    ],
+)
+def test_a_deputy_answers_nothing_that_needs_the_log(call: Call) -> None:
+    """Found by reading: a deputy accepted jobs that must be kept, and knew of none."""
+
+    async def play() -> Outcome:
+        gateway, _ = stand_in()
+        await gateway._replace_leader()
+        assert gateway.deputy is not None
+        answer = await gateway.deputy.leading.answer(call)
+        gateway.stop()
+        return answer.outcome
+
+    assert asyncio.run(play()) is Outcome.UNAVAILABLE
+
+
+def test_the_term_of_a_deputy_is_that_of_the_roster_it_stands_in_with() -> None:
+    """Found in the logs of mizan-hq scale-1: a leader took two later terms after one deputy."""
+    gateway = build_gateway(build_clock())
+    gateway._roster = build_roster()
+    gateway._follow("10.0.0.2:7000", is_deputy=True)
+
+    async def lose_deputy(call: Call, timeout: timedelta) -> Answer:
+        # The next leader's roster comes while the call is under way.
+        gateway._roster = msgspec.structs.replace(build_roster(), term=6)
+        assert not isinstance(call, Submit) or call.deputy_term in (0, 5)
+        if isinstance(call, Submit) and call.may_have_begun:
+            return Answer(outcome=Outcome.DONE)
+        return Answer(outcome=Outcome.UNKNOWN)
+
+    gateway._try = lose_deputy  # type: ignore[method-assign]
+    assert asyncio.run(gateway.call(submit(), PATIENCE)).outcome is Outcome.DONE
+
+
+def test_what_a_deputy_cannot_answer_does_not_lose_what_it_has_under_way() -> None:
+    async def play() -> None:
+        gateway = build_gateway(build_clock())
+        gateway._follow("10.0.0.2:7000", is_deputy=True)
+
+        async def ask(host: str, call: Call, timeout: timedelta) -> Answer:
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LOG, is_deputy=True)
+
+        gateway._ask = ask  # type: ignore[method-assign]
+        await gateway._try(AskState(host="host", path="/q/"), PATIENCE)
+        assert gateway.decider == "10.0.0.2:7000"
+
+    asyncio.run(play())
