Take out what nothing calls; predict a run's time once; begin both daemons' logs in one place

Cause: reading the whole change. Life.could_hold and ConnectionPools.count_opened had no caller, Backlog.count_batches stood beside __len__, a run's expected time was worked out twice at each end, and the two daemons of a cluster began their logs with the same lines. No behaviour changes; the tests are as they were.

--- a/cottonlug/commands/cluster.py
+++ b/cottonlug/commands/cluster.py
@@ -8,7 +8,12 @@
 from pathlib import Path
 from typing import Any
 
-from ..config.cluster import load_control_settings, load_gateway_settings
+from ..config.cluster import (
+    ControlSettings,
+    GatewaySettings,
+    load_control_settings,
+    load_gateway_settings,
+)
 from ..config.options import Address
 from ..exceptions import SettingsError
 from ..net.asgi import Handler, build_asgi
@@ -55,9 +60,7 @@
 
 async def _serve_control(config: Path) -> int:
     settings = load_control_settings(config)
-    output = LogOutput(descriptor=sys.stdout.fileno())
-    set_up_output(settings.log, output)
-    log_event(Event.STARTED, host=settings.host, domain=settings.domain, pid=os.getpid())
+    output = _begin_logging(settings)
     life = Life()
     pools = ConnectionPools(max_connections=CONNECTIONS_PER_UPSTREAM)
     host = ControlHost(
@@ -93,9 +96,7 @@
 
 async def _serve_gateway(config: Path) -> int:
     settings = load_gateway_settings(config)
-    output = LogOutput(descriptor=sys.stdout.fileno())
-    set_up_output(settings.log, output)
-    log_event(Event.STARTED, host=settings.host, domain=settings.domain, pid=os.getpid())
+    output = _begin_logging(settings)
     life = Life()
     pools = ConnectionPools(max_connections=CONNECTIONS_PER_UPSTREAM)
     gateway = Gateway(
@@ -135,6 +136,13 @@
     return ExitCode.OK
 
 
+def _begin_logging(settings: ControlSettings | GatewaySettings) -> LogOutput:
+    output = LogOutput(descriptor=sys.stdout.fileno())
+    set_up_output(settings.log, output)
+    log_event(Event.STARTED, host=settings.host, domain=settings.domain, pid=os.getpid())
+    return output
+
+
 def _listen(handler: Handler, address: Address, max_body_bytes: int) -> Listener:
     app: Any = build_asgi(handler, lambda: max_body_bytes)
     return Listener(app=app, address=address)
--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -122,10 +122,6 @@
         useful = (*self._tiers[Tier.ON_TIME], *self._tiers[Tier.LATE])
         return sum(batch.whole_work_ms for batch in useful)
 
-    def count_batches(self) -> int:
-        """Return how many batches wait."""
-        return len(self)
-
     def count_tasks(self) -> int:
         """Return how many tasks wait."""
         return sum(len(batch.waiting) for batch in self)
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -363,7 +363,9 @@
         if job is None or run.is_orphan:
             return
         step = job.record.spec.steps[end.task.step]
+        queue = job.record.queue.key
         taken = now - run.since
+        expected = self._jobs.forecast.predict(queue, step)
         self._term.note(
             "run_ended",
             {
@@ -372,15 +374,12 @@
                 "upstream": life.info.id,
                 "how": end.how.value,
                 "took_ms": to_milliseconds(taken),
-                "expected_ms": to_milliseconds(
-                    self._jobs.forecast.predict(job.record.queue.key, step)
-                ),
+                "expected_ms": to_milliseconds(expected),
             },
         )
         if end.how is EndKind.DONE:
-            ratio = taken / self._jobs.forecast.predict(job.record.queue.key, step)
-            self._jobs.forecast.learn(job.record.queue.key, step, taken)
-            if health.take_done(ratio, now):
+            self._jobs.forecast.learn(queue, step, taken)
+            if health.take_done(taken / expected, now):
                 self._term.note("upstream_slow", {"upstream": life.info.id})
         elif end.how is EndKind.FAILED and health.take_failure(now):
             self._term.note("upstream_failing", {"upstream": life.info.id})
--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -80,7 +80,8 @@
         task = job.tasks[ref]
         expires_ms = life.grant(now)
         assert expires_ms is not None, "only a fenced life takes work, and its clock is known"
-        last_run = max(task.run, batch.job.get_task(ref).last_run)
+        known = batch.job.get_task(ref)
+        last_run = max(task.run, known.last_run)
         task.run = RunNumber(max(last_run + 1, self._term.first_run))
         task.phase = TaskPhase.RUNNING
         task.life = life.info.id
@@ -98,7 +99,7 @@
                 "upstream": life.info.id,
                 "tier": batch.tier.value,
                 "free_cpu": life.free_cpu,
-                "waiting": self._jobs.backlog.count_batches(),
+                "waiting": len(self._jobs.backlog),
             },
         )
         order = StartOrder(
@@ -106,7 +107,7 @@
             task=ref,
             run=task.run,
             payload=batch.job.spec.payload,
-            checkpoint=batch.job.get_task(ref).checkpoint,
+            checkpoint=known.checkpoint,
             expires_ms=expires_ms,
         )
         self._term.orders.append(order)
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -105,15 +105,6 @@
             and needs.gpus <= capacity.gpus - self._used_gpus
         )
 
-    def could_hold(self, needs: Needs) -> bool:
-        """Whether a task would fit if nothing else ran."""
-        capacity = self.info.capacity
-        return (
-            needs.cpu_millis <= capacity.cpu_millis
-            and needs.memory_mb <= capacity.memory_mb
-            and needs.gpus <= capacity.gpus
-        )
-
     def takes_work(self, now: timedelta) -> bool:
         """Whether a start may be sent at all."""
         return (
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -104,7 +104,7 @@
                 "tasks": record.task_count,
                 "objective_ms": to_milliseconds(objective),
                 "phase": phase.value,
-                "waiting": self.backlog.count_batches(),
+                "waiting": len(self.backlog),
             },
         )
         for ref in record.list_refs():
@@ -199,8 +199,12 @@
                 self._lives.want_stop(task.life, ref, task.run)
         took_ms = to_milliseconds(now - job.opened_at)
         objective_ms = to_milliseconds(job.objective)
-        name = "job_ended" if job.record.state is JobState.COMPLETED else "job_given_up"
-        name = "job_late" if name == "job_ended" and took_ms > objective_ms else name
+        if job.record.state is not JobState.COMPLETED:
+            name = "job_given_up"
+        elif took_ms > objective_ms:
+            name = "job_late"
+        else:
+            name = "job_ended"
         self._term.note(
             name,
             {
--- a/cottonlug/net/connections.py
+++ b/cottonlug/net/connections.py
@@ -217,10 +217,6 @@
         for address in list(self._pools):
             self.drop(address)
 
-    def count_opened(self) -> int:
-        """Return how many connections the present pools have opened."""
-        return sum(pool.counts.opened for pool in self._pools.values())
-
 
 def parse_address(text: str) -> Address | None:
     """Return the address in a text such as 10.0.0.4:8080, or None."""
