Keep leases so short that they have ended before a lost caller's job can come again

A lease of 1 s, 0.12 s of margin and 0.5 s until a silent gateway's jobs are given up are together longer than a caller's wait of 1.3 s.

The caller's wait is a setting (caller_retry). A job answered as unknown is given up at whoever decides, too.

--- a/cottonlug/config/cluster.py
+++ b/cottonlug/config/cluster.py
@@ -53,6 +53,7 @@
     may_begin: bool
     data_folder: Path
     longest_lease: timedelta
+    caller_retry: timedelta
     keep_ended: timedelta
     drain_limit: timedelta
     log: LogSettings
@@ -67,6 +68,7 @@
     listen: GatewayListeners
     seeds: list[Address]
     longest_lease: timedelta
+    caller_retry: timedelta
     drain_limit: timedelta
     log: LogSettings
 
@@ -88,6 +90,7 @@
     "seeds": Option(read_list(read_address)),
     "peer_port": Option(read_integer(1, 65_535), None),
     "longest_lease": Option(read_span, timedelta(seconds=1)),
+    "caller_retry": Option(read_span, timedelta(milliseconds=1_300)),
     "drain_limit": Option(read_span, timedelta(seconds=5)),
     "log": Option(read_log_section, LogSettings()),
 }
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -13,8 +13,10 @@
 
 SLOWEST_CLOCK = 0.98
 """An upstream's steady clock may run this much slower than ours (the platform's bound: 2%)."""
-LAPSE_MARGIN = timedelta(milliseconds=120)
-"""Added to the end of a lease before anybody counts on it, for timers and answers under way."""
+LAPSE_MARGIN = timedelta(milliseconds=60)
+"""Added to the end of a lease before anybody counts on it, for timers that fire late."""
+LEAST_LEASE = timedelta(milliseconds=500)
+"""A shorter one would not outlast the change to another leader."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,6 +31,19 @@
         return self.longest / SLOWEST_CLOCK + LAPSE_MARGIN
 
 
+def choose_terms(
+    longest: timedelta, caller_retry: timedelta, silence_borne: timedelta
+) -> LeaseTerms:
+    """Return terms of leases that end before a lost caller's job can come again.
+
+    A caller that lost its gateway sends its job again after `caller_retry`; whoever decides gives
+    the job up once it has not heard that gateway for `silence_borne`. What still runs then, at an
+    upstream out of sight, has lost its lease by the time at which the job arrives anew.
+    """
+    ended_in_time = (caller_retry - silence_borne - LAPSE_MARGIN) * SLOWEST_CLOCK
+    return LeaseTerms(longest=min(longest, max(ended_in_time, LEAST_LEASE)))
+
+
 @dataclass(slots=True, kw_only=True)
 class Life:
     """One life of an upstream."""
--- a/cottonlug/platform/workers.py
+++ b/cottonlug/platform/workers.py
@@ -34,7 +34,7 @@
 LOOK = "/hold"
 LIFE_HEADER = "X-Expect-Instance"
 ANOTHER_LIFE = 421
-CALL_TIMEOUT = timedelta(milliseconds=120)
+CALL_TIMEOUT = timedelta(milliseconds=80)
 """A call is answered within a few milliseconds; a lost packet is sent again after 200 ms, by when
 a short task is late anyway. What times out is asked for again or stopped."""
 
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -19,10 +19,11 @@
     answer_decoder,
     call_decoder,
 )
-from ..core.cluster.lives import LeaseTerms
+from ..core.cluster.lives import choose_terms
 from ..core.control_messages import ConsensusBatch
 from ..net.asgi import HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
+from .gateways import GATEWAY_SILENT
 from .leading import Leading, LeadingSettings
 from .membership import JOIN_PATH, JoinRequest
 from .messenger import MESSAGES_PATH
@@ -188,8 +189,13 @@
                 clock=self._clock,
                 on_failure=self._on_failure,
                 settings=LeadingSettings(
-                    terms=LeaseTerms(longest=self._settings.longest_lease),
+                    terms=choose_terms(
+                        self._settings.longest_lease,
+                        self._settings.caller_retry,
+                        GATEWAY_SILENT,
+                    ),
                     keep_ended=self._settings.keep_ended,
+                    caller_retry=self._settings.caller_retry,
                     control_address=str(self._settings.listen.control),
                 ),
             )
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -318,6 +318,7 @@
             port=self._port,
             clock=self._clock,
             longest_lease=self._settings.longest_lease,
+            caller_retry=self._settings.caller_retry,
             on_failure=self._on_failure,
         )
         self.deputy.leading.gateways.take_greeting(self.own)
--- a/cottonlug/runtime/deputy.py
+++ b/cottonlug/runtime/deputy.py
@@ -19,7 +19,8 @@
 from ..core.clock import Clock
 from ..core.cluster.calls import Roster
 from ..core.cluster.commands import decode_commands
-from ..core.cluster.lives import LeaseTerms
+from ..core.cluster.lives import choose_terms
+from .gateways import GATEWAY_SILENT
 from .leading import Leading, LeadingSettings
 from .ports import OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords
@@ -72,6 +73,7 @@
         port: UpstreamPort,
         clock: Clock,
         longest_lease: timedelta,
+        caller_retry: timedelta,
         on_failure: OnFailure,
     ) -> None:
         replicated = ReplicatedRecords()
@@ -86,8 +88,9 @@
             clock=clock,
             on_failure=on_failure,
             settings=LeadingSettings(
-                terms=LeaseTerms(longest=longest_lease),
+                terms=choose_terms(longest_lease, caller_retry, GATEWAY_SILENT),
                 keep_ended=timedelta(),
+                caller_retry=caller_retry,
                 control_address=None,
                 keeps_log=False,
                 level=level,
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -129,6 +129,9 @@
         if isinstance(call, Submit):
             call = msgspec.structs.replace(call, gateway=self.link.own)
         answer = await self._call(call, patience)
+        if answer.outcome is Outcome.UNKNOWN and isinstance(call, Submit) and call.spec.best_effort:
+            # Its caller hears no more of this try, so what runs of it is of no use.
+            self.abandon(call)
         self.outcomes[answer.outcome.value] += 1
         self.record_call((self._clock.monotonic() - began_at) / timedelta(milliseconds=1))
         if answer.outcome not in _ORDINARY:
@@ -171,19 +174,20 @@
                 break
             else:
                 return answer
-            if is_open and isinstance(call, Submit) and self._is_hopeless(call):
+            waited = self._clock.monotonic() - began_at
+            if is_open and isinstance(call, Submit) and self._is_hopeless(call, waited):
                 break
             await self.link.wait_change(RETRY_SECONDS)
         outcome = Outcome.UNKNOWN if is_unknown else Outcome.UNAVAILABLE
         return Answer(outcome=outcome, detail="nobody could be reached in time who decides")
 
-    def _is_hopeless(self, call: Submit) -> bool:
-        """Whether even a job that began now would end too late to be of any use."""
+    def _is_hopeless(self, call: Submit, waited: timedelta) -> bool:
+        """Whether a job that waited so long would end too late to be of any use."""
         queues = self.link.queues
         found = queues.find(call.host, call.path) if queues is not None else None
         if found is None or not call.spec.best_effort:
             return False
-        return timedelta(milliseconds=call.waited_ms) > find_last_use(found[0], call.spec)
+        return waited > find_last_use(found[0], call.spec)
 
     async def _try(self, call: Call, timeout: timedelta) -> Answer:
         if self.deputy is not None:
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -64,9 +64,6 @@
 """Room for the tokens of deputies between those of two leaders."""
 HELD_UP = timedelta(milliseconds=150)
 """Between two decisions there are 20 ms, unless the process was held up."""
-CALLER_RETRY = timedelta(milliseconds=1_300)
-"""A caller that lost its gateway waits at least so long before it sends a job again (the users'
-platform: its `retransmit` bound); by then most of what the job began has ended."""
 STATE_WAIT = timedelta(milliseconds=60)
 """How long a question for the state of a job waits that is about to end; a commit takes 20 ms."""
 COMMIT_TIMEOUT = timedelta(seconds=2)
@@ -79,6 +76,8 @@
 
     terms: LeaseTerms
     keep_ended: timedelta
+    caller_retry: timedelta
+    """A caller that lost its gateway waits at least so long before it sends a job again."""
     control_address: str | None
     """Address of this host for upstreams, where it serves them."""
     keeps_log: bool = True
@@ -216,11 +215,12 @@
         record = JobRecord(id=job, queue=queue, spec=call.spec, accepted_ms=self._read_wall())
         now = self._clock.monotonic()
         longest = self._settings.terms.lapse_after + GATEWAY_SILENT
+        after_retry = max(longest - self._settings.caller_retry, timedelta())
         submission = Submission(
             gateway=call.gateway,
             may_have_begun=call.may_have_begun,
             # A caller whose gateway was lost sends its job again only after a while.
-            settle_after=longest if call.may_have_begun else longest - CALLER_RETRY,
+            settle_after=longest if call.may_have_begun else after_retry,
             waited=timedelta(milliseconds=call.waited_ms),
         )
         self.dispatch.submit(record, submission, now)
--- a/cottonlug/tests/test_cluster_settings.py
+++ b/cottonlug/tests/test_cluster_settings.py
@@ -50,6 +50,7 @@
     assert settings.data_folder == tmp_path / "data"
     assert settings.longest_lease == timedelta(seconds=1)
     assert settings.keep_ended == timedelta(minutes=2)
+    assert settings.caller_retry == timedelta(milliseconds=1_300)
 
 
 def test_a_gateway_has_a_place_for_metrics(tmp_path: Path) -> None:
