Send orders with the answers to heartbeats where upstreams cannot be called

An answer to a heartbeat is kept until there is a start or stop to go with it, or until just before the next run should end; the next heartbeat settles what the answer carried, since an upstream has one under way at a time and throws late answers away. The core is the same: a port (runtime/heartbeat_port) takes the place of calls. Leases are counted from when an order may arrive at the latest (1.4 s more). Tasks go to upstreams whose answer is being kept first. No gateway stands in there.

--- a/cottonlug/config/cluster.py
+++ b/cottonlug/config/cluster.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 from pathlib import Path
 
 from ..core.ids import DomainName, HostId
@@ -15,6 +16,7 @@
     Options,
     read_address,
     read_boolean,
+    read_choice,
     read_integer,
     read_list,
     read_path,
@@ -42,6 +44,13 @@
     metrics: Address | None
 
 
+class OrdersBy(Enum):
+    """How upstreams get their orders: by calls to them, or in the answers to their heartbeats."""
+
+    CALL = "call"
+    HEARTBEAT = "heartbeat"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ControlSettings:
     """Settings of a control host; `seeds` are addresses for calls of peers."""
@@ -55,6 +64,7 @@
     longest_lease: timedelta
     caller_retry: timedelta
     keep_ended: timedelta
+    orders: OrdersBy
     drain_limit: timedelta
     log: LogSettings
 
@@ -100,6 +110,7 @@
     "may_begin": Option(read_boolean, False),
     "data_folder": Option(read_path),
     "keep_ended": Option(read_span, timedelta(seconds=150)),
+    "orders": Option(read_choice(OrdersBy), OrdersBy.CALL),
 }
 _GATEWAY: Options = {
     **_COMMON,
--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..ids import UpstreamId
-from .model import Configuration, Heartbeat, JobSpec, JobState, Value
+from .model import Configuration, Heartbeat, JobSpec, JobState, RunNumber, TaskRef, Value
 from .records import UpstreamRecord
 
 
@@ -99,6 +99,8 @@
     gateways: tuple[str, ...]
     keeps_jobs: bool
     """Whether jobs are under way whose ends must be kept, which a deputy cannot do."""
+    takes_calls: bool = True
+    """Whether upstreams are called; a gateway, to which they send no heartbeat, can only call."""
 
 
 class Outcome(Enum):
@@ -119,6 +121,28 @@
     UNSUPPORTED = "unsupported"
 
 
+class HeartbeatStart(Value, frozen=True):
+    """One run to be started."""
+
+    task: TaskRef
+    run: RunNumber
+    payload: str
+    checkpoint: str = ""
+
+
+class HeartbeatOrders(Value, frozen=True):
+    """What the answer to a heartbeat tells an upstream to do."""
+
+    token: int
+    last_seen: int
+    lease_ms: int | None = None
+    """How long everything there may run from now on; None leaves the lease as it is."""
+    starts: tuple[HeartbeatStart, ...] = ()
+    stops: tuple[tuple[TaskRef, RunNumber], ...] = ()
+    next_after_ms: int | None = None
+    """When to send the next heartbeat, where that is not left to the upstream."""
+
+
 class Answer(Value, frozen=True):
     """The answer to a call; only the fields that belong to it are set."""
 
@@ -138,6 +162,8 @@
     roster: Roster | None = None
     is_deputy: bool = False
     """Whether the answer is that of a gateway that stands in for a leader."""
+    orders: HeartbeatOrders | None = None
+    """For the upstream whose heartbeat this answers, where it takes its orders so."""
 
 
 call_decoder: msgspec.json.Decoder[Call] = msgspec.json.Decoder(Call)
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -145,6 +145,12 @@
         if not life.is_fenced and not life.look_is_out:
             life.look_due = now
 
+    def note_listening(self, upstream: UpstreamId, is_listening: bool) -> None:
+        """Learn whether an order would reach an upstream at once."""
+        life = self._lives.by_id.get(upstream)
+        if life is not None:
+            life.is_listening = is_listening
+
     def take_leave(self, upstream: UpstreamId) -> None:
         """Send no more work to an upstream."""
         life = self._lives.by_id.get(upstream)
@@ -242,7 +248,7 @@
         if outcome is StartOutcome.STARTED:
             self._term.counts.started += 1
             run.phase = RunPhase.RUNNING
-            run.since = run.advanced_at = now
+            run.advanced_at = now
             return
         if outcome is StartOutcome.UNKNOWN:
             self._term.counts.unknown_starts += 1
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -24,11 +24,13 @@
     """How long an upstream lets a lease last."""
 
     longest: timedelta
+    delivery: timedelta = timedelta()
+    """How much later than decided an order may reach an upstream."""
 
     @property
     def lapse_after(self) -> timedelta:
         """The time after which a lease that was asked for now has surely ended."""
-        return self.longest / SLOWEST_CLOCK + LAPSE_MARGIN
+        return self.delivery + self.longest / SLOWEST_CLOCK + LAPSE_MARGIN
 
 
 def choose_terms(
@@ -72,6 +74,8 @@
     probe_due: timedelta = timedelta()
     is_on_trial: bool = False
     """Whether it gets one run at a time, after it was found failing, stalled or slow."""
+    is_listening: bool = True
+    """Whether an order would reach it at once, and not with the answer to its next heartbeat."""
     avoid_until: timedelta = timedelta()
     lapse_at: timedelta = timedelta()
     """From when on nothing can run there unless a lease is renewed."""
--- a/cottonlug/core/cluster/model.py
+++ b/cottonlug/core/cluster/model.py
@@ -161,15 +161,6 @@
     labels: tuple[str, ...] = ()
 
 
-class Heartbeat(Value, frozen=True):
-    """What an upstream says about itself; `sequence` rises with each heartbeat."""
-
-    info: UpstreamInfo
-    sequence: int
-    draining: bool
-    clock_ms: int | None = None
-
-
 class EndReport(Value, frozen=True):
     """The end of one run as listed by its upstream, where ends are numbered from 1."""
 
@@ -195,3 +186,14 @@
     clock_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+
+
+class Heartbeat(Value, frozen=True):
+    """What an upstream says about itself; `sequence` rises with each heartbeat."""
+
+    info: UpstreamInfo
+    sequence: int
+    draining: bool
+    clock_ms: int | None = None
+    held: LookReply | None = None
+    """What it holds, where its orders come with the answers to its heartbeats."""
--- a/cottonlug/core/cluster/orders.py
+++ b/cottonlug/core/cluster/orders.py
@@ -42,6 +42,8 @@
     last_seen: int
     expires_ms: int | None
     wait: timedelta
+    first_end: timedelta = timedelta()
+    """How long until a run there is expected to end; zero where one should have ended."""
     is_probe: bool = False
     """Whether it is sent beside a parked one, to learn at once what became of a run."""
 
@@ -60,6 +62,8 @@
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
     LIFE_ENDED = "life_ended"
+    IGNORED = "ignored"
+    """Taken in and not carried out, for a reason that was not told."""
     NOT_SENT = "not_sent"
     UNKNOWN = "unknown"
 
--- a/cottonlug/core/cluster/placement.py
+++ b/cottonlug/core/cluster/placement.py
@@ -14,7 +14,7 @@
     Tasks are wide (14 of 32 cores): the least room left keeps whole upstreams free for wide ones.
     """
     best: Life | None = None
-    best_score: tuple[int, int] | None = None
+    best_score: tuple[int, int, int] | None = None
     for life in lives:
         if not life.has_room(batch.needs) or not _is_allowed(batch, life):
             continue
@@ -22,7 +22,7 @@
             continue
         rack = batch.step.data_rack
         is_far = 1 if rack and rack not in life.info.labels else 0
-        score = (is_far, life.free_cpu)
+        score = (is_far, 0 if life.is_listening else 1, life.free_cpu)
         if best_score is None or score < best_score:
             best, best_score = life, score
     return best
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -63,6 +63,7 @@
             last_seen=life.noted,
             expires_ms=expires_ms,
             wait=wait,
+            first_end=self._find_first_end(life, now),
             is_probe=is_probe,
         )
         self._term.orders.append(order)
@@ -79,6 +80,15 @@
                 wait = min(wait, due - now)
         return max(wait, SHORTEST_LOOK)
 
+    def _find_first_end(self, life: Life, now: timedelta) -> timedelta:
+        """Return how long it is until the first of the runs is expected to end."""
+        ends = (
+            run.since + self._predict(job, run)
+            for run in life.runs.values()
+            if (job := self._jobs.jobs.get(run.task.job)) is not None
+        )
+        return max(min(ends, default=now) - now, timedelta())
+
     def _predict(self, job: OpenJob, run: Run) -> timedelta:
         step = job.record.spec.steps[run.task.step]
         return self._jobs.forecast.predict(job.record.queue.key, step)
--- a/cottonlug/platform/control.py
+++ b/cottonlug/platform/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import msgspec
 from returns.result import Failure as Err
@@ -13,6 +14,7 @@
     Beat,
     Call,
     Configure,
+    HeartbeatOrders,
     Leave,
     Outcome,
 )
@@ -21,6 +23,8 @@
 from ..core.ids import DomainName, UpstreamId
 from ..net.asgi import Handler, HttpRequest, HttpResponse
 from .configurations import decode_configuration
+from .jobs import name_task
+from .workers import read_lists
 
 INSTANCES = "/instances/"
 CONFIGURATION = "/config"
@@ -50,6 +54,8 @@
     clock_ms: int | None = None  # on the worker's own steady clock
     capacity: _CapacityBody = msgspec.field(default_factory=_CapacityBody)
     labels: list[str] = []
+    running: list[list[Any]] = []  # where orders come with the answers: as in a look
+    finished: list[list[Any]] = []
 
 
 _heartbeat_decoder = msgspec.json.Decoder(_HeartbeatBody)
@@ -101,7 +107,11 @@
     )
     draining = read.state == DRAINING
     heartbeat = Heartbeat(
-        info=info, sequence=read.seq_no, draining=draining, clock_ms=read.clock_ms
+        info=info,
+        sequence=read.seq_no,
+        draining=draining,
+        clock_ms=read.clock_ms,
+        held=read_lists(read.clock_ms, read.running, read.finished),
     )
     return Beat(heartbeat=heartbeat)
 
@@ -122,10 +132,28 @@
         return HttpResponse(status=status, body=msgspec.json.encode({"error": answer.detail}))
     if answer.document is not None:
         return HttpResponse(status=200, body=answer.document.encode())
+    body: dict[str, Any] = {}
     if isinstance(call, Beat) and answer.leader_control is not None:
-        body = msgspec.json.encode({"heartbeat_url": answer.leader_control})
-        return HttpResponse(status=200, body=body)
-    return HttpResponse(status=200, body=b"{}")
+        body["heartbeat_url"] = answer.leader_control
+    if answer.orders is not None:
+        body |= _encode_orders(answer.orders)
+    return HttpResponse(status=200, body=msgspec.json.encode(body))
+
+
+def _encode_orders(orders: HeartbeatOrders) -> dict[str, Any]:
+    body: dict[str, Any] = {"fencing_token": orders.token, "last_seen": orders.last_seen}
+    if orders.lease_ms is not None:
+        body["hold_ms"] = orders.lease_ms
+    if orders.starts:
+        body["start"] = [
+            [name_task(start.task), start.run, start.payload, start.checkpoint]
+            for start in orders.starts
+        ]
+    if orders.stops:
+        body["stop"] = [[name_task(task), run] for task, run in orders.stops]
+    if orders.next_after_ms is not None:
+        body["retry_after_ms"] = orders.next_after_ms
+    return body
 
 
 def _refuse(problem: str) -> HttpResponse:
--- a/cottonlug/platform/workers.py
+++ b/cottonlug/platform/workers.py
@@ -114,13 +114,8 @@
         if failure is not None:
             return failure
         read = _read_reply(sent.unwrap())
-        if read is None or read.clock_ms is None:
-            return CallFailure.REFUSED
-        return LookReply(
-            clock_ms=read.clock_ms,
-            running=tuple(run for row in read.running if (run := _read_run(row)) is not None),
-            ended=tuple(end for row in read.finished if (end := _read_end(row)) is not None),
-        )
+        lists = read_lists(read.clock_ms, read.running, read.finished) if read else None
+        return lists if lists is not None else CallFailure.REFUSED
 
     async def _call(
         self, upstream: UpstreamInfo, path: str, body: dict[str, Any], timeout: timedelta
@@ -134,6 +129,22 @@
         return await pool.call("POST", path, data, timeout=timeout, headers=headers)
 
 
+def read_lists(
+    clock_ms: int | None, running: list[list[Any]], finished: list[list[Any]]
+) -> LookReply | None:
+    """Return what a worker says that it holds, or None where that cannot be read."""
+    if clock_ms is None:
+        return None
+    try:
+        return LookReply(
+            clock_ms=clock_ms,
+            running=tuple(run for row in running if (run := _read_run(row)) is not None),
+            ended=tuple(end for row in finished if (end := _read_end(row)) is not None),
+        )
+    except (AttributeError, IndexError, TypeError, ValueError):
+        return None
+
+
 def _find_start_outcome(status: int, read: _ReplyBody | None) -> StartOutcome:
     if status == 200:
         return StartOutcome.STARTED
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Failure as Err
 
-from ..config.cluster import ControlSettings
+from ..config.cluster import ControlSettings, OrdersBy
 from ..core.clock import Clock
 from ..core.cluster.calls import (
     Answer,
@@ -19,11 +19,12 @@
     answer_decoder,
     call_decoder,
 )
-from ..core.cluster.lives import choose_terms
+from ..core.cluster.lives import LeaseTerms, choose_terms
 from ..core.control_messages import ConsensusBatch
 from ..net.asgi import HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
 from .gateways import GATEWAY_SILENT
+from .heartbeat_port import DELIVERY
 from .leading import Leading, LeadingSettings
 from .membership import JOIN_PATH, JoinRequest
 from .messenger import MESSAGES_PATH
@@ -149,6 +150,13 @@
             max_body_bytes=configuration.max_body_bytes if configuration is not None else None,
         )
 
+    def _choose_terms(self) -> LeaseTerms:
+        settings = self._settings
+        terms = choose_terms(settings.longest_lease, settings.caller_retry, GATEWAY_SILENT)
+        if settings.orders is OrdersBy.HEARTBEAT:
+            return LeaseTerms(longest=settings.longest_lease, delivery=DELIVERY)
+        return terms
+
     async def _pass_on(self, leader: str, call: Call) -> Answer:
         address = parse_address(leader)
         assert address is not None, "members are named by their addresses"
@@ -189,11 +197,8 @@
                 clock=self._clock,
                 on_failure=self._on_failure,
                 settings=LeadingSettings(
-                    terms=choose_terms(
-                        self._settings.longest_lease,
-                        self._settings.caller_retry,
-                        GATEWAY_SILENT,
-                    ),
+                    terms=self._choose_terms(),
+                    orders_by_heartbeat=self._settings.orders is OrdersBy.HEARTBEAT,
                     keep_ended=self._settings.keep_ended,
                     caller_retry=self._settings.caller_retry,
                     control_address=str(self._settings.listen.control),
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -278,6 +278,7 @@
             return
         may_stand_in = not (
             roster.keeps_jobs
+            or not roster.takes_calls
             or self.is_stopping
             or self._clock.monotonic() - self._led_at < self._find_deputy_delay()
         )
--- a/cottonlug/runtime/gateways.py
+++ b/cottonlug/runtime/gateways.py
@@ -17,7 +17,8 @@
 class Gateways:
     """Gateways by the address that they greet with."""
 
-    def __init__(self, *, term: int, clock: Clock) -> None:
+    def __init__(self, *, term: int, clock: Clock, takes_calls: bool = True) -> None:
+        self._takes_calls = takes_calls
         self._term = term
         self._clock = clock
         self._heard: dict[str, timedelta] = {}
@@ -68,4 +69,5 @@
             upstreams=tuple(records.upstreams.values()),
             gateways=tuple(sorted(self._heard)),
             keeps_jobs=self._keeps_jobs,
+            takes_calls=self._takes_calls,
         )
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.admission import Rejection
 from ..core.cluster.calls import (
@@ -55,6 +57,7 @@
 from .decisions import note_decision
 from .events import Event, log_event
 from .gateways import GATEWAY_SILENT, Gateways
+from .heartbeat_port import HeartbeatPort
 from .ports import Authority, OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords, Waiters
 
@@ -82,6 +85,8 @@
     """Address of this host for upstreams, where it serves them."""
     keeps_log: bool = True
     """Whether commands are kept; a deputy answers no call that needs the log."""
+    orders_by_heartbeat: bool = False
+    """Whether upstreams take their orders with the answers to their heartbeats, not by calls."""
     level: int = 0
     """Deputies of one term take ever higher levels, so that their tokens rise."""
 
@@ -104,11 +109,20 @@
         self.token = int(authority.term) * TOKENS_PER_TERM + settings.level
         self._authority = authority
         self._records = replicated.records
-        self._port = port
+        self._heartbeats: HeartbeatPort | None = None
+        if settings.orders_by_heartbeat:
+            self._heartbeats = HeartbeatPort(
+                clock=clock,
+                lease=settings.terms.longest,
+                note_listening=lambda id, is_there: self.dispatch.note_listening(id, is_there),
+            )
+        self._port = self._heartbeats or port
         self._clock = clock
         self._settings = settings
         self._control_address = settings.control_address
-        self.gateways = Gateways(term=int(authority.term), clock=clock)
+        self.gateways = Gateways(
+            term=int(authority.term), clock=clock, takes_calls=not settings.orders_by_heartbeat
+        )
         self._decided_at = clock.monotonic()
         self.waiters = Waiters()
         self.dispatch = Dispatch(
@@ -138,6 +152,8 @@
         self._timer.cancel()
         for task in self._calls:
             task.cancel()
+        if self._heartbeats is not None:
+            self._heartbeats.close()
         self.waiters.give_up()
         log_event(Event.NOT_LEADING, term=int(self.term))
 
@@ -296,8 +312,13 @@
         known = self._records.upstreams.get(heartbeat.info.id)
         if heartbeat.draining and (known is None or not known.draining):
             # Every later leader must know before the upstream counts on it.
-            return await self._wait(("draining", heartbeat.info.id))
-        return Answer(outcome=Outcome.DONE, leader_control=self._control_address)
+            answer = await self._wait(("draining", heartbeat.info.id))
+        else:
+            answer = Answer(outcome=Outcome.DONE, leader_control=self._control_address)
+        if self._heartbeats is None or answer.outcome is not Outcome.DONE:
+            return answer
+        orders = await self._heartbeats.exchange(heartbeat, self.token)
+        return msgspec.structs.replace(answer, orders=orders)
 
     async def _answer_leave(self, call: Leave) -> Answer:
         known = self._records.upstreams.get(call.upstream)
