--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -23,6 +23,7 @@
 from ..core.control_messages import ConsensusBatch
 from ..net.asgi import HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
+from .events import Event, log_event
 from .gateways import GATEWAY_SILENT
 from .heartbeat_port import DELIVERY
 from .leading import Leading, LeadingSettings
@@ -63,6 +64,7 @@
         self._on_failure = on_failure
         self._pools = ConnectionPools()
         self._is_stopping = False
+        self._had_lease = False
         self._checking: asyncio.Task[None] | None = None
         self.replica = Replica(
             settings=ReplicaSettings(
@@ -182,6 +184,7 @@
     async def _check_forever(self) -> None:
         while True:
             self._check_leading()
+            self._note_lease()
             await asyncio.sleep(CHECK_SECONDS)
 
     def _check_leading(self) -> None:
@@ -196,6 +199,7 @@
             self.leading.stop()
             self.leading = None
         if leads and self.leading is None:
+            self._had_lease = True
             self.leading = Leading(
                 authority=replica,
                 replicated=self.replicated,
@@ -211,6 +215,20 @@
                 ),
             )
 
+    def _note_lease(self) -> None:
+        """Log when the right to decide ends or comes back while this host leads."""
+        if self.leading is None:
+            return
+        has_lease = self.replica.has_lease()
+        if has_lease == self._had_lease:
+            return
+        self._had_lease = has_lease
+        if has_lease:
+            log_event(Event.LEASE_REGAINED, term=int(self.leading.term))
+        else:
+            unheard = self.replica.list_unheard()
+            log_event(Event.LEASE_LOST, term=int(self.leading.term), unheard=unheard)
+
 
 def _reply(message: msgspec.Struct) -> HttpResponse:
     return HttpResponse(status=200, body=msgspec.json.encode(message))
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -13,7 +13,7 @@
 
 from ..config.cluster import GatewaySettings
 from ..config.options import Address
-from ..core.clock import Clock
+from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.calls import Answer, Greet, Outcome, Roster
 from ..core.cluster.queues import QueueIndex
 from ..core.cluster.rosters import choose_asked, merge_roster
@@ -89,6 +89,7 @@
         """When each control host last answered."""
         self._level = 0
         self._was_ready = False
+        self._was_silent = False
         self._checked_at = clock.monotonic()
         self._news = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -148,6 +149,7 @@
         self._reached_at = self._clock.monotonic()
         if via is not Via.DEPUTY:
             self._led_at = self._clock.monotonic()
+            self._was_silent = False
             self.stand_down()
 
     def leave(self, host: str) -> None:
@@ -254,11 +256,18 @@
             return
         if now - self._led_at < RELAY_AFTER or self._roster is None:
             return
+        self._note_silence(now - self._led_at)
         if self.host is not None and now - self._led_at >= CALLS_LOST_AFTER:
             # The leader gives these calls up; what is of no more use is answered now.
             self._calls.lose(self.host)
         await self._find_replacement(self._roster)
 
+    def _note_silence(self, silence: timedelta) -> None:
+        if not self._was_silent:
+            self._was_silent = True
+            silent_ms = to_milliseconds(silence)
+            log_event(Event.DECIDER_SILENT, decider=self.host, silent_ms=silent_ms)
+
     async def _keep(self, host: str, via: Via) -> None:
         """Greet a gateway that stands in or passes calls on; leave it where it no longer does."""
         if via is Via.RELAY:
--- a/cottonlug/runtime/replica.py
+++ b/cottonlug/runtime/replica.py
@@ -203,14 +203,20 @@
         member = self.member
         if member is None or member.role is not Role.LEADER:
             return False
-        limit = self._clock.monotonic() - LEADER_LEASE
-        recent = {member.id}
-        for voter in member.members.voters:
-            acked_at = self._messenger.find_acked_at(get_host(voter))
-            if acked_at is not None and acked_at > limit:
-                recent.add(voter)
+        unheard = set(self.list_unheard())
+        recent = {voter for voter in member.members.voters if get_host(voter) not in unheard}
         return is_quorum(member.members.voters, recent)
 
+    def list_unheard(self) -> list[str]:
+        """Return the hosts of the other voters that have not answered within the leader's lease."""
+        member = self.member
+        if member is None:
+            return []
+        limit = self._clock.monotonic() - LEADER_LEASE
+        hosts = [get_host(voter) for voter in member.members.voters if voter != member.id]
+        acked = {host: self._messenger.find_acked_at(host) for host in hosts}
+        return [host for host, at in acked.items() if at is None or at <= limit]
+
     def propose(self, data: str) -> bool:
         """Append a command; False where this host does not lead."""
         if self.member is None:
--- /dev/null
+++ b/cottonlug/tests/test_cluster_events.py
@@ -0,0 +1,77 @@
+"""What is logged when whoever decides is lost and comes back."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+from ..config.cluster import load_control_settings
+from ..core.cluster.calls import Answer, Call, Outcome
+from ..runtime import control_host, decider
+from ..runtime.control_host import ControlHost
+from ..runtime.decider import RELAY_AFTER, Via
+from ..runtime.events import Event
+from .test_cluster_gateway import LEADER, IdlePort, build_clock, build_gateway, build_roster, fail
+from .test_cluster_settings import CONTROL, write
+
+Logged = list[tuple[Event, dict[str, object]]]
+
+
+def record_events(monkeypatch: pytest.MonkeyPatch, module: object) -> Logged:
+    logged: Logged = []
+    monkeypatch.setattr(module, "log_event", lambda event, **rest: logged.append((event, rest)))
+    return logged
+
+
+def test_a_leader_logs_once_that_it_may_not_decide_and_who_was_not_heard(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Open since mizan-hq's first incident: for 1.5 s no line told why nobody decided."""
+    logged = record_events(monkeypatch, control_host)
+    host = ControlHost(
+        settings=load_control_settings(write(tmp_path, CONTROL)),
+        clock=build_clock(),
+        port=IdlePort(),
+        on_failure=fail,
+    )
+    host.leading = SimpleNamespace(term=3)  # type: ignore[assignment]
+    host._had_lease = True
+    has_lease = False
+    monkeypatch.setattr(host.replica, "has_lease", lambda: has_lease)
+    monkeypatch.setattr(host.replica, "list_unheard", lambda: ["10.0.0.2:7720"])
+    host._note_lease()
+    host._note_lease()
+    has_lease = True
+    host._note_lease()
+    assert logged == [
+        (Event.LEASE_LOST, {"term": 3, "unheard": ["10.0.0.2:7720"]}),
+        (Event.LEASE_REGAINED, {"term": 3}),
+    ]
+
+
+def test_a_gateway_logs_once_that_the_leader_does_not_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    logged = record_events(monkeypatch, decider)
+
+    async def play() -> None:
+        clock = build_clock()
+        gateway = build_gateway(clock)
+        gateway.link.use_roster(build_roster(1))
+
+        async def ask(host: str, call: Call, timeout: timedelta) -> Answer:
+            return Answer(outcome=Outcome.UNKNOWN)
+
+        gateway.calls.ask = ask  # type: ignore[method-assign]
+        gateway.link.follow(LEADER, Via.LEADER)
+        clock.advance(RELAY_AFTER)
+        await gateway.link.replace_leader()
+        await gateway.link.replace_leader()
+
+    asyncio.run(play())
+    silent = [rest for event, rest in logged if event is Event.DECIDER_SILENT]
+    assert silent == [{"decider": LEADER, "silent_ms": 200}]
