An odd number of control hosts votes; with many upstreams each failure domain has a deputy of its own

Now the largest odd number of control hosts votes, seven at the most, and the others learn and take the place of a voter that is lost: a split leaves one half with a majority. With more than 64 upstreams deputies stand in for their own domain only; upstreams of others count as out of sight. Tests for both failed before.

--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -176,6 +176,8 @@
     roster: Roster | None = None
     is_deputy: bool = False
     """Whether the answer is that of a gateway that stands in for a leader."""
+    domain: DomainName | None = None
+    """The failure domain that a deputy stands in for, where it is not for all."""
     orders: HeartbeatOrders | None = None
     """For the upstream whose heartbeat this answers, where it takes its orders so."""
 
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 
 from ..clock import to_milliseconds
-from ..ids import UpstreamId
+from ..ids import DomainName, UpstreamId
 from .admission import Rejection
 from .adoption import Adopter
 from .commands import (
@@ -74,6 +74,7 @@
         wall_ms: WallTime,
         note: Note,
         on_end: Callable[[JobId], None],
+        domain: DomainName | None = None,
     ) -> None:
         self._term = Term(
             number=term,
@@ -83,6 +84,7 @@
             wall_ms=wall_ms,
             note=note,
             on_end=on_end,
+            domain=domain,
         )
         self._lives = LifeTable(term=self._term)
         self._jobs = OpenJobs(term=self._term, lives=self._lives)
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -43,6 +43,7 @@
             noted=noted,
             proposed=noted,
             draining=draining,
+            is_foreign=self._term.domain not in (None, info.domain),
             heard_at=now,
             look_due=now,
         )
@@ -115,7 +116,7 @@
             life
             for life in self.by_id.values()
             if life.takes_work(now)
-            or (is_new and not (life.is_fenced or life.draining or life.is_over))
+            or (is_new and not (life.is_fenced or life.draining or life.is_over or life.is_foreign))
         )
 
     def want_stop(self, upstream: UpstreamId, ref: TaskRef, run: RunNumber) -> None:
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -56,6 +56,8 @@
     """Up to which end note was taken by the record."""
     draining: bool = False
     is_over: bool = False
+    is_foreign: bool = False
+    """Whether another host orders it in this term."""
     is_fenced: bool = False
     """Whether it has answered a look of this leader's term, so that its runs are known."""
     proposed: int = 0
--- a/cottonlug/core/cluster/rosters.py
+++ b/cottonlug/core/cluster/rosters.py
@@ -19,6 +19,8 @@
 """A gateway that has missed more gets the whole roster."""
 OWN_DOMAIN_ASKED = 3
 OTHER_DOMAINS_ASKED = 2
+MOST_FOR_ONE_DEPUTY = 64
+"""Upstreams; an entry host of half a core was overloaded with 176 (mizan-hq-grown trouble-3)."""
 """Gateways asked in each domain for a leader or a deputy: two may be down at once."""
 
 
@@ -98,6 +100,13 @@
         return int(number) if int(number) >= first_known - 1 else None
 
 
+def find_own_domain(roster: Roster, own: str) -> DomainName | None:
+    """Return the domain that a deputy stands in for alone, or None where one does for all."""
+    if len(roster.upstreams) <= MOST_FOR_ONE_DEPUTY:
+        return None
+    return next((each.domain for each in roster.gateways if each.address == own), None)
+
+
 def merge_roster(known: Roster | None, received: Roster) -> Roster | None:
     """Return the roster after what was received, or None where that does not follow on `known`."""
     if not received.base:
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from ..ids import DomainName
 from .commands import Command
 from .lives import LeaseTerms
 from .model import JobId, RunNumber
@@ -53,6 +54,8 @@
     wall_ms: WallTime
     note: Note
     on_end: Callable[[JobId], None]
+    domain: DomainName | None = None
+    """Failure domain whose upstreams alone it may order; None for all."""
     counts: DispatchCounts = field(default_factory=DispatchCounts)
     orders: list[Order] = field(default_factory=list)
     proposals: list[Command] = field(default_factory=list)
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -35,7 +35,7 @@
 
     def look(self, life: Life, now: timedelta) -> None:
         """Look at an upstream where its lease or its ends need it."""
-        if life.is_over:
+        if life.is_over or life.is_foreign:
             return
         is_unsure = self._awaits_stop(life)
         if is_unsure and life.look_is_out and not life.probe_is_out and now >= life.probe_due:
--- a/cottonlug/core/consensus/replacement.py
+++ b/cottonlug/core/consensus/replacement.py
@@ -9,17 +9,29 @@
 
 USUAL_VOTERS = 3
 """With more voters than this, one that is lost is removed without a successor."""
+MOST_VOTERS = 7
+"""More would only make a majority slower: seven bear the loss of three."""
+
+
+def find_most_voters(members: Members, lost: Collection[MemberId]) -> int:
+    """Return how many should vote: an odd number, so that no split leaves two equal halves."""
+    present = [member for member in (*members.voters, *members.learners) if member not in lost]
+    odd = len(present) - (len(present) + 1) % 2
+    return min(max(odd, USUAL_VOTERS), MOST_VOTERS)
 
 
 def plan_change(
-    leader: Member, current: Mapping[str, MemberId], lost: Collection[MemberId] = ()
+    leader: Member,
+    current: Mapping[str, MemberId],
+    lost: Collection[MemberId] = (),
+    most_voters: int | None = None,
 ) -> Members | None:
     """Return the next set of members, or None where nothing is to be done.
 
     `current` gives, for each host that should vote, the member id of its present disk. A host whose
     id is not known to the log first learns; once it has everything that is committed, the id of its
     old disk is removed, and then the new id is given its vote. A new host takes the place of a
-    voter that is lost, if there is one.
+    voter that is lost, if there is one; else it only learns once `most_voters` vote.
     """
     members = leader.members
     for host, member in current.items():
@@ -35,6 +47,8 @@
         if old:
             voters = tuple(voter for voter in members.voters if voter not in old)
             return Members(voters=voters, learners=members.learners)
+        if most_voters is not None and len(members.voters) >= most_voters:
+            continue
         learners = tuple(learner for learner in members.learners if learner != member)
         return Members(voters=(*members.voters, member), learners=learners)
     return None
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from datetime import timedelta
 from enum import Enum
 
@@ -16,7 +16,8 @@
 from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.calls import Answer, Greet, Outcome, Roster
 from ..core.cluster.queues import QueueIndex
-from ..core.cluster.rosters import choose_asked, merge_roster
+from ..core.cluster.rosters import choose_asked, find_own_domain, merge_roster
+from ..core.ids import DomainName
 from .deputy import DEPUTY_AFTER, DEPUTY_AFTER_SILENCE, Deputy
 from .events import Event, log_event
 from .gateways import GATEWAY_SILENT
@@ -287,15 +288,18 @@
         answers = await self._ask_gateways(choose_asked(roster.gateways, self.own), roster)
         if self.is_led_directly():
             return
+        own_domain = find_own_domain(roster, self.own)
         for gateway, answer in answers.items():
-            if answer.outcome is Outcome.DONE:
+            if _can_be_followed(answer, own_domain):
                 self._follow_gateway(gateway, answer)
                 return
         if any(answer.leader is not None for answer in answers.values()):
             # One of them is in touch with the leader, but its answer was lost: ask again.
             return
-        if self._may_stand_in(roster) and not self._is_lower_reached(answers):
-            await self._stand_in_if_lowest(roster)
+        rivals = _list_rivals(roster, self.own)
+        is_lowest = not any(rival in answers and answers[rival].hosts for rival in rivals)
+        if self._may_stand_in(roster) and is_lowest:
+            await self._stand_in_if_lowest(roster, rivals)
 
     async def _ask_gateways(self, gateways: Iterable[str], roster: Roster) -> dict[str, Answer]:
         """Greet several gateways at once and return their answers."""
@@ -310,15 +314,11 @@
         is_due = self._clock.monotonic() - self._led_at >= self._find_deputy_delay()
         return is_due and not (roster.keeps_jobs or not roster.takes_calls or self.is_stopping)
 
-    def _is_lower_reached(self, answers: Mapping[str, Answer]) -> bool:
-        return any(gateway < self.own and answer.hosts for gateway, answer in answers.items())
-
-    async def _stand_in_if_lowest(self, roster: Roster) -> None:
+    async def _stand_in_if_lowest(self, roster: Roster, rivals: list[str]) -> None:
         """Stand in, unless any lower gateway can be reached: then that one does."""
-        lower = (each.address for each in roster.gateways if each.address < self.own)
-        answers = await self._ask_gateways(lower, roster)
+        answers = await self._ask_gateways(rivals, roster)
         is_replaced = self.is_led_directly() or self.deputy is not None
-        if not is_replaced and not self._is_lower_reached(answers):
+        if not is_replaced and not any(answer.hosts for answer in answers.values()):
             self._stand_in(roster)
 
     def _follow_gateway(self, gateway: str, answer: Answer) -> None:
@@ -351,6 +351,7 @@
         self.deputy = Deputy(
             roster=roster,
             level=level,
+            domain=find_own_domain(roster, self.own),
             port=self._port,
             clock=self._clock,
             longest_lease=self._settings.longest_lease,
@@ -368,3 +369,20 @@
     def _tell_news(self) -> None:
         self._news.set()
         self._news = asyncio.Event()
+
+
+def _can_be_followed(answer: Answer, own_domain: DomainName | None) -> bool:
+    """Whether a gateway passes calls on to a leader, or stands in for this one's domain."""
+    if answer.outcome is not Outcome.DONE:
+        return False
+    return not answer.is_deputy or answer.domain == own_domain
+
+
+def _list_rivals(roster: Roster, own: str) -> list[str]:
+    """Return the gateways that would stand in rather than this one, if they can be reached."""
+    domain = find_own_domain(roster, own)
+    return [
+        gateway.address
+        for gateway in roster.gateways
+        if gateway.address < own and domain in (None, gateway.domain)
+    ]
--- a/cottonlug/runtime/deputy.py
+++ b/cottonlug/runtime/deputy.py
@@ -10,6 +10,10 @@
 
 Among gateways that reach no leader, the one with the lowest address stands in. A roster from the
 last leader tells it the upstreams and the configuration. It takes no configuration, keeps nothing.
+
+A gateway is a small host: with many upstreams the lowest of each failure domain stands in for that
+domain alone. Upstreams of other domains then count as out of sight: what may have begun waits until
+their leases have lapsed.
 """
 
 from __future__ import annotations
@@ -20,6 +24,7 @@
 from ..core.cluster.calls import Roster
 from ..core.cluster.commands import decode_commands
 from ..core.cluster.lives import choose_terms
+from ..core.ids import DomainName
 from .gateways import GATEWAY_SILENT
 from .leading import Leading, LeadingSettings
 from .ports import OnFailure, UpstreamPort
@@ -70,12 +75,15 @@
         *,
         roster: Roster,
         level: int,
+        domain: DomainName | None,
         port: UpstreamPort,
         clock: Clock,
         longest_lease: timedelta,
         caller_retry: timedelta,
         on_failure: OnFailure,
     ) -> None:
+        self.domain = domain
+        """The failure domain that it stands in for; None for all."""
         replicated = ReplicatedRecords()
         records = replicated.records
         records.put_in_force(roster.configuration)
@@ -93,6 +101,7 @@
                 caller_retry=caller_retry,
                 control_address=None,
                 keeps_log=False,
+                domain=domain,
                 level=level,
             ),
         )
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -219,7 +219,8 @@
         """Answer a call of another gateway."""
         if self.deputy is not None:
             answer = await self.deputy.leading.answer(call)
-            return msgspec.structs.replace(answer, is_deputy=True)
+            domain = self.deputy.domain
+            return msgspec.structs.replace(answer, is_deputy=True, domain=domain)
         leader = self.link.host if self.link.is_led_directly() else None
         if leader is None:
             return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LEADER, hosts=tuple(self.hosts))
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -54,6 +54,7 @@
     StopOrder,
 )
 from ..core.cluster.records import JobRecord
+from ..core.ids import DomainName
 from .decisions import note_decision
 from .events import Event, log_event
 from .gateways import GATEWAY_SILENT, Gateways
@@ -87,6 +88,8 @@
     """Whether commands are kept; a deputy answers no call that needs the log."""
     orders_by_heartbeat: bool = False
     """Whether upstreams take their orders with the answers to their heartbeats, not by calls."""
+    domain: DomainName | None = None
+    """Failure domain whose upstreams alone are ordered; None for all."""
     level: int = 0
     """Deputies of one term take ever higher levels, so that their tokens rise."""
 
@@ -133,6 +136,7 @@
             wall_ms=self._read_wall,
             note=note_decision,
             on_end=self._take_end,
+            domain=settings.domain,
         )
         self._proposals: list[Command] = []
         self._is_awake = False
--- a/cottonlug/runtime/membership.py
+++ b/cottonlug/runtime/membership.py
@@ -11,7 +11,12 @@
 
 from ..config.options import Address
 from ..core.consensus.member import Member
-from ..core.consensus.replacement import get_host, plan_change, plan_removal
+from ..core.consensus.replacement import (
+    find_most_voters,
+    get_host,
+    plan_change,
+    plan_removal,
+)
 from ..core.consensus.types import MemberId, Members
 from ..core.control_messages import Hello
 from ..net.connections import ConnectionPools, parse_address
@@ -71,7 +76,8 @@
     def plan_step(self, leader: Member, now: timedelta) -> Members | None:
         """Return the next step towards members that are all there, or None."""
         lost = leader.find_silent(now, LOST_AFTER)
-        return plan_change(leader, self._joiners, lost) or plan_removal(leader, lost)
+        most = find_most_voters(leader.members, lost)
+        return plan_change(leader, self._joiners, lost, most) or plan_removal(leader, lost)
 
     async def _ask(self, host: str, request: bytes) -> Hello | None:
         address = parse_address(host)
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -72,13 +72,13 @@
     return JobSpec(payload="payload", steps=(step,), best_effort=not kept)
 
 
-def build_info(name: str, cpu: int = 16_000) -> UpstreamInfo:
+def build_info(name: str, cpu: int = 16_000, domain: str = "domain") -> UpstreamInfo:
     """Return an upstream of the model's service."""
     return UpstreamInfo(
         id=UpstreamId(name),
         service=SERVICE,
         address=f"10.0.0.{name.strip('u') or 1}:80",
-        domain=DomainName("domain"),
+        domain=DomainName(domain),
         capacity=Capacity(cpu_millis=cpu, memory_mb=1_000),
     )
 
@@ -282,6 +282,7 @@
     token: int
     is_over: bool = False
     cut_off: set[UpstreamId] = field(default_factory=set)
+    domain: DomainName | None = None
     ended: list[JobId] = field(default_factory=list)
     ended_at: dict[JobId, timedelta] = field(default_factory=dict)
     dispatch: Dispatch = field(init=False)
@@ -295,6 +296,7 @@
             wall_ms=lambda: int(self.world.now / milliseconds(1)),
             note=lambda name, fields: None,
             on_end=self._note_end,
+            domain=self.domain,
         )
         self._tick_forever()
 
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -10,7 +10,7 @@
 from ..core.cluster.model import EndKind, EndReport, JobId, JobState, RunNumber
 from ..core.cluster.orders import LookOrder
 from ..core.cluster.records import Records
-from ..core.ids import UpstreamId
+from ..core.ids import DomainName, UpstreamId
 from .model_upstreams import (
     TERMS,
     Leader,
@@ -252,6 +252,30 @@
     assert second.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
 
 
+def test_a_deputy_of_one_domain_orders_no_upstream_of_another() -> None:
+    world, upstreams = build_world(13)
+    for number, upstream in enumerate(upstreams.values()):
+        domain = "north" if number < 2 else "south"
+        upstream.info = build_info(upstream.info.id, domain=domain)
+    records = Records()
+    first = start_leader(world, upstreams, records, 1)
+    world.run_until(milliseconds(100))
+    first.is_over = True
+    deputy = Leader(
+        world=world, upstreams=upstreams, records=records, token=2, domain=DomainName("north")
+    )
+    deputy.submit("a" * 16, build_spec(tasks=2), build_queue(), settle_after=timedelta())
+    begun = JobId("b" * 16)
+    deputy.submit(begun, build_spec(tasks=2), build_queue(), may_have_begun=True)
+    world.run_until(milliseconds(400))
+    assert deputy.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
+    assert deputy.dispatch.jobs.is_open(begun), "it may run at an upstream of the other domain"
+    world.run_until(timedelta(seconds=3))
+    assert deputy.dispatch.jobs.find_ended(begun) is JobState.COMPLETED
+    tokens = {upstream.info.domain: upstream.token for upstream in upstreams.values()}
+    assert tokens == {"north": 2, "south": 1}
+
+
 def run_campaign(seed: int, *, kept: bool) -> None:
     """Play faults for 8 s with up to four leaders, then let everything end."""
     world, upstreams = build_world(seed, lost_share=0.06, late_share=0.03, failed_share=0.02)
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -32,7 +32,12 @@
 from ..core.cluster.model import Configuration, ConfigurationVersion, LookReply, Service
 from ..core.cluster.orders import CallFailure, LookOrder, StartOrder, StartOutcome, StopOrder
 from ..core.cluster.records import Records, UpstreamRecord
-from ..core.cluster.rosters import KEPT_CHANGES, choose_asked, merge_roster
+from ..core.cluster.rosters import (
+    KEPT_CHANGES,
+    MOST_FOR_ONE_DEPUTY,
+    choose_asked,
+    merge_roster,
+)
 from ..core.ids import DomainName, HostId, UpstreamId
 from ..runtime.decider import RELAY_AFTER, Via
 from ..runtime.deputy import DEPUTY_AFTER, DEPUTY_AFTER_SILENCE
@@ -217,6 +222,39 @@
     asyncio.run(play())
 
 
+def test_with_many_upstreams_each_domain_has_a_deputy_of_its_own() -> None:
+    """Failed on mizan-hq-grown trouble-3: one small host decided for 176 upstreams, too slowly."""
+
+    async def play() -> None:
+        clock = build_clock()
+        gateways = prepare(4, clock)
+        infos = tuple(
+            GatewayInfo(address=gateway.link.own, domain=DomainName(domain))
+            for gateway, domain in zip(gateways, ("north", "north", "south", "south"), strict=True)
+        )
+        upstreams = tuple(
+            UpstreamRecord(info=build_info(f"u{number}", domain="north"))
+            for number in range(MOST_FOR_ONE_DEPUTY + 1)
+        )
+        roster = msgspec.structs.replace(build_roster(4), gateways=infos, upstreams=upstreams)
+        for gateway in gateways:
+            gateway.link.use_roster(roster)
+        connect(gateways, lambda asking, host: False)
+        clock.advance(DEPUTY_AFTER_SILENCE)
+        for gateway in reversed(gateways):
+            await gateway.link.replace_leader()
+        domains = [gateway.deputy.domain if gateway.deputy else None for gateway in gateways]
+        assert domains == ["north", None, "south", None]
+        for gateway in gateways:
+            await gateway.link.replace_leader()
+        followed = [gateway.decider for gateway in gateways]
+        assert followed == [infos[0].address] * 2 + [infos[2].address] * 2
+        for gateway in gateways:
+            gateway.stop()
+
+    asyncio.run(play())
+
+
 def test_nobody_stands_in_while_jobs_must_be_kept() -> None:
     async def play() -> None:
         clock = build_clock()
--- a/cottonlug/tests/test_replica.py
+++ b/cottonlug/tests/test_replica.py
@@ -7,10 +7,12 @@
 from datetime import timedelta
 from pathlib import Path
 
+import pytest
+
 from ..config.options import Address
 from ..core.cluster.commands import ForgetJobs, SetDraining, encode_commands
 from ..core.consensus.member import Member
-from ..core.consensus.replacement import plan_change, plan_removal
+from ..core.consensus.replacement import find_most_voters, plan_change, plan_removal
 from ..core.consensus.timing import Timing
 from ..core.consensus.types import (
     AppendReply,
@@ -95,6 +97,51 @@
     assert plan_removal(member, lost=[C]) is None, "three voters are not made two without need"
 
 
+def grow(member: Member, hosts: dict[str, MemberId], lost: tuple[MemberId, ...] = ()) -> None:
+    """Take every step towards members that are all there, each acknowledged by all."""
+    for _ in range(20):
+        most = find_most_voters(member.members, lost)
+        planned = plan_change(member, hosts, lost, most)
+        if planned is None:
+            return
+        member.change_members(planned, NOW)
+        last = member.log.last_index
+        for each in (*member.members.voters, *member.members.learners):
+            if each != A and each not in lost:
+                acknowledge(member, each, last)
+        member.note_saved()
+    raise AssertionError("the members never settle")
+
+
+def name_hosts(first: int, last: int) -> dict[str, MemberId]:
+    hosts = [f"10.0.0.{number}:1" for number in range(first, last + 1)]
+    return {host: MemberId(f"{host}/x") for host in hosts}
+
+
+@pytest.mark.parametrize(("hosts", "voters"), [(4, 3), (5, 5), (6, 5), (8, 7), (10, 7)])
+def test_an_odd_number_votes_so_that_a_split_leaves_a_majority(hosts: int, voters: int) -> None:
+    """Failed on mizan-hq-grown trouble-3: 8 voters were split 4 to 4 for 7 s, and nobody led."""
+    member = build_leader(A, B, C)
+    for voter in (B, C):
+        acknowledge(member, voter, member.log.last_index)
+    grow(member, name_hosts(4, hosts))
+    assert len(member.members.voters) == voters
+    assert len(member.members.learners) == hosts - voters
+
+
+def test_a_host_that_only_learns_takes_the_place_of_a_lost_voter() -> None:
+    member = build_leader(A, B, C)
+    for voter in (B, C):
+        acknowledge(member, voter, member.log.last_index)
+    grow(member, name_hosts(4, 6))
+    (learner,) = member.members.learners
+    lost = next(voter for voter in member.members.voters if voter not in (A, B))
+    grow(member, name_hosts(4, 6), (lost,))
+    assert learner in member.members.voters
+    assert lost not in member.members.voters
+    assert len(member.members.voters) == 5
+
+
 def test_a_fourth_voter_that_is_lost_is_removed() -> None:
     member = build_leader(A, B, C, D)
     planned = plan_removal(member, lost=[D])
