--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -55,6 +55,8 @@
 """How often all upstreams are gone through, for what is due by the clock; in between only those of
 which something was heard."""
 AVOID_AFTER_REFUSAL = timedelta(milliseconds=300)
+AVOID_WITHOUT_ANSWER = timedelta(milliseconds=80)
+"""After a start without an answer: a look under way tells sooner whether the upstream answers."""
 AVOID_WITHOUT_ROOM = timedelta(milliseconds=50)
 """After a refusal for want of room: until the next look shows what runs there."""
 LONGEST_LIST = 500
@@ -266,7 +268,7 @@
             # The next look tells whether it runs; it is stopped only where that does not list it.
             run.phase = RunPhase.UNSURE
             run.unsure_at = now
-            life.avoid_until = now + AVOID_AFTER_REFUSAL
+            life.avoid_until = now + AVOID_WITHOUT_ANSWER
             return
         self._term.counts.refused_starts += 1
         self._term.note(
