--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from ..clock import to_milliseconds
 from ..ids import DomainName, UpstreamId
 from .admission import Rejection
 from .adoption import Adopter
@@ -22,12 +21,11 @@
     RemoveUpstreams,
     SetDraining,
 )
+from .ends import Ends
 from .filler import Filler
 from .life_table import LifeTable
 from .lives import LeaseTerms, Life
 from .model import (
-    EndKind,
-    EndReport,
     Heartbeat,
     JobId,
     JobSpec,
@@ -40,13 +38,13 @@
     CallFailure,
     LookOrder,
     Order,
-    Run,
     RunPhase,
     StartOrder,
     StartOutcome,
     StopOrder,
 )
-from .records import JobRecord, Records, end_job, note_end
+from .records import JobRecord, Records, end_job
+from .settlement import Settlement
 from .term import DispatchCounts, Note, Term, WallTime
 from .watcher import Watcher
 
@@ -93,12 +91,12 @@
         self._watcher = Watcher(term=self._term, lives=self._lives, jobs=self._jobs)
         self._adopter = Adopter(term=self._term, lives=self._lives, jobs=self._jobs)
         self._filler = Filler(term=self._term, lives=self._lives, jobs=self._jobs)
+        self._settlement = Settlement(term=self._term, lives=self._lives, jobs=self._jobs)
+        self._ends = Ends(
+            term=self._term, lives=self._lives, jobs=self._jobs, settlement=self._settlement
+        )
         self._joining: set[UpstreamId] = set()
-        self._settled_at = now + terms.lapse_after
         self._sweep_due = now
-        self._is_settled = False
-        self._has_unsure_jobs = True
-        self._orphan_ends: dict[JobId, list[EndReport]] = {}
 
     # What it knows
 
@@ -171,7 +169,7 @@
     def submit(self, record: JobRecord, submission: Submission, now: timedelta) -> None:
         """Take a job that need not be kept; what another host started of it goes on."""
         # What runs at an upstream out of sight ends when its lease does.
-        is_new = self._is_settled and not submission.may_have_begun
+        is_new = self._settlement.is_settled and not submission.may_have_begun
         is_unsure = not is_new and bool(self._lives.list_unseen())
         self._jobs.rejections.pop(record.id, None)
         self._jobs.given_up.discard(record.id)
@@ -182,10 +180,8 @@
         job.has_begun = job.has_begun or submission.may_have_begun
         if is_unsure:
             job.settle_at = now + submission.settle_after
-            self._has_unsure_jobs = True
-        for end in self._orphan_ends.pop(record.id, []):
-            note_end(record, end, self._term.wall_ms())
-            self._take_noted_end(end, now)
+            self._settlement.note_unsure()
+        self._ends.claim(record, now)
         for life in self._lives.by_id.values():
             if not life.has_orphans and record.id not in self._jobs.left_behind:
                 continue
@@ -223,7 +219,7 @@
             if job is not None and job.is_open and job.id not in self._jobs.jobs:
                 self._jobs.open(job, TaskPhase.QUEUED, now, self._jobs.find_age(job))
         elif isinstance(command, NoteEnds):
-            self._take_noted(command, now)
+            self._ends.take_noted(command, now)
         elif isinstance(command, CancelJob):
             self._jobs.close_if_ended(command.job, now)
         elif isinstance(command, AddUpstream):
@@ -330,7 +326,7 @@
             life.is_fenced = True
             self._term.note("upstream_adopted", {"upstream": life.info.id})
         self._lives.unseen.discard(life.info.id)
-        self._take_ends(life, reply.ended, now)
+        self._ends.take_listed(life, reply.ended, now)
         if reply.clock_ms <= life.listed_ms:
             # Overtaken by a later answer on another connection: what it lists may have ended.
             return
@@ -343,7 +339,7 @@
 
     def tick(self, now: timedelta) -> None:
         """Do everything that is due and fill free room; take orders and proposals afterwards."""
-        self._settle(now)
+        self._settlement.settle(now)
         is_sweep = now >= self._sweep_due
         touched = self._lives.take_touched()
         lives = list(self._lives.by_id.values()) if is_sweep else touched
@@ -362,8 +358,7 @@
         self._sweep_due = now + SWEEP_EVERY
         self._watcher.forget_silent(now)
         self._jobs.forget_ended(now)
-        if self._orphan_ends and not self._lives.is_grace(now):
-            self._orphan_ends.clear()
+        self._ends.forget_orphans(now)
 
     def take_orders(self) -> list[Order]:
         """Return what is to be sent to upstreams."""
@@ -375,108 +370,6 @@
         proposals, self._term.proposals = self._term.proposals, []
         return proposals
 
-    def _take_ends(self, life: Life, ended: tuple[EndReport, ...], now: timedelta) -> None:
-        new = tuple(end for end in ended if end.number > max(life.proposed, life.noted))
-        if not new:
-            return
-        life.proposed = new[-1].number
-        self._term.counts.ends += len(new)
-        self._jobs.tempo.take_ends(len(new), now)
-        kept: list[EndReport] = []
-        for end in new:
-            run = life.remove_run((end.task, end.run))
-            if run is not None:
-                self._judge(life, run, end, now)
-            self._jobs.mark_noting(end)
-            if end.task.job in self._term.records.jobs:
-                kept.append(end)
-            else:
-                self._note_here(end, now)
-        if not kept:
-            life.noted = max(life.noted, life.proposed)
-            return
-        command = NoteEnds(
-            upstream=life.info.id,
-            through=life.proposed,
-            ends=tuple(kept),
-            at_ms=self._term.wall_ms(),
-        )
-        self._term.proposals.append(command)
-
-    def _judge(self, life: Life, run: Run, end: EndReport, now: timedelta) -> None:
-        """Learn from the end of a run how fast its kind is, and how well its upstream."""
-        health = self._lives.get_health(life)
-        job = self._jobs.jobs.get(end.task.job)
-        if job is None or run.is_orphan:
-            return
-        step = job.record.spec.steps[end.task.step]
-        queue = job.record.queue.key
-        taken = now - run.since
-        expected = self._jobs.forecast.predict(queue, step)
-        self._term.note(
-            "run_ended",
-            {
-                "job": end.task.job,
-                "task": f"{end.task.step}.{end.task.place}",
-                "upstream": life.info.id,
-                "how": end.how.value,
-                "took_ms": to_milliseconds(taken),
-                "expected_ms": to_milliseconds(expected),
-            },
-        )
-        if end.how is EndKind.DONE:
-            self._jobs.forecast.learn(queue, step, taken)
-            job.learn_pace(end.task.step, life.info.id, taken)
-            if health.take_done(taken / expected, now):
-                self._term.note("upstream_slow", {"upstream": life.info.id})
-        elif end.how is EndKind.FAILED and health.take_failure(now):
-            self._term.note("upstream_failing", {"upstream": life.info.id})
-
-    def _note_here(self, end: EndReport, now: timedelta) -> None:
-        """Take note of an end that need not be kept."""
-        job = self._jobs.jobs.get(end.task.job)
-        if job is not None:
-            note_end(job.record, end, self._term.wall_ms())
-            self._take_noted_end(end, now)
-        elif self._lives.is_grace(now):
-            self._orphan_ends.setdefault(end.task.job, []).append(end)
-
-    def _take_noted(self, command: NoteEnds, now: timedelta) -> None:
-        life = self._lives.by_id.get(command.upstream)
-        if life is not None:
-            life.noted = max(life.noted, command.through)
-            life.look_due = now
-            self._lives.touch(life)
-        for end in command.ends:
-            self._take_noted_end(end, now)
-
-    def _take_noted_end(self, end: EndReport, now: timedelta) -> None:
-        job = self._jobs.jobs.get(end.task.job)
-        if job is None:
-            return
-        if not job.record.is_open:
-            self._jobs.close_if_ended(end.task.job, now)
-            return
-        job.has_begun = True
-        task = job.tasks.get(end.task)
-        if task is None:
-            return
-        if job.record.get_task(end.task).is_done:
-            # A run that was given up may have ended as done before its lease did.
-            if task.phase is TaskPhase.RUNNING and task.life is not None:
-                self._lives.want_stop(task.life, end.task, task.run)
-            elif task.phase is TaskPhase.QUEUED:
-                self._jobs.unqueue(end.task)
-            del job.tasks[end.task]
-            if job.record.is_step_done(end.task.step):
-                self._jobs.unblock(job, now)
-        elif task.phase is TaskPhase.NOTING and task.is_unknown:
-            # An end of one run says nothing of a later one at an upstream not seen yet.
-            task.phase = TaskPhase.UNKNOWN
-            self._has_unsure_jobs = True
-        elif task.phase is TaskPhase.NOTING:
-            self._jobs.queue(job, end.task.step, [end.task.place], now)
-
     def _drop_vanished(
         self, life: Life, reply: LookReply, sent_at: timedelta, now: timedelta
     ) -> None:
@@ -493,20 +386,3 @@
             if run.stopped_at is not None and run.stopped_at <= sent_at:
                 life.remove_run(key)
                 self._jobs.requeue(run.task, run.run, now)
-
-    def _settle(self, now: timedelta) -> None:
-        """Once nothing unknown can run any more, queue what an earlier leader left open."""
-        if not self._is_settled and (not self._lives.unseen or now >= self._settled_at):
-            self._is_settled = True
-            self._term.note(
-                "term_settled", {"term": self._term.number, "unseen": len(self._lives.unseen)}
-            )
-        if not self._has_unsure_jobs:
-            return
-        self._has_unsure_jobs = False
-        is_all_seen = not self._lives.list_unseen()
-        for job in self._jobs.jobs.values():
-            if is_all_seen or now >= job.settle_at:
-                self._jobs.queue_unknown(job, now)
-            elif any(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values()):
-                self._has_unsure_jobs = True
--- /dev/null
+++ b/cottonlug/core/cluster/settlement.py
@@ -0,0 +1,43 @@
+"""What an earlier leader may have left at work, and when that is surely over."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from .life_table import LifeTable
+from .open_jobs import OpenJobs, TaskPhase
+from .term import Term
+
+
+class Settlement:
+    """Tasks of which it is not known whether they run at an upstream out of sight."""
+
+    def __init__(self, *, term: Term, lives: LifeTable, jobs: OpenJobs) -> None:
+        self.is_settled = False
+        """Whether all leases of earlier terms have ended, or all upstreams were seen."""
+        self._term = term
+        self._lives = lives
+        self._jobs = jobs
+        self._settled_at = term.began_at + term.lease.lapse_after
+        self._has_unsure_jobs = True
+
+    def note_unsure(self) -> None:
+        """Look again whether tasks are unknown."""
+        self._has_unsure_jobs = True
+
+    def settle(self, now: timedelta) -> None:
+        """Once nothing unknown can run any more, queue what an earlier leader left open."""
+        if not self.is_settled and (not self._lives.unseen or now >= self._settled_at):
+            self.is_settled = True
+            self._term.note(
+                "term_settled", {"term": self._term.number, "unseen": len(self._lives.unseen)}
+            )
+        if not self._has_unsure_jobs:
+            return
+        self._has_unsure_jobs = False
+        is_all_seen = not self._lives.list_unseen()
+        for job in self._jobs.jobs.values():
+            if is_all_seen or now >= job.settle_at:
+                self._jobs.queue_unknown(job, now)
+            elif any(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values()):
+                self._has_unsure_jobs = True
--- /dev/null
+++ b/cottonlug/runtime/job_answers.py
@@ -0,0 +1,192 @@
+"""What a host that decides answers to calls about jobs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Hashable
+from datetime import timedelta
+
+from ..core.clock import Clock, to_milliseconds
+from ..core.cluster.admission import Rejection
+from ..core.cluster.calls import (
+    NO_CONFIGURATION,
+    Abandon,
+    Answer,
+    AskState,
+    Cancel,
+    Outcome,
+    Submit,
+)
+from ..core.cluster.checks import JOB_ID_PATTERN, find_job_problem, find_unsupported
+from ..core.cluster.commands import AcceptJob, CancelJob, Command
+from ..core.cluster.dispatch import Dispatch
+from ..core.cluster.lives import LeaseTerms
+from ..core.cluster.model import JobId, Queue
+from ..core.cluster.open_jobs import Submission
+from ..core.cluster.records import JobRecord, Records
+from .events import Event, log_event
+from .gateways import GATEWAY_SILENT
+from .ports import Authority
+from .replicated import Waiters
+
+STATE_WAIT = timedelta(milliseconds=60)
+"""How long a question for the state of a job waits that is about to end; a commit takes 20 ms."""
+
+
+class JobAnswers:
+    """Answers about jobs, for as long as one term lasts."""
+
+    def __init__(
+        self,
+        *,
+        authority: Authority,
+        records: Records,
+        dispatch: Dispatch,
+        waiters: Waiters,
+        clock: Clock,
+        terms: LeaseTerms,
+        caller_retry: timedelta,
+        propose: Callable[[Command, Hashable], Awaitable[Answer]],
+        wait: Callable[[Hashable], Awaitable[Answer]],
+        wake: Callable[[], None],
+    ) -> None:
+        self._authority = authority
+        self._term = authority.term
+        self._records = records
+        self._dispatch = dispatch
+        self._waiters = waiters
+        self._clock = clock
+        self._terms = terms
+        self._caller_retry = caller_retry
+        self._propose = propose
+        self._wait = wait
+        self._wake = wake
+
+    async def answer_submit(self, call: Submit) -> Answer:
+        """Take a job in; one that need not be kept is answered when it has ended."""
+        found = self._find_queue(call.host, call.path)
+        if isinstance(found, Answer):
+            return found
+        queue, job = found
+        if call.deputy_term >= self._term:
+            # The deputy's token is higher than ours: take a later term before going on.
+            self._authority.renew()
+            return Answer(outcome=Outcome.UNKNOWN, detail="a later term is needed after a deputy's")
+        if job in self._records.jobs:
+            return Answer(outcome=Outcome.DONE)
+        if call.spec.best_effort and self._dispatch.jobs.find_ended(job) is not None:
+            return Answer(outcome=Outcome.DONE, state=self._dispatch.jobs.find_ended(job))
+        if call.spec.best_effort and self._dispatch.jobs.is_open(job):
+            return await self._wait_end(job)
+        if ("job", job) in self._waiters:
+            return await self._wait(("job", job))
+        if JOB_ID_PATTERN.fullmatch(job) is None:
+            return Answer(outcome=Outcome.INVALID, detail="the id is not 16 hexadecimal digits")
+        problem = find_job_problem(call.spec)
+        if problem is not None:
+            return Answer(outcome=Outcome.INVALID, detail=problem)
+        unsupported = find_unsupported(call.spec)
+        if unsupported is not None:
+            return Answer(outcome=Outcome.UNSUPPORTED, detail=unsupported)
+        waited = timedelta(milliseconds=call.waited_ms)
+        now = self._clock.monotonic()
+        rejection = self._dispatch.find_rejection(queue, call.spec, waited, now)
+        if rejection is not None and not call.may_have_begun:
+            return _reject(job, rejection)
+        if call.spec.best_effort:
+            return await self._run_to_end(job, queue, call)
+        at_ms = self._read_wall() - call.waited_ms
+        command = AcceptJob(job=job, queue=queue, spec=call.spec, at_ms=at_ms)
+        return await self._propose(command, ("job", job))
+
+    def answer_abandon(self, call: Abandon) -> Answer:
+        """Give up a job that nobody waits for any more."""
+        found = self._find_queue(call.host, call.path)
+        if isinstance(found, Answer):
+            return found
+        self._dispatch.abandon(found[1], self._clock.monotonic())
+        self._wake()
+        return Answer(outcome=Outcome.DONE)
+
+    async def answer_state(self, call: AskState) -> Answer:
+        """Tell a job's state, or how many jobs of a queue have not begun."""
+        found = self._find_queue(call.host, call.path)
+        if isinstance(found, Answer):
+            return found
+        queue, job = found
+        if not job:
+            pending = self._dispatch.jobs.count_pending(queue.host, queue.prefix)
+            return Answer(outcome=Outcome.DONE, pending=pending)
+        record = self._records.jobs.get(job)
+        if record is None or record.queue.key != queue.key:
+            return Answer(outcome=Outcome.NO_JOB)
+        if self._dispatch.jobs.is_ending(job):
+            # Callers ask again much later than a commit takes.
+            waiting = self._waiters.wait_for(("end", job))
+            await asyncio.wait([waiting], timeout=STATE_WAIT.total_seconds())
+        return Answer(outcome=Outcome.DONE, state=self._dispatch.jobs.find_state(record))
+
+    async def answer_cancel(self, call: Cancel) -> Answer:
+        """End a job by its caller's wish."""
+        found = self._find_queue(call.host, call.path)
+        if isinstance(found, Answer):
+            return found
+        _, job = found
+        if self._dispatch.cancel(job, self._clock.monotonic()):
+            self._wake()
+            return Answer(outcome=Outcome.DONE)
+        record = self._records.jobs.get(job)
+        if record is None and ("job", job) not in self._waiters:
+            return Answer(outcome=Outcome.NO_JOB)
+        if record is not None and not record.is_open:
+            return Answer(outcome=Outcome.DONE, state=record.state)
+        command = CancelJob(job=job, at_ms=self._read_wall())
+        return await self._propose(command, ("cancel", job))
+
+    def _find_queue(self, host: str, path: str) -> tuple[Queue, JobId] | Answer:
+        queues = self._records.queues
+        if queues is None:
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_CONFIGURATION)
+        found = queues.find(host, path)
+        return found if found is not None else Answer(outcome=Outcome.NO_QUEUE)
+
+    async def _run_to_end(self, job: JobId, queue: Queue, call: Submit) -> Answer:
+        """Run a job that need not be kept, and answer when it has ended."""
+        record = JobRecord(id=job, queue=queue, spec=call.spec, accepted_ms=self._read_wall())
+        now = self._clock.monotonic()
+        longest = self._terms.lapse_after + GATEWAY_SILENT
+        after_retry = max(longest - self._caller_retry, timedelta())
+        submission = Submission(
+            gateway=call.gateway,
+            may_have_begun=call.may_have_begun,
+            # A caller whose gateway was lost sends its job again only after a while.
+            settle_after=longest if call.may_have_begun else after_retry,
+            waited=timedelta(milliseconds=call.waited_ms),
+        )
+        self._dispatch.submit(record, submission, now)
+        self._wake()
+        return await self._wait_end(job)
+
+    async def _wait_end(self, job: JobId) -> Answer:
+        if self._dispatch.jobs.is_open(job) and not await self._waiters.wait_for(("end", job)):
+            return Answer(outcome=Outcome.UNKNOWN, detail="this host does not lead any more")
+        rejection = self._dispatch.jobs.rejections.get(job)
+        if rejection is not None:
+            return _reject(job, rejection)
+        if job in self._dispatch.jobs.given_up:
+            return Answer(outcome=Outcome.GIVEN_UP, detail="it would end too late for any use")
+        state = self._dispatch.jobs.find_ended(job)
+        if state is None:
+            return Answer(outcome=Outcome.UNKNOWN, detail="the job was given up")
+        return Answer(outcome=Outcome.DONE, state=state)
+
+    def _read_wall(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
+
+
+def _reject(job: JobId, rejection: Rejection) -> Answer:
+    retry_after_ms = to_milliseconds(rejection.retry_after)
+    log_event(
+        Event.SUBMISSION_REFUSED, job=job, reason=rejection.reason, retry_after_ms=retry_after_ms
+    )
+    return Answer(outcome=Outcome.REJECTED, detail=rejection.reason, retry_after_ms=retry_after_ms)
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -9,8 +9,7 @@
 
 import msgspec
 
-from ..core.clock import Clock, to_milliseconds
-from ..core.cluster.admission import Rejection
+from ..core.clock import Clock
 from ..core.cluster.calls import (
     NO_CONFIGURATION,
     NO_LOG,
@@ -28,10 +27,7 @@
     Submit,
 )
 from ..core.cluster.checks import (
-    JOB_ID_PATTERN,
     find_configuration_problem,
-    find_job_problem,
-    find_unsupported,
 )
 from ..core.cluster.commands import (
     AcceptJob,
@@ -46,19 +42,18 @@
 )
 from ..core.cluster.dispatch import Dispatch
 from ..core.cluster.lives import LeaseTerms
-from ..core.cluster.model import JobId, Queue
-from ..core.cluster.open_jobs import Submission
+from ..core.cluster.model import JobId
 from ..core.cluster.orders import (
     Order,
     StartOrder,
     StopOrder,
 )
-from ..core.cluster.records import JobRecord
 from ..core.ids import DomainName
 from .decisions import note_decision
 from .events import Event, log_event
-from .gateways import GATEWAY_SILENT, Gateways
+from .gateways import Gateways
 from .heartbeat_port import HeartbeatPort
+from .job_answers import JobAnswers
 from .ports import Authority, OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords, Waiters
 
@@ -68,8 +63,6 @@
 """Room for the tokens of deputies between those of two leaders."""
 HELD_UP = timedelta(milliseconds=150)
 """Between two decisions there are 20 ms, unless the process was held up."""
-STATE_WAIT = timedelta(milliseconds=60)
-"""How long a question for the state of a job waits that is about to end; a commit takes 20 ms."""
 COMMIT_TIMEOUT = timedelta(seconds=2)
 """How long a call waits for its command; its fate is unknown afterwards."""
 
@@ -138,6 +131,18 @@
             on_end=self._take_end,
             domain=settings.domain,
         )
+        self._jobs = JobAnswers(
+            authority=authority,
+            records=self._records,
+            dispatch=self.dispatch,
+            waiters=self.waiters,
+            clock=clock,
+            terms=settings.terms,
+            caller_retry=settings.caller_retry,
+            propose=self._propose_and_wait,
+            wait=self._wait,
+            wake=self._wake,
+        )
         self._proposals: list[Command] = []
         self._is_awake = False
         self._calls: set[asyncio.Task[None]] = set()
@@ -168,15 +173,15 @@
         if not self._settings.keeps_log and not _needs_no_log(call):
             return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LOG)
         if isinstance(call, AskState):
-            return await self._answer_state(call)
+            return await self._jobs.answer_state(call)
         if isinstance(call, Greet):
             return self._answer_greeting(call)
         if isinstance(call, Submit):
-            return await self._answer_submit(call)
+            return await self._jobs.answer_submit(call)
         if isinstance(call, Abandon):
-            return self._answer_abandon(call)
+            return self._jobs.answer_abandon(call)
         if isinstance(call, Cancel):
-            return await self._answer_cancel(call)
+            return await self._jobs.answer_cancel(call)
         if isinstance(call, Beat):
             return await self._answer_beat(call)
         if isinstance(call, Leave):
@@ -187,104 +192,6 @@
             return self._answer_configuration()
         return Answer(outcome=Outcome.DONE)
 
-    def _find_queue(self, host: str, path: str) -> tuple[Queue, JobId] | Answer:
-        queues = self._records.queues
-        if queues is None:
-            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_CONFIGURATION)
-        found = queues.find(host, path)
-        return found if found is not None else Answer(outcome=Outcome.NO_QUEUE)
-
-    async def _answer_submit(self, call: Submit) -> Answer:
-        found = self._find_queue(call.host, call.path)
-        if isinstance(found, Answer):
-            return found
-        queue, job = found
-        if call.deputy_term >= self.term:
-            # The deputy's token is higher than ours: take a later term before going on.
-            self._authority.renew()
-            return Answer(outcome=Outcome.UNKNOWN, detail="a later term is needed after a deputy's")
-        if job in self._records.jobs:
-            return Answer(outcome=Outcome.DONE)
-        if call.spec.best_effort and self.dispatch.jobs.find_ended(job) is not None:
-            return Answer(outcome=Outcome.DONE, state=self.dispatch.jobs.find_ended(job))
-        if call.spec.best_effort and self.dispatch.jobs.is_open(job):
-            return await self._wait_end(job)
-        if ("job", job) in self.waiters:
-            return await self._wait(("job", job))
-        if JOB_ID_PATTERN.fullmatch(job) is None:
-            return Answer(outcome=Outcome.INVALID, detail="the id is not 16 hexadecimal digits")
-        problem = find_job_problem(call.spec)
-        if problem is not None:
-            return Answer(outcome=Outcome.INVALID, detail=problem)
-        unsupported = find_unsupported(call.spec)
-        if unsupported is not None:
-            return Answer(outcome=Outcome.UNSUPPORTED, detail=unsupported)
-        waited = timedelta(milliseconds=call.waited_ms)
-        now = self._clock.monotonic()
-        rejection = self.dispatch.find_rejection(queue, call.spec, waited, now)
-        if rejection is not None and not call.may_have_begun:
-            return _reject(job, rejection)
-        if call.spec.best_effort:
-            return await self._run_to_end(job, queue, call)
-        at_ms = self._read_wall() - call.waited_ms
-        command = AcceptJob(job=job, queue=queue, spec=call.spec, at_ms=at_ms)
-        return await self._propose_and_wait(command, ("job", job))
-
-    async def _run_to_end(self, job: JobId, queue: Queue, call: Submit) -> Answer:
-        """Run a job that need not be kept, and answer when it has ended."""
-        record = JobRecord(id=job, queue=queue, spec=call.spec, accepted_ms=self._read_wall())
-        now = self._clock.monotonic()
-        longest = self._settings.terms.lapse_after + GATEWAY_SILENT
-        after_retry = max(longest - self._settings.caller_retry, timedelta())
-        submission = Submission(
-            gateway=call.gateway,
-            may_have_begun=call.may_have_begun,
-            # A caller whose gateway was lost sends its job again only after a while.
-            settle_after=longest if call.may_have_begun else after_retry,
-            waited=timedelta(milliseconds=call.waited_ms),
-        )
-        self.dispatch.submit(record, submission, now)
-        self._wake()
-        return await self._wait_end(job)
-
-    async def _wait_end(self, job: JobId) -> Answer:
-        if self.dispatch.jobs.is_open(job) and not await self.waiters.wait_for(("end", job)):
-            return Answer(outcome=Outcome.UNKNOWN, detail="this host does not lead any more")
-        rejection = self.dispatch.jobs.rejections.get(job)
-        if rejection is not None:
-            return _reject(job, rejection)
-        if job in self.dispatch.jobs.given_up:
-            return Answer(outcome=Outcome.GIVEN_UP, detail="it would end too late for any use")
-        state = self.dispatch.jobs.find_ended(job)
-        if state is None:
-            return Answer(outcome=Outcome.UNKNOWN, detail="the job was given up")
-        return Answer(outcome=Outcome.DONE, state=state)
-
-    def _answer_abandon(self, call: Abandon) -> Answer:
-        found = self._find_queue(call.host, call.path)
-        if isinstance(found, Answer):
-            return found
-        self.dispatch.abandon(found[1], self._clock.monotonic())
-        self._wake()
-        return Answer(outcome=Outcome.DONE)
-
-    async def _answer_state(self, call: AskState) -> Answer:
-        found = self._find_queue(call.host, call.path)
-        if isinstance(found, Answer):
-            return found
-        queue, job = found
-        if not job:
-            pending = self.dispatch.jobs.count_pending(queue.host, queue.prefix)
-            return Answer(outcome=Outcome.DONE, pending=pending)
-        record = self._records.jobs.get(job)
-        if record is None or record.queue.key != queue.key:
-            return Answer(outcome=Outcome.NO_JOB)
-        if self.dispatch.jobs.is_ending(job):
-            # Callers ask again much later than a commit takes.
-            waiting = self.waiters.wait_for(("end", job))
-            await asyncio.wait([waiting], timeout=STATE_WAIT.total_seconds())
-        return Answer(outcome=Outcome.DONE, state=self.dispatch.jobs.find_state(record))
-
     def _answer_greeting(self, call: Greet) -> Answer:
         """Tell a gateway what it needs to know, and count on it for its jobs."""
         self.gateways.take_greeting(call)
@@ -295,22 +202,6 @@
         roster = self.gateways.build_roster(self._records, call.roster)
         return Answer(outcome=Outcome.DONE, roster=roster)
 
-    async def _answer_cancel(self, call: Cancel) -> Answer:
-        found = self._find_queue(call.host, call.path)
-        if isinstance(found, Answer):
-            return found
-        _, job = found
-        if self.dispatch.cancel(job, self._clock.monotonic()):
-            self._wake()
-            return Answer(outcome=Outcome.DONE)
-        record = self._records.jobs.get(job)
-        if record is None and ("job", job) not in self.waiters:
-            return Answer(outcome=Outcome.NO_JOB)
-        if record is not None and not record.is_open:
-            return Answer(outcome=Outcome.DONE, state=record.state)
-        command = CancelJob(job=job, at_ms=self._read_wall())
-        return await self._propose_and_wait(command, ("cancel", job))
-
     async def _answer_beat(self, call: Beat) -> Answer:
         heartbeat = call.heartbeat
         self.dispatch.take_heartbeat(heartbeat, self._clock.monotonic())
@@ -480,11 +371,3 @@
     if isinstance(call, Submit):
         return call.spec.best_effort
     return isinstance(call, Abandon | Greet)
-
-
-def _reject(job: JobId, rejection: Rejection) -> Answer:
-    retry_after_ms = to_milliseconds(rejection.retry_after)
-    log_event(
-        Event.SUBMISSION_REFUSED, job=job, reason=rejection.reason, retry_after_ms=retry_after_ms
-    )
-    return Answer(outcome=Outcome.REJECTED, detail=rejection.reason, retry_after_ms=retry_after_ms)
