--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: run test test-hosts test-voters test-rest bench-cluster binary check-binary format bench capacity today stop clean
+.PHONY: run test test-hosts test-voters test-rest bench-cluster bench-decisions binary check-binary format bench capacity today stop clean
 
 run: .venv/made
 	$(BIN)/python -m cottonlug demo
@@ -54,6 +54,9 @@
 bench: .venv/made
 	$(BIN)/python -m bench.cost | tee bench/results/cost.json
 
+bench-decisions: .venv/made
+	$(BIN)/python -m bench.decisions | tee bench/results/decisions.json
+
 bench-cluster: .venv/made
 	$(BIN)/python -m bench.cluster | tee bench/results/cluster.json
 
--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,90 @@
+"""What the decisions of a cluster's leader cost for each start, by the number of upstreams.
+
+    python -m bench.decisions > bench/results/decisions.json
+
+The model of upstreams of the tests, loaded in proportion to its size; only the time spent inside
+the decisions counts. The cost at the smallest size is the baseline of the same run.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from typing import Any
+
+from cottonlug.core.cluster.dispatch import Dispatch
+
+from . import cluster
+from .cluster import KINDS, Run
+
+SIZES = (24, 176, 700)
+SECONDS = 3
+SEED = 1
+ENTRIES = ("tick", "submit", "take_look", "take_start_answer", "take_stop_answer", "take_heartbeat")
+
+
+@contextmanager
+def measure_entries(spent: dict[str, float]) -> Iterator[None]:
+    """Add up the seconds spent in each of the calls by which events come to a dispatch."""
+    originals = {name: getattr(Dispatch, name) for name in ENTRIES}
+
+    def wrap(name: str) -> Any:
+        def measured(*args: Any, **rest: Any) -> Any:
+            began = time.perf_counter()
+            try:
+                return originals[name](*args, **rest)
+            finally:
+                spent[name] = spent.get(name, 0.0) + time.perf_counter() - began
+
+        return measured
+
+    for name in ENTRIES:
+        setattr(Dispatch, name, wrap(name))
+    try:
+        yield
+    finally:
+        for name, original in originals.items():
+            setattr(Dispatch, name, original)
+
+
+def measure(upstreams: int) -> dict[str, float]:
+    """Return microseconds for each start and looks for each start at one size."""
+    scale = upstreams / cluster.UPSTREAMS
+    kinds = tuple(replace(kind, rate=kind.rate * scale) for kind in KINDS)
+    spent: dict[str, float] = {}
+    with (
+        cluster.replace(cluster, "KINDS", kinds),
+        cluster.replace(cluster, "UPSTREAMS", upstreams),
+        cluster.replace(cluster, "SECONDS", SECONDS),
+        measure_entries(spent),
+    ):
+        run = Run(seed=SEED, scenario="calm")
+        run.play()
+    starts = run.world.starts
+    looks = run.leader.dispatch.counts.looks
+    return {
+        "starts": starts,
+        "us_a_start": round(1e6 * sum(spent.values()) / starts, 1),
+        "tick_us_a_start": round(1e6 * spent["tick"] / starts, 1),
+        "looks_a_start": round(looks / starts, 2),
+    }
+
+
+def main() -> None:
+    """Print the figures of all sizes, and each as a multiple of the smallest."""
+    results: dict[str, dict[str, float]] = {}
+    for upstreams in SIZES:
+        results[str(upstreams)] = measure(upstreams)
+        print(upstreams, results[str(upstreams)], file=sys.stderr)
+    baseline = results[str(SIZES[0])]["us_a_start"]
+    for figures in results.values():
+        figures["times_the_smallest"] = round(figures["us_a_start"] / baseline, 2)
+    print(json.dumps(results, indent=1))
+
+
+if __name__ == "__main__":
+    main()
