--- a/cottonlug/core/consensus/member.py
+++ b/cottonlug/core/consensus/member.py
@@ -404,8 +404,8 @@
             return
         progress.heard_at = self._now
         if not reply.accepted:
-            progress.record_refusal(reply.matched)
-            self._replicate(reply.sender)
+            if progress.record_refusal(reply.matched, self._now, self._timing.heartbeat * 2):
+                self._replicate(reply.sender)
             return
         require(reply.matched <= self.log.last_index, "a follower has only what the leader has")
         progress.record_match(reply.matched)
--- a/cottonlug/core/consensus/progress.py
+++ b/cottonlug/core/consensus/progress.py
@@ -16,16 +16,27 @@
     next_index: Index
     matched: Index
     heard_at: timedelta
+    _refused_with: Index | None = None
+    _refused_at: timedelta = timedelta()
 
     def record_match(self, matched: Index) -> None:
         """Note that the member's log agrees up to an index."""
         self.matched = max(self.matched, matched)
         self.next_index = max(self.next_index, Index(self.matched + 1))
 
-    def record_refusal(self, hint: Index) -> None:
-        """Go back to where the member's log may agree, never before where it does."""
+    def record_refusal(self, hint: Index, now: timedelta, repeated_within: timedelta) -> bool:
+        """Go back to where the member's log may agree, never before where it does.
+
+        False where that was done a moment ago: each message that was under way is refused with the
+        same hint, and what is missing was sent at the first refusal.
+        """
+        if hint == self._refused_with and now - self._refused_at < repeated_within:
+            return False
+        self._refused_with = hint
+        self._refused_at = now
         retry_from = min(self.next_index - 1, hint + 1)
         self.next_index = Index(max(self.matched + 1, retry_from))
+        return True
 
 
 def is_quorum(voters: Collection[MemberId], members: Collection[MemberId]) -> bool:
--- a/cottonlug/tests/test_consensus.py
+++ b/cottonlug/tests/test_consensus.py
@@ -132,6 +132,27 @@
     assert member.term == 3
 
 
+def test_what_is_missing_is_sent_once_for_many_refusals_of_messages_under_way() -> None:
+    """Found with kept jobs on mvpl-skywatch trouble-1: 0.134 GB between domains."""
+    entries = tuple(build_entry(index, 3) for index in range(2, 10))
+    member = build_member(build_stored(3, entries))
+    make_leader(member)
+    member.take_output()
+    late = timedelta(seconds=10)
+    refusal = AppendReply(term=member.term, sender=B, accepted=False, matched=Index(1))
+
+    def count_sent() -> int:
+        messages = [envelope.message for envelope in member.take_output().messages]
+        return sum(len(each.entries) for each in messages if isinstance(each, AppendRequest))
+
+    for _ in range(5):
+        member.receive(refusal, late)
+    assert count_sent() == 9
+    # Refused again much later, the first sending was lost.
+    member.receive(refusal, late + Timing().heartbeat * 2)
+    assert count_sent() == 9
+
+
 def test_vote_is_saved_before_it_is_sent_and_holds_after_a_restart() -> None:
     journal = open_journal(FakeFiles(random.Random(1)), A).unwrap()
     journal.save(Output(snapshot=SNAPSHOT, restore=True)).unwrap()
