Send nothing more to a leader that is silent; refuse kept jobs at once where no leader can come about

Now a gateway leaves a leader 0.35 s after it last answered; a job that must be kept waits 0.8 s for an election at the most, and not at all where no majority of control hosts answers: 503, not run, come back. A span that began at zero of the clock counted as none: mended.

--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -259,8 +259,8 @@
             return
         self._note_silence(now - self._led_at)
         if self.host is not None and now - self._led_at >= CALLS_LOST_AFTER:
-            # The leader gives these calls up; what is of no more use is answered now.
-            self._calls.lose(self.host)
+            # The leader gives these calls up, and what it does not get has surely not begun.
+            self.leave(self.host)
         await self._find_replacement(self._roster)
 
     def _note_silence(self, silence: timedelta) -> None:
@@ -331,14 +331,17 @@
 
     def _find_deputy_delay(self) -> timedelta:
         """Return how long a leader must be out of reach before anybody stands in."""
+        return DEPUTY_AFTER_SILENCE if self.is_core_silent() else DEPUTY_AFTER
+
+    def is_core_silent(self) -> bool:
+        """Whether no majority of the control hosts has answered lately, so that none can lead."""
         now = self._clock.monotonic()
         alive = sum(
             1
             for host in self.hosts
             if host in self._answered_at and now - self._answered_at[host] < CORE_SILENT
         )
-        can_elect = 2 * alive > len(self.hosts)
-        return DEPUTY_AFTER if can_elect else DEPUTY_AFTER_SILENCE
+        return 2 * alive <= len(self.hosts)
 
     def _stand_in(self, roster: Roster) -> None:
         if self.host is not None:
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -38,6 +38,9 @@
 NOBODY_PATIENCE = timedelta(milliseconds=2_000)
 """How long a call waits for somebody who decides, before its caller is told to come back."""
 NO_LEADER = "neither a deputy nor in touch with a leader"
+KEPT_PATIENCE = timedelta(milliseconds=800)
+"""The same for a job that must be kept: no deputy can take it, and an election takes 0.7 s. Where
+no majority of control hosts answers none can come about, and its caller is told at once."""
 DEFAULT_MAX_BODY_BYTES = 262_144
 _ORDINARY = (Outcome.DONE, Outcome.NO_QUEUE, Outcome.NO_JOB)
 
@@ -154,7 +157,9 @@
         while True:
             now = self._clock.monotonic()
             left = give_up_at - now
-            if left < LEAST_TIME or (nobody_since and now - nobody_since > NOBODY_PATIENCE):
+            if left < LEAST_TIME:
+                break
+            if nobody_since is not None and now - nobody_since > self._find_patience(call):
                 break
             deputy_term = self.link.deputy_term if self.link.via is Via.DEPUTY else 0
             if isinstance(call, Submit):
@@ -168,7 +173,7 @@
                 if isinstance(call, Submit):
                     call = _mark_begun(call, deputy_term)
             elif answer.outcome is Outcome.UNAVAILABLE:
-                nobody_since = nobody_since or now
+                nobody_since = now if nobody_since is None else nobody_since
             elif answer.outcome is Outcome.REJECTED and is_unknown:
                 # An earlier try may have run: "not run" cannot be said any more.
                 break
@@ -181,6 +186,12 @@
         outcome = Outcome.UNKNOWN if is_unknown else Outcome.UNAVAILABLE
         return Answer(outcome=outcome, detail="nobody could be reached in time who decides")
 
+    def _find_patience(self, call: Call) -> timedelta:
+        """Return how long a call waits for somebody who decides."""
+        if not isinstance(call, Submit) or call.spec.best_effort:
+            return NOBODY_PATIENCE
+        return timedelta() if self.link.is_core_silent() else KEPT_PATIENCE
+
     def _is_hopeless(self, call: Submit, waited: timedelta) -> bool:
         """Whether a job that waited so long would end too late to be of any use."""
         queues = self.link.queues
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -39,7 +39,7 @@
     merge_roster,
 )
 from ..core.ids import DomainName, HostId, UpstreamId
-from ..runtime.decider import RELAY_AFTER, Via
+from ..runtime.decider import CALLS_LOST_AFTER, RELAY_AFTER, Via
 from ..runtime.deputy import DEPUTY_AFTER, DEPUTY_AFTER_SILENCE
 from ..runtime.gateway import Gateway
 from ..runtime.gateways import GATEWAY_SILENT, Gateways
@@ -672,6 +672,25 @@
     asyncio.run(play())
 
 
+def test_nothing_more_is_sent_to_a_leader_that_is_silent() -> None:
+    """Failed on a site of kept jobs: all went to a dead leader, so none could be refused."""
+
+    async def play() -> None:
+        clock = build_clock()
+        (gateway,) = prepare(1, clock, keeps_jobs=True)
+        connect_with_leader([gateway], lambda asking, host: True, lead)
+        gateway.link.follow(LEADER, Via.LEADER)
+        clock.advance(CALLS_LOST_AFTER - milliseconds(1))
+        await gateway.link.replace_leader()
+        assert gateway.decider == LEADER
+        clock.advance(milliseconds(1))
+        await gateway.link.replace_leader()
+        assert gateway.decider is None
+        assert (await gateway._try(submit(), PATIENCE)).outcome is Outcome.UNAVAILABLE
+
+    asyncio.run(play())
+
+
 def test_a_gateway_goes_back_to_the_leader_once_it_reaches_it() -> None:
     async def play() -> None:
         clock = build_clock()
--- a/cottonlug/tests/test_cluster_overload.py
+++ b/cottonlug/tests/test_cluster_overload.py
@@ -5,6 +5,8 @@
 import asyncio
 from datetime import timedelta
 
+import pytest
+
 from ..core.cluster.backlog import Backlog, Tier
 from ..core.cluster.calls import Answer, Call, Outcome, Submit
 from ..core.cluster.forecast import find_last_use
@@ -159,6 +161,22 @@
     assert len(tried) == 10
 
 
+@pytest.mark.parametrize(("is_core_silent", "tries"), [(True, 1), (False, 9)])
+def test_a_job_that_must_be_kept_is_told_to_come_back_once_no_election_can_help(
+    is_core_silent: bool, tries: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Failed on a site of kept jobs: callers were held for 2 s while all control hosts were off."""
+    clock = build_clock()
+    gateway = build_gateway(clock)
+    gateway.link.use_roster(build_roster())
+    monkeypatch.setattr(gateway.link, "is_core_silent", lambda: is_core_silent)
+    tried = answer_unavailable(gateway, clock, milliseconds(100))
+    call = Submit(host="host", path=f"/q/{JOB}", spec=build_spec(run_ms=5_000, kept=True))
+    answer = asyncio.run(gateway.call(call, timedelta(seconds=10)))
+    assert answer.outcome is Outcome.UNAVAILABLE
+    assert len(tried) == tries
+
+
 def test_last_use_is_three_times_the_objective_less_the_run() -> None:
     assert find_last_use(build_queue(target_ms=60), build_spec(run_ms=60)) == milliseconds(
         3 * 156 - 60
