--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -14,7 +14,7 @@
 from .term import Term
 
 LOOK_WAIT = timedelta(milliseconds=200)
-"""How long a look may be parked; a lease (0.8 s) then outlasts most changes of leader."""
+"""How long a look may be parked; a lease (0.92 s) then outlasts most changes of leader."""
 SHORTEST_LOOK = timedelta(milliseconds=20)
 """Shorter parked looks would cost more calls than what they learn is worth."""
 LOOK_RETRY = timedelta(milliseconds=100)
