--- a/cottonlug/commands/cluster.py
+++ b/cottonlug/commands/cluster.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import sys
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
@@ -44,6 +45,8 @@
 CONNECTIONS_PER_UPSTREAM = 16
 BALANCER_SECONDS = 2.5
 """The balancer asks once a second and takes a host out after two misses."""
+DRAIN_MARGIN_SECONDS = 0.4
+"""What is left of the limit for closing down, once all that was under way is answered or cut."""
 HANDED_OVER_SECONDS = 1.5
 """Time for another leader to be found before this host stops passing calls on."""
 
@@ -87,7 +90,8 @@
     log_event(Event.DRAINING, host=settings.host)
     await host.hand_over()
     await asyncio.sleep(HANDED_OVER_SECONDS)
-    await _stop_listeners([control, peers, *metrics], settings.drain_limit.total_seconds() / 2)
+    left = find_drain_seconds(settings.drain_limit, HANDED_OVER_SECONDS)
+    await _stop_listeners([control, peers, *metrics], left)
     await host.stop()
     pools.close()
     log_event(Event.STOPPED, host=settings.host)
@@ -128,14 +132,20 @@
     log_event(Event.DRAINING, host=settings.host)
     gateway.begin_stopping()
     await asyncio.sleep(BALANCER_SECONDS)
-    await _stop_listeners([callers, readiness, *metrics], settings.drain_limit.total_seconds() / 2)
+    left = find_drain_seconds(settings.drain_limit, BALANCER_SECONDS)
+    await _stop_listeners([callers, readiness, *metrics], left)
     gateway.stop()
-    await _stop_listeners([peers], HANDED_OVER_SECONDS)
+    await _stop_listeners([peers], DRAIN_MARGIN_SECONDS / 2)
     pools.close()
     log_event(Event.STOPPED, host=settings.host)
     return ExitCode.OK
 
 
+def find_drain_seconds(limit: timedelta, gone_seconds: float) -> float:
+    """Return for how many seconds requests under way may still be answered."""
+    return max(limit.total_seconds() - gone_seconds - DRAIN_MARGIN_SECONDS, 0.0)
+
+
 def _begin_logging(settings: ControlSettings | GatewaySettings) -> LogOutput:
     output = LogOutput(descriptor=sys.stdout.fileno())
     set_up_output(settings.log, output)
--- a/cottonlug/tests/test_cluster_settings.py
+++ b/cottonlug/tests/test_cluster_settings.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from ..commands.cluster import find_drain_seconds
 from ..config.cluster import load_control_settings, load_gateway_settings
 from ..config.options import Address
 from ..exceptions import SettingsError
@@ -59,6 +60,12 @@
     assert settings.drain_limit == timedelta(seconds=5)
 
 
+def test_requests_are_answered_until_shortly_before_the_limit_of_a_shutdown() -> None:
+    """Found in an incident of mvpl-skywatch: a job was cut 1 s before the host had to end."""
+    assert find_drain_seconds(timedelta(seconds=6), 2.5) == pytest.approx(3.1)
+    assert find_drain_seconds(timedelta(seconds=2), 2.5) == 0.0
+
+
 def test_all_problems_are_told_at_once_with_their_lines(tmp_path: Path) -> None:
     text = CONTROL.replace("north", "No!").replace("1000ms", "soon").replace("may_begin", "begin")
     with pytest.raises(SettingsError) as caught:
