Renew no lease by looks that are not answered; confirm no kept end before its record

Cause 1: each repeated look to an upstream that did not answer asked for a renewal, and counted as one: a run at a crashed upstream was given up only 4.5 s after the crash and later, not when its lease (0.92 s) had ended. Ruled out: the lease itself (the upstream's side lapses in time). Change: only an upstream whose last look was answered is given more time.

Cause 2: with kept and other jobs at one upstream, an end that need not be kept raised the number up to which ends are confirmed past a kept end whose record was still under way. Change: it then waits for that record, too.

--- a/cottonlug/core/cluster/ends.py
+++ b/cottonlug/core/cluster/ends.py
@@ -34,6 +34,7 @@
         new = tuple(end for end in ended if end.number > max(life.proposed, life.noted))
         if not new:
             return
+        awaits_record = life.proposed > life.noted
         life.proposed = new[-1].number
         self._term.counts.ends += len(new)
         self._jobs.tempo.take_ends(len(new), now)
@@ -47,7 +48,7 @@
                 kept.append(end)
             else:
                 self._note_here(end, now)
-        if not kept:
+        if not kept and not awaits_record:
             life.noted = max(life.noted, life.proposed)
             return
         command = NoteEnds(
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -53,7 +53,10 @@
         self._send_look(life, wait, now)
 
     def _send_look(self, life: Life, wait: timedelta, now: timedelta) -> None:
-        expires_ms = life.grant(now) if life.runs else None
+        # A look that is not answered may renew the lease all the same, and then nothing lapses for
+        # as long as it is repeated: only an upstream that answers is given more time.
+        renews = bool(life.runs) and life.failed_looks == 0
+        expires_ms = life.grant(now) if renews else None
         is_probe = life.look_is_out
         life.probe_is_out = life.probe_is_out or is_probe
         life.look_is_out = True
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -7,7 +7,16 @@
 
 import pytest
 
-from ..core.cluster.model import EndKind, EndReport, JobId, JobState, RunNumber
+from ..core.cluster.commands import NoteEnds
+from ..core.cluster.model import (
+    EndKind,
+    EndReport,
+    JobId,
+    JobState,
+    LookReply,
+    RunNumber,
+    TaskRef,
+)
 from ..core.cluster.orders import LookOrder
 from ..core.cluster.records import Records
 from ..core.ids import DomainName, UpstreamId
@@ -252,6 +261,25 @@
     assert second.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
 
 
+def test_an_end_that_need_not_be_kept_does_not_confirm_a_kept_one_before_it() -> None:
+    """Found with jobs of both kinds: the second end confirmed the first before it was committed."""
+    world, upstreams = build_world(14)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.submit("a" * 16, build_spec(tasks=1, kept=True), build_queue())
+    info = upstreams[UpstreamId("u1")].info
+    look = LookOrder(upstream=info, last_seen=0, expires_ms=None, wait=timedelta())
+    for number, job in ((1, "a" * 16), (2, "b" * 16)):
+        ref = TaskRef(JobId(job), 0, 0, 0)
+        end = EndReport(number=number, task=ref, run=RunNumber(4_096), how=EndKind.FAILED)
+        reply = LookReply(clock_ms=90 + number, running=(), ended=(end,))
+        leader.dispatch.take_look(look, reply, world.now, world.now)
+    life = leader.dispatch.lives[info.id]
+    assert life.noted == 0
+    noted = [each for each in leader.dispatch.take_proposals() if isinstance(each, NoteEnds)]
+    assert [(each.through, len(each.ends)) for each in noted] == [(1, 1), (2, 0)]
+
+
 def test_a_deputy_of_one_domain_orders_no_upstream_of_another() -> None:
     world, upstreams = build_world(13)
     for number, upstream in enumerate(upstreams.values()):
--- a/cottonlug/tests/test_cluster_progress.py
+++ b/cottonlug/tests/test_cluster_progress.py
@@ -11,7 +11,7 @@
 from ..core.cluster.progress import Pace, find_next_check, judge_pace
 from ..core.cluster.records import Records
 from ..core.ids import UpstreamId
-from .model_upstreams import Leader, build_queue, build_spec, milliseconds
+from .model_upstreams import TERMS, Leader, build_queue, build_spec, milliseconds
 from .test_cluster_dispatch import build_world, start_leader
 
 EXPECTED = milliseconds(200)
@@ -104,6 +104,18 @@
     assert counts.failed_looks > 0
 
 
+def test_the_lease_of_an_upstream_that_does_not_answer_lapses() -> None:
+    """Found with tasks that last: each repeated look counted as a renewal, for 4.5 s and more."""
+    world, upstreams = build_world(9)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    where = start_one_run(leader, 60_000)
+    leader.upstreams[where].crash()
+    world.run_until(world.now + TERMS.lapse_after + milliseconds(400))
+    ((_, again),) = world.running.items()
+    assert again != where
+
+
 def test_a_run_whose_start_had_no_answer_goes_on_where_it_runs() -> None:
     """Failed before: it was stopped at once and begun again elsewhere, its work thrown away."""
     world, upstreams = build_world(7)
