Jobs that repeat at times of their own, and tasks that last until they are cancelled

Occurrences open when their time has come by the wall clock, overlap, and are taken over by the next leader, also one whose clock is behind. Tasks that last go before all other work, are begun again however they end, are never moved nor judged slow.

--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -63,6 +63,7 @@
 
     def _adopt(self, job: OpenJob, life: Life, run: Run) -> None:
         """Let a run go on that this leader did not start, or stop it where that cannot be."""
+        self._jobs.open_through(job, run.task.occurrence, run.since)
         task = job.tasks.get(run.task)
         waits = (TaskPhase.UNKNOWN, TaskPhase.QUEUED)
         if task is None or task.phase not in waits:
--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -33,6 +33,7 @@
     """Waiting tasks of one step of one job, and when they must start to be of use."""
 
     job: JobRecord
+    occurrence: int
     number: int
     step: StepSpec
     latest_start: timedelta
--- a/cottonlug/core/cluster/checks.py
+++ b/cottonlug/core/cluster/checks.py
@@ -10,6 +10,7 @@
 MAX_PAYLOAD_BYTES = 4_000
 MAX_TASKS = 4_096
 """Tasks of a job; the size to design for is 1,100."""
+MAX_TIMED_TASKS = 65_536
 
 
 def find_configuration_problem(configuration: Configuration) -> str | None:
@@ -43,6 +44,12 @@
         return "a job has at least one step"
     if sum(step.count for step in spec.steps) > MAX_TASKS:
         return f"a job has at most {MAX_TASKS} tasks"
+    if sum(step.count for step in spec.steps) * spec.occurrences > MAX_TIMED_TASKS:
+        return f"a job has at most {MAX_TIMED_TASKS} tasks in all its occurrences"
+    if min(spec.repeat_count, spec.start_at_ms, spec.interval_ms) < 0:
+        return "a time or a number of occurrences is less than nothing"
+    if spec.is_timed and spec.long_running:
+        return "a job that lasts does not repeat"
     for number, step in enumerate(spec.steps):
         if step.count < 1:
             return f"step {number} has no tasks"
@@ -55,15 +62,9 @@
 
 def find_unsupported(spec: JobSpec) -> str | None:
     """Return the first thing a job asks for that is not built yet (docs/jobs.md), or None."""
-    if spec.long_running:
-        return "long_running"
-    if spec.repeat_count:
-        return "repeat_count"
     for step in spec.steps:
         if step.gang:
             return "gang"
         if step.fills:
             return "fills"
-        if step.max_unavailable:
-            return "max_unavailable"
     return None
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -339,8 +339,10 @@
 
     def tick(self, now: timedelta) -> None:
         """Do everything that is due and fill free room; take orders and proposals afterwards."""
-        self._settlement.settle(now)
         is_sweep = now >= self._sweep_due
+        if is_sweep:
+            self._jobs.open_due(self._settlement.first_phase, now)
+        self._settlement.settle(now)
         touched = self._lives.take_touched()
         lives = list(self._lives.by_id.values()) if is_sweep else touched
         for life in lives:
--- a/cottonlug/core/cluster/ends.py
+++ b/cottonlug/core/cluster/ends.py
@@ -101,6 +101,9 @@
                 "expected_ms": to_milliseconds(expected),
             },
         )
+        if job.record.spec.long_running:
+            # How long a task lasts says nothing of its upstream.
+            return
         if end.how is EndKind.DONE:
             self._jobs.forecast.learn(queue, step, taken)
             job.learn_pace(end.task.step, life.info.id, taken)
@@ -136,11 +139,11 @@
             elif task.phase is TaskPhase.QUEUED:
                 self._jobs.unqueue(end.task)
             del job.tasks[end.task]
-            if job.record.is_step_done(end.task.step):
-                self._jobs.unblock(job, now)
+            if job.record.is_step_done(end.task.occurrence, end.task.step):
+                self._jobs.unblock(job, end.task.occurrence)
         elif task.phase is TaskPhase.NOTING and task.is_unknown:
             # An end of one run says nothing of a later one at an upstream not seen yet.
             task.phase = TaskPhase.UNKNOWN
             self._settlement.note_unsure()
         elif task.phase is TaskPhase.NOTING:
-            self._jobs.queue(job, end.task.step, [end.task.place], now)
+            self._jobs.queue(job, end.task.occurrence, end.task.step, [end.task.place])
--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -77,7 +77,7 @@
     ) -> Rejection | None:
         """Return why a job is not taken at the moment that has waited elsewhere, or None."""
         room = self._lives.measure_room(now)
-        if room <= 0.0:
+        if room <= 0.0 or spec.is_timed or spec.long_running:
             return None
         objective = self._jobs.forecast.find_objective(queue, spec.steps)
         chain = self._jobs.forecast.find_chain(queue.key, spec.steps, 0)
@@ -101,7 +101,7 @@
             self._start(batch, batch.waiting.pop(), life, now)
 
     def _start(self, batch: Batch, index: int, life: Life, now: timedelta) -> None:
-        ref = TaskRef(batch.job.id, 0, batch.number, index)
+        ref = TaskRef(batch.job.id, batch.occurrence, batch.number, index)
         job = self._jobs.jobs[ref.job]
         task = job.tasks[ref]
         expires_ms = life.grant(now)
--- a/cottonlug/core/cluster/model.py
+++ b/cottonlug/core/cluster/model.py
@@ -70,6 +70,20 @@
     start_at_ms: int = 0
     interval_ms: int = 0
 
+    @property
+    def occurrences(self) -> int:
+        """How many times the steps run."""
+        return max(1, self.repeat_count)
+
+    @property
+    def is_timed(self) -> bool:
+        """Whether its occurrences begin at times of their own."""
+        return self.repeat_count > 0
+
+    def find_due_ms(self, occurrence: int) -> int:
+        """Return the wall-clock time at which an occurrence of a timed job begins."""
+        return self.start_at_ms + occurrence * self.interval_ms
+
 
 class QueueKey(NamedTuple):
     """What callers address a queue by."""
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -22,6 +22,8 @@
 START_MARGIN = 0.4
 """Share of the wait that the objective allows which is kept for run times beyond the declared ones:
 they scatter by 0.4 on a logarithmic scale (docs/design/platform.md has what it earns)."""
+NEVER_LATE = timedelta.max
+"""For tasks that last: they go before all others and are never given up."""
 NO_RUN = RunNumber(0)
 
 
@@ -65,6 +67,10 @@
     """Address of the gateway that waits for its end, if one does."""
     settle_at: timedelta = timedelta()
     """Until then its unknown tasks may run at an upstream out of sight."""
+    next_occurrence: int = 0
+    """The first occurrence that was not due yet."""
+    due_at: dict[int, timedelta] = field(default_factory=dict)
+    """When each occurrence was due; the objective counts from there."""
     paces: dict[tuple[int, UpstreamId], timedelta] = field(default_factory=dict)
     """How long a task of a step takes at an upstream, as its progress or its end has shown."""
 
@@ -114,6 +120,8 @@
         """Jobs that were closed while runs of them were still at work."""
         self.given_up: set[JobId] = set()
         """Jobs that were given up although something of them may have run."""
+        self._timed: dict[JobId, OpenJob] = {}
+        """Timed jobs with occurrences that are not due yet."""
         self._term = term
         self._lives = lives
         self._forget_at = term.began_at + KEEP_ENDED
@@ -147,52 +155,93 @@
                 "waiting": len(self.backlog),
             },
         )
-        for ref in record.list_refs():
-            task = record.get_task(ref)
-            if not task.is_done:
-                job.tasks[ref] = Task(phase=phase, run=RunNumber(task.last_run))
         job.has_begun = bool(record.done_count) or any(
             task.last_run for task in record.tasks.values()
         )
-        if phase is TaskPhase.QUEUED:
-            for task_state in job.tasks.values():
-                task_state.phase = TaskPhase.BLOCKED
-            self.unblock(job, now)
+        if record.spec.is_timed:
+            self._timed[record.id] = job
+            self._open_due(job, phase, now)
+        else:
+            self._open_occurrence(job, 0, phase, job.opened_at)
+
+    def open_due(self, phase: TaskPhase, now: timedelta) -> None:
+        """Take in the occurrences of timed jobs whose time has come."""
+        for job in list(self._timed.values()):
+            self._open_due(job, phase, now)
+
+    def open_through(self, job: OpenJob, occurrence: int, now: timedelta) -> None:
+        """Take in an occurrence that an earlier leader, by its own clock, has begun already."""
+        while job.next_occurrence <= min(occurrence, job.record.spec.occurrences - 1):
+            self._open_occurrence(job, job.next_occurrence, TaskPhase.UNKNOWN, now)
+
+    def _open_due(self, job: OpenJob, phase: TaskPhase, now: timedelta) -> None:
+        spec = job.record.spec
+        while job.next_occurrence < spec.occurrences:
+            late_ms = self._term.wall_ms() - spec.find_due_ms(job.next_occurrence)
+            if late_ms < 0:
+                return
+            due_at = now - timedelta(milliseconds=late_ms)
+            self._open_occurrence(job, job.next_occurrence, phase, due_at)
+        del self._timed[job.record.id]
+
+    def _open_occurrence(
+        self, job: OpenJob, occurrence: int, phase: TaskPhase, due_at: timedelta
+    ) -> None:
+        job.next_occurrence = occurrence + 1
+        job.due_at[occurrence] = due_at
+        is_known = phase is TaskPhase.QUEUED
+        for ref in job.record.list_refs(occurrence):
+            task = job.record.get_task(ref)
+            if not task.is_done:
+                first = TaskPhase.BLOCKED if is_known else phase
+                job.tasks[ref] = Task(phase=first, run=RunNumber(task.last_run))
+        if is_known:
+            self.unblock(job, occurrence)
 
-    def unblock(self, job: OpenJob, now: timedelta) -> None:
-        """Queue the tasks of steps whose earlier steps are done."""
+    def unblock(self, job: OpenJob, occurrence: int) -> None:
+        """Queue the tasks of steps whose earlier steps are done, in one occurrence."""
         for number, step in enumerate(job.record.spec.steps):
-            if not all(job.record.is_step_done(earlier) for earlier in step.depends_on):
+            if not all(job.record.is_step_done(occurrence, each) for each in step.depends_on):
                 continue
             blocked = [
                 ref.place
                 for ref, task in job.tasks.items()
-                if ref.step == number and task.phase is TaskPhase.BLOCKED
+                if ref.occurrence == occurrence
+                and ref.step == number
+                and task.phase is TaskPhase.BLOCKED
             ]
-            self.queue(job, number, blocked, now)
+            self.queue(job, occurrence, number, blocked)
 
-    def queue(self, job: OpenJob, number: int, indexes: list[int], now: timedelta) -> None:
-        """Queue tasks of one step."""
+    def queue(self, job: OpenJob, occurrence: int, number: int, indexes: list[int]) -> None:
+        """Queue tasks of one step of an occurrence."""
         if not indexes:
             return
         step = job.record.spec.steps[number]
         for index in indexes:
-            job.tasks[TaskRef(job.record.id, 0, number, index)].phase = TaskPhase.QUEUED
+            ref = TaskRef(job.record.id, occurrence, number, index)
+            job.tasks[ref].phase = TaskPhase.QUEUED
+        due_at = job.due_at[occurrence]
         queue = job.record.queue
         chain = self.forecast.find_chain(queue.key, job.record.spec.steps, number)
         predicted_ms = self.forecast.predict(queue.key, step) / timedelta(milliseconds=1)
         longest_wait = find_longest_wait(queue, job.objective, chain)
         batch = Batch(
             job=job.record,
+            occurrence=occurrence,
             number=number,
             step=step,
-            latest_start=job.opened_at + longest_wait - self.tempo.spread(len(indexes)),
-            latest_task_start=job.opened_at + job.objective - chain,
+            latest_start=due_at + longest_wait - self.tempo.spread(len(indexes)),
+            latest_task_start=due_at + job.objective - chain,
             has_begun=job.has_begun,
-            last_use=job.opened_at + job.objective * LATE_FACTOR - chain,
+            last_use=due_at + job.objective * LATE_FACTOR - chain,
             work_ms=predicted_ms * step.needs.cpu_millis / 1000,
             waiting=indexes,
         )
+        if job.record.spec.long_running:
+            # It is to be at work again within seconds, however full the service is.
+            batch.latest_start = due_at
+            batch.latest_task_start = batch.last_use = NEVER_LATE
+            batch.has_begun = True
         self.backlog.add(batch)
 
     def requeue(self, ref: TaskRef, run: RunNumber, now: timedelta) -> None:
@@ -201,12 +250,13 @@
         task = job.tasks.get(ref) if job is not None else None
         if job is None or task is None or task.phase is not TaskPhase.RUNNING or task.run != run:
             return
-        self.queue(job, ref.step, [ref.place], now)
+        self.queue(job, ref.occurrence, ref.step, [ref.place])
 
     def unqueue(self, ref: TaskRef) -> None:
         """Take a task out of the backlog."""
         for batch in self.backlog:
-            if batch.job.id == ref.job and batch.number == ref.step and ref.place in batch.waiting:
+            key = (batch.job.id, batch.occurrence, batch.number)
+            if key == (ref.job, ref.occurrence, ref.step) and ref.place in batch.waiting:
                 batch.waiting.remove(ref.place)
 
     def mark_noting(self, end: EndReport) -> None:
@@ -221,12 +271,13 @@
             task.phase = TaskPhase.NOTING
             task.run = RunNumber(max(task.run, end.run))
 
-    def queue_unknown(self, job: OpenJob, now: timedelta) -> None:
+    def queue_unknown(self, job: OpenJob) -> None:
         """Queue the unknown tasks of a job: nothing of them can run any more."""
         for task in job.tasks.values():
             if task.phase is TaskPhase.UNKNOWN:
                 task.phase = TaskPhase.BLOCKED
-        self.unblock(job, now)
+        for occurrence in range(job.next_occurrence):
+            self.unblock(job, occurrence)
 
     def close_if_ended(self, id: JobId, now: timedelta) -> None:
         """Drop a job whose record says that it has ended, and have its runs stopped."""
@@ -234,6 +285,7 @@
         if job is None or job.record.is_open:
             return
         del self.jobs[id]
+        self._timed.pop(id, None)
         if job.record.spec.best_effort and job.record.state is not JobState.CANCELLED:
             # A job that was given up may be submitted again, and then runs again.
             self.ended[id] = (job.record.state, now)
@@ -300,7 +352,9 @@
         """Whether all that is left of a job runs or has ended, so that it may end at any moment."""
         job = self.jobs.get(id)
         last = (TaskPhase.RUNNING, TaskPhase.NOTING)
-        return job is not None and all(task.phase in last for task in job.tasks.values())
+        if job is None or id in self._timed:
+            return False
+        return all(task.phase in last for task in job.tasks.values())
 
     def find_state(self, job: JobRecord) -> JobState:
         """Return a job's state as callers see it."""
--- a/cottonlug/core/cluster/placement.py
+++ b/cottonlug/core/cluster/placement.py
@@ -37,6 +37,6 @@
     same = sum(
         1
         for run in life.runs.values()
-        if run.task.job == batch.job.id and run.task.step == batch.number
+        if run.task[:3] == (batch.job.id, batch.occurrence, batch.number)
     )
     return same < step.max_per_upstream
--- a/cottonlug/core/cluster/records.py
+++ b/cottonlug/core/cluster/records.py
@@ -74,22 +74,22 @@
         """Return the record of a task, to be changed."""
         return self.tasks.setdefault(_name(ref), TaskRecord())
 
-    def list_refs(self) -> Iterator[TaskRef]:
-        """Return every task of the job."""
+    def list_refs(self, occurrence: int) -> Iterator[TaskRef]:
+        """Return every task of one occurrence."""
         for number, step in enumerate(self.spec.steps):
             for index in range(step.count):
-                yield TaskRef(self.id, 0, number, index)
+                yield TaskRef(self.id, occurrence, number, index)
 
-    def is_step_done(self, number: int) -> bool:
-        """Whether every task of a step has ended as done."""
+    def is_step_done(self, occurrence: int, number: int) -> bool:
+        """Whether every task of a step has ended as done in one occurrence."""
         step = self.spec.steps[number]
-        refs = (TaskRef(self.id, 0, number, index) for index in range(step.count))
+        refs = (TaskRef(self.id, occurrence, number, index) for index in range(step.count))
         return all(self.get_task(ref).is_done for ref in refs)
 
     @property
     def task_count(self) -> int:
-        """How many tasks the job has."""
-        return sum(step.count for step in self.spec.steps)
+        """How many tasks the job has, in all its occurrences."""
+        return sum(step.count for step in self.spec.steps) * self.spec.occurrences
 
 
 class UpstreamRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -203,7 +203,8 @@
     task.last_run = max(task.last_run, end.run)
     if end.checkpoint:
         task.checkpoint = end.checkpoint
-    if task.is_done:
+    if task.is_done or job.spec.long_running:
+        # A task that lasts is begun again however it ends.
         return
     if end.how is EndKind.DONE:
         task.is_done = True
--- a/cottonlug/core/cluster/settlement.py
+++ b/cottonlug/core/cluster/settlement.py
@@ -21,6 +21,11 @@
         self._settled_at = term.began_at + term.lease.lapse_after
         self._has_unsure_jobs = True
 
+    @property
+    def first_phase(self) -> TaskPhase:
+        """The phase of a task that comes up now and may have been begun by an earlier leader."""
+        return TaskPhase.QUEUED if self.is_settled else TaskPhase.UNKNOWN
+
     def note_unsure(self) -> None:
         """Look again whether tasks are unknown."""
         self._has_unsure_jobs = True
@@ -38,6 +43,6 @@
         is_all_seen = not self._lives.list_unseen()
         for job in self._jobs.jobs.values():
             if is_all_seen or now >= job.settle_at:
-                self._jobs.queue_unknown(job, now)
+                self._jobs.queue_unknown(job)
             elif any(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values()):
                 self._has_unsure_jobs = True
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -76,7 +76,7 @@
         wait = LOOK_WAIT
         for run in life.runs.values():
             job = self._jobs.jobs.get(run.task.job)
-            if job is None or run.stop_wanted:
+            if job is None or run.stop_wanted or job.record.spec.long_running:
                 continue
             due = find_next_check(run, self._predict(job, run), now)
             if due is not None:
@@ -136,6 +136,8 @@
             job = self._jobs.jobs.get(run.task.job)
             if job is None or run.stop_wanted or run.phase is not RunPhase.RUNNING:
                 continue
+            if job.record.spec.long_running:
+                continue
             task = job.tasks.get(run.task)
             if task is None or task.moves >= MOST_MOVES:
                 continue
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -196,9 +196,10 @@
         """Whether a job that waited so long would end too late to be of any use."""
         queues = self.link.queues
         found = queues.find(call.host, call.path) if queues is not None else None
-        if found is None or not call.spec.best_effort:
+        spec = call.spec
+        if found is None or not spec.best_effort or spec.is_timed or spec.long_running:
             return False
-        return waited > find_last_use(found[0], call.spec)
+        return waited > find_last_use(found[0], spec)
 
     async def _try(self, call: Call, timeout: timedelta) -> Answer:
         if self.deputy is not None:
--- a/cottonlug/tests/test_cluster_policy.py
+++ b/cottonlug/tests/test_cluster_policy.py
@@ -49,6 +49,7 @@
     record = JobRecord(id=JobId(name), queue=build_queue(), spec=build_spec(), accepted_ms=0)
     return Batch(
         job=record,
+        occurrence=0,
         number=0,
         step=step,
         latest_start=milliseconds(latest_start),
