Start daemons without the command line, litestar, httpx and OpenTelemetry

Ruled out: compiling (compiled files are kept and read), the election (0.1 s). Change: cottonlug.daemon starts a daemon by its name; control and gateway are modules of their own; types of litestar are named, not loaded; OpenTelemetry is loaded when somebody first asks for metrics; the interpreter is started with -S; what is loaded is kept out of garbage collections.

--- a/cottonlug/cli.py
+++ b/cottonlug/cli.py
@@ -12,7 +12,9 @@
 from returns.result import Failure as Err
 
 from . import __version__
-from .commands import cluster, demo, explanation, jobs, operations, serve
+from .commands import control as control_hosts
+from .commands import demo, explanation, jobs, operations, serve
+from .commands import gateway as gateways
 from .commands.exits import ExitCode
 from .commands.output import print_refusal
 from .commands.workloads import Flavour, build_example_job
@@ -64,13 +66,13 @@
 @app.command(epilog="Example: cottonlug control --config control.yaml")
 def control(config: ConfigOption) -> None:
     """Run a control host of a cluster: it keeps the log and, as leader, decides."""
-    raise typer.Exit(cluster.serve_control(config))
+    raise typer.Exit(control_hosts.serve_control(config))
 
 
 @app.command(epilog="Example: cottonlug gateway --config gateway.yaml")
 def gateway(config: ConfigOption) -> None:
     """Run a gateway of a cluster: it passes callers' requests to the leader."""
-    raise typer.Exit(cluster.serve_gateway(config))
+    raise typer.Exit(gateways.serve_gateway(config))
 
 
 @app.command(name="demo")
--- /dev/null
+++ b/cottonlug/commands/daemons.py
@@ -0,0 +1,69 @@
+"""What the daemons of a cluster share: logs, listeners, and how they close down."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from datetime import timedelta
+from typing import Any
+
+from ..config.cluster import ControlSettings, GatewaySettings
+from ..config.options import Address
+from ..net.asgi import Handler, build_asgi
+from ..net.servers import Listener
+from ..runtime.cluster_metrics import build_metrics_handler
+from ..runtime.events import Event, log_event, set_up_output
+from ..runtime.log_output import LogOutput
+from ..runtime.metrics import Metrics
+
+SMALL_BODY_BYTES = 1_024
+"""Requests for metrics and readiness have no body."""
+CONNECTIONS_PER_UPSTREAM = 16
+DRAIN_MARGIN_SECONDS = 0.4
+"""What is left of the limit for closing down, once all that was under way is answered or cut."""
+PEER_BODY_BYTES = 64 * 1024 * 1024
+"""A snapshot is one message."""
+
+
+def find_drain_seconds(limit: timedelta, gone_seconds: float) -> float:
+    """Return for how many seconds requests under way may still be answered."""
+    return max(limit.total_seconds() - gone_seconds - DRAIN_MARGIN_SECONDS, 0.0)
+
+
+def begin_logging(settings: ControlSettings | GatewaySettings) -> LogOutput:
+    """Send logs to standard output and note the start."""
+    output = LogOutput(descriptor=sys.stdout.fileno())
+    set_up_output(settings.log, output)
+    log_event(Event.STARTED, host=settings.host, domain=settings.domain, pid=os.getpid())
+    return output
+
+
+def listen(handler: Handler, address: Address, max_body_bytes: int) -> Listener:
+    """Return a listener whose requests one handler answers."""
+    app: Any = build_asgi(handler, lambda: max_body_bytes)
+    return Listener(app=app, address=address)
+
+
+def listen_metrics(metrics: Metrics, address: Address | None) -> list[Listener]:
+    """Return the listener for metrics, where the settings name an address for it."""
+    if address is None:
+        return []
+    return [listen(build_metrics_handler(metrics), address, SMALL_BODY_BYTES)]
+
+
+async def start_all(listeners: list[Listener]) -> str | None:
+    """Start listeners in turn; return why one failed, or None."""
+    for listener in listeners:
+        error = await listener.start()
+        if error is not None:
+            return error
+    return None
+
+
+async def stop_listeners(listeners: list[Listener], seconds: float) -> None:
+    """Finish what is being answered, but no longer than a while."""
+    stopping = [asyncio.create_task(listener.stop()) for listener in listeners]
+    _, late = await asyncio.wait(stopping, timeout=seconds)
+    if late:
+        log_event(Event.DRAIN_CUT_SHORT, listeners=len(late))
--- a/cottonlug/commands/demo.py
+++ b/cottonlug/commands/demo.py
@@ -20,14 +20,12 @@
     EntryAddress,
     EntrySettings,
     Listeners,
-    LogFormat,
-    LogLevel,
-    LogSettings,
     RetrySettings,
     SubmissionSettings,
     Tokens,
     UpstreamSettings,
 )
+from ..config.logs import LogFormat, LogLevel, LogSettings
 from ..config.options import Address
 from ..core.execution import Delays
 from ..core.ids import DomainName, HostId, Incarnation, KindName, SubmissionId, TeamName, UpstreamId
--- /dev/null
+++ b/cottonlug/commands/gateway.py
@@ -0,0 +1,95 @@
+"""`cottonlug gateway`: a host that passes callers' requests to whoever decides."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+from ..config.cluster import load_gateway_settings
+from ..exceptions import SettingsError
+from ..net.asgi import build_asgi
+from ..net.connections import ConnectionPools
+from ..net.servers import Listener
+from ..platform.front import build_front_handler, build_readiness_handler
+from ..platform.workers import WorkerClient
+from ..runtime.clocks import SystemClock
+from ..runtime.cluster_dump import build_gateway_dump
+from ..runtime.cluster_metrics import build_gateway_metrics
+from ..runtime.events import Event, log_event
+from ..runtime.gateway import Gateway
+from ..runtime.process import Life, run_loop
+from .daemons import (
+    CONNECTIONS_PER_UPSTREAM,
+    DRAIN_MARGIN_SECONDS,
+    PEER_BODY_BYTES,
+    SMALL_BODY_BYTES,
+    begin_logging,
+    find_drain_seconds,
+    listen,
+    listen_metrics,
+    start_all,
+    stop_listeners,
+)
+from .exits import ExitCode
+
+BALANCER_SECONDS = 2.5
+"""The balancer asks once a second and takes a host out after two misses."""
+
+
+def serve_gateway(config: Path) -> int:
+    """Run a gateway until it is told to stop."""
+    return run_loop(_serve_gateway(config))
+
+
+async def _serve_gateway(config: Path) -> int:
+    settings = load_gateway_settings(config)
+    output = begin_logging(settings)
+    life = Life()
+    pools = ConnectionPools(max_connections=CONNECTIONS_PER_UPSTREAM)
+    gateway = Gateway(
+        settings=settings,
+        clock=SystemClock(),
+        port=WorkerClient(pools=pools),
+        on_failure=life.fail,
+    )
+    life.watch_signals(lambda: build_gateway_dump(gateway))
+    life.watch_reload(lambda: _reload_seeds(gateway, config))
+    handler = build_front_handler(gateway.call, gateway.abandon, lambda: gateway.is_stopping)
+    callers = Listener(
+        app=build_asgi(handler, lambda: gateway.max_body_bytes), address=settings.listen.callers
+    )
+    readiness = listen(
+        build_readiness_handler(gateway.is_ready), settings.listen.readiness, SMALL_BODY_BYTES
+    )
+    peers = listen(gateway.handle_peer, settings.listen.peers, PEER_BODY_BYTES)
+    gateway.start()
+    metrics = listen_metrics(build_gateway_metrics(gateway, output), settings.listen.metrics)
+    error = await start_all([peers, callers, readiness, *metrics])
+    if error is not None:
+        print(error, file=sys.stderr)
+        return ExitCode.UNAVAILABLE
+    log_event(Event.READY, host=settings.host)
+    await life.wait_stop()
+    if life.failure is not None:
+        return ExitCode.BROKEN_INVARIANT
+    log_event(Event.DRAINING, host=settings.host)
+    gateway.begin_stopping()
+    await asyncio.sleep(BALANCER_SECONDS)
+    left = find_drain_seconds(settings.drain_limit, BALANCER_SECONDS)
+    await stop_listeners([callers, readiness, *metrics], left)
+    gateway.stop()
+    await stop_listeners([peers], DRAIN_MARGIN_SECONDS / 2)
+    pools.close()
+    log_event(Event.STOPPED, host=settings.host)
+    return ExitCode.OK
+
+
+def _reload_seeds(gateway: Gateway, config: Path) -> None:
+    try:
+        settings = load_gateway_settings(config)
+    except SettingsError as error:
+        log_event(Event.SETTINGS_REFUSED, error=str(error))
+        return
+    gateway.use_seeds(settings.seeds)
+    log_event(Event.SETTINGS_RELOADED, seeds=[str(seed) for seed in settings.seeds])
--- a/cottonlug/config/cluster.py
+++ b/cottonlug/config/cluster.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 
 from ..core.ids import DomainName, HostId
-from .defaults import LogSettings, read_log_section, read_name
-from .files import load_settings
+from .loading import load_settings
+from .logs import LogSettings, read_log_section, read_name
 from .options import (
     Address,
     Option,
--- a/cottonlug/config/defaults.py
+++ b/cottonlug/config/defaults.py
@@ -4,13 +4,13 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum
 from pathlib import Path
 
 from ..core.execution import Delays
-from ..core.ids import NAME_PATTERN, DomainName, HostId, UpstreamId
+from ..core.ids import DomainName, HostId, UpstreamId
 from ..core.limits import Limits
 from ..core.policy import PlacementOrder, Policy
+from .logs import LogSettings, read_log_section, read_name
 from .options import (
     Address,
     Option,
@@ -29,32 +29,6 @@
     read_text,
 )
 
-read_name = read_text(NAME_PATTERN.pattern, "use a-z, 0-9 and '-'")
-
-
-class LogFormat(Enum):
-    """How log lines look."""
-
-    JSON = "json"
-    TEXT = "text"
-
-
-class LogLevel(Enum):
-    """The least severe events that are logged."""
-
-    DEBUG = "debug"
-    INFO = "info"
-    WARNING = "warning"
-    ERROR = "error"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LogSettings:
-    """Logging."""
-
-    level: LogLevel = LogLevel.INFO
-    format: LogFormat = LogFormat.JSON
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Listeners:
@@ -208,11 +182,6 @@
     "max_kb": Option(read_integer(1, 65_536), 8192),
     "max_payload_kb": Option(read_integer(1, 8192), 64),
 }
-LOG_OPTIONS: Options = {
-    "level": Option(read_choice(LogLevel), LogLevel.INFO),
-    "format": Option(read_choice(LogFormat), LogFormat.JSON),
-}
-read_log_section = read_section(LOG_OPTIONS, LogSettings)
 ENTRY_OPTIONS: Options = {
     "host": Option(read_name),
     "domain": Option(read_name),
--- a/cottonlug/config/files.py
+++ b/cottonlug/config/files.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import TypeVar
 
-from ..exceptions import SettingsError
 from .defaults import (
     EntrySettings,
     UpstreamSettings,
     read_entry_settings,
     read_upstream_settings,
 )
-from .options import Loaded, Problem, Read, load_yaml
-
-T = TypeVar("T")
+from .loading import get_value, load_file, load_settings, raise_for
+from .options import Problem
 
 _TOKEN_KINDS = 4
 
@@ -22,8 +19,8 @@
 def load_entry_settings(file: Path) -> EntrySettings:
     """Return an entry host's settings, or raise `SettingsError` naming every problem."""
     loaded = load_file(file, read_entry_settings)
-    settings = _get_value(file, loaded)
-    _raise_for(file, _check_entry(settings))
+    settings = get_value(file, loaded)
+    raise_for(file, _check_entry(settings))
     return settings
 
 
@@ -32,25 +29,10 @@
     settings = load_settings(file, read_upstream_settings)
     if settings.listen is not None and settings.operator_token is None:
         message = "required when listen is given"
-        _raise_for(file, [Problem(path="operator_token", line=1, message=message)])
+        raise_for(file, [Problem(path="operator_token", line=1, message=message)])
     return settings
 
 
-def load_settings(file: Path, read: Read[T]) -> T:
-    """Return settings read with a reader, or raise `SettingsError` naming every problem."""
-    return _get_value(file, load_file(file, read))
-
-
-def load_file(file: Path, read: Read[T]) -> Loaded[T]:
-    """Read a YAML file with a reader."""
-    try:
-        text = file.read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        problem = Problem(path="(file)", line=0, message=f"cannot be read: {error}")
-        return Loaded(None, [problem])
-    return load_yaml(text, file.parent, read)
-
-
 def _check_entry(settings: EntrySettings) -> list[Problem]:
     problems: list[Problem] = []
     hosts = [peer.host for peer in settings.peers]
@@ -73,16 +55,3 @@
         message = "each kind of peer needs a token of its own"
         problems.append(Problem(path="tokens", line=1, message=message))
     return problems
-
-
-def _get_value(file: Path, loaded: Loaded[T]) -> T:
-    _raise_for(file, [problem for problem in loaded.problems if not problem.is_warning])
-    if loaded.value is None:
-        raise SettingsError(f"{file}: no settings")
-    return loaded.value
-
-
-def _raise_for(file: Path, problems: list[Problem]) -> None:
-    if problems:
-        lines = "\n".join(f"{file}: {problem}" for problem in problems)
-        raise SettingsError(lines)
--- a/cottonlug/config/rules.py
+++ b/cottonlug/config/rules.py
@@ -11,7 +11,7 @@
 
 from ..core.ids import DomainName, KindName, TeamName
 from ..core.rules import Rule, Then, When
-from .defaults import read_name
+from .logs import read_name
 from .options import (
     Loaded,
     Option,
--- a/cottonlug/net/asgi.py
+++ b/cottonlug/net/asgi.py
@@ -8,9 +8,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from litestar.types import Receive, Send
+if TYPE_CHECKING:
+    # Only its names: to load litestar takes a third of the start of a daemon.
+    from litestar.types import Receive, Send
 
 
 @dataclass(slots=True, kw_only=True)
@@ -40,7 +42,7 @@
 
 
 Handler = Callable[[HttpRequest], Coroutine[Any, Any, HttpResponse]]
-AsgiApp = Callable[[Any, Receive, Send], Awaitable[None]]
+AsgiApp = Callable[[Any, "Receive", "Send"], Awaitable[None]]
 
 
 def build_asgi(handle: Handler, max_body_bytes: Callable[[], int]) -> AsgiApp:
--- a/cottonlug/net/clients.py
+++ b/cottonlug/net/clients.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 
 import httpx
@@ -14,22 +13,7 @@
 from ..core.messages import Refusal
 from ..core.states import RefusalCode
 from .codec import decode, encode
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HttpReply:
-    """Status and body of an answer."""
-
-    status: int
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TransportError:
-    """No answer came; `unsent` is True only where no byte can have reached the other side."""
-
-    message: str
-    unsent: bool
+from .transport import HttpReply, TransportError
 
 
 class HttpClient:
--- a/cottonlug/net/connections.py
+++ b/cottonlug/net/connections.py
@@ -17,7 +17,7 @@
 from returns.result import Result, Success
 
 from ..config.options import Address
-from .clients import HttpReply, TransportError
+from .transport import HttpReply, TransportError
 
 DEFAULT_CONNECT_TIMEOUT = timedelta(milliseconds=500)
 """Longer than a lost opening packet on a quiet link, shorter than a caller waits."""
--- a/cottonlug/net/homes.py
+++ b/cottonlug/net/homes.py
@@ -10,7 +10,8 @@
 from ..core.messages import Refusal
 from ..core.states import RefusalCode, RunOutcome
 from ..runtime.events import Event, log_event
-from .clients import HttpClient, HttpReply
+from .clients import HttpClient
+from .transport import HttpReply
 
 HOME_RETRY_AFTER_MS = 1000
 _TIMEOUT_SECONDS = 90.0
--- a/cottonlug/net/servers.py
+++ b/cottonlug/net/servers.py
@@ -5,13 +5,15 @@
 import asyncio
 import contextlib
 from collections.abc import Iterator
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvicorn
-from litestar import Litestar
 
 from ..config.options import Address
 
+if TYPE_CHECKING:
+    from litestar import Litestar
+
 _START_CHECK_SECONDS = 0.005
 
 
--- /dev/null
+++ b/cottonlug/net/transport.py
@@ -0,0 +1,21 @@
+"""What a call over HTTP brings, whichever client made it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpReply:
+    """Status and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TransportError:
+    """No answer came; `unsent` is True only where no byte can have reached the other side."""
+
+    message: str
+    unsent: bool
--- a/cottonlug/platform/workers.py
+++ b/cottonlug/platform/workers.py
@@ -25,8 +25,8 @@
     StartOutcome,
     StopOrder,
 )
-from ..net.clients import HttpReply, TransportError
 from ..net.connections import ConnectionPools, parse_address
+from ..net.transport import HttpReply, TransportError
 from .jobs import name_task, parse_task
 
 START = "/run-start"
--- a/cottonlug/runtime/cluster_dump.py
+++ b/cottonlug/runtime/cluster_dump.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from .control_host import ControlHost
-from .gateway import Gateway
+if TYPE_CHECKING:
+    from .control_host import ControlHost
+    from .gateway import Gateway
 
 
 def build_control_dump(host: ControlHost) -> dict[str, Any]:
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -4,13 +4,16 @@
 
 import dataclasses
 import resource
+from typing import TYPE_CHECKING
 
 from ..net.asgi import Handler, HttpRequest, HttpResponse
-from .control_host import ControlHost
-from .gateway import Gateway
 from .log_output import LogOutput
 from .metrics import Metrics
 
+if TYPE_CHECKING:
+    from .control_host import ControlHost
+    from .gateway import Gateway
+
 _KB_PER_MB = 1024
 
 
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -29,19 +29,16 @@
 from .leading import Leading, LeadingSettings
 from .membership import JOIN_PATH, JoinRequest
 from .messenger import MESSAGES_PATH
+from .peer_calls import CALL_PATH, GREETING_PASSED, PASS_ON_TIMEOUT
 from .ports import UpstreamPort
 from .replica import HELLO_PATH, Replica, ReplicaSettings
 from .replicated import ReplicatedRecords
 
-CALL_PATH = "/v1/call"
 PASSED_ON = "x-passed-on"
 """Header of a call that another control host passed on, so that none goes round in circles."""
-PASS_ON_TIMEOUT = timedelta(seconds=3)
 CHECK_SECONDS = 0.025
 GREETING_KEPT = timedelta(milliseconds=70)
 """Less than a gateway waits for its answer (100 ms)."""
-GREETING_PASSED = timedelta(milliseconds=60)
-"""How long a host that passes a greeting on waits: its own answer must not come too late."""
 LED_CHECK_SECONDS = 0.01
 
 
--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -11,7 +11,7 @@
 
 from absl import logging as absl_logging
 
-from ..config.defaults import LogFormat, LogLevel, LogSettings
+from ..config.logs import LogFormat, LogLevel, LogSettings
 from .log_output import LogHandler, LogOutput
 
 Field = str | int | float | bool | None | list[str]
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -24,11 +24,10 @@
 )
 from ..core.cluster.forecast import find_last_use
 from ..net.asgi import HttpRequest, HttpResponse
-from .control_host import CALL_PATH, GREETING_PASSED, PASS_ON_TIMEOUT
 from .decider import DeciderLink, Via
 from .deputy import Deputy
 from .events import Event, log_event
-from .peer_calls import PeerCalls
+from .peer_calls import CALL_PATH, GREETING_PASSED, PASS_ON_TIMEOUT, PeerCalls
 from .ports import OnFailure, UpstreamPort
 
 RETRY_SECONDS = 0.05
--- a/cottonlug/runtime/peer_calls.py
+++ b/cottonlug/runtime/peer_calls.py
@@ -11,9 +11,13 @@
 
 from ..config.options import Address
 from ..core.cluster.calls import Answer, Call, Outcome, answer_decoder
-from ..net.clients import HttpReply, TransportError
 from ..net.connections import ConnectionPools, parse_address
-from .control_host import CALL_PATH
+from ..net.transport import HttpReply, TransportError
+
+CALL_PATH = "/v1/call"
+PASS_ON_TIMEOUT = timedelta(seconds=3)
+GREETING_PASSED = timedelta(milliseconds=60)
+"""How long a host that passes a greeting on waits: its own answer must not come too late."""
 
 
 class PeerCalls:
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -11,7 +11,7 @@
 import pytest
 
 from ..config.cluster import GatewayListeners, GatewaySettings
-from ..config.defaults import LogSettings
+from ..config.logs import LogSettings
 from ..config.options import Address
 from ..core.clock import ManualClock
 from ..core.cluster.calls import (
--- a/cottonlug/tests/test_cluster_settings.py
+++ b/cottonlug/tests/test_cluster_settings.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ..commands.cluster import find_drain_seconds
+from ..commands.daemons import find_drain_seconds
 from ..config.cluster import load_control_settings, load_gateway_settings
 from ..config.options import Address
 from ..exceptions import SettingsError
--- a/cottonlug/tests/test_platform.py
+++ b/cottonlug/tests/test_platform.py
@@ -26,8 +26,8 @@
 from ..core.cluster.model import EndKind, JobId, JobState, LookReply, RunNumber, TaskRef
 from ..core.cluster.orders import CallFailure, LookOrder, StartOrder, StartOutcome
 from ..net.asgi import HttpRequest, HttpResponse
-from ..net.clients import HttpReply, TransportError
 from ..net.connections import ConnectionPools
+from ..net.transport import HttpReply, TransportError
 from ..platform.configurations import decode_configuration
 from ..platform.control import build_control_handler
 from ..platform.front import build_front_handler, build_readiness_handler
--- /dev/null
+++ b/cottonlug/tests/test_start.py
@@ -0,0 +1,52 @@
+"""What a daemon loads before it serves, and how its short way of starting answers for mistakes."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from ..commands.exits import ExitCode
+from ..daemon import INVARIANT_EXIT, SETTINGS_EXIT, USAGE_EXIT, main
+
+SLOW_TO_LOAD = ("typer", "litestar", "httpx", "opentelemetry")
+"""Together they took half of the start of a daemon, and serve neither callers nor upstreams."""
+
+
+@pytest.mark.parametrize("name", ["control", "gateway"])
+def test_a_daemon_loads_nothing_that_it_does_not_need_to_serve(name: str) -> None:
+    """Failed before: each loaded the command line, litestar, httpx and OpenTelemetry first."""
+    program = (
+        "import sys; from cottonlug import lean; lean.leave_out_unused(); "
+        f"import cottonlug.commands.{name}; print(*sys.modules)"
+    )
+    ran = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    loaded = set(ran.stdout.split())
+    assert not loaded.intersection(SLOW_TO_LOAD)
+
+
+@pytest.mark.parametrize(
+    "arguments", [[], ["serve", "--config", "x"], ["gateway"], ["control", "x"]]
+)
+def test_wrong_usage_is_told(arguments: list[str], capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(arguments) == USAGE_EXIT
+    assert "usage: " in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("name", ["control", "gateway"])
+def test_settings_with_errors_are_told(
+    name: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "settings.yaml"
+    file.write_text("bad: 1\n")
+    assert main([name, "--config", str(file)]) == SETTINGS_EXIT
+    assert "unknown key" in capsys.readouterr().err
+
+
+def test_its_exit_codes_are_those_of_the_command_line() -> None:
+    codes = (ExitCode.USAGE, ExitCode.SETTINGS, ExitCode.BROKEN_INVARIANT)
+    assert codes == (USAGE_EXIT, SETTINGS_EXIT, INVARIANT_EXIT)
--- a/cottonlug/upstream/daemon.py
+++ b/cottonlug/upstream/daemon.py
@@ -20,8 +20,9 @@
 from ..core.ids import HostId, Incarnation, SubmissionId, TaskKey
 from ..core.messages import Announcement, ExchangeReply, TaskName
 from ..core.states import ResultStatus
-from ..net.clients import HttpClient, HttpReply, TransportError
+from ..net.clients import HttpClient
 from ..net.codec import decode, encode
+from ..net.transport import HttpReply, TransportError
 from ..runtime.dump import UpstreamDump, build_links_dump
 from ..runtime.events import Event, log_event
 from .work import run_work
