Cordon upstreams that surely run nothing; renew no lease that somebody else counts on to end

Ruled out: the leases themselves (they must end before a lost caller's job comes again), looks in parallel (they were). Change 1: a leader puts into the log that an upstream out of sight is cordoned once its last lease has ended, starts nothing there from then on, and puts into the log that it is used again before the first start. Deputies have no log: they take no notice, and jobs that one may have begun wait for cordoned upstreams as before. Change 2: where a run's job is not known and its decider may be out of touch, nothing is renewed or started at that upstream; it is stopped after 0.1 s.

Tokens of the model are now those of leaders and deputies as in the program.

--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,272 @@
+"""A seeded load of jobs on model upstreams, shaped like that of the users' vans.
+
+Three kinds of jobs, each a third of the worth; widths, run times, sizes and declared times scatter
+as on the users' sheets. The model charges no processor time and no network but delays.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import msgspec
+
+from cottonlug.core.cluster.model import JobId, JobSpec, JobState, Needs, StepSpec
+from cottonlug.core.cluster.records import Records
+from cottonlug.core.cluster.term import TOKENS_PER_TERM
+from cottonlug.core.ids import UpstreamId
+from cottonlug.tests.model_upstreams import (
+    SETTLE_AFTER,
+    Leader,
+    ModelUpstream,
+    World,
+    build_info,
+    build_queue,
+    milliseconds,
+)
+
+SPREAD = 0.4
+"""Of widths, run times and declared times, on a logarithmic scale."""
+CPU_MILLIS = 14_000
+CPU_SPREAD = 0.2
+SIZES_MILLIS = (32_000, 32_000, 48_000)
+"""Rooms of upstreams, in turn."""
+LATE_WORTH = 0.2
+"""Of an answer between one and three times the objective."""
+LATE_FACTOR = 3
+STRETCH = 1.6
+TARGET_MS = 60
+SECONDS = 20
+AFTER_SECONDS = 6
+"""How long jobs may still end after the last has come."""
+RESEND_AFTER = timedelta(milliseconds=1_300)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Kind:
+    """One kind of job: how many a second, of how many tasks, each of how long, and its worth."""
+
+    name: str
+    rate: float
+    tasks: int
+    run_ms: float
+    worth: float
+
+
+KINDS = (
+    Kind(name="short", rate=17.2, tasks=8, run_ms=60, worth=0.0291),
+    Kind(name="middle", rate=50.0, tasks=2, run_ms=200, worth=0.010),
+    Kind(name="long", rate=3.12, tasks=4, run_ms=900, worth=0.160),
+)
+QUEUES = {
+    kind.name: msgspec.structs.replace(
+        build_queue(target_ms=TARGET_MS), name=kind.name, prefix=f"/{kind.name}/"
+    )
+    for kind in KINDS
+}
+USUAL_UPSTREAMS = 28
+"""For the rates above: two thirds of their room."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Submitted:
+    """A job of the load, and what became of it."""
+
+    kind: Kind
+    spec: JobSpec
+    worth: float
+    objective: timedelta
+    at: timedelta
+    was_sent: bool = False
+    """Whether a leader that was lost may have begun it."""
+    ended_at: timedelta | None = None
+    refused_at: timedelta | None = None
+
+    @property
+    def earned(self) -> float:
+        """What its caller got of its worth."""
+        if self.ended_at is None:
+            return 0.0
+        taken = self.ended_at - self.at
+        if taken <= self.objective:
+            return self.worth
+        return self.worth * LATE_WORTH if taken <= self.objective * LATE_FACTOR else 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """One load on one set of upstreams, led by one leader after the other."""
+
+    seed: int
+    upstream_count: int = USUAL_UPSTREAMS
+    rate_factor: float = 1.0
+    """Of the usual rates, which are for the usual number of upstreams."""
+    jobs: dict[JobId, Submitted] = field(default_factory=dict)
+    real_ms: dict[JobId, float] = field(default_factory=dict)
+    slowness: dict[UpstreamId, float] = field(default_factory=dict)
+    bursts: list[tuple[float, float, float]] = field(default_factory=list)
+    """From when to when, in seconds, how many times as many jobs come."""
+    records: Records = field(default_factory=Records)
+    is_frozen: bool = False
+    token: int = 0
+    life: int = 0
+    chance: random.Random = field(init=False)
+    world: World = field(init=False)
+    upstreams: dict[UpstreamId, ModelUpstream] = field(init=False)
+    leader: Leader = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.chance = random.Random(self.seed)
+        self.world = World(random=random.Random(self.seed + 1))
+        self.upstreams = {}
+        for number in range(self.upstream_count):
+            self._add_upstream(f"u{number + 1}", SIZES_MILLIS[number % len(SIZES_MILLIS)])
+        self.elect()
+
+    def play(self) -> None:
+        """Submit the load and let it end."""
+        self._plan_arrivals()
+        self.world.run_until(timedelta(seconds=SECONDS + AFTER_SECONDS))
+        self._collect()
+
+    # Faults
+
+    def elect(self) -> None:
+        """Have a new leader take over, to which open jobs are submitted again."""
+        self.token += TOKENS_PER_TERM
+        self.leader = Leader(
+            world=self.world, upstreams=self.upstreams, records=self.records, token=self.token
+        )
+        for upstream in self.upstreams.values():
+            if upstream.is_up:
+                self.leader.beat(upstream, self.token)
+        for job, submitted in self.jobs.items():
+            is_open = submitted.ended_at is None and submitted.refused_at is None
+            if is_open and self.world.now - submitted.at < submitted.objective * LATE_FACTOR:
+                self._hand_in(job)
+
+    def lose_leader(self, *, is_frozen: bool = False) -> None:
+        """End the leader's term; nobody decides until the next is elected.
+
+        A frozen one takes calls in and answers none, so that they may have begun.
+        """
+        self._collect()
+        self.is_frozen = is_frozen
+        self.leader.is_over = True
+
+    def crash(self, count: int) -> None:
+        """Have the first upstreams lose all they run, and answer no more."""
+        for upstream in list(self.upstreams.values())[:count]:
+            upstream.crash()
+
+    def restart(self) -> None:
+        """Begin a new life of each upstream that has crashed."""
+        self.life += 1
+        for id, upstream in list(self.upstreams.items()):
+            if not upstream.is_up:
+                name = f"{id}v{self.life}"
+                fresh = self._add_upstream(name, upstream.info.capacity.cpu_millis)
+                self.leader.beat(fresh, 1)
+
+    def slow(self, count: int, factor: float) -> None:
+        """Have tasks on the first upstreams take that many times as long."""
+        for id in list(self.upstreams)[:count]:
+            self.slowness[id] = factor
+
+    def fail(self, count: int) -> None:
+        """Have the first upstreams fail at once all that they start from now on."""
+        for number, upstream in enumerate(self.upstreams.values()):
+            upstream.fails_all = number < count
+
+    # Load
+
+    def _add_upstream(self, name: str, cpu_millis: int) -> ModelUpstream:
+        info = build_info(name, cpu_millis)
+        upstream = ModelUpstream(
+            world=self.world,
+            info=info,
+            rate=1.0,
+            run_times=lambda job: milliseconds(self.real_ms[job] * self.slowness.get(info.id, 1.0)),
+        )
+        self.upstreams[info.id] = upstream
+        return upstream
+
+    def _plan_arrivals(self) -> None:
+        scale = self.rate_factor * self.upstream_count / USUAL_UPSTREAMS
+        for kind in KINDS:
+            at = 0.2
+            while at < SECONDS:
+                at += self.chance.expovariate(kind.rate * scale * self._find_burst(at))
+                self.world.at(timedelta(seconds=at), lambda kind=kind: self._submit(kind))  # type: ignore[misc]
+
+    def _find_burst(self, at: float) -> float:
+        return max((each[2] for each in self.bursts if each[0] <= at < each[1]), default=1.0)
+
+    def _draw(self, mean: float, most: float) -> float:
+        """Return a number that scatters round a mean."""
+        drawn = self.chance.lognormvariate(-SPREAD * SPREAD / 2, SPREAD)
+        return min(mean * drawn, most)
+
+    def _submit(self, kind: Kind) -> None:
+        job = JobId(f"{len(self.jobs):016x}")
+        real_ms = self._draw(kind.run_ms, kind.run_ms * 4)
+        count = max(1, round(self._draw(kind.tasks, kind.tasks * 4)))
+        cpu_millis = int(CPU_MILLIS * self.chance.lognormvariate(0, CPU_SPREAD))
+        needs = Needs(cpu_millis=min(cpu_millis, 20_000))
+        declared = max(1, int(real_ms * self.chance.lognormvariate(0, SPREAD)))
+        step = StepSpec(count=count, needs=needs, estimate_ms=declared)
+        work = real_ms * count / (kind.run_ms * kind.tasks)
+        self.world.needs[job] = needs
+        self.real_ms[job] = real_ms
+        self.jobs[job] = Submitted(
+            kind=kind,
+            spec=JobSpec(payload="", steps=(step,), best_effort=True),
+            worth=kind.worth * min(0.3 + 0.7 * work, 4.0),
+            objective=milliseconds(STRETCH * real_ms + TARGET_MS),
+            at=self.world.now,
+        )
+        self._hand_in(job)
+
+    def _hand_in(self, job: JobId) -> None:
+        self._collect()
+        submitted = self.jobs[job]
+        if self.leader.is_over:
+            submitted.was_sent = submitted.was_sent or self.is_frozen
+            return
+        queue = QUEUES[submitted.kind.name]
+        now = self.world.now
+        waited = now - submitted.at
+        rejection = self.leader.dispatch.find_rejection(queue, submitted.spec, waited, now)
+        if rejection is not None and not submitted.was_sent:
+            submitted.refused_at = now
+            return
+        may_have_begun, submitted.was_sent = submitted.was_sent, True
+        self.leader.submit(
+            job,
+            submitted.spec,
+            queue,
+            may_have_begun=may_have_begun,
+            # Its caller has sent it but once, so that nothing of a new job can be at work.
+            settle_after=SETTLE_AFTER if may_have_begun else timedelta(),
+            waited=waited,
+        )
+
+    def _collect(self) -> None:
+        """Note which jobs have ended, and how."""
+        jobs = self.leader.dispatch.jobs
+        for job, at in self.leader.ended_at.items():
+            submitted = self.jobs[job]
+            if jobs.find_ended(job) is JobState.COMPLETED:
+                submitted.ended_at = submitted.ended_at or at
+            elif submitted.ended_at is None:
+                submitted.refused_at = submitted.refused_at or at
+        self.leader.ended_at.clear()
+
+
+def iterate_arrived(run: Run, first: float, last: float) -> Iterator[Submitted]:
+    """Yield the jobs that came within some seconds."""
+    for submitted in run.jobs.values():
+        if timedelta(seconds=first) <= submitted.at < timedelta(seconds=last):
+            yield submitted
--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,87 @@
+"""What a run was worth to its callers, and how far two variants differ beyond chance."""
+
+from __future__ import annotations
+
+import random
+import statistics
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+
+from .load import Run, Submitted, iterate_arrived
+from .scenarios import Scenario
+
+RESAMPLES = 2_000
+EARLY_SHARE = 0.25
+"""Of the objective: a refusal within it lets the caller act in time."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Measures:
+    """Shares of all jobs that came in the seconds of the trouble, weighed by worth or not."""
+
+    worth: float
+    worth_of_day: float
+    in_time: float
+    served: float
+    refused: float
+    refused_early: float
+    """Of those refused, the share told within a quarter of their objective."""
+    refusal_over_objective: float
+    """Median time to refusal."""
+    worst_kind: float
+    """Worth of the kind of job that fares worst."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Spread:
+    """A mean and the interval that holds it with 95 percent confidence."""
+
+    mean: float
+    low: float
+    high: float
+
+
+def measure(run: Run, scenario: Scenario) -> Measures:
+    """Return what a run that has ended was worth."""
+    day = list(run.jobs.values())
+    part = list(iterate_arrived(run, scenario.first, scenario.last))
+    waits = [
+        (each.refused_at - each.at) / each.objective
+        for each in part
+        if each.refused_at is not None and each.ended_at is None
+    ]
+    kinds = {each.kind.name for each in part}
+    return Measures(
+        worth=_share_of_worth(part),
+        worth_of_day=_share_of_worth(day),
+        in_time=sum(each.earned == each.worth for each in part) / len(part),
+        served=sum(each.ended_at is not None for each in part) / len(part),
+        refused=len(waits) / len(part),
+        refused_early=sum(wait <= EARLY_SHARE for wait in waits) / max(len(waits), 1),
+        refusal_over_objective=statistics.median(waits) if waits else 0.0,
+        worst_kind=min(
+            _share_of_worth([each for each in part if each.kind.name == kind]) for kind in kinds
+        ),
+    )
+
+
+def _share_of_worth(jobs: Sequence[Submitted]) -> float:
+    return sum(each.earned for each in jobs) / sum(each.worth for each in jobs)
+
+
+def summarise(measured: Sequence[Measures]) -> dict[str, float]:
+    """Return the means over all seeds."""
+    rows = [asdict(each) for each in measured]
+    return {key: round(statistics.mean(row[key] for row in rows), 4) for key in rows[0]}
+
+
+def compare(ours: Sequence[Measures], others: Sequence[Measures]) -> Spread:
+    """Return what a variant changes in worth against another, in pairs of the same seed."""
+    gains = [one.worth - other.worth for one, other in zip(ours, others, strict=True)]
+    chance = random.Random(1)
+    means = sorted(statistics.mean(chance.choices(gains, k=len(gains))) for _ in range(RESAMPLES))
+    return Spread(
+        mean=round(statistics.mean(gains), 4),
+        low=round(means[int(0.025 * RESAMPLES)], 4),
+        high=round(means[int(0.975 * RESAMPLES)], 4),
+    )
--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -42,6 +42,7 @@
             seen_at=now,
             advanced_at=now,
             is_orphan=record is None,
+            is_disputed=record is None and self._term.may_be_decided_elsewhere(report.run),
         )
         life.add_run(run)
         # An earlier leader may have renewed its lease until the term began.
@@ -57,7 +58,7 @@
         steps = job.record.spec.steps
         if run.task.step < len(steps):
             run.needs = steps[run.task.step].needs
-        run.is_orphan = False
+        run.is_orphan = run.is_disputed = False
         life.add_run(run)
         self._adopt(job, life, run)
 
--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -29,6 +29,8 @@
     """Whether an earlier try has an unknown outcome: it can no longer be rejected as not run."""
     deputy_term: int = 0
     """The term in which a deputy may have begun it; only a leader of a later term may go on."""
+    may_be_of_deputy: bool = False
+    """Whether another gateway has had an earlier try, which may have stood in by then."""
 
 
 class Abandon(Value, frozen=True, tag="abandon"):
--- a/cottonlug/core/cluster/commands.py
+++ b/cottonlug/core/cluster/commands.py
@@ -60,6 +60,18 @@
     upstream: UpstreamId
 
 
+class CordonUpstreams(Value, frozen=True, tag="cordon"):
+    """Nothing runs at these upstreams, and nothing is started there from the proposal on."""
+
+    upstreams: tuple[UpstreamId, ...]
+
+
+class UncordonUpstream(Value, frozen=True, tag="uncordon"):
+    """An upstream is used again; comes before the first start there."""
+
+    upstream: UpstreamId
+
+
 class SetConfiguration(Value, frozen=True, tag="configure"):
     """Put a configuration in force unless one as new already is."""
 
@@ -74,6 +86,8 @@
     | AddUpstream
     | RemoveUpstreams
     | SetDraining
+    | CordonUpstreams
+    | UncordonUpstream
     | SetConfiguration
 )
 
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -20,6 +20,7 @@
     NoteEnds,
     RemoveUpstreams,
     SetDraining,
+    UncordonUpstream,
 )
 from .ends import Ends
 from .filler import Filler
@@ -75,6 +76,7 @@
         note: Note,
         on_end: Callable[[JobId], None],
         domain: DomainName | None = None,
+        keeps_log: bool = True,
     ) -> None:
         self._term = Term(
             number=term,
@@ -85,6 +87,7 @@
             note=note,
             on_end=on_end,
             domain=domain,
+            keeps_log=keeps_log,
         )
         self._lives = LifeTable(term=self._term)
         self._jobs = OpenJobs(term=self._term, lives=self._lives)
@@ -170,13 +173,15 @@
         """Take a job that need not be kept; what another host started of it goes on."""
         # What runs at an upstream out of sight ends when its lease does.
         is_new = self._settlement.is_settled and not submission.may_have_begun
-        is_unsure = not is_new and bool(self._lives.list_unseen())
+        of_deputies = submission.may_be_of_deputy
+        is_unsure = not is_new and self._settlement.is_unsure(of_deputies=of_deputies)
         self._jobs.rejections.pop(record.id, None)
         self._jobs.given_up.discard(record.id)
         phase = TaskPhase.UNKNOWN if is_unsure else TaskPhase.QUEUED
         self._jobs.open(record, phase, now, submission.waited)
         job = self._jobs.jobs[record.id]
         job.gateway = submission.gateway
+        job.may_be_of_deputy = submission.may_be_of_deputy
         job.has_begun = job.has_begun or submission.may_have_begun
         if is_unsure:
             job.settle_at = now + submission.settle_after
@@ -229,6 +234,8 @@
         elif isinstance(command, SetDraining):
             if command.upstream in self._lives.by_id:
                 self._lives.by_id[command.upstream].draining = True
+        elif isinstance(command, UncordonUpstream):
+            self._watcher.uncordon(command.upstream)
         elif isinstance(command, RemoveUpstreams):
             for upstream in command.upstreams:
                 self._lives.drop(upstream)
@@ -326,6 +333,7 @@
             life.is_fenced = True
             self._term.note("upstream_adopted", {"upstream": life.info.id})
         self._lives.unseen.discard(life.info.id)
+        self._watcher.want_uncordoned(life)
         self._ends.take_listed(life, reply.ended, now)
         if reply.clock_ms <= life.listed_ms:
             # Overtaken by a later answer on another connection: what it lists may have ended.
@@ -358,6 +366,7 @@
     def _sweep(self, now: timedelta) -> None:
         """Forget what is long over."""
         self._sweep_due = now + SWEEP_EVERY
+        self._watcher.cordon(now)
         self._watcher.forget_silent(now)
         self._jobs.forget_ended(now)
         self._ends.forget_orphans(now)
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -28,14 +28,17 @@
         self._by_address: dict[str, UpstreamId] = {}
         self._health: dict[UpstreamId, Health] = {}
         for record in term.records.upstreams.values():
-            self.add(record.info, record.noted, record.draining, term.began_at)
-            self.unseen.add(record.info.id)
+            life = self.add(record.info, record.noted, record.draining, term.began_at)
+            # A deputy may have used it all the same, and the record may be an old one.
+            life.is_cordoned = record.is_cordoned and term.keeps_log
+            if not life.is_cordoned:
+                self.unseen.add(record.info.id)
 
     def is_grace(self, now: timedelta) -> bool:
         """Whether the term is so young that unknown runs may still find their jobs."""
         return now < self._term.began_at + ORPHAN_GRACE
 
-    def add(self, info: UpstreamInfo, noted: int, draining: bool, now: timedelta) -> None:
+    def add(self, info: UpstreamInfo, noted: int, draining: bool, now: timedelta) -> Life:
         """Begin to watch a life; an earlier one at its address is asked whether it is over."""
         life = Life(
             info=info,
@@ -55,6 +58,7 @@
             # Only an answer shows which of the two lives holds the address now.
             earlier.look_due = now
             self.touch(earlier)
+        return life
 
     def drop(self, upstream: UpstreamId) -> None:
         """Forget a life."""
@@ -74,9 +78,16 @@
         touched, self._touched = self._touched, {}
         return list(touched.values())
 
-    def list_unseen(self) -> list[Life]:
-        """Return the lives that may run something that nobody here knows of."""
-        return [life for life in self.by_id.values() if not life.is_fenced and not life.is_over]
+    def list_unseen(self, *, of_deputies: bool) -> list[Life]:
+        """Return the lives that may run something of another leader that nobody here knows of.
+
+        With `of_deputies` also those where only a deputy can have begun something.
+        """
+        return [
+            life
+            for life in self.by_id.values()
+            if not (life.is_fenced or life.is_over) and (of_deputies or not life.is_cordoned)
+        ]
 
     def get_health(self, life: Life) -> Health:
         """Return how the runs at a life have gone."""
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -56,6 +56,10 @@
     """Up to which end note was taken by the record."""
     draining: bool = False
     is_over: bool = False
+    is_cordoned: bool = False
+    """Whether nothing that a leader began can be at work there, and nothing may be started."""
+    is_uncordoning: bool = False
+    """Whether the log is to say that it is used again."""
     is_foreign: bool = False
     """Whether another host orders it in this term."""
     is_fenced: bool = False
@@ -86,6 +90,7 @@
     _used_memory: int = 0
     _used_gpus: int = 0
     _orphans: int = 0
+    _disputed: int = 0
     _clock_ms: float | None = None
     _clock_at: timedelta = timedelta()
 
@@ -126,6 +131,11 @@
         """Whether runs are at work there whose jobs, and so whose needs, are not known."""
         return self._orphans > 0
 
+    @property
+    def has_disputed(self) -> bool:
+        """Whether something runs there whose lease must end: nothing is started or renewed."""
+        return self._disputed > 0
+
     def has_room(self, needs: Needs) -> bool:
         """Whether a task fits; an orphan, whose needs are not known, counts as one like it."""
         capacity = self.info.capacity
@@ -140,7 +150,9 @@
         """Whether a start may be sent at all."""
         return (
             self.is_fenced
+            and not self.is_cordoned
             and not self.draining
+            and not self.has_disputed
             and not self.is_over
             and self.failed_looks == 0
             and now >= self.avoid_until
@@ -151,6 +163,7 @@
         self._used_memory += sign * run.needs.memory_mb
         self._used_gpus += sign * run.needs.gpus
         self._orphans += sign * run.is_orphan
+        self._disputed += sign * run.is_disputed
 
     def _estimate_clock(self, now: timedelta) -> float | None:
         if self._clock_ms is None:
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -65,6 +65,8 @@
     has_begun: bool = False
     gateway: str = ""
     """Address of the gateway that waits for its end, if one does."""
+    may_be_of_deputy: bool = False
+    """Whether a deputy may have begun it, of whose starts no leader knows."""
     settle_at: timedelta = timedelta()
     """Until then its unknown tasks may run at an upstream out of sight."""
     next_occurrence: int = 0
@@ -99,6 +101,8 @@
 
     gateway: str
     may_have_begun: bool
+    may_be_of_deputy: bool = False
+    """Whether that host may be one that stood in for a leader."""
     settle_after: timedelta
     """How long what another host began may go on at an upstream out of sight."""
     waited: timedelta = timedelta()
@@ -128,7 +132,7 @@
         for record in term.records.jobs.values():
             if record.is_open:
                 self.open(record, TaskPhase.UNKNOWN, term.began_at, self.find_age(record))
-                self.jobs[record.id].settle_at = term.began_at + term.lease.lapse_after
+                self.jobs[record.id].settle_at = term.lapsed_at
 
     def find_age(self, record: JobRecord) -> timedelta:
         """Return how long ago a kept job arrived; clocks of hosts may differ a little."""
--- a/cottonlug/core/cluster/orders.py
+++ b/cottonlug/core/cluster/orders.py
@@ -107,6 +107,8 @@
     """Whether it began from a checkpoint, so that it makes no progress at first."""
     is_orphan: bool = False
     """Whether its job is not known, but may be submitted again."""
+    is_disputed: bool = False
+    """Whether, besides, somebody out of touch may count on its lease to end."""
     unsure_at: timedelta = timedelta()
     """When its start was found to have no answer."""
     stop_wanted: bool = False
--- a/cottonlug/core/cluster/records.py
+++ b/cottonlug/core/cluster/records.py
@@ -16,11 +16,13 @@
     AddUpstream,
     CancelJob,
     Command,
+    CordonUpstreams,
     ForgetJobs,
     NoteEnds,
     RemoveUpstreams,
     SetConfiguration,
     SetDraining,
+    UncordonUpstream,
 )
 from .model import (
     Configuration,
@@ -98,6 +100,8 @@
     info: UpstreamInfo
     noted: int = 0
     draining: bool = False
+    is_cordoned: bool = False
+    """Whether no leader has anything at work there."""
 
 
 class Saved(Value, frozen=True):
@@ -140,6 +144,11 @@
         elif isinstance(command, SetDraining):
             if command.upstream in self.upstreams:
                 self.upstreams[command.upstream].draining = True
+        elif isinstance(command, CordonUpstreams):
+            for upstream in command.upstreams:
+                self._set_cordoned(upstream, True)
+        elif isinstance(command, UncordonUpstream):
+            self._set_cordoned(command.upstream, False)
         else:
             self._configure(command)
 
@@ -189,6 +198,11 @@
         if upstream is not None:
             upstream.noted = max(noted, command.through)
 
+    def _set_cordoned(self, upstream: UpstreamId, is_cordoned: bool) -> None:
+        record = self.upstreams.get(upstream)
+        if record is not None:
+            record.is_cordoned = is_cordoned
+
     def _configure(self, command: SetConfiguration) -> None:
         current = self.configuration
         if current is None or command.configuration.version > current.version:
--- a/cottonlug/core/cluster/settlement.py
+++ b/cottonlug/core/cluster/settlement.py
@@ -18,7 +18,6 @@
         self._term = term
         self._lives = lives
         self._jobs = jobs
-        self._settled_at = term.began_at + term.lease.lapse_after
         self._has_unsure_jobs = True
 
     @property
@@ -26,13 +25,17 @@
         """The phase of a task that comes up now and may have been begun by an earlier leader."""
         return TaskPhase.QUEUED if self.is_settled else TaskPhase.UNKNOWN
 
+    def is_unsure(self, *, of_deputies: bool) -> bool:
+        """Whether a run of another leader, or of a deputy as well, may be at work out of sight."""
+        return bool(self._lives.list_unseen(of_deputies=of_deputies))
+
     def note_unsure(self) -> None:
         """Look again whether tasks are unknown."""
         self._has_unsure_jobs = True
 
     def settle(self, now: timedelta) -> None:
         """Once nothing unknown can run any more, queue what an earlier leader left open."""
-        if not self.is_settled and (not self._lives.unseen or now >= self._settled_at):
+        if not self.is_settled and (not self._lives.unseen or now >= self._term.lapsed_at):
             self.is_settled = True
             self._term.note(
                 "term_settled", {"term": self._term.number, "unseen": len(self._lives.unseen)}
@@ -40,9 +43,8 @@
         if not self._has_unsure_jobs:
             return
         self._has_unsure_jobs = False
-        is_all_seen = not self._lives.list_unseen()
         for job in self._jobs.jobs.values():
-            if is_all_seen or now >= job.settle_at:
+            if now >= job.settle_at or not self.is_unsure(of_deputies=job.may_be_of_deputy):
                 self._jobs.queue_unknown(job)
             elif any(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values()):
                 self._has_unsure_jobs = True
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -18,6 +18,8 @@
 WallTime = Callable[[], int]
 """Return the wall-clock time in milliseconds."""
 
+TOKENS_PER_TERM = 1_000_000
+"""Room for the tokens of deputies between those of two leaders."""
 RUNS_PER_TERM = 4_096
 """Run numbers of a later term are higher than all of an earlier one."""
 
@@ -56,12 +58,27 @@
     on_end: Callable[[JobId], None]
     domain: DomainName | None = None
     """Failure domain whose upstreams alone it may order; None for all."""
+    keeps_log: bool = True
+    """Whether later leaders learn what it proposes; those of a deputy are its own affair."""
     counts: DispatchCounts = field(default_factory=DispatchCounts)
     orders: list[Order] = field(default_factory=list)
     proposals: list[Command] = field(default_factory=list)
     is_fenced_off: bool = False
     """Whether an upstream has taken orders under a higher token: this term is over there."""
 
+    def may_be_decided_elsewhere(self, run: RunNumber) -> bool:
+        """Whether whoever began a run of another term may still decide about its job.
+
+        An earlier leader does not, since it has lost its own lease. A deputy may, in a failure
+        domain that is cut off, and so may the leader that a deputy does not reach.
+        """
+        return not self.keeps_log or (run // RUNS_PER_TERM) % TOKENS_PER_TERM != 0
+
+    @property
+    def lapsed_at(self) -> timedelta:
+        """From when on nothing of earlier terms can be at work at an upstream not heard since."""
+        return self.began_at + self.lease.lapse_after
+
     @property
     def first_run(self) -> RunNumber:
         """The lowest run number of this term."""
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -5,7 +5,8 @@
 from datetime import timedelta
 
 from ..clock import to_milliseconds
-from .commands import RemoveUpstreams
+from ..ids import UpstreamId
+from .commands import CordonUpstreams, RemoveUpstreams, UncordonUpstream
 from .life_table import LifeTable
 from .lives import Life
 from .open_jobs import OpenJob, OpenJobs
@@ -19,6 +20,11 @@
 """Shorter parked looks would cost more calls than what they learn is worth."""
 LOOK_RETRY = timedelta(milliseconds=100)
 MOST_RETRY_STEPS = 10
+DISPUTED_GRACE = timedelta(milliseconds=100)
+"""How long a run is borne whose upstream can take no work meanwhile; gateways submit their jobs
+again within that time as a rule."""
+LOOKS_BEFORE_CORDON = 2
+"""An upstream that has just joined may miss one."""
 SILENT_AFTER = timedelta(seconds=10)
 """Without heartbeats for that long, and with nothing running, a life is forgotten."""
 MOST_MOVES = 2
@@ -55,7 +61,7 @@
     def _send_look(self, life: Life, wait: timedelta, now: timedelta) -> None:
         # A look that is not answered may renew the lease all the same, and then nothing lapses for
         # as long as it is repeated: only an upstream that answers is given more time.
-        renews = bool(life.runs) and life.failed_looks == 0
+        renews = bool(life.runs) and life.failed_looks == 0 and not life.has_disputed
         expires_ms = life.grant(now) if renews else None
         is_probe = life.look_is_out
         life.probe_is_out = life.probe_is_out or is_probe
@@ -118,7 +124,7 @@
         if life.is_over:
             return
         for run in life.runs.values():
-            if run.is_orphan and not self._lives.is_grace(now):
+            if run.is_orphan and not self._is_borne(run, now):
                 run.stop_wanted = True
             wanted = run.stop_wanted and run.stopped_at is None and not run.stop_is_out
             if wanted and now >= run.stop_due and run.phase is not RunPhase.STARTING:
@@ -127,6 +133,12 @@
                 order = StopOrder(upstream=life.info, task=run.task, run=run.run)
                 self._term.orders.append(order)
 
+    def _is_borne(self, run: Run, now: timedelta) -> bool:
+        """Whether the job of a run may still be submitted again."""
+        if run.is_disputed:
+            return now < run.since + DISPUTED_GRACE
+        return self._lives.is_grace(now)
+
     def judge_runs(self, life: Life, now: timedelta) -> None:
         """Stop runs that stand still or are far too slow, so that they start elsewhere.
 
@@ -192,6 +204,42 @@
         self._give_up_runs(life, now)
         self._term.proposals.append(RemoveUpstreams(upstreams=(life.info.id,)))
 
+    def cordon(self, now: timedelta) -> None:
+        """Put into the log which upstreams out of sight surely run nothing.
+
+        A leader knows at which upstreams it has started something; the next one does not, and had
+        to wait for the leases of all that it did not see, however long they had been gone.
+        """
+        if not self._term.keeps_log:
+            return
+        idle = [life for life in self._lives.by_id.values() if self._is_surely_idle(life, now)]
+        if not idle:
+            return
+        for life in idle:
+            life.is_cordoned = True
+            self._term.note("upstream_cordoned", {"upstream": life.info.id})
+        cordoned = tuple(life.info.id for life in idle)
+        self._term.proposals.append(CordonUpstreams(upstreams=cordoned))
+
+    def _is_surely_idle(self, life: Life, now: timedelta) -> bool:
+        is_out_of_sight = not life.is_fenced and life.failed_looks >= LOOKS_BEFORE_CORDON
+        is_lapsed = not life.runs and now >= max(life.lapse_at, self._term.lapsed_at)
+        return is_out_of_sight and is_lapsed and not (life.is_cordoned or life.is_over)
+
+    def want_uncordoned(self, life: Life) -> None:
+        """Put into the log that an upstream is to be used again; until then it is not."""
+        if life.is_cordoned and not life.is_uncordoning:
+            life.is_uncordoning = True
+            self._term.proposals.append(UncordonUpstream(upstream=life.info.id))
+
+    def uncordon(self, upstream: UpstreamId) -> None:
+        """Use an upstream again, now that every later leader will know."""
+        life = self._lives.by_id.get(upstream)
+        if life is not None:
+            life.is_cordoned = life.is_uncordoning = False
+            self._lives.touch(life)
+            self._term.note("upstream_uncordoned", {"upstream": upstream})
+
     def forget_silent(self, now: timedelta) -> None:
         """Forget lives that have been silent, with nothing running."""
         for life in self._lives.by_id.values():
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -160,7 +160,8 @@
                 break
             if nobody_since is not None and now - nobody_since > self._find_patience(call):
                 break
-            deputy_term = self.link.deputy_term if self.link.via is Via.DEPUTY else 0
+            via = self.link.via
+            deputy_term = self.link.deputy_term if via is Via.DEPUTY else 0
             if isinstance(call, Submit):
                 waited_ms = to_milliseconds(now - began_at)
                 call = msgspec.structs.replace(call, waited_ms=waited_ms)
@@ -170,7 +171,7 @@
                 is_unknown = True
                 nobody_since = None
                 if isinstance(call, Submit):
-                    call = _mark_begun(call, deputy_term)
+                    call = _mark_begun(call, deputy_term, via)
             elif answer.outcome is Outcome.UNAVAILABLE:
                 nobody_since = now if nobody_since is None else nobody_since
             elif answer.outcome is Outcome.REJECTED and is_unknown:
@@ -241,10 +242,15 @@
         return answer
 
 
-def _mark_begun(call: Submit, deputy_term: int) -> Submit:
+def _mark_begun(call: Submit, deputy_term: int, via: Via) -> Submit:
     """Return a submission whose last try may have begun it, under a deputy of that term or none."""
-    deputy_term = max(deputy_term, call.deputy_term)
-    return msgspec.structs.replace(call, may_have_begun=True, deputy_term=deputy_term)
+    return msgspec.structs.replace(
+        call,
+        may_have_begun=True,
+        deputy_term=max(deputy_term, call.deputy_term),
+        # A gateway that passes calls on may stand in before it has seen one.
+        may_be_of_deputy=call.may_be_of_deputy or via is not Via.LEADER,
+    )
 
 
 def _to_deputy(call: Call) -> Call:
--- a/cottonlug/runtime/job_answers.py
+++ b/cottonlug/runtime/job_answers.py
@@ -159,6 +159,7 @@
         submission = Submission(
             gateway=call.gateway,
             may_have_begun=call.may_have_begun,
+            may_be_of_deputy=call.may_be_of_deputy or bool(call.deputy_term),
             # A caller whose gateway was lost sends its job again only after a while.
             settle_after=longest if call.may_have_begun else after_retry,
             waited=timedelta(milliseconds=call.waited_ms),
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -48,6 +48,7 @@
     StartOrder,
     StopOrder,
 )
+from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName
 from .decisions import note_decision
 from .events import Event, log_event
@@ -59,8 +60,6 @@
 
 TICK_SECONDS = 0.02
 FORGET_EVERY = timedelta(seconds=5)
-TOKENS_PER_TERM = 1_000_000
-"""Room for the tokens of deputies between those of two leaders."""
 HELD_UP = timedelta(milliseconds=150)
 """Between two decisions there are 20 ms, unless the process was held up."""
 COMMIT_TIMEOUT = timedelta(seconds=2)
@@ -130,6 +129,7 @@
             note=note_decision,
             on_end=self._take_end,
             domain=settings.domain,
+            keeps_log=settings.keeps_log,
         )
         self._jobs = JobAnswers(
             authority=authority,
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -142,6 +142,8 @@
     run_times: Callable[[JobId], timedelta]
     """How long a task of a job runs there."""
     is_up: bool = True
+    fails_all: bool = False
+    """Whether all that it starts fails at once."""
     token: int = 0
     expires_ms: float = 0.0
     number: int = 0
@@ -233,8 +235,9 @@
         world.starts += 1
         world.begun.append((ref, world.now))
         world.started_jobs.add(ref.job)
-        how = EndKind.FAILED if world.random.random() < world.failed_share else EndKind.DONE
-        taken = self.run_times(ref.job)
+        fails = world.random.random() < world.failed_share or self.fails_all
+        how = EndKind.FAILED if fails else EndKind.DONE
+        taken = milliseconds(1) if self.fails_all else self.run_times(ref.job)
         run = ModelRun(
             ref=ref,
             run=order.run,
@@ -288,8 +291,11 @@
     is_over: bool = False
     cut_off: set[UpstreamId] = field(default_factory=set)
     domain: DomainName | None = None
+    is_deputy: bool = False
     ended: list[JobId] = field(default_factory=list)
     ended_at: dict[JobId, timedelta] = field(default_factory=dict)
+    commits: Callable[[Command], bool] = lambda command: True
+    """Whether a proposal is committed."""
     dispatch: Dispatch = field(init=False)
 
     def __post_init__(self) -> None:
@@ -302,6 +308,7 @@
             note=lambda name, fields: None,
             on_end=self._note_end,
             domain=self.domain,
+            keeps_log=not self.is_deputy,
         )
         self._tick_forever()
 
@@ -316,6 +323,7 @@
         queue: Queue,
         *,
         may_have_begun: bool = False,
+        may_be_of_deputy: bool = False,
         settle_after: timedelta = SETTLE_AFTER,
         waited: timedelta = timedelta(),
     ) -> None:
@@ -333,6 +341,7 @@
         submission = Submission(
             gateway="",
             may_have_begun=may_have_begun,
+            may_be_of_deputy=may_be_of_deputy,
             settle_after=settle_after,
             waited=waited,
         )
@@ -352,7 +361,7 @@
         self.dispatch.tick(self.world.now)
         for order in self.dispatch.take_orders():
             self._send(order)
-        for command in self.dispatch.take_proposals():
+        for command in filter(self.commits, self.dispatch.take_proposals()):
             self.world.at(COMMIT, lambda command=command: self._commit(command))  # type: ignore[misc]
 
     def _commit(self, command: Command) -> None:
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -19,6 +19,7 @@
 )
 from ..core.cluster.orders import LookOrder
 from ..core.cluster.records import Records
+from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName, UpstreamId
 from .model_upstreams import (
     TERMS,
@@ -50,12 +51,13 @@
 
 
 def start_leader(
-    world: World, upstreams: dict[UpstreamId, ModelUpstream], records: Records, token: int
+    world: World, upstreams: dict[UpstreamId, ModelUpstream], records: Records, term: int
 ) -> Leader:
+    token = term * TOKENS_PER_TERM
     leader = Leader(world=world, upstreams=upstreams, records=records, token=token)
     for upstream in upstreams.values():
         if upstream.is_up:
-            leader.beat(upstream, sequence=token)
+            leader.beat(upstream, sequence=term)
     return leader
 
 
@@ -164,7 +166,7 @@
 def test_an_upstream_that_is_first_heard_as_it_leaves_gets_no_work() -> None:
     """Found by reading: its leaving was acknowledged and forgotten."""
     world, upstreams = build_world(10)
-    leader = Leader(world=world, upstreams=upstreams, records=Records(), token=1)
+    leader = Leader(world=world, upstreams=upstreams, records=Records(), token=TOKENS_PER_TERM)
     for upstream in upstreams.values():
         leader.beat(upstream, sequence=1, draining=True)
     world.run_until(milliseconds(100))
@@ -182,7 +184,7 @@
     world.run_until(milliseconds(100))
     first.is_over = True
     upstreams[UpstreamId("u4")].crash()
-    second = Leader(world=world, upstreams=upstreams, records=records, token=2)
+    second = Leader(world=world, upstreams=upstreams, records=records, token=2 * TOKENS_PER_TERM)
     world.run_until(milliseconds(130))
     return world, second
 
@@ -211,7 +213,7 @@
     first = start_leader(world, upstreams, records, 1)
     world.run_until(milliseconds(100))
     first.is_over = True
-    second = Leader(world=world, upstreams=upstreams, records=records, token=2)
+    second = Leader(world=world, upstreams=upstreams, records=records, token=2 * TOKENS_PER_TERM)
     second.submit("a" * 16, build_spec(tasks=2), build_queue(), may_have_begun=True)
     world.run_until(milliseconds(500))
     assert second.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
@@ -251,7 +253,13 @@
     upstreams[moved_from].ended = [
         EndReport(number=1, task=ref, run=RunNumber(4_095), how=EndKind.STOPPED)
     ]
-    second = Leader(world=world, upstreams=upstreams, records=records, token=2, cut_off={moved_to})
+    second = Leader(
+        world=world,
+        upstreams=upstreams,
+        records=records,
+        token=2 * TOKENS_PER_TERM,
+        cut_off={moved_to},
+    )
     spec = build_spec(tasks=1, run_ms=3_000)
     second.submit("a" * 16, spec, build_queue(), may_have_begun=True)
     world.run_until(milliseconds(600))
@@ -290,7 +298,12 @@
     world.run_until(milliseconds(100))
     first.is_over = True
     deputy = Leader(
-        world=world, upstreams=upstreams, records=records, token=2, domain=DomainName("north")
+        world=world,
+        upstreams=upstreams,
+        records=records,
+        token=TOKENS_PER_TERM + 1,
+        domain=DomainName("north"),
+        is_deputy=True,
     )
     deputy.submit("a" * 16, build_spec(tasks=2), build_queue(), settle_after=timedelta())
     begun = JobId("b" * 16)
@@ -301,7 +314,7 @@
     world.run_until(timedelta(seconds=3))
     assert deputy.dispatch.jobs.find_ended(begun) is JobState.COMPLETED
     tokens = {upstream.info.domain: upstream.token for upstream in upstreams.values()}
-    assert tokens == {"north": 2, "south": 1}
+    assert tokens == {"north": TOKENS_PER_TERM + 1, "south": TOKENS_PER_TERM}
 
 
 def run_campaign(seed: int, *, kept: bool) -> None:
--- /dev/null
+++ b/cottonlug/tests/test_cluster_disputed.py
@@ -0,0 +1,121 @@
+"""Runs whose leases somebody else counts on to end: a deputy beside a leader out of touch."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ..core.cluster.records import Records
+from ..core.cluster.term import TOKENS_PER_TERM
+from ..core.ids import UpstreamId
+from .model_upstreams import TERMS, Leader, build_queue, build_spec, milliseconds
+from .test_cluster_dispatch import build_world, start_leader
+
+JOB = "a" * 16
+STANDS_IN_AFTER = milliseconds(670)
+
+
+def stand_in(first: Leader, upstreams: set[UpstreamId], level: int) -> Leader:
+    """Have a deputy decide about some upstreams, with a roster of its own."""
+    records = Records()
+    records.restore(first.records.encode())
+    return Leader(
+        world=first.world,
+        upstreams=first.upstreams,
+        records=records,
+        token=first.token + level,
+        cut_off=set(first.upstreams) - upstreams,
+        is_deputy=True,
+    )
+
+
+def start_long_run(seed: int) -> tuple[Leader, UpstreamId]:
+    world, upstreams = build_world(seed)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda job: milliseconds(2_600)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.submit(JOB, build_spec(tasks=1, run_ms=2_600), build_queue())
+    world.run_until(milliseconds(200))
+    ((_, where),) = world.running.items()
+    return leader, UpstreamId(where)
+
+
+def test_a_deputy_does_not_prolong_what_the_leader_has_given_up() -> None:
+    """Found on celmala-vans trouble-3 (TWICE): the leader began the run again elsewhere."""
+    leader, where = start_long_run(1)
+    leader.cut_off = {where}
+    leader.world.run_until(leader.world.now + STANDS_IN_AFTER)
+    stand_in(leader, {where}, 1_001)
+    leader.world.run_until(leader.world.now + TERMS.lapse_after * 2)
+    ((_, again),) = leader.world.running.items()
+    assert again != where
+
+
+def test_a_deputy_goes_on_with_what_its_gateways_submit_again() -> None:
+    leader, where = start_long_run(2)
+    leader.is_over = True
+    leader.world.run_until(leader.world.now + STANDS_IN_AFTER)
+    deputy = stand_in(leader, {where}, 1_001)
+    deputy.world.run_until(deputy.world.now + milliseconds(60))
+    spec = build_spec(tasks=1, run_ms=2_600)
+    deputy.submit(JOB, spec, build_queue(), may_have_begun=True, may_be_of_deputy=True)
+    deputy.world.run_until(milliseconds(2_500))
+    assert list(deputy.world.running.values()) == [where]
+    assert deputy.world.starts == 1
+
+
+def test_a_leader_does_not_prolong_what_a_deputy_has_given_up() -> None:
+    """A deputy that does not reach an upstream any more begins its run again elsewhere."""
+    leader, where = start_long_run(3)
+    world = leader.world
+    world.run_until(milliseconds(3_000))
+    assert not world.running
+    deputy = stand_in(leader, set(leader.upstreams), 1_001)
+    leader.is_over = True
+    world.run_until(world.now + milliseconds(100))
+    deputy.submit("b" * 16, build_spec(tasks=1, run_ms=2_600), build_queue())
+    world.run_until(world.now + milliseconds(100))
+    ((_, text),) = world.running.items()
+    where = UpstreamId(text)
+    deputy.cut_off = {where}
+    world.run_until(world.now + milliseconds(200))
+    others = set(leader.upstreams) - {where}
+    again = Leader(
+        world=world,
+        upstreams=leader.upstreams,
+        records=leader.records,
+        token=2 * TOKENS_PER_TERM,
+        cut_off=others,
+    )
+    world.run_until(world.now + TERMS.lapse_after * 2)
+    assert again.dispatch.lives[where].is_fenced
+    ((_, moved_to),) = world.running.items()
+    assert moved_to != where
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_campaign_of_a_leader_and_a_deputy_side_by_side(seed: int) -> None:
+    """Each has jobs of its own; upstreams are in sight of either, of both, or of none."""
+    world, upstreams = build_world(seed + 900, late_share=0.02)
+    chance = random.Random(seed)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda job: milliseconds(chance.choice((60, 700, 2_500)))
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    deputy: Leader | None = None
+    spec, queue = build_spec(tasks=2, run_ms=900), build_queue(max_attempts=50)
+    for step in range(60):
+        world.run_until(milliseconds(200 + step * 200))
+        for decider, name in ((leader, "a"), (deputy, "b")):
+            if decider is not None and chance.random() < 0.4:
+                decider.submit(f"{name}{step:015x}", spec, queue)
+                decider.cut_off ^= {chance.choice(list(upstreams))}
+        if deputy is None and chance.random() < 0.2:
+            seen = {id for id in upstreams if chance.random() < 0.5}
+            deputy = stand_in(leader, seen, 1_001 + step)
+        elif deputy is not None and chance.random() < 0.1:
+            deputy.is_over = True
+            deputy = None
+    assert world.starts >= 10
