Hold a task whose run was given up with its lease and turns out to have ended well

Ruled out: the order of looks (the end was listed once, in order). Change: such an end takes the task out of the backlog until note of it is taken.

--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -12,7 +12,7 @@
 from .backlog import Backlog, Batch
 from .forecast import LATE_FACTOR, Forecast
 from .life_table import LifeTable
-from .model import EndReport, JobId, JobState, Queue, RunNumber, TaskRef
+from .model import EndKind, EndReport, JobId, JobState, Queue, RunNumber, TaskRef
 from .records import JobRecord, end_job
 from .tempo import Tempo
 from .term import Term
@@ -270,7 +270,11 @@
         if task is None:
             return
         is_current = task.phase is TaskPhase.RUNNING and task.run == end.run
-        if is_current or task.phase is TaskPhase.UNKNOWN:
+        # A run that was given up with its lease may have ended well before that.
+        is_done_after_all = task.phase is TaskPhase.QUEUED and end.how is EndKind.DONE
+        if is_done_after_all:
+            self.unqueue(end.task)
+        if is_current or is_done_after_all or task.phase is TaskPhase.UNKNOWN:
             task.is_unknown = task.phase is TaskPhase.UNKNOWN
             task.phase = TaskPhase.NOTING
             task.run = RunNumber(max(task.run, end.run))
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -269,6 +269,22 @@
     assert second.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
 
 
+def test_a_run_that_was_given_up_but_has_ended_well_is_not_begun_again() -> None:
+    """Found by the campaign of kept jobs (seed 20): its end was listed and not yet committed."""
+    world, upstreams = build_world(15)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.submit("a" * 16, build_spec(tasks=1, kept=True), build_queue())
+    world.run_until(milliseconds(130))
+    assert world.starts == 1
+    leader.cut_off = set(upstreams)
+    world.run_until(timedelta(seconds=2))
+    leader.cut_off = set()
+    world.run_until(timedelta(seconds=4))
+    assert leader.records.jobs[JobId("a" * 16)].state is JobState.COMPLETED
+    assert world.starts == 1
+
+
 def test_an_end_that_need_not_be_kept_does_not_confirm_a_kept_one_before_it() -> None:
     """Found with jobs of both kinds: the second end confirmed the first before it was committed."""
     world, upstreams = build_world(14)
