Give up a hopeless job at once, also while some of its tasks are at work

Change: a job whose waiting tasks can no longer start in time for any use is given up, and its runs are stopped. Its caller hears at once. Kept for callers that wait for nothing.

--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -65,7 +65,7 @@
         wait = estimate_wait(self._jobs.backlog.measure_work(), self._lives.measure_room(now))
         for batch in hopeless:
             job = self._jobs.jobs.get(batch.job.id)
-            if job is None or not batch.job.spec.best_effort or job.is_at_work():
+            if job is None or not batch.job.spec.best_effort:
                 continue
             if job.has_begun:
                 self._jobs.give_up(job, now)
