Wait for answers of upstreams as long as each needs, 25 to 80 ms

Cause: starts without an answer were looked for after 80 ms, stopped, and looked for again 100 ms after that, so that a job of 60 ms with as much to spare was late wherever one start in twenty was (orders carried out late, answers lost). Change: core/cluster/patience.py learns the limit from each upstream's answers as TCP does; after an acknowledged stop the next look is sent at once. Ruled out: 20 ms for all (an upstream in another region takes 24 ms there and back).

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -54,8 +54,6 @@
 """How often all upstreams are gone through, for what is due by the clock; in between only those of
 which something was heard."""
 AVOID_AFTER_REFUSAL = timedelta(milliseconds=300)
-AVOID_WITHOUT_ANSWER = timedelta(milliseconds=80)
-"""After a start without an answer: a look under way tells sooner whether the upstream answers."""
 AVOID_WITHOUT_ROOM = timedelta(milliseconds=50)
 """After a refusal for want of room: until the next look shows what runs there."""
 LONGEST_LIST = 500
@@ -261,6 +259,8 @@
             self._watcher.end_life(life, now)
         if run is None or run.phase is not RunPhase.STARTING:
             return
+        if outcome is not StartOutcome.UNKNOWN:
+            life.patience.take_answer(now - run.since)
         if outcome is StartOutcome.STARTED:
             self._term.counts.started += 1
             run.phase = RunPhase.RUNNING
@@ -271,7 +271,8 @@
             # The next look tells whether it runs; it is stopped only where that does not list it.
             run.phase = RunPhase.UNSURE
             run.unsure_at = now
-            life.avoid_until = now + AVOID_WITHOUT_ANSWER
+            # A look under way tells sooner whether the upstream answers.
+            life.avoid_until = now + order.patience
             return
         self._term.counts.refused_starts += 1
         self._term.note(
@@ -302,6 +303,8 @@
         run.stop_is_out = False
         if failure is None:
             run.stopped_at = now
+            # The next look shows whether it is gone; until then its task starts nowhere.
+            life.probe_due = now
         else:
             run.stop_due = now + STOP_RETRY
 
--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -137,5 +137,6 @@
             payload=batch.job.spec.payload,
             checkpoint=known.checkpoint,
             expires_ms=expires_ms,
+            patience=life.patience.find_limit(),
         )
         self._term.orders.append(order)
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -8,6 +8,7 @@
 from ..clock import to_milliseconds
 from .model import Needs, RunNumber, TaskRef, UpstreamInfo
 from .orders import Run
+from .patience import Patience
 
 RunKey = tuple[TaskRef, RunNumber]
 
@@ -85,6 +86,7 @@
     avoid_until: timedelta = timedelta()
     lapse_at: timedelta = timedelta()
     """From when on nothing can run there unless a lease is renewed."""
+    patience: Patience = field(default_factory=Patience)
     runs: dict[RunKey, Run] = field(default_factory=dict)
     _used_cpu: int = 0
     _used_memory: int = 0
--- a/cottonlug/core/cluster/orders.py
+++ b/cottonlug/core/cluster/orders.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from .model import Needs, RunNumber, TaskRef, UpstreamInfo
+from .patience import LONGEST
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -19,6 +20,8 @@
     payload: str
     checkpoint: str
     expires_ms: int
+    patience: timedelta = LONGEST
+    """How long its answer is waited for."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -28,6 +31,7 @@
     upstream: UpstreamInfo
     task: TaskRef
     run: RunNumber
+    patience: timedelta = LONGEST
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,6 +50,8 @@
     """How long until a run there is expected to end; zero where one should have ended."""
     is_probe: bool = False
     """Whether it is sent beside a parked one, to learn at once what became of a run."""
+    patience: timedelta = LONGEST
+    """How long its answer is waited for, beyond `wait`."""
 
 
 Order = StartOrder | StopOrder | LookOrder
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -11,6 +11,7 @@
 from .lives import Life
 from .open_jobs import OpenJob, OpenJobs
 from .orders import CallFailure, LookOrder, Run, RunPhase, StopOrder
+from .patience import LONGEST
 from .progress import Pace, find_next_check, find_total, judge_pace
 from .term import Term
 
@@ -74,6 +75,8 @@
             wait=wait,
             first_end=self._find_first_end(life, now),
             is_probe=is_probe,
+            # Others renew leases: they are given up only when an answer is surely lost.
+            patience=life.patience.find_limit() if is_probe else LONGEST,
         )
         self._term.orders.append(order)
 
@@ -130,7 +133,12 @@
             if wanted and now >= run.stop_due and run.phase is not RunPhase.STARTING:
                 run.stop_is_out = True
                 self._term.counts.stops += 1
-                order = StopOrder(upstream=life.info, task=run.task, run=run.run)
+                order = StopOrder(
+                    upstream=life.info,
+                    task=run.task,
+                    run=run.run,
+                    patience=life.patience.find_limit(),
+                )
                 self._term.orders.append(order)
 
     def _is_borne(self, run: Run, now: timedelta) -> bool:
--- a/cottonlug/platform/workers.py
+++ b/cottonlug/platform/workers.py
@@ -34,9 +34,6 @@
 LOOK = "/hold"
 LIFE_HEADER = "X-Expect-Instance"
 ANOTHER_LIFE = 421
-CALL_TIMEOUT = timedelta(milliseconds=80)
-"""A call is answered within a few milliseconds; a lost packet is sent again after 200 ms, by when
-a short task is late anyway. What times out is asked for again or stopped."""
 
 FENCED = "fence"
 _REASONS = {
@@ -82,7 +79,7 @@
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
-        sent = await self._call(order.upstream, START, body, CALL_TIMEOUT)
+        sent = await self._call(order.upstream, START, body, order.patience)
         if isinstance(sent, Err):
             unsent = sent.failure().unsent
             return (StartOutcome.NOT_SENT if unsent else StartOutcome.UNKNOWN), None
@@ -94,7 +91,7 @@
     async def stop(self, order: StopOrder, token: int) -> CallFailure | None:
         """Send a stop."""
         body = {"task": name_task(order.task), "run_id": order.run, "fencing_token": token}
-        sent = await self._call(order.upstream, STOP, body, CALL_TIMEOUT)
+        sent = await self._call(order.upstream, STOP, body, order.patience)
         if isinstance(sent, Err):
             return CallFailure.NO_ANSWER
         return _find_failure(sent.unwrap())
@@ -107,7 +104,7 @@
         wait_ms = to_milliseconds(order.wait)
         if wait_ms:
             body["wait_ms"] = wait_ms
-        sent = await self._call(order.upstream, LOOK, body, CALL_TIMEOUT + order.wait)
+        sent = await self._call(order.upstream, LOOK, body, order.patience + order.wait)
         if isinstance(sent, Err):
             return CallFailure.NO_ANSWER
         failure = _find_failure(sent.unwrap())
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -41,7 +41,6 @@
 TERMS = LeaseTerms(longest=timedelta(seconds=1))
 SETTLE_AFTER = TERMS.lapse_after + timedelta(milliseconds=500)
 SERVICE = ServiceName("service")
-ANSWER_LIMIT = timedelta(milliseconds=80)
 TASK_CPU = 7_000
 """Every task takes as much, of 16,000: two fit an upstream."""
 COMMIT = timedelta(milliseconds=15)
@@ -395,7 +394,7 @@
             self._take_answer(order, value, sent_at, upstream)
             self.act()
 
-        world.at(ANSWER_LIMIT + wait, lambda: answer(None))
+        world.at(order.patience + wait, lambda: answer(None))
         if order.upstream.id in self.cut_off:
             return
         fate = world.random.random()
