--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,8 @@
 	$(BIN)/python -m bench.decisions | tee bench/results/decisions.json
 
 bench-cluster: .venv/made
-	$(BIN)/python -m bench.cluster | tee bench/results/cluster.json
+	$(BIN)/python -m bench.cluster run > bench/results/cluster.json
+	$(BIN)/python -m bench.cluster table bench/results/cluster.json
 
 capacity: .venv/made
 	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/bench/losses.py
@@ -0,0 +1,98 @@
+"""Where a day's worth goes: by seconds and what went wrong in them, by kind of request, by domain.
+
+    python -m bench.losses REPORT.json
+
+Reads the report of one played day and prints Markdown tables. A loss is the number of requests times
+the share of their worth that was not earned, in percent of all requests of the day.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+LEAST_LOSS = 0.2
+"""Percent of the day's requests; smaller losses are left out."""
+AFTERMATH_SECONDS = 4.0
+"""How long after its end a trouble is still named beside a loss."""
+
+
+class Group(msgspec.Struct):
+    """Requests that have something in common."""
+
+    name: str
+    n: int
+    in_aim: int
+    late: int
+    refused: int
+    failed: int
+    worth: float
+
+
+class Trouble(msgspec.Struct):
+    """Something that went wrong, and when, in seconds."""
+
+    at_s: float
+    to_s: float
+    kind: str
+
+
+class Report(msgspec.Struct):
+    """What is read of a report."""
+
+    all: Group
+    classes: list[Group]
+    zones: list[Group]
+    windows: list[Group]
+    events: list[Trouble]
+    prices: list[tuple[str, float, float]]
+
+
+def print_losses(report: Report) -> None:
+    """Print all tables."""
+    total = report.all.n
+    print(f"Requests: {total}; worth: {report.all.worth:.3f}")
+    _print_groups("from second", _iterate_windows(report), total)
+    _print_groups("kind", ((each, "") for each in report.classes), total)
+    _print_groups("domain", ((each, "") for each in report.zones), total)
+    print("\n| price | of the worth |\n|---|---|")
+    for name, _, price in sorted(report.prices, key=lambda each: -each[2]):
+        if price >= 0.001:
+            print(f"| {name} | {price:.4f} |")
+
+
+def _iterate_windows(report: Report) -> Iterator[tuple[Group, str]]:
+    starts = [float(each.name) for each in report.windows]
+    for group, start, end in zip(report.windows, starts, [*starts[1:], 1e9], strict=True):
+        kinds = _name_troubles(report.events, start, end)
+        yield group, ", ".join(kinds)
+
+
+def _name_troubles(troubles: Sequence[Trouble], start: float, end: float) -> list[str]:
+    return [
+        each.kind for each in troubles if each.at_s < end and each.to_s + AFTERMATH_SECONDS > start
+    ]
+
+
+def _print_groups(title: str, groups: Iterator[tuple[Group, str]], total: int) -> None:
+    print(f"\n| {title} | worth | loss % | late | refused | failed | troubles |")
+    print("|---|---|---|---|---|---|---|")
+    for group, troubles in groups:
+        loss = 100 * group.n * (1 - group.worth) / total
+        if loss >= LEAST_LOSS:
+            counts = f"{group.late} | {group.refused} | {group.failed}"
+            print(f"| {group.name} | {group.worth:.2f} | {loss:.1f} | {counts} | {troubles} |")
+
+
+def main(file: Annotated[Path, typer.Argument(help="Report of a played day, in JSON.")]) -> None:
+    """Print where the worth of a day went."""
+    print_losses(msgspec.convert(json.loads(file.read_text()), Report))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/bench/variants.py
@@ -0,0 +1,127 @@
+"""The product's code with one mechanism switched off, or one of its figures halved or doubled."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager
+from datetime import timedelta
+from typing import Any
+
+from cottonlug.core.cluster import (
+    admission,
+    backlog,
+    filler,
+    forecast,
+    guards,
+    life_table,
+    lives,
+    open_jobs,
+    patience,
+    progress,
+    tempo,
+    watcher,
+)
+
+Variant = Callable[[], AbstractContextManager[None]]
+NO_TIME = timedelta()
+
+
+@contextmanager
+def replace(owner: Any, name: str, value: object) -> Iterator[None]:
+    """Replace an attribute for a while."""
+    kept = getattr(owner, name)
+    setattr(owner, name, value)
+    try:
+        yield
+    finally:
+        setattr(owner, name, kept)
+
+
+def replacing(*changes: tuple[Any, str, object]) -> Variant:
+    """Return the variant in which some attributes have other values."""
+
+    @contextmanager
+    def variant() -> Iterator[None]:
+        with ExitStack() as stack:
+            for owner, name, value in changes:
+                stack.enter_context(replace(owner, name, value))
+            yield
+
+    return variant
+
+
+def _add_by_arrival(self: Any, batch: backlog.Batch) -> None:
+    batch.last_use = batch.latest_start + timedelta(days=9)
+    backlog.Backlog.add_unchanged(self, batch)  # type: ignore[attr-defined]
+
+
+def _spread_nothing(self: Any, tasks: int) -> timedelta:
+    return NO_TIME
+
+
+def _first_fit(batch: backlog.Batch, choice: Any) -> lives.Life | None:
+    return next((life for life in choice if life.has_room(batch.needs)), None)
+
+
+def _set_aside_without_trial(self: Any, now: timedelta) -> bool:
+    is_new = guards.Health.set_aside_unchanged(self, now)  # type: ignore[attr-defined]
+    self.is_on_trial = False
+    return bool(is_new)
+
+
+guards.Health.set_aside_unchanged = guards.Health._set_aside  # type: ignore[attr-defined]
+backlog.Backlog.add_unchanged = backlog.Backlog.add  # type: ignore[attr-defined]
+
+NO_CHANGE = "as_it_is"
+
+SWITCHED_OFF: dict[str, Variant] = {
+    "in_order_of_arrival": replacing(
+        (backlog.Backlog, "add", _add_by_arrival),
+        (backlog.Backlog, "demote", lambda self, now: []),
+        (backlog, "_by_latest_start", lambda batch: batch.job.id),
+    ),
+    "no_start_margin": replacing((open_jobs, "START_MARGIN", 0.0)),
+    "no_spread_of_wide_jobs": replacing((tempo.Tempo, "spread", _spread_nothing)),
+    "no_shedding": replacing((filler.Filler, "_shed", lambda self, now: None)),
+    "no_rejection_at_the_door": replacing(
+        (filler.Filler, "find_rejection", lambda self, *rest: None)
+    ),
+    "first_fit": replacing((filler, "choose_life", _first_fit)),
+    "run_times_not_learnt": replacing((forecast, "LEARNING_RATE", 0.0)),
+    "no_moves": replacing((watcher, "MOST_MOVES", 0)),
+    "nobody_set_aside": replacing((life_table, "MOST_SET_ASIDE", -1.0)),
+    "no_trial": replacing((guards.Health, "_set_aside", _set_aside_without_trial)),
+    "no_cordon": replacing((watcher.Watcher, "cordon", lambda self, now: None)),
+    "patience_not_learnt": replacing((patience, "SHORTEST", patience.LONGEST)),
+}
+
+FIGURES: dict[str, Variant] = {
+    "failures_in_a_row_2": replacing((guards, "FAILURES_IN_A_ROW", 2)),
+    "failures_in_a_row_6": replacing((guards, "FAILURES_IN_A_ROW", 6)),
+    "most_set_aside_0.17": replacing((life_table, "MOST_SET_ASIDE", 0.17)),
+    "most_set_aside_0.68": replacing((life_table, "MOST_SET_ASIDE", 0.68)),
+    "pause_1_to_3_s": replacing(
+        (guards, "FIRST_PAUSE", timedelta(seconds=1)),
+        (guards, "LONGEST_PAUSE", timedelta(seconds=3)),
+    ),
+    "pause_4_to_12_s": replacing(
+        (guards, "FIRST_PAUSE", timedelta(seconds=4)),
+        (guards, "LONGEST_PAUSE", timedelta(seconds=12)),
+    ),
+    "usable_share_0.43": replacing((admission, "USABLE_SHARE", 0.43)),
+    "usable_share_1.7": replacing((admission, "USABLE_SHARE", 1.7)),
+    "start_margin_0.2": replacing((open_jobs, "START_MARGIN", 0.2)),
+    "start_margin_0.8": replacing((open_jobs, "START_MARGIN", 0.8)),
+    "stands_still_after_0.25": replacing((progress, "STANDS_STILL_AFTER", 0.25)),
+    "stands_still_after_1.0": replacing((progress, "STANDS_STILL_AFTER", 1.0)),
+    "patience_12_to_40_ms": replacing(
+        (patience, "SHORTEST", timedelta(milliseconds=12)),
+        (patience, "LONGEST", timedelta(milliseconds=40)),
+    ),
+    "patience_50_to_160_ms": replacing(
+        (patience, "SHORTEST", timedelta(milliseconds=50)),
+        (patience, "LONGEST", timedelta(milliseconds=160)),
+    ),
+}
+
+VARIANTS: dict[str, Variant] = {NO_CHANGE: replacing(), **SWITCHED_OFF, **FIGURES}
--- a/cottonlug/core/cluster/forecast.py
+++ b/cottonlug/core/cluster/forecast.py
@@ -52,6 +52,11 @@
         return max(chains, default=timedelta())
 
 
+def find_declared_objective(queue: Queue, spec: JobSpec) -> timedelta:
+    """Return how long a job may take to meet its objective, by declared run times."""
+    return Forecast().find_objective(queue, spec.steps)
+
+
 def find_last_use(queue: Queue, spec: JobSpec) -> timedelta:
     """Return how long after its arrival a job may begin to be of any use, by declared run times."""
     declared = Forecast()
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -76,6 +76,10 @@
     paces: dict[tuple[int, UpstreamId], timedelta] = field(default_factory=dict)
     """How long a task of a step takes at an upstream, as its progress or its end has shown."""
 
+    def is_unsure(self) -> bool:
+        """Whether it waits for upstreams out of sight."""
+        return any(task.phase is TaskPhase.UNKNOWN for task in self.tasks.values())
+
     def is_at_work(self) -> bool:
         """Whether a run of it is at work, or has ended and is yet to be noted."""
         at_work = (TaskPhase.RUNNING, TaskPhase.NOTING)
--- a/cottonlug/core/cluster/settlement.py
+++ b/cottonlug/core/cluster/settlement.py
@@ -4,6 +4,7 @@
 
 from datetime import timedelta
 
+from ..clock import to_milliseconds
 from .life_table import LifeTable
 from .open_jobs import OpenJobs, TaskPhase
 from .term import Term
@@ -37,6 +38,7 @@
         """Once nothing unknown can run any more, queue what an earlier leader left open."""
         if not self.is_settled and (not self._lives.unseen or now >= self._term.lapsed_at):
             self.is_settled = True
+            self._term.counts.settled_after_ms = to_milliseconds(now - self._term.began_at)
             self._term.note(
                 "term_settled", {"term": self._term.number, "unseen": len(self._lives.unseen)}
             )
@@ -46,5 +48,5 @@
         for job in self._jobs.jobs.values():
             if now >= job.settle_at or not self.is_unsure(of_deputies=job.may_be_of_deputy):
                 self._jobs.queue_unknown(job)
-            elif any(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values()):
+            elif job.is_unsure():
                 self._has_unsure_jobs = True
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -40,6 +40,8 @@
     rejected_jobs: int = 0
     given_up_jobs: int = 0
     moved_runs: int = 0
+    settled_after_ms: int = 0
+    """How long it took until nothing of earlier leaders could run unknown."""
 
 
 @dataclass(slots=True, kw_only=True)
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -45,6 +45,7 @@
 
     def count() -> dict[str, float]:
         counts = {f"calls_{name}": float(value) for name, value in gateway.outcomes.items()}
+        counts["calls_held_to_end"] = gateway.held_to_end
         counts["log_lines_left_out"] = output.left_out
         return counts
 
@@ -56,6 +57,8 @@
         }
 
     metrics = Metrics(counters=count, gauges=gauge)
+    gateway.record_refusal = metrics.add_histogram("refusal_over_objective", REFUSAL_BOUNDS)
+    gateway.link.record_change = metrics.add_histogram("without_decider_ms", CALL_BOUNDS_MS)
     gateway.record_call = metrics.add_histogram("call_ms", CALL_BOUNDS_MS)
     return metrics
 
@@ -72,13 +75,15 @@
 
 
 CALL_BOUNDS_MS = (5.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0)
+REFUSAL_BOUNDS = (0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
+"""Shares of the objective: within a quarter of it a caller can still act."""
 _DISPATCH_COUNTS = (
     "starts", "started", "refused_starts", "unknown_starts", "stops", "looks", "failed_looks",
     "lapsed_runs", "ends", "rejected_jobs", "given_up_jobs", "moved_runs",
 )  # fmt: skip
 _DISPATCH_GAUGES = (
-    "open_jobs", "waiting_tasks", "upstreams", "upstreams_working", "upstreams_draining",
-    "free_cpu_millis",
+    "settled_after_ms", "open_jobs", "unsure_jobs", "waiting_tasks", "upstreams",
+    "upstreams_working", "upstreams_draining", "free_cpu_millis",
 )  # fmt: skip
 
 
@@ -88,7 +93,9 @@
     lives = list(dispatch.lives.values())
     working = [life for life in lives if life.is_fenced and not life.draining]
     return {
+        "settled_after_ms": dispatch.counts.settled_after_ms,
         "open_jobs": dispatch.jobs.count_jobs(),
+        "unsure_jobs": sum(job.is_unsure() for job in dispatch.jobs.jobs.values()),
         "waiting_tasks": dispatch.jobs.backlog.count_tasks(),
         "upstreams": len(lives),
         "upstreams_working": len(working),
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from enum import Enum
 
@@ -78,6 +78,8 @@
         """The queues of the last leader's configuration."""
         self.max_body_bytes: int | None = None
         self.is_stopping = False
+        self.record_change: Callable[[float], object] = lambda silence_ms: None
+        """Called when another host decides, with the milliseconds since anybody was reached."""
         self._settings = settings
         self._clock = clock
         self._port = port
@@ -141,6 +143,9 @@
         if via is Via.DEPUTY and self._roster is not None:
             self.deputy_term = self._roster.term
         if host != self.host or via is not self.via:
+            if self._reached_at is not None:
+                silence = self._clock.monotonic() - self._reached_at
+                self.record_change(silence / timedelta(milliseconds=1))
             if self.host is not None and host != self.host:
                 self._calls.lose(self.host)
             self.host = host
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -22,7 +22,8 @@
     Submit,
     call_decoder,
 )
-from ..core.cluster.forecast import find_last_use
+from ..core.cluster.forecast import find_declared_objective, find_last_use
+from ..core.cluster.model import Queue
 from ..net.asgi import HttpRequest, HttpResponse
 from .decider import DeciderLink, Via
 from .deputy import Deputy
@@ -59,6 +60,10 @@
         """How many calls had which outcome."""
         self.record_call: Callable[[float], object] = lambda took_ms: None
         """Called with the milliseconds that each call took."""
+        self.record_refusal: Callable[[float], object] = lambda share: None
+        """Called for each job that was not served with the time that took, over its objective."""
+        self.held_to_end = 0
+        """How many calls were answered only when their callers gave up waiting."""
         self._clock = clock
         self.calls = PeerCalls()
         self.link = DeciderLink(
@@ -134,8 +139,7 @@
         if answer.outcome is Outcome.UNKNOWN and isinstance(call, Submit) and call.spec.best_effort:
             # Its caller hears no more of this try, so what runs of it is of no use.
             self.abandon(call)
-        self.outcomes[answer.outcome.value] += 1
-        self.record_call((self._clock.monotonic() - began_at) / timedelta(milliseconds=1))
+        self._count(call, answer, self._clock.monotonic() - began_at, patience)
         if answer.outcome not in _ORDINARY:
             log_event(
                 Event.CALL_FAILED,
@@ -147,6 +151,23 @@
             )
         return answer
 
+    def _count(self, call: Call, answer: Answer, took: timedelta, patience: timedelta) -> None:
+        """Count a call that has been answered."""
+        self.outcomes[answer.outcome.value] += 1
+        self.record_call(took / timedelta(milliseconds=1))
+        if answer.outcome in _ORDINARY:
+            return
+        self.held_to_end += took >= patience - LEAST_TIME
+        queue = self._find_queue(call) if isinstance(call, Submit) else None
+        if isinstance(call, Submit) and queue is not None:
+            self.record_refusal(took / find_declared_objective(queue, call.spec))
+
+    def _find_queue(self, call: Submit) -> Queue | None:
+        """Return the queue of a job, as far as the last leader has told."""
+        queues = self.link.queues
+        found = queues.find(call.host, call.path) if queues is not None else None
+        return found[0] if found is not None else None
+
     async def _call(self, call: Call, patience: timedelta) -> Answer:
         """Try a call until it is answered for good; every call may be sent twice."""
         began_at = self._clock.monotonic()
@@ -194,12 +215,11 @@
 
     def _is_hopeless(self, call: Submit, waited: timedelta) -> bool:
         """Whether a job that waited so long would end too late to be of any use."""
-        queues = self.link.queues
-        found = queues.find(call.host, call.path) if queues is not None else None
+        queue = self._find_queue(call)
         spec = call.spec
-        if found is None or not spec.best_effort or spec.is_timed or spec.long_running:
+        if queue is None or not spec.best_effort or spec.is_timed or spec.long_running:
             return False
-        return waited > find_last_use(found[0], spec)
+        return waited > find_last_use(queue, spec)
 
     async def _try(self, call: Call, timeout: timedelta) -> Answer:
         if self.deputy is not None:
--- /dev/null
+++ b/cottonlug/tests/test_cluster_measures.py
@@ -0,0 +1,92 @@
+"""What the metrics tell of callers that were not served, and of changes of leader."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import os
+
+import pytest
+
+from ..core.cluster.calls import Answer, Outcome
+from ..core.cluster.records import Records
+from ..runtime.cluster_metrics import build_gateway_metrics
+from ..runtime.decider import Via
+from ..runtime.log_output import LogOutput
+from .model_upstreams import Leader, build_queue, build_spec, milliseconds
+from .test_cluster_dispatch import build_world, start_leader
+from .test_cluster_gateway import (
+    PATIENCE,
+    answer_in_turn,
+    build_clock,
+    build_gateway,
+    build_roster,
+    submit,
+)
+
+
+def test_a_refusal_is_measured_by_the_objective_of_its_job() -> None:
+    clock = build_clock()
+    gateway = build_gateway(clock)
+    gateway.link.use_roster(build_roster())
+    shares: list[float] = []
+    gateway.record_refusal = shares.append
+    answer_in_turn(gateway, [Answer(outcome=Outcome.REJECTED), Answer(outcome=Outcome.DONE)])
+    asyncio.run(gateway.call(submit(), PATIENCE))
+    asyncio.run(gateway.call(submit(), PATIENCE))
+    assert shares == [0.0]
+    assert gateway.held_to_end == 0
+
+
+def test_an_answer_held_until_its_caller_gives_up_is_counted() -> None:
+    gateway = build_gateway(build_clock())
+    answer_in_turn(gateway, [])
+    answer = asyncio.run(gateway.call(submit(), milliseconds(10)))
+    assert answer.outcome is Outcome.UNAVAILABLE
+    assert gateway.held_to_end == 1
+
+
+def test_the_time_without_anybody_who_decides_is_measured() -> None:
+    clock = build_clock()
+    gateway = build_gateway(clock)
+    spans: list[float] = []
+    gateway.link.record_change = spans.append
+    gateway.link.follow("10.0.1.1:7000", Via.LEADER)
+    clock.advance(milliseconds(80))
+    gateway.link.follow("10.0.1.1:7000", Via.LEADER)
+    clock.advance(milliseconds(450))
+    gateway.link.follow("10.0.1.2:7000", Via.LEADER)
+    assert spans == [450.0]
+
+
+def test_a_gateway_shows_them() -> None:
+    with open(os.devnull, "wb", buffering=0) as sink:
+        assert isinstance(sink, io.FileIO)
+        gateway = build_gateway(build_clock())
+        metrics = build_gateway_metrics(gateway, LogOutput(descriptor=sink.fileno()))
+        gateway.record_refusal(0.2)
+        gateway.link.record_change(450.0)
+        lines = metrics.render().splitlines()
+    assert "cottonlug_calls_held_to_end 0" in lines
+    assert 'cottonlug_refusal_over_objective_bucket{le="0.25"} 1' in lines
+    assert "cottonlug_without_decider_ms_sum 450" in lines
+
+
+@pytest.fixture
+def second_leader() -> Leader:
+    world, upstreams = build_world(1)
+    first = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    first.is_over = True
+    lost = next(iter(upstreams.values()))
+    lost.crash()
+    return start_leader(world, upstreams, first.records, 2)
+
+
+def test_jobs_that_wait_for_upstreams_out_of_sight_are_known(second_leader: Leader) -> None:
+    second_leader.submit("a" * 16, build_spec(), build_queue(), may_have_begun=True)
+    (job,) = second_leader.dispatch.jobs.jobs.values()
+    assert job.is_unsure()
+    second_leader.world.run_until(milliseconds(3_000))
+    assert not job.is_unsure()
+    assert 990 <= second_leader.dispatch.counts.settled_after_ms <= 1_100
