--- a/bench/losses.py
+++ b/bench/losses.py
@@ -2,8 +2,8 @@
 
     python -m bench.losses REPORT.json
 
-Reads the report of one played day and prints Markdown tables. A loss is the number of requests times
-the share of their worth that was not earned, in percent of all requests of the day.
+Reads the report of one played day and prints Markdown tables. A loss is the number of requests
+times the share of their worth that was not earned, in percent of all requests of the day.
 """
 
 from __future__ import annotations
--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -7,7 +7,8 @@
 from .life_table import LifeTable
 from .lives import Life
 from .model import Needs, RunReport
-from .open_jobs import OpenJob, OpenJobs, TaskPhase
+from .open_job import OpenJob, TaskPhase
+from .open_jobs import OpenJobs
 from .orders import Run, RunPhase
 from .term import Term
 
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -34,7 +34,8 @@
     LookReply,
     Queue,
 )
-from .open_jobs import OpenJobs, Submission, TaskPhase
+from .open_job import Submission, TaskPhase
+from .open_jobs import OpenJobs
 from .orders import (
     CallFailure,
     LookOrder,
--- a/cottonlug/core/cluster/ends.py
+++ b/cottonlug/core/cluster/ends.py
@@ -9,7 +9,8 @@
 from .life_table import LifeTable
 from .lives import Life
 from .model import EndKind, EndReport, JobId
-from .open_jobs import OpenJobs, TaskPhase
+from .open_job import TaskPhase
+from .open_jobs import OpenJobs
 from .orders import Run
 from .records import JobRecord, note_end
 from .settlement import Settlement
--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -10,7 +10,8 @@
 from .life_table import LifeTable
 from .lives import Life
 from .model import JobSpec, Queue, RunNumber, ServiceName, TaskRef
-from .open_jobs import OpenJobs, TaskPhase, find_longest_wait
+from .open_job import TaskPhase
+from .open_jobs import OpenJobs, find_longest_wait
 from .orders import Run, RunPhase, StartOrder
 from .placement import choose_life
 from .records import JobRecord
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from datetime import timedelta
-from enum import Enum
 
 from ..clock import to_milliseconds
-from ..ids import UpstreamId
 from .admission import Rejection
 from .backlog import Backlog, Batch
 from .forecast import LATE_FACTOR, Forecast
 from .life_table import LifeTable
 from .model import EndKind, EndReport, JobId, JobState, Queue, RunNumber, TaskRef
+from .open_job import OpenJob, Task, TaskPhase
 from .records import JobRecord, end_job
 from .tempo import Tempo
 from .term import Term
@@ -24,93 +22,6 @@
 they scatter by 0.4 on a logarithmic scale (docs/design/platform.md has what it earns)."""
 NEVER_LATE = timedelta.max
 """For tasks that last: they go before all others and are never given up."""
-NO_RUN = RunNumber(0)
-
-
-class TaskPhase(Enum):
-    """Where an unfinished task stands for this leader."""
-
-    BLOCKED = "blocked"
-    """Waits for earlier steps."""
-    QUEUED = "queued"
-    RUNNING = "running"
-    NOTING = "noting"
-    """Its run has ended; the record has yet to take note."""
-    UNKNOWN = "unknown"
-    """An earlier leader may have started it."""
-
-
-@dataclass(slots=True, kw_only=True)
-class Task:
-    """An unfinished task."""
-
-    phase: TaskPhase
-    life: UpstreamId | None = None
-    run: RunNumber = NO_RUN
-    moves: int = 0
-    """How often it was stopped to be started elsewhere."""
-    is_unknown: bool = False
-    """Whether another run of it, of an earlier leader, may be at work somewhere."""
-
-
-@dataclass(slots=True, kw_only=True)
-class OpenJob:
-    """A job that has not ended, and its tasks."""
-
-    record: JobRecord
-    opened_at: timedelta
-    objective: timedelta
-    """How long the job may take, from `opened_at`."""
-    tasks: dict[TaskRef, Task] = field(default_factory=dict)
-    has_begun: bool = False
-    gateway: str = ""
-    """Address of the gateway that waits for its end, if one does."""
-    may_be_of_deputy: bool = False
-    """Whether a deputy may have begun it, of whose starts no leader knows."""
-    settle_at: timedelta = timedelta()
-    """Until then its unknown tasks may run at an upstream out of sight."""
-    next_occurrence: int = 0
-    """The first occurrence that was not due yet."""
-    due_at: dict[int, timedelta] = field(default_factory=dict)
-    """When each occurrence was due; the objective counts from there."""
-    paces: dict[tuple[int, UpstreamId], timedelta] = field(default_factory=dict)
-    """How long a task of a step takes at an upstream, as its progress or its end has shown."""
-
-    def is_unsure(self) -> bool:
-        """Whether it waits for upstreams out of sight."""
-        return any(task.phase is TaskPhase.UNKNOWN for task in self.tasks.values())
-
-    def is_at_work(self) -> bool:
-        """Whether a run of it is at work, or has ended and is yet to be noted."""
-        at_work = (TaskPhase.RUNNING, TaskPhase.NOTING)
-        return any(task.phase in at_work for task in self.tasks.values())
-
-    def learn_pace(self, step: int, upstream: UpstreamId, total: timedelta) -> None:
-        """Remember how long a task of a step takes at an upstream."""
-        self.paces[(step, upstream)] = total
-
-    def find_sibling_pace(self, step: int, upstream: UpstreamId) -> timedelta | None:
-        """Return what a task of a step takes at the fastest of the other upstreams."""
-        others = (
-            total
-            for (number, life), total in self.paces.items()
-            if number == step and life != upstream
-        )
-        return min(others, default=None)
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Submission:
-    """Who waits for a job, and whether another host may have begun it."""
-
-    gateway: str
-    may_have_begun: bool
-    may_be_of_deputy: bool = False
-    """Whether that host may be one that stood in for a leader."""
-    settle_after: timedelta
-    """How long what another host began may go on at an upstream out of sight."""
-    waited: timedelta = timedelta()
-    """For how long the job has been at its gateway."""
 
 
 class OpenJobs:
--- a/cottonlug/core/cluster/settlement.py
+++ b/cottonlug/core/cluster/settlement.py
@@ -6,7 +6,8 @@
 
 from ..clock import to_milliseconds
 from .life_table import LifeTable
-from .open_jobs import OpenJobs, TaskPhase
+from .open_job import TaskPhase
+from .open_jobs import OpenJobs
 from .term import Term
 
 
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -9,7 +9,8 @@
 from .commands import CordonUpstreams, RemoveUpstreams, UncordonUpstream
 from .life_table import LifeTable
 from .lives import Life
-from .open_jobs import OpenJob, OpenJobs
+from .open_job import OpenJob
+from .open_jobs import OpenJobs
 from .orders import CallFailure, LookOrder, Run, RunPhase, StopOrder
 from .patience import LONGEST
 from .progress import Pace, find_next_check, find_total, judge_pace
--- a/cottonlug/runtime/job_answers.py
+++ b/cottonlug/runtime/job_answers.py
@@ -22,7 +22,7 @@
 from ..core.cluster.dispatch import Dispatch
 from ..core.cluster.lives import LeaseTerms
 from ..core.cluster.model import JobId, Queue
-from ..core.cluster.open_jobs import Submission
+from ..core.cluster.open_job import Submission
 from ..core.cluster.records import JobRecord, Records
 from .events import Event, log_event
 from .gateways import GATEWAY_SILENT
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -33,7 +33,7 @@
     TaskRef,
     UpstreamInfo,
 )
-from ..core.cluster.open_jobs import Submission
+from ..core.cluster.open_job import Submission
 from ..core.cluster.orders import CallFailure, LookOrder, Order, StartOrder, StartOutcome, StopOrder
 from ..core.cluster.records import JobRecord, Records
 from ..core.ids import DomainName, UpstreamId
