Count upstreams out of sight once a decision, not for each job; look only at those for the cordon

Found by reading: at 176 upstreams and 100 open jobs the second after a change of leader went through 17,600 pairs each 20 ms. No change of behaviour; the tests of the cordon hold.

--- a/cottonlug/core/cluster/settlement.py
+++ b/cottonlug/core/cluster/settlement.py
@@ -46,8 +46,9 @@
         if not self._has_unsure_jobs:
             return
         self._has_unsure_jobs = False
+        is_unsure = {each: self.is_unsure(of_deputies=each) for each in (False, True)}
         for job in self._jobs.jobs.values():
-            if now >= job.settle_at or not self.is_unsure(of_deputies=job.may_be_of_deputy):
+            if now >= job.settle_at or not is_unsure[job.may_be_of_deputy]:
                 self._jobs.queue_unknown(job)
             elif job.is_unsure():
                 self._has_unsure_jobs = True
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -40,6 +40,8 @@
         self._term = term
         self._lives = lives
         self._jobs = jobs
+        self._out_of_sight: dict[UpstreamId, Life] = {}
+        """Lives that have not answered a look since they last did."""
 
     def look(self, life: Life, now: timedelta) -> None:
         """Look at an upstream where its lease or its ends need it."""
@@ -119,6 +121,7 @@
             return
         life.look_due = now + LOOK_RETRY * min(life.failed_looks, MOST_RETRY_STEPS)
         life.failed_looks += 1
+        self._out_of_sight[life.info.id] = life
         for run in life.runs.values():
             if run.phase is RunPhase.UNSURE:
                 run.stop_wanted = True
@@ -219,9 +222,14 @@
         A leader knows at which upstreams it has started something; the next one does not, and had
         to wait for the leases of all that it did not see, however long they had been gone.
         """
-        if not self._term.keeps_log:
+        if not (self._out_of_sight and self._term.keeps_log):
             return
-        idle = [life for life in self._lives.by_id.values() if self._is_surely_idle(life, now)]
+        self._out_of_sight = {
+            id: life
+            for id, life in self._out_of_sight.items()
+            if life.failed_looks and id in self._lives.by_id
+        }
+        idle = [life for life in self._out_of_sight.values() if self._is_surely_idle(life, now)]
         if not idle:
             return
         for life in idle:
