--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -34,6 +34,11 @@
     run.bursts.append((5.0, 9.0, 1.8))
 
 
+def _flood(run: Run) -> None:
+    """Four times as many jobs as usual, which is two and a half times the room."""
+    run.bursts.append((5.0, 9.0, 4.0))
+
+
 def _lost_upstreams(run: Run) -> None:
     """A burst while a quarter of the upstreams is gone."""
     run.bursts.append((5.0, 9.0, 1.2))
@@ -104,6 +109,7 @@
 SCENARIOS: dict[str, Scenario] = {
     "calm": Scenario(first=0, last=SECONDS, trouble=_nothing),
     "burst": Scenario(first=5, last=10, trouble=_burst),
+    "flood": Scenario(first=5, last=10, trouble=_flood),
     "lost_upstreams": Scenario(first=5, last=10, trouble=_lost_upstreams),
     "cut_domain": Scenario(
         first=4.5, last=11, trouble=_cut_domain, upstream_count=6, rate_factor=1.2
