--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -66,11 +66,6 @@
         """Whether it waits for upstreams out of sight."""
         return any(task.phase is TaskPhase.UNKNOWN for task in self.tasks.values())
 
-    def is_at_work(self) -> bool:
-        """Whether a run of it is at work, or has ended and is yet to be noted."""
-        at_work = (TaskPhase.RUNNING, TaskPhase.NOTING)
-        return any(task.phase in at_work for task in self.tasks.values())
-
     def learn_pace(self, step: int, upstream: UpstreamId, total: timedelta) -> None:
         """Remember how long a task of a step takes at an upstream."""
         self.paces[(step, upstream)] = total
