Let runs of a silent gateway end with their leases, also where their stops do not arrive

The leader gives up the jobs of a gateway after 0.3 s of silence and stops their runs; where a stop is late or lost, other runs at that upstream kept its lease, which holds for all of them, alive. Ruled out: the order in time of silence and standing in (0.3 and 0.52 s), the lease itself. Change: such a run is disputed, so that nothing is renewed or started there before it is gone. Test (model): test_runs_of_a_silent_gateway_end_with_their_lease_though_no_stop_arrives, failed before.

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -214,6 +214,7 @@
         for job in list(self._jobs.jobs.values()):
             if job.gateway and not is_heard(job.gateway):
                 self._term.note("gateway_silent", {"gateway": job.gateway, "job": job.record.id})
+                self._lives.dispute(job)
                 self.abandon(job.record.id, now)
 
     def take_applied(self, command: Command, now: timedelta) -> None:
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -9,6 +9,7 @@
 from .guards import MOST_SET_ASIDE, Health
 from .lives import Life
 from .model import RunNumber, ServiceName, TaskRef, UpstreamInfo
+from .open_job import OpenJob
 from .term import Term
 
 ORPHAN_GRACE = timedelta(milliseconds=800)
@@ -130,6 +131,17 @@
             or (is_new and not (life.is_fenced or life.draining or life.is_over or life.is_foreign))
         )
 
+    def dispute(self, job: OpenJob) -> None:
+        """Let the runs of a job end with their leases, even where their stops do not arrive.
+
+        Whoever decides about it next waits for these leases only; that of an upstream holds for all
+        that runs there, so that other runs would keep it alive.
+        """
+        for ref, task in job.tasks.items():
+            life = self.by_id.get(task.life) if task.life is not None else None
+            if life is not None:
+                life.dispute((ref, task.run))
+
     def want_stop(self, upstream: UpstreamId, ref: TaskRef, run: RunNumber) -> None:
         """Have a run stopped as soon as it can be."""
         life = self.by_id.get(upstream)
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -123,6 +123,13 @@
             self._change_use(run, -1)
         return run
 
+    def dispute(self, key: RunKey) -> None:
+        """Renew no lease before a run is gone, since somebody else counts on it to end."""
+        run = self.runs.get(key)
+        if run is not None and not run.is_disputed:
+            run.is_disputed = True
+            self._disputed += 1
+
     @property
     def free_cpu(self) -> int:
         """Processor room that is left, in thousandths of a core."""
--- a/cottonlug/tests/test_cluster_disputed.py
+++ b/cottonlug/tests/test_cluster_disputed.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from ..core.cluster.model import JobId
+from ..core.cluster.orders import StopOrder
 from ..core.cluster.records import Records
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import UpstreamId
@@ -119,3 +121,27 @@
             deputy.is_over = True
             deputy = None
     assert world.starts >= 10
+
+
+def test_runs_of_a_silent_gateway_end_with_their_lease_though_no_stop_arrives(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found on celmala-vans-grown (TWICE): other runs there kept their lease alive."""
+    leader, where = start_long_run(4)
+    world = leader.world
+    for upstream in leader.upstreams.values():
+        if upstream.info.id != where:
+            upstream.crash()
+    leader.submit("b" * 16, build_spec(tasks=1, run_ms=2_600), build_queue())
+    world.run_until(milliseconds(300))
+    assert len(leader.upstreams[where].runs) == 2
+    send = Leader._send
+    monkeypatch.setattr(
+        Leader,
+        "_send",
+        lambda self, order: None if isinstance(order, StopOrder) else send(self, order),
+    )
+    leader.dispatch.jobs.jobs[JobId(JOB)].gateway = "gone"
+    leader.dispatch.abandon_silent(lambda gateway: False, world.now)
+    world.run_until(world.now + TERMS.lapse_after)
+    assert not any(ref.job == JOB for ref in world.running)
