Tell how old greetings are, when whoever decides was held up, and which runs nobody claimed

Greetings and their answers carry a contact: whoever decides hands out its own clock, the gateway returns it with how long it has had it, so that the age of a greeting is known without trust in clocks. New: 4014 (a greeting was held up), 4015 (held up), 4016 (commands did not get into the log), decisions run_unclaimed and run_started_again (always written), histograms greeting_age_ms and between_decisions_ms. Nothing is decided by any of it yet.

--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -11,6 +11,22 @@
 from .records import UpstreamRecord
 
 
+class Contact(Value, frozen=True):
+    """When whoever decides last answered a gateway, in terms that both can vouch for.
+
+    Whoever decides hands out its own clock with each answer to a greeting, and the gateway returns
+    it with what it sends next. However long that takes, it was sent no earlier than `answered_ms`
+    and `since_ms` say: neither clocks nor the link between the two have to be trusted.
+    """
+
+    token: int
+    """Of whoever answered: nobody else counts by that clock."""
+    answered_ms: int
+    """When the last answer that has arrived was given, on the clock of whoever gave it."""
+    since_ms: int = 0
+    """How long before it sent this the gateway had that answer."""
+
+
 class Submit(Value, frozen=True, tag="submit"):
     """Submit a job; `path` is that of the request, whose end after the prefix is the job's id.
 
@@ -82,6 +98,7 @@
     gateway: str = ""
     domain: DomainName = DomainName("")
     roster: str = ""
+    contact: Contact | None = None
 
 
 NO_CONFIGURATION = "no configuration yet"
@@ -176,6 +193,8 @@
     """Addresses for calls of all known control hosts."""
     max_body_bytes: int | None = None
     roster: Roster | None = None
+    contact: Contact | None = None
+    """To be returned with the next greeting, where this answers one."""
     is_deputy: bool = False
     """Whether the answer is that of a gateway that stands in for a leader."""
     domain: DomainName | None = None
--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -119,8 +119,10 @@
         self._lives.touch(life)
         life.look_due = min(life.look_due, now)
         self._term.counts.starts += 1
+        # A first start is routine; one beside which another run may be at work is always told.
+        is_again = last_run > 0 or job.settle_at > timedelta()
         self._term.note(
-            "run_started",
+            "run_started_again" if is_again else "run_started",
             {
                 "job": ref.job,
                 "task": f"{ref.step}.{ref.place}",
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -131,8 +131,9 @@
         if life.is_over:
             return
         for run in life.runs.values():
-            if run.is_orphan and not self._is_borne(run, now):
+            if run.is_orphan and not run.stop_wanted and not self._is_borne(run, now):
                 run.stop_wanted = True
+                self._note_unclaimed(life, run, now)
             wanted = run.stop_wanted and run.stopped_at is None and not run.stop_is_out
             if wanted and now >= run.stop_due and run.phase is not RunPhase.STARTING:
                 run.stop_is_out = True
@@ -145,6 +146,17 @@
                 )
                 self._term.orders.append(order)
 
+    def _note_unclaimed(self, life: Life, run: Run, now: timedelta) -> None:
+        self._term.note(
+            "run_unclaimed",
+            {
+                "upstream": life.info.id,
+                "job": run.task.job,
+                "run": run.run,
+                "borne_ms": to_milliseconds(now - run.since),
+            },
+        )
+
     def _is_borne(self, run: Run, now: timedelta) -> bool:
         """Whether the job of a run may still be submitted again."""
         if run.is_disputed:
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -37,7 +37,10 @@
             gauges.update(_gauge_dispatch(host))
         return gauges
 
-    return Metrics(counters=count, gauges=gauge)
+    metrics = Metrics(counters=count, gauges=gauge)
+    host.record_greeting_age = metrics.add_histogram("greeting_age_ms", HOLD_BOUNDS_MS)
+    host.record_hold = metrics.add_histogram("between_decisions_ms", HOLD_BOUNDS_MS)
+    return metrics
 
 
 def build_gateway_metrics(gateway: Gateway, output: LogOutput) -> Metrics:
@@ -75,6 +78,8 @@
 
 
 CALL_BOUNDS_MS = (5.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0)
+HOLD_BOUNDS_MS = (5.0, 10.0, 25.0, 50.0, 100.0, 150.0, 300.0, 500.0, 1_000.0)
+"""Up to 20 ms between decisions are usual, and 300 ms of a gateway's silence are borne."""
 REFUSAL_BOUNDS = (0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
 """Shares of the objective: within a quarter of it a caller can still act."""
 _DISPATCH_COUNTS = (
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -55,6 +55,10 @@
     ) -> None:
         self.leading: Leading | None = None
         self.replicated = ReplicatedRecords()
+        self.record_greeting_age: Callable[[float], object] = lambda age_ms: None
+        """Called with how old each greeting of a gateway was when it was taken in."""
+        self.record_hold: Callable[[float], object] = lambda held_ms: None
+        """Called with the milliseconds between two decisions, where there are more than usual."""
         self._settings = settings
         self._clock = clock
         self._port = port
@@ -211,6 +215,8 @@
                     control_address=str(self._settings.listen.control),
                 ),
             )
+            self.leading.gateways.record_age = self.record_greeting_age
+            self.leading.record_hold = self.record_hold
 
     def _note_lease(self) -> None:
         """Log when the right to decide ends or comes back while this host leads."""
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -11,10 +11,12 @@
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
 from ..config.cluster import GatewaySettings
 from ..config.options import Address
 from ..core.clock import Clock, to_milliseconds
-from ..core.cluster.calls import Answer, Greet, Outcome, Roster
+from ..core.cluster.calls import Answer, Contact, Greet, Outcome, Roster
 from ..core.cluster.queues import QueueIndex
 from ..core.cluster.rosters import choose_asked, find_own_domain, merge_roster
 from ..core.ids import DomainName
@@ -88,6 +90,9 @@
         self._roster: Roster | None = None
         self._reached_at: timedelta | None = None
         self._led_at = clock.monotonic()
+        self._contact: Contact | None = None
+        """What whoever decides gave with its last answer, and when that arrived."""
+        self._contact_at = clock.monotonic()
         self._answered_at: dict[str, timedelta] = {}
         """When each control host last answered."""
         self._level = 0
@@ -185,7 +190,23 @@
         await self._greet_any((host for host in self.hosts if host != known), Via.LEADER)
 
     def _build_greeting(self, roster: str = "") -> Greet:
-        return Greet(gateway=self.own, domain=self._settings.domain, roster=roster)
+        return Greet(
+            gateway=self.own,
+            domain=self._settings.domain,
+            roster=roster,
+            contact=self.find_contact(),
+        )
+
+    def find_contact(self) -> Contact | None:
+        """Return when whoever decides last answered, as of now."""
+        if self._contact is None:
+            return None
+        since = self._clock.monotonic() - self._contact_at
+        return msgspec.structs.replace(self._contact, since_ms=to_milliseconds(since))
+
+    def _keep_contact(self, answer: Answer) -> None:
+        self._contact = answer.contact
+        self._contact_at = self._clock.monotonic()
 
     async def _greet_any(self, hosts: Iterable[str], via: Via) -> bool:
         """Greet several hosts at once; return as soon as one of them has led to the leader."""
@@ -213,6 +234,7 @@
         if via is Via.RELAY and self.is_led_directly():
             # A control host has answered in the meantime.
             return True
+        self._keep_contact(answer)
         self.follow(host if via is Via.RELAY else answer.leader or host, via)
         if answer.roster is not None:
             self.use_roster(answer.roster)
@@ -282,6 +304,7 @@
             return
         answer = await self._calls.ask(host, self._build_greeting(), GREET_TIMEOUT)
         if answer.is_deputy and answer.outcome is Outcome.DONE:
+            self._keep_contact(answer)
             self._reached_at = self._clock.monotonic()
         elif self.via is via:
             self.leave(host)
@@ -328,10 +351,12 @@
 
     def _follow_gateway(self, gateway: str, answer: Answer) -> None:
         if not answer.is_deputy:
+            self._keep_contact(answer)
             self.follow(gateway, Via.RELAY)
             if answer.roster is not None:
                 self.use_roster(answer.roster)
         elif self._clock.monotonic() - self._led_at >= DEPUTY_AFTER_SILENCE:
+            self._keep_contact(answer)
             self.follow(gateway, Via.DEPUTY)
 
     def _find_deputy_delay(self) -> timedelta:
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from datetime import timedelta
 
 import msgspec
 
-from ..core.clock import Clock
+from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.calls import (
     NO_CONFIGURATION,
     NO_LOG,
@@ -60,6 +60,8 @@
 
 TICK_SECONDS = 0.02
 FORGET_EVERY = timedelta(seconds=5)
+USUAL_HOLD = timedelta(seconds=TICK_SECONDS) * 1.25
+"""A timer fires a little late; longer spans between decisions are counted."""
 HELD_UP = timedelta(milliseconds=150)
 """Between two decisions there are 20 ms, unless the process was held up."""
 COMMIT_TIMEOUT = timedelta(seconds=2)
@@ -116,8 +118,13 @@
         self._settings = settings
         self._control_address = settings.control_address
         self.gateways = Gateways(
-            term=int(authority.term), clock=clock, takes_calls=not settings.orders_by_heartbeat
+            term=int(authority.term),
+            token=self.token,
+            clock=clock,
+            takes_calls=not settings.orders_by_heartbeat,
         )
+        self.record_hold: Callable[[float], object] = lambda held_ms: None
+        """Called with the milliseconds between two decisions, where there are more than usual."""
         self._decided_at = clock.monotonic()
         self.waiters = Waiters()
         self.dispatch = Dispatch(
@@ -197,10 +204,11 @@
         self.gateways.take_greeting(call)
         if not self._settings.keeps_log:
             # A deputy has nothing to tell that its roster did not.
-            return Answer(outcome=Outcome.DONE)
+            return Answer(outcome=Outcome.DONE, contact=self.gateways.make_contact())
         self.gateways.note_kept_jobs(self.dispatch.jobs.keeps_any())
         roster = self.gateways.build_roster(self._records, call.roster)
-        return Answer(outcome=Outcome.DONE, roster=roster)
+        contact = self.gateways.make_contact()
+        return Answer(outcome=Outcome.DONE, roster=roster, contact=contact)
 
     async def _answer_beat(self, call: Beat) -> Answer:
         heartbeat = call.heartbeat
@@ -311,9 +319,12 @@
         if self._authority.term != self.term or not self._authority.has_lease():
             return
         now = self._clock.monotonic()
-        was_held_up = now - self._decided_at > HELD_UP
+        held_up = now - self._decided_at
         self._decided_at = now
-        if was_held_up:
+        if held_up > USUAL_HOLD:
+            self.record_hold(held_up / timedelta(milliseconds=1))
+        if held_up > HELD_UP:
+            log_event(Event.HELD_UP, term=int(self.term), held_up_ms=to_milliseconds(held_up))
             # What has arrived in the meantime is taken in before anything is decided.
             return
         if self.dispatch.is_fenced_off and self.gateways.is_any_heard():
@@ -329,7 +340,8 @@
         self._proposals += self.dispatch.take_proposals()
         if self._proposals:
             proposals, self._proposals = self._proposals, []
-            self._authority.propose(encode_commands(tuple(proposals)))
+            if not self._authority.propose(encode_commands(tuple(proposals))):
+                log_event(Event.PROPOSAL_LOST, term=int(self.term), commands=len(proposals))
 
     async def _carry_out(self, order: Order) -> None:
         sent_at = self._clock.monotonic()
--- a/cottonlug/tests/test_cluster_measures.py
+++ b/cottonlug/tests/test_cluster_measures.py
@@ -6,12 +6,17 @@
 import io
 import os
 
+import msgspec
 import pytest
 
-from ..core.cluster.calls import Answer, Outcome
+from ..core.cluster.calls import Answer, Contact, Outcome
 from ..core.cluster.records import Records
+from ..runtime import gateways as gateways_module
+from ..runtime import leading as leading_module
 from ..runtime.cluster_metrics import build_gateway_metrics
 from ..runtime.decider import Via
+from ..runtime.events import Event
+from ..runtime.gateways import Gateways
 from ..runtime.log_output import LogOutput
 from .gateway_builders import (
     PATIENCE,
@@ -19,12 +24,25 @@
     build_clock,
     build_gateway,
     build_roster,
+    greet,
+    stand_in,
     submit,
 )
 from .model_upstreams import Leader, build_queue, build_spec, milliseconds
 from .test_cluster_dispatch import build_world, start_leader
 
 
+@pytest.fixture
+def capture(monkeypatch: pytest.MonkeyPatch) -> list[tuple[Event, dict[str, object]]]:
+    """The events that are logged by whoever decides."""
+    events: list[tuple[Event, dict[str, object]]] = []
+    for module in (gateways_module, leading_module):
+        monkeypatch.setattr(
+            module, "log_event", lambda event, **fields: events.append((event, fields))
+        )
+    return events
+
+
 def test_a_refusal_is_measured_by_the_objective_of_its_job() -> None:
     clock = build_clock()
     gateway = build_gateway(clock)
@@ -90,3 +108,52 @@
     second_leader.world.run_until(milliseconds(3_000))
     assert not job.is_unsure()
     assert 990 <= second_leader.dispatch.counts.settled_after_ms <= 1_100
+
+
+def test_a_greeting_that_was_held_up_is_told_with_its_age(
+    capture: list[tuple[Event, dict[str, object]]],
+) -> None:
+    clock = build_clock()
+    gateways = Gateways(term=3, token=3_000_000, clock=clock)
+    ages: list[float] = []
+    gateways.record_age = ages.append
+    contact = gateways.make_contact()
+    clock.advance(milliseconds(84))
+    prompt = msgspec.structs.replace(contact, since_ms=80)
+    gateways.take_greeting(msgspec.structs.replace(greet("10.0.0.2:7000"), contact=prompt))
+    assert not capture
+    clock.advance(milliseconds(400))
+    gateways.take_greeting(msgspec.structs.replace(greet("10.0.0.2:7000"), contact=prompt))
+    assert ages == [4.0, 404.0]
+    assert capture == [(Event.GREETING_LATE, {"gateway": "10.0.0.2:7000", "age_ms": 404})]
+
+
+def test_a_greeting_under_another_token_tells_no_age() -> None:
+    gateways = Gateways(term=3, token=3_000_000, clock=build_clock())
+    ages: list[float] = []
+    gateways.record_age = ages.append
+    other = Contact(token=2_000_000, answered_ms=0)
+    gateways.take_greeting(msgspec.structs.replace(greet("10.0.0.2:7000"), contact=other))
+    assert not ages
+
+
+def test_a_host_that_decides_tells_when_it_was_held_up(
+    capture: list[tuple[Event, dict[str, object]]],
+) -> None:
+    async def play() -> None:
+        gateway, clock = stand_in()
+        await gateway.link.replace_leader()
+        assert gateway.deputy is not None
+        leading = gateway.deputy.leading
+        spans: list[float] = []
+        leading.record_hold = spans.append
+        leading._decide()
+        clock.advance(milliseconds(20))
+        leading._decide()
+        clock.advance(milliseconds(400))
+        leading._decide()
+        assert spans == [400.0]
+        gateway.link.stand_down()
+
+    asyncio.run(play())
+    assert (Event.HELD_UP, {"term": 5, "held_up_ms": 400}) in capture
--- a/cottonlug/tests/test_cluster_rosters.py
+++ b/cottonlug/tests/test_cluster_rosters.py
@@ -22,7 +22,7 @@
 
 def test_a_roster_holds_what_a_deputy_decides_by_and_no_more() -> None:
     clock = build_clock()
-    gateways = Gateways(term=3, clock=clock)
+    gateways = Gateways(term=3, token=3_000_000, clock=clock)
     gateways.take_greeting(greet("10.0.0.2:7000"))
     gateways.take_greeting(greet("10.0.0.1:7000"))
     records = Records()
@@ -41,7 +41,7 @@
 
 def test_kept_jobs_change_the_roster_only_when_the_first_begins_or_the_last_ends() -> None:
     """Failed on a site of kept jobs: each job sent a roster to each gateway (0.03 GB in 48 s)."""
-    gateways = Gateways(term=3, clock=build_clock())
+    gateways = Gateways(term=3, token=3_000_000, clock=build_clock())
     before = gateways.log.version
     gateways.note_kept_jobs(False)
     assert gateways.log.version == before
@@ -57,7 +57,7 @@
 
 def test_a_roster_is_sent_whole_once_and_then_as_changes() -> None:
     """Failed on mizan-hq-grown: each change of one upstream sent 35 KB to each of 44 gateways."""
-    gateways = Gateways(term=3, clock=build_clock())
+    gateways = Gateways(term=3, token=3_000_000, clock=build_clock())
     records = Records()
     records.put_in_force(build_roster().configuration)
     for number in range(3):
@@ -84,7 +84,7 @@
 
 
 def test_changes_that_do_not_follow_on_what_is_known_are_left_out() -> None:
-    gateways = Gateways(term=3, clock=build_clock())
+    gateways = Gateways(term=3, token=3_000_000, clock=build_clock())
     records = Records()
     add_upstream(gateways, records, "u1")
     whole = gateways.build_roster(records, "")
@@ -97,7 +97,7 @@
 
 
 def test_a_gateway_that_missed_too_much_or_knows_another_term_gets_the_whole_roster() -> None:
-    gateways = Gateways(term=3, clock=build_clock())
+    gateways = Gateways(term=3, token=3_000_000, clock=build_clock())
     records = Records()
     known = gateways.log.version
     for number in range(KEPT_CHANGES + 1):
