Count on a gateway from when it sent something, never from when that arrived

Change: whoever decides answers greetings with its own clock (Contact), gateways return that with greetings and submissions, and the sum is no later than the sending. A submission vouches for its gateway; one without a fresh contact is refused as not begun. A gateway that leaves a host vouches for nothing there any more. An abandon ends only what its own gateway submitted: the same cause, a late one ended the second try. One test of deputies submits with the contact that it was given; its assertions stay.

--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -40,7 +40,8 @@
     waited_ms: int = 0
     """For how long the job has been at its gateway: its objective counts from its arrival there."""
     gateway: str = ""
-    """Address of the gateway that waits for the answer."""
+    """Address of the gateway that waits for the answer; empty where that itself decides."""
+    contact: Contact | None = None
     may_have_begun: bool = False
     """Whether an earlier try has an unknown outcome: it can no longer be rejected as not run."""
     deputy_term: int = 0
@@ -50,10 +51,11 @@
 
 
 class Abandon(Value, frozen=True, tag="abandon"):
-    """Nobody waits any more for a job that need not be kept."""
+    """Nobody waits any more for a job that need not be kept, at the gateway that submitted it."""
 
     host: str
     path: str
+    gateway: str = ""
 
 
 class AskState(Value, frozen=True, tag="state"):
@@ -106,6 +108,9 @@
 NO_LOG = "a deputy has no log"
 """Detail of a deputy's answer to a call that only a leader can carry out."""
 
+NOT_IN_TOUCH = "the gateway was not answered lately"
+"""Detail of an answer to a submission that was held up, or that follows no greeting."""
+
 Call = Submit | Abandon | AskState | Cancel | Beat | Leave | Configure | AskConfiguration | Greet
 
 
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -34,7 +34,7 @@
     LookReply,
     Queue,
 )
-from .open_job import Submission, TaskPhase
+from .open_job import OpenJob, Submission, TaskPhase
 from .open_jobs import OpenJobs
 from .orders import (
     CallFailure,
@@ -193,12 +193,19 @@
                 self._adopter.adopt_orphan(job, life, run)
                 self._lives.touch(life)
 
-    def abandon(self, id: JobId, now: timedelta) -> None:
-        """Give up a job that need not be kept, since nobody waits for it any more."""
+    def abandon(self, id: JobId, gateway: str, now: timedelta) -> None:
+        """Give up a job that need not be kept, since its gateway waits for it no more.
+
+        One that has come again through another gateway in the meantime is left alone.
+        """
         job = self._jobs.jobs.get(id)
-        if job is not None and job.record.spec.best_effort:
+        if job is not None and job.gateway == gateway:
+            self._give_up(job, now)
+
+    def _give_up(self, job: OpenJob, now: timedelta) -> None:
+        if job.record.spec.best_effort:
             end_job(job.record, JobState.CANCELLED, self._term.wall_ms())
-            self._jobs.close_if_ended(id, now)
+            self._jobs.close_if_ended(job.record.id, now)
 
     def cancel(self, id: JobId, now: timedelta) -> bool:
         """End a job that need not be kept by its caller's wish; False where there is none."""
@@ -206,7 +213,7 @@
         if job is None or not job.record.spec.best_effort:
             return False
         self._jobs.ended[id] = (JobState.CANCELLED, now)
-        self.abandon(id, now)
+        self._give_up(job, now)
         return True
 
     def abandon_silent(self, is_heard: Callable[[str], bool], now: timedelta) -> None:
@@ -215,7 +222,7 @@
             if job.gateway and not is_heard(job.gateway):
                 self._term.note("gateway_silent", {"gateway": job.gateway, "job": job.record.id})
                 self._lives.dispute(job)
-                self.abandon(job.record.id, now)
+                self._give_up(job, now)
 
     def take_applied(self, command: Command, now: timedelta) -> None:
         """Act on a command that the record has just carried out."""
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -164,10 +164,14 @@
             self.stand_down()
 
     def leave(self, host: str) -> None:
-        """Send no more calls to a host, and those that it has not answered elsewhere."""
+        """Send no more calls to a host, and those that it has not answered elsewhere.
+
+        Nothing that is sent from now on vouches for this gateway there: see `Contact`.
+        """
         if self.host == host:
             self.host = None
             self.via = Via.LEADER
+            self._contact = None
             self._calls.lose(host)
 
     def stand_down(self) -> None:
@@ -276,7 +280,7 @@
             if was_held_up or self.deputy.authority.is_over:
                 self.stand_down()
                 return
-            self.deputy.leading.gateways.take_greeting(self._build_greeting())
+            self._greet_itself(self.deputy)
             self._reached_at = now
             return
         if self.host is not None and self.via is not Via.LEADER:
@@ -304,7 +308,8 @@
             return
         answer = await self._calls.ask(host, self._build_greeting(), GREET_TIMEOUT)
         if answer.is_deputy and answer.outcome is Outcome.DONE:
-            self._keep_contact(answer)
+            if self.host == host:
+                self._keep_contact(answer)
             self._reached_at = self._clock.monotonic()
         elif self.via is via:
             self.leave(host)
@@ -391,7 +396,7 @@
             caller_retry=self._settings.caller_retry,
             on_failure=self._on_failure,
         )
-        self.deputy.leading.gateways.take_greeting(self._build_greeting())
+        self._greet_itself(self.deputy)
         self.host = self.own
         self.deputy_term = roster.term
         self.via = Via.DEPUTY
@@ -399,6 +404,11 @@
         self._tell_news()
         log_event(Event.STANDING_IN, term=roster.term, at_level=level)
 
+    def _greet_itself(self, deputy: Deputy) -> None:
+        gateways = deputy.leading.gateways
+        greeting = msgspec.structs.replace(self._build_greeting(), contact=gateways.make_contact())
+        gateways.take_greeting(greeting)
+
     def _tell_news(self) -> None:
         self._news.set()
         self._news = asyncio.Event()
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -14,6 +14,7 @@
 from ..core.cluster.calls import (
     NO_CONFIGURATION,
     NO_LOG,
+    NOT_IN_TOUCH,
     Abandon,
     Answer,
     Call,
@@ -125,7 +126,7 @@
 
     def abandon(self, call: Submit) -> None:
         """Tell the leader that a caller has left; nobody waits for the answer."""
-        abandon = Abandon(host=call.host, path=call.path)
+        abandon = Abandon(host=call.host, path=call.path, gateway=self.link.own)
         task = asyncio.create_task(self._call(abandon, ABANDON_PATIENCE))
         self._background.add(task)
         task.add_done_callback(self._background.discard)
@@ -223,13 +224,16 @@
 
     async def _try(self, call: Call, timeout: timedelta) -> Answer:
         if self.deputy is not None:
-            return await self.deputy.leading.answer(_to_deputy(call))
+            return await self.deputy.leading.answer(_to_itself(call))
         host = self.link.host
         if host is None:
             return Answer(outcome=Outcome.UNAVAILABLE, detail="nobody is known who decides")
         sent_call = _to_deputy(call) if self.link.via is Via.DEPUTY else call
+        if isinstance(sent_call, Submit):
+            contact = self.link.find_contact()
+            sent_call = msgspec.structs.replace(sent_call, contact=contact)
         answer = await self.calls.ask(host, sent_call, timeout)
-        still_decides = answer.detail in (NO_CONFIGURATION, NO_LOG)
+        still_decides = answer.detail in (NO_CONFIGURATION, NO_LOG, NOT_IN_TOUCH)
         if answer.outcome is Outcome.UNAVAILABLE and not still_decides:
             self.link.leave(host)
         return answer
@@ -280,6 +284,13 @@
     return call
 
 
+def _to_itself(call: Call) -> Call:
+    """Return a call as this gateway answers it, while it stands in: it cannot lose itself."""
+    if isinstance(call, Submit | Abandon):
+        call = msgspec.structs.replace(call, gateway="")
+    return _to_deputy(call)
+
+
 def _find_patience(call: Call) -> timedelta:
     """Return how long the caller of a call that is passed on still waits."""
     if isinstance(call, Greet):
--- a/cottonlug/runtime/gateways.py
+++ b/cottonlug/runtime/gateways.py
@@ -30,7 +30,8 @@
         self._token = token
         self._clock = clock
         self._late_line_due = timedelta()
-        self._heard: dict[str, timedelta] = {}
+        self._sent_at: dict[str, timedelta] = {}
+        """When each gateway last sent something, or later: what its contacts vouch for."""
         self._domains: dict[str, DomainName] = {}
         self._keeps_jobs = False
 
@@ -41,29 +42,33 @@
             self.log.note_other()
 
     def take_greeting(self, greeting: Greet) -> None:
-        """Count on a gateway for the jobs that it has submitted."""
+        """Know a gateway, and count on it for as long as its contact allows."""
         gateway = greeting.gateway
         if not gateway:
             return
-        if gateway not in self._heard:
+        if gateway not in self._domains:
             self._domains[gateway] = greeting.domain
             self.log.note_other()
+        self.take_contact(gateway, greeting.contact)
+
+    def take_contact(self, gateway: str, contact: Contact | None) -> bool:
+        """Count on a gateway from when it sent something; False where that is too long ago.
+
+        It counts from the sending, never from the arrival: a gateway takes its jobs elsewhere by
+        when it was last answered, and what was held up on its way or here says nothing of that.
+        """
+        if contact is None or contact.token != self._token:
+            return False
         now = self._clock.monotonic()
-        self._heard[gateway] = now
-        sent_at = self._find_sent(greeting.contact)
-        if sent_at is not None:
-            self._note_age(gateway, now - sent_at, now)
+        sent_at = timedelta(milliseconds=contact.answered_ms + contact.since_ms)
+        self._sent_at[gateway] = max(sent_at, self._sent_at.get(gateway, sent_at))
+        self._note_age(gateway, now - sent_at, now)
+        return now - sent_at < GATEWAY_SILENT
 
     def make_contact(self) -> Contact:
         """Return what a gateway that is answered now is to return."""
         return Contact(token=self._token, answered_ms=to_milliseconds(self._clock.monotonic()))
 
-    def _find_sent(self, contact: Contact | None) -> timedelta | None:
-        """Return since when at the latest something was sent; None where that cannot be told."""
-        if contact is None or contact.token != self._token:
-            return None
-        return timedelta(milliseconds=contact.answered_ms + contact.since_ms)
-
     def _note_age(self, gateway: str, age: timedelta, now: timedelta) -> None:
         self.record_age(age / timedelta(milliseconds=1))
         if age >= LATE_GREETING and now >= self._late_line_due:
@@ -72,12 +77,12 @@
 
     def is_heard(self, gateway: str) -> bool:
         """Whether a gateway was heard lately."""
-        heard_at = self._heard.get(gateway)
-        return heard_at is not None and self._clock.monotonic() - heard_at < GATEWAY_SILENT
+        sent_at = self._sent_at.get(gateway)
+        return sent_at is not None and self._clock.monotonic() - sent_at < GATEWAY_SILENT
 
     def is_any_heard(self) -> bool:
         """Whether any gateway was heard lately."""
-        return any(self.is_heard(gateway) for gateway in self._heard)
+        return any(self.is_heard(gateway) for gateway in self._sent_at)
 
     def build_roster(self, records: Records, known: str) -> Roster | None:
         """Return what a gateway that has the version `known` must learn to stand in, or None."""
--- a/cottonlug/runtime/job_answers.py
+++ b/cottonlug/runtime/job_answers.py
@@ -10,6 +10,7 @@
 from ..core.cluster.admission import Rejection
 from ..core.cluster.calls import (
     NO_CONFIGURATION,
+    NOT_IN_TOUCH,
     Abandon,
     Answer,
     AskState,
@@ -25,7 +26,7 @@
 from ..core.cluster.open_job import Submission
 from ..core.cluster.records import JobRecord, Records
 from .events import Event, log_event
-from .gateways import GATEWAY_SILENT
+from .gateways import GATEWAY_SILENT, Gateways
 from .ports import Authority
 from .replicated import Waiters
 
@@ -42,6 +43,7 @@
         authority: Authority,
         records: Records,
         dispatch: Dispatch,
+        gateways: Gateways,
         waiters: Waiters,
         clock: Clock,
         terms: LeaseTerms,
@@ -54,6 +56,7 @@
         self._term = authority.term
         self._records = records
         self._dispatch = dispatch
+        self._gateways = gateways
         self._waiters = waiters
         self._clock = clock
         self._terms = terms
@@ -68,6 +71,9 @@
         if isinstance(found, Answer):
             return found
         queue, job = found
+        if call.gateway and not self._gateways.take_contact(call.gateway, call.contact):
+            # Held up: by now its gateway may have taken it to another host that decides.
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=NOT_IN_TOUCH)
         if call.deputy_term >= self._term:
             # The deputy's token is higher than ours: take a later term before going on.
             self._authority.renew()
@@ -104,7 +110,7 @@
         found = self._find_queue(call.host, call.path)
         if isinstance(found, Answer):
             return found
-        self._dispatch.abandon(found[1], self._clock.monotonic())
+        self._dispatch.abandon(found[1], call.gateway, self._clock.monotonic())
         self._wake()
         return Answer(outcome=Outcome.DONE)
 
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -142,6 +142,7 @@
             authority=authority,
             records=self._records,
             dispatch=self.dispatch,
+            gateways=self.gateways,
             waiters=self.waiters,
             clock=clock,
             terms=settings.terms,
--- a/cottonlug/tests/test_cluster_deputy.py
+++ b/cottonlug/tests/test_cluster_deputy.py
@@ -189,8 +189,14 @@
         deputy = gateways[0].deputy
         assert deputy is not None
         leading = deputy.leading
-        await leading.answer(greet("10.0.0.9:7000"))
-        call = Submit(host="host", path=f"/q/{JOB}", spec=build_spec(), gateway="10.0.0.9:7000")
+        greeted = await leading.answer(greet("10.0.0.9:7000"))
+        call = Submit(
+            host="host",
+            path=f"/q/{JOB}",
+            spec=build_spec(),
+            gateway="10.0.0.9:7000",
+            contact=greeted.contact,
+        )
         waiting = asyncio.create_task(leading.answer(call))
         await asyncio.sleep(0)
         assert leading.dispatch.jobs.count_jobs() == 1
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -79,7 +79,7 @@
     job = "b" * 16
     leader.submit(job, build_spec(run_ms=60), build_queue())
     world.run_until(milliseconds(110))
-    leader.dispatch.abandon(JobId(job), world.now)
+    leader.dispatch.abandon(JobId(job), "", world.now)
     assert leader.dispatch.jobs.find_ended(JobId(job)) is None
     leader.submit(job, build_spec(run_ms=60), build_queue(), may_have_begun=True)
     world.run_until(milliseconds(2_000))
