Leave a gateway that stands in or passes calls on after 0.35 s of silence, not after one late answer

Change: one that answers nothing for 0.35 s is left, as a leader is; one that refuses the connection, or answers that it does neither any more, still at once. Safe by the contact's argument: what is sent before leaving vouches until then only. Tests: test_a_gateway_that_answers_late_is_not_left_at_once (fails before), test_a_gateway_that_neither_stands_in_nor_passes_on_any_more_is_left_at_once.

--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -226,8 +226,14 @@
 
     async def _greet(self, host: str, via: Via) -> bool:
         """Greet a host; follow the leader that it is, or that it passed the greeting to."""
+        return self._take_greeted(host, via, await self._ask_greeting(host))
+
+    async def _ask_greeting(self, host: str) -> Answer:
         version = self._roster.version if self._roster is not None else ""
-        answer = await self._calls.ask(host, self._build_greeting(version), GREET_TIMEOUT)
+        return await self._calls.ask(host, self._build_greeting(version), GREET_TIMEOUT)
+
+    def _take_greeted(self, host: str, via: Via, answer: Answer) -> bool:
+        """Follow whom the answer to a greeting leads to; False where that is nobody."""
         if via is Via.LEADER and answer.hosts:
             self._answered_at[host] = self._clock.monotonic()
             self.hosts = sorted({*answer.hosts})
@@ -301,19 +307,32 @@
             log_event(Event.DECIDER_SILENT, decider=self.host, silent_ms=silent_ms)
 
     async def _keep(self, host: str, via: Via) -> None:
-        """Greet a gateway that stands in or passes calls on; leave it where it no longer does."""
-        if via is Via.RELAY:
-            if not await self._greet(host, via) and self.via is via:
-                self.leave(host)
+        """Greet a gateway that stands in or passes calls on; leave it where it no longer does.
+
+        One that is late is not left at once: it is a small host with the work of a domain, and to
+        lose the calls under way there sends it all of them again.
+        """
+        answer = await self._ask_greeting(host)
+        if (self.host, self.via) != (host, via) or self._take_kept(host, via, answer):
             return
-        answer = await self._calls.ask(host, self._build_greeting(), GREET_TIMEOUT)
-        if answer.is_deputy and answer.outcome is Outcome.DONE:
-            if self.host == host:
-                self._keep_contact(answer)
-            self._reached_at = self._clock.monotonic()
-        elif self.via is via:
+        is_late = answer.outcome is Outcome.UNKNOWN
+        if not is_late or self._is_silent_for(CALLS_LOST_AFTER):
             self.leave(host)
 
+    def _take_kept(self, host: str, via: Via, answer: Answer) -> bool:
+        """Whether a gateway still stands in or passes calls on, by its answer to a greeting."""
+        if via is Via.RELAY:
+            return self._take_greeted(host, via, answer)
+        if not answer.is_deputy or answer.outcome is not Outcome.DONE:
+            return False
+        self._keep_contact(answer)
+        self._reached_at = self._clock.monotonic()
+        return True
+
+    def _is_silent_for(self, span: timedelta) -> bool:
+        """Whether whoever calls go to has not answered for so long."""
+        return self._reached_at is None or self._clock.monotonic() - self._reached_at >= span
+
     async def _find_replacement(self, roster: Roster) -> None:
         """Follow a gateway that reaches a leader or stands in, or stand in where none can be."""
         if all(gateway.address != self.own for gateway in roster.gateways):
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -5,6 +5,8 @@
 import asyncio
 from datetime import timedelta
 
+import pytest
+
 from ..core.cluster.calls import (
     Abandon,
     Answer,
@@ -13,6 +15,7 @@
     Submit,
 )
 from ..runtime.decider import CALLS_LOST_AFTER, RELAY_AFTER, Via
+from ..runtime.gateway import NO_LEADER
 from .gateway_builders import (
     LEADER,
     PATIENCE,
@@ -188,3 +191,45 @@
         assert cut_off.decider is None
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("via", [Via.DEPUTY, Via.RELAY])
+def test_a_gateway_that_answers_late_is_not_left_at_once(via: Via) -> None:
+    """Found on mizan-hq-grown: one late answer of a busy deputy sent it every call again."""
+
+    async def play() -> None:
+        clock = build_clock()
+        (gateway,) = prepare(1, clock)
+        other = "10.0.0.9:7000"
+        answers = Answer(outcome=Outcome.UNKNOWN, detail="no reply in time")
+
+        async def ask(host: str, call: Call, timeout: timedelta) -> Answer:
+            return answers
+
+        gateway.calls.ask = ask  # type: ignore[method-assign]
+        gateway.link.follow(other, via)
+        clock.advance(CALLS_LOST_AFTER - milliseconds(1))
+        await gateway.link.replace_leader()
+        assert (gateway.decider, gateway.link.via) == (other, via)
+        clock.advance(milliseconds(1))
+        await gateway.link.replace_leader()
+        assert gateway.decider is None
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("via", [Via.DEPUTY, Via.RELAY])
+def test_a_gateway_that_neither_stands_in_nor_passes_on_any_more_is_left_at_once(via: Via) -> None:
+    async def play() -> None:
+        (gateway,) = prepare(1, build_clock())
+        other = "10.0.0.9:7000"
+
+        async def ask(host: str, call: Call, timeout: timedelta) -> Answer:
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LEADER, hosts=(LEADER,))
+
+        gateway.calls.ask = ask  # type: ignore[method-assign]
+        gateway.link.follow(other, via)
+        await gateway.link.replace_leader()
+        assert gateway.decider is None
+
+    asyncio.run(play())
