A deputy that stands down answers what it has under way

Failed with all control hosts off: its calls of other gateways ended in a fault of ours (AttributeError, 500) with a traceback each, in the seconds in which it had least time.

--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -253,10 +253,11 @@
 
     async def answer_peer(self, call: Call) -> Answer:
         """Answer a call of another gateway."""
-        if self.deputy is not None:
-            answer = await self.deputy.leading.answer(call)
-            domain = self.deputy.domain
-            return msgspec.structs.replace(answer, is_deputy=True, domain=domain)
+        deputy = self.deputy
+        if deputy is not None:
+            # It may have stood down by the time at which a job has ended.
+            answer = await deputy.leading.answer(call)
+            return msgspec.structs.replace(answer, is_deputy=True, domain=deputy.domain)
         leader = self.link.host if self.link.is_led_directly() else None
         if leader is None:
             return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LEADER, hosts=tuple(self.hosts))
--- a/cottonlug/tests/test_cluster_deputy.py
+++ b/cottonlug/tests/test_cluster_deputy.py
@@ -359,3 +359,19 @@
         gateway.stop()
 
     asyncio.run(play())
+
+
+def test_a_deputy_that_stands_down_answers_what_it_has_under_way() -> None:
+    """Failed with all control hosts off: the other gateways were answered by a fault (500)."""
+
+    async def play() -> None:
+        gateway, _ = stand_in()
+        await gateway.link.replace_leader()
+        answering = asyncio.create_task(gateway.answer_peer(submit()))
+        await asyncio.sleep(0.05)
+        gateway.link.stand_down()
+        answer = await answering
+        assert answer.outcome is Outcome.UNKNOWN
+        assert answer.is_deputy
+
+    asyncio.run(play())
