A deputy that is busy is not left for one greeting without an answer

A small host that begins to stand in gets all open jobs of its domain at once, and may answer no greeting for 0.1 s. Its followers left it, their jobs came again, and a second gateway stood in beside it.

--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -31,6 +31,8 @@
 TURN_SECONDS = 0.003
 """For each gateway: the lowest of them is asked by all others in each turn."""
 LONGEST_TURN_SECONDS = 0.15
+ASK_AGAIN_SECONDS = 0.01
+"""Before a greeting without an answer is repeated: two in a row fit into `GATEWAY_SILENT`."""
 GREET_TIMEOUT = timedelta(milliseconds=100)
 """A leader counts on a gateway that it hears within 300 ms, so that one greeting may be lost."""
 READY_FOR = timedelta(milliseconds=1_200)
@@ -274,16 +276,19 @@
 
     async def _replace_leader_forever(self) -> None:
         while True:
-            await self.replace_leader()
-            await asyncio.sleep(self._find_turn())
+            is_due = await self.replace_leader()
+            await asyncio.sleep(ASK_AGAIN_SECONDS if is_due else self._find_turn())
 
     def _find_turn(self) -> float:
         """Return how long to wait between two tries to replace the leader, in seconds."""
         count = len(self._roster.gateways) if self._roster is not None else 0
         return min(max(count * TURN_SECONDS, GREET_SECONDS_WITHOUT_LEADER), LONGEST_TURN_SECONDS)
 
-    async def replace_leader(self) -> None:
-        """Without a leader in reach, keep in touch with a stand-in, find one, or become one."""
+    async def replace_leader(self) -> bool:
+        """Without a leader in reach, keep in touch with a stand-in, find one, or become one.
+
+        Return whether to go on at once.
+        """
         now = self._clock.monotonic()
         was_held_up = now - self._checked_at > STAND_DOWN_GAP
         self._checked_at = now
@@ -292,20 +297,20 @@
                 self._fenced_off_at = now
             if was_held_up or self.deputy.authority.is_over:
                 self.stand_down()
-                return
+                return False
             self._greet_itself(self.deputy)
             self._reached_at = now
-            return
+            return False
         if self.host is not None and self.via is not Via.LEADER:
-            await self._keep(self.host, self.via)
-            return
+            return await self._keep(self.host, self.via)
         if now - self._led_at < RELAY_AFTER or self._roster is None:
-            return
+            return False
         self._note_silence(now - self._led_at)
         if self.host is not None and now - self._led_at >= CALLS_LOST_AFTER:
             # The leader gives these calls up, and what it does not get has surely not begun.
             self.leave(self.host)
         await self._find_replacement(self._roster)
+        return False
 
     def _note_silence(self, silence: timedelta) -> None:
         if not self._was_silent:
@@ -313,18 +318,21 @@
             silent_ms = to_milliseconds(silence)
             log_event(Event.DECIDER_SILENT, decider=self.host, silent_ms=silent_ms)
 
-    async def _keep(self, host: str, via: Via) -> None:
+    async def _keep(self, host: str, via: Via) -> bool:
         """Greet a gateway that stands in or passes calls on; leave it where it no longer does.
 
         One that is late is not left at once: it is a small host with the work of a domain, and to
-        lose the calls under way there sends it all of them again.
+        lose the calls under way there sends it all of them again. Return whether to greet it again
+        at once.
         """
         answer = await self._ask_greeting(host)
         if (self.host, self.via) != (host, via) or self._take_kept(host, via, answer):
-            return
+            return False
         is_late = answer.outcome is Outcome.UNKNOWN
-        if not is_late or self._is_silent_for(CALLS_LOST_AFTER):
-            self.leave(host)
+        if is_late and not self._is_silent_for(CALLS_LOST_AFTER):
+            return True
+        self.leave(host)
+        return False
 
     def _take_kept(self, host: str, via: Via, answer: Answer) -> bool:
         """Whether a gateway still stands in or passes calls on, by its answer to a greeting."""
--- a/cottonlug/tests/test_cluster_deputy.py
+++ b/cottonlug/tests/test_cluster_deputy.py
@@ -26,7 +26,7 @@
     choose_asked,
 )
 from ..core.ids import DomainName
-from ..runtime.decider import STAND_IN_AGAIN_AFTER, Via
+from ..runtime.decider import CALLS_LOST_AFTER, STAND_IN_AGAIN_AFTER, Via
 from ..runtime.deputy import DEPUTY_AFTER, DEPUTY_AFTER_SILENCE
 from ..runtime.gateways import GATEWAY_SILENT
 from .gateway_builders import (
@@ -375,3 +375,46 @@
         assert answer.is_deputy
 
     asyncio.run(play())
+
+
+def test_a_deputy_that_is_busy_is_not_left_for_one_greeting_without_answer() -> None:
+    """Failed with all control hosts off: a small host had 150 jobs at once and was left by all.
+
+    Their jobs came again, another gateway stood in beside it, and the two fenced each other off.
+    """
+
+    async def play() -> None:
+        clock = build_clock()
+        _, follower = prepare(2, clock)
+        deputy = "10.0.0.1:7000"
+
+        async def ask(host: str, call: Call, timeout: timedelta) -> Answer:
+            clock.advance(timeout)
+            return Answer(outcome=Outcome.UNKNOWN, detail="no reply in time")
+
+        follower.calls.ask = ask  # type: ignore[method-assign]
+        follower.link.follow(deputy, Via.DEPUTY)
+        # Greeted again at once, so that it hears its followers before it gives their jobs up.
+        assert await follower.link.replace_leader()
+        assert follower.decider == deputy
+        await follower.link.replace_leader()
+        clock.advance(CALLS_LOST_AFTER)
+        await follower.link.replace_leader()
+        assert follower.decider is None
+
+    asyncio.run(play())
+
+
+def test_a_deputy_that_stands_in_no_more_is_left_at_once() -> None:
+    async def play() -> None:
+        _, follower = prepare(2, build_clock())
+
+        async def ask(host: str, call: Call, timeout: timedelta) -> Answer:
+            return Answer(outcome=Outcome.UNAVAILABLE, detail="cannot connect")
+
+        follower.calls.ask = ask  # type: ignore[method-assign]
+        follower.link.follow("10.0.0.1:7000", Via.DEPUTY)
+        assert not await follower.link.replace_leader()
+        assert follower.decider is None
+
+    asyncio.run(play())
