--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -75,9 +75,11 @@
 
     def __init__(self) -> None:
         self._tiers: dict[Tier, list[Batch]] = {tier: [] for tier in Tier}
+        self.has_new = False
+        """Whether a batch was put in that no room has been looked for yet."""
 
     def __len__(self) -> int:
-        return sum(len(batches) for batches in self._tiers.values())
+        return sum(map(len, self._tiers.values()))
 
     def __iter__(self) -> Iterator[Batch]:
         """Yield batches in the order in which they are served."""
@@ -91,6 +93,7 @@
     def add(self, batch: Batch) -> None:
         """Put a batch in its place."""
         key = _by_latest_start if batch.tier is Tier.ON_TIME else _by_last_use
+        self.has_new = self.has_new or not batch.was_offered
         bisect.insort(self._tiers[batch.tier], batch, key=key)
 
     def demote(self, now: timedelta) -> list[Batch]:
--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -15,8 +15,12 @@
 from .orders import Run, RunPhase, StartOrder
 from .placement import choose_life
 from .records import JobRecord
+from .rooms import Rooms
 from .term import Term
 
+NOTHING_WAITS = 1 << 62
+"""More room than any upstream has: no change of one is worth looking for room again."""
+
 
 class Filler:
     """Starts tasks."""
@@ -25,38 +29,49 @@
         self._term = term
         self._lives = lives
         self._jobs = jobs
-        self._by_service: dict[ServiceName, list[Life]] = {}
-        """The lives that took work when all were last gone through."""
+        self._rooms = Rooms(lives=lives)
+        self._least_needed = 0
+        """The least that any batch needs for which no room was found, in core-thousandths."""
 
     def fill(self, now: timedelta, changed: list[Life] | None) -> None:
         """Start waiting tasks as long as any of them fits.
 
         `changed` are the lives that may have more room than before, None where that is not known:
-        a batch that found no room is tried with these only.
+        a batch that found no room is tried again only where one of these has enough.
         """
-        if not len(self._jobs.backlog):
-            self._by_service = {}
+        for life in changed or ():
+            self._rooms.update(life, now)
+        if changed is None:
+            self._rooms.forget()
+        backlog = self._jobs.backlog
+        if not len(backlog):
             return
-        self._jobs.backlog.demote(now)
-        is_sweep = changed is None or not self._by_service
-        if is_sweep:
-            self._by_service = self._lives.find_working(now)
-        with_room = [life for life in changed or [] if self._takes_work(life, now)]
-        for batch in self._jobs.backlog:
-            service = self._find_service(batch.job)
-            if is_sweep or not batch.was_offered:
-                lives = self._by_service.get(service, [])
-            else:
-                lives = [life for life in with_room if life.info.service == service]
-            batch.was_offered = True
-            self._fill_batch(batch, lives, now)
-        self._jobs.backlog.drop_empty()
+        backlog.demote(now)
+        if self._rooms.refresh_if_due(now):
+            self._offer(None, now)
+        else:
+            most = max((life.free_cpu for life in changed or ()), default=0)
+            if backlog.has_new or most >= self._least_needed:
+                self._offer(most, now)
         self._shed(now)
 
-    def _takes_work(self, life: Life, now: timedelta) -> bool:
-        """Whether a life that has changed takes work, without being set aside."""
-        is_set_aside = self._lives.get_health(life).is_set_aside(now)
-        return not is_set_aside and self._lives.takes_work(life, now)
+    def _offer(self, most_changed: int | None, now: timedelta) -> None:
+        """Offer room to all batches, but not those again that need more than any that changed."""
+        backlog = self._jobs.backlog
+        least = NOTHING_WAITS
+        for batch in backlog:
+            cpu = batch.needs.cpu_millis
+            is_new = most_changed is None or not batch.was_offered
+            batch.was_offered = True
+            if is_new or cpu <= (most_changed or 0):
+                service = self._find_service(batch.job)
+                if cpu <= self._rooms.find_most(service):
+                    self._fill_batch(batch, service, now)
+            if batch.waiting and cpu < least:
+                least = cpu
+        self._least_needed = least
+        backlog.has_new = False
+        backlog.drop_empty()
 
     def _shed(self, now: timedelta) -> None:
         """Give up, at once, jobs for which there was no room while they could be of use."""
@@ -94,9 +109,10 @@
         queue = queues.get(job.queue.key) if queues is not None else None
         return (queue or job.queue).service
 
-    def _fill_batch(self, batch: Batch, lives: list[Life], now: timedelta) -> None:
+    def _fill_batch(self, batch: Batch, service: ServiceName, now: timedelta) -> None:
         while batch.waiting:
-            life = choose_life(batch, lives)
+            lives = self._rooms.iterate_from(service, batch.needs.cpu_millis, now)
+            life = choose_life(batch, lives, is_in_order=True)
             if life is None:
                 return
             self._start(batch, batch.waiting.pop(), life, now)
@@ -116,6 +132,7 @@
         run = Run(task=ref, run=task.run, needs=batch.needs, phase=RunPhase.STARTING, since=now)
         run.resumes = bool(known.checkpoint)
         life.add_run(run)
+        self._rooms.update(life, now)
         self._lives.touch(life)
         life.look_due = min(life.look_due, now)
         self._term.counts.starts += 1
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -25,6 +25,7 @@
         self.unseen: set[UpstreamId] = set()
         """Lives of earlier terms that have not answered in this one."""
         self._touched: dict[UpstreamId, Life] = {}
+        self._added = 0
         self._term = term
         self._by_address: dict[str, UpstreamId] = {}
         self._health: dict[UpstreamId, Health] = {}
@@ -41,10 +42,12 @@
 
     def add(self, info: UpstreamInfo, noted: int, draining: bool, now: timedelta) -> Life:
         """Begin to watch a life; an earlier one at its address is asked whether it is over."""
+        self._added += 1
         life = Life(
             info=info,
             terms=self._term.lease,
             noted=noted,
+            number=self._added,
             proposed=noted,
             draining=draining,
             is_foreign=self._term.domain not in (None, info.domain),
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -55,6 +55,8 @@
     terms: LeaseTerms
     noted: int
     """Up to which end note was taken by the record."""
+    number: int = 0
+    """Lives are numbered as they come, so that those alike have an order."""
     draining: bool = False
     is_over: bool = False
     is_cordoned: bool = False
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -177,6 +177,7 @@
             key = (batch.job.id, batch.occurrence, batch.number)
             if key == (ref.job, ref.occurrence, ref.step) and ref.place in batch.waiting:
                 batch.waiting.remove(ref.place)
+        self.backlog.drop_empty()
 
     def mark_noting(self, end: EndReport) -> None:
         """Hold a task whose run has ended until note is taken of it."""
--- a/cottonlug/core/cluster/placement.py
+++ b/cottonlug/core/cluster/placement.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 
 from .backlog import Batch
 from .lives import Life
 
 
-def choose_life(batch: Batch, lives: Sequence[Life]) -> Life | None:
+def choose_life(batch: Batch, lives: Iterable[Life], *, is_in_order: bool = False) -> Life | None:
     """Return the life that a task fits best: near its data, then with the least room left over.
 
     Tasks are wide (14 of 32 cores): the least room left keeps whole upstreams free for wide ones.
+    `is_in_order` tells that the lives come with the least room first, so that one which is best in
+    all else need not be compared with those after it.
     """
     best: Life | None = None
     best_score: tuple[int, int, int] | None = None
@@ -25,6 +27,8 @@
         score = (is_far, 0 if life.is_listening else 1, life.free_cpu)
         if best_score is None or score < best_score:
             best, best_score = life, score
+            if is_in_order and score[:2] == (0, 0):
+                break
     return best
 
 
