Less to go through for each decision

A job before which nothing waits is taken without measuring all room; whether a gateway is heard is asked once for each gateway, not for each of its jobs; whether any upstream is out of sight, only up to the first that is.

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -218,8 +218,11 @@
 
     def abandon_silent(self, is_heard: Callable[[str], bool], now: timedelta) -> None:
         """Give up the jobs of gateways that are not heard: they may have gone to another host."""
+        heard: dict[str, bool] = {"": True}
         for job in list(self._jobs.jobs.values()):
-            if job.gateway and not is_heard(job.gateway):
+            if job.gateway not in heard:
+                heard[job.gateway] = is_heard(job.gateway)
+            if not heard[job.gateway]:
                 self._term.note("gateway_silent", {"gateway": job.gateway, "job": job.record.id})
                 self._lives.dispute(job)
                 self._give_up(job, now)
--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -92,13 +92,19 @@
         self, queue: Queue, spec: JobSpec, waited: timedelta, now: timedelta
     ) -> Rejection | None:
         """Return why a job is not taken at the moment that has waited elsewhere, or None."""
-        room = self._lives.measure_room(now)
-        if room <= 0.0 or spec.is_timed or spec.long_running:
+        if spec.is_timed or spec.long_running:
             return None
         objective = self._jobs.forecast.find_objective(queue, spec.steps)
         chain = self._jobs.forecast.find_chain(queue.key, spec.steps, 0)
         latest_start = now - waited + find_longest_wait(queue, objective, chain)
-        wait = estimate_wait(self._jobs.backlog.measure_on_time(latest_start), room)
+        work_ms = self._jobs.backlog.measure_on_time(latest_start)
+        if not work_ms and waited <= objective * LATE_FACTOR:
+            # Nothing goes before it, whatever room there is.
+            return None
+        room = self._lives.measure_room(now)
+        if room <= 0.0:
+            return None
+        wait = estimate_wait(work_ms, room)
         if waited + wait <= objective * LATE_FACTOR:
             return None
         return Rejection(reason="the work before it takes too long", retry_after=wait)
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -82,16 +82,15 @@
         touched, self._touched = self._touched, {}
         return list(touched.values())
 
-    def list_unseen(self, *, of_deputies: bool) -> list[Life]:
-        """Return the lives that may run something of another leader that nobody here knows of.
+    def is_any_unseen(self, *, of_deputies: bool) -> bool:
+        """Whether any life may run something of another leader that nobody here knows of.
 
-        With `of_deputies` also those where only a deputy can have begun something.
+        With `of_deputies` also one where only a deputy can have begun something.
         """
-        return [
-            life
+        return any(
+            not (life.is_fenced or life.is_over) and (of_deputies or not life.is_cordoned)
             for life in self.by_id.values()
-            if not (life.is_fenced or life.is_over) and (of_deputies or not life.is_cordoned)
-        ]
+        )
 
     def get_health(self, life: Life) -> Health:
         """Return how the runs at a life have gone."""
--- a/cottonlug/core/cluster/settlement.py
+++ b/cottonlug/core/cluster/settlement.py
@@ -29,7 +29,7 @@
 
     def is_unsure(self, *, of_deputies: bool) -> bool:
         """Whether a run of another leader, or of a deputy as well, may be at work out of sight."""
-        return bool(self._lives.list_unseen(of_deputies=of_deputies))
+        return self._lives.is_any_unseen(of_deputies=of_deputies)
 
     def note_unsure(self) -> None:
         """Look again whether tasks are unknown."""
