--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -49,25 +49,26 @@
         backlog.demote(now)
         if self._rooms.refresh_if_due(now):
             self._offer(None, now)
-        else:
-            most = max((life.free_cpu for life in changed or ()), default=0)
-            if backlog.has_new or most >= self._least_needed:
-                self._offer(most, now)
+        elif backlog.has_new or _find_most(changed) >= self._least_needed:
+            self._offer(changed, now)
         self._shed(now)
 
-    def _offer(self, most_changed: int | None, now: timedelta) -> None:
-        """Offer room to all batches, but not those again that need more than any that changed."""
+    def _offer(self, changed: list[Life] | None, now: timedelta) -> None:
+        """Offer room to all batches, but not those again that need more than any life that changed.
+
+        `changed` is None where any life may have changed.
+        """
         backlog = self._jobs.backlog
+        most = NOTHING_WAITS if changed is None else _find_most(changed)
         least = NOTHING_WAITS
         for batch in backlog:
             cpu = batch.needs.cpu_millis
-            is_new = most_changed is None or not batch.was_offered
-            batch.was_offered = True
-            if is_new or cpu <= (most_changed or 0):
+            if cpu <= most or not batch.was_offered:
+                batch.was_offered = True
                 service = self._find_service(batch.job)
-                if cpu <= self._rooms.find_most(service):
-                    self._fill_batch(batch, service, now)
-            if batch.waiting and cpu < least:
+                if cpu <= self._rooms.find_most(service) and self._fill_batch(batch, service, now):
+                    most = most if changed is None else _find_most(changed)
+            if cpu < least and batch.waiting:
                 least = cpu
         self._least_needed = least
         backlog.has_new = False
@@ -115,13 +116,17 @@
         queue = queues.get(job.queue.key) if queues is not None else None
         return (queue or job.queue).service
 
-    def _fill_batch(self, batch: Batch, service: ServiceName, now: timedelta) -> None:
+    def _fill_batch(self, batch: Batch, service: ServiceName, now: timedelta) -> bool:
+        """Start tasks of a batch as long as any fits; return whether any did."""
+        has_started = False
         while batch.waiting:
             lives = self._rooms.iterate_from(service, batch.needs.cpu_millis, now)
             life = choose_life(batch, lives, is_in_order=True)
             if life is None:
-                return
+                break
+            has_started = True
             self._start(batch, batch.waiting.pop(), life, now)
+        return has_started
 
     def _start(self, batch: Batch, index: int, life: Life, now: timedelta) -> None:
         ref = TaskRef(batch.job.id, batch.occurrence, batch.number, index)
@@ -166,3 +171,8 @@
             patience=life.patience.find_limit(),
         )
         self._term.orders.append(order)
+
+
+def _find_most(lives: list[Life] | None) -> int:
+    """Return the most room that any of some lives has, in core-thousandths."""
+    return max((life.free_cpu for life in lives or ()), default=0)
