--- a/cottonlug/commands/control.py
+++ b/cottonlug/commands/control.py
@@ -54,7 +54,9 @@
     control = listen(
         build_control_handler(host.answer), settings.listen.control, CONTROL_BODY_BYTES
     )
-    peers = listen(host.handle_peer, settings.listen.peers, PEER_BODY_BYTES)
+    peers = listen(
+        host.handle_peer, settings.listen.peers, PEER_BODY_BYTES, host.answer_greeting_at_once
+    )
     metrics = listen_metrics(build_control_metrics(host, output), settings.listen.metrics)
     error = await host.start() or await start_all([peers, control, *metrics])
     if error is not None:
--- a/cottonlug/commands/daemons.py
+++ b/cottonlug/commands/daemons.py
@@ -10,7 +10,7 @@
 
 from ..config.cluster import ControlSettings, GatewaySettings
 from ..config.options import Address
-from ..net.asgi import Handler, build_asgi
+from ..net.asgi import AtOnce, Handler, build_asgi
 from ..net.servers import Listener
 from ..runtime.cluster_metrics import build_metrics_handler
 from ..runtime.events import Event, log_event, set_up_output
@@ -39,9 +39,11 @@
     return output
 
 
-def listen(handler: Handler, address: Address, max_body_bytes: int) -> Listener:
+def listen(
+    handler: Handler, address: Address, max_body_bytes: int, at_once: AtOnce | None = None
+) -> Listener:
     """Return a listener whose requests one handler answers."""
-    app: Any = build_asgi(handler, lambda: max_body_bytes)
+    app: Any = build_asgi(handler, lambda: max_body_bytes, at_once)
     return Listener(app=app, address=address)
 
 
--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -46,6 +46,8 @@
             is_disputed=record is None and self._term.may_be_decided_elsewhere(report.run),
         )
         life.add_run(run)
+        if run.is_orphan:
+            self._lives.may_have_orphans = True
         # An earlier leader may have renewed its lease until the term began.
         life.lapse_at = max(life.lapse_at, now + self._term.lease.lapse_after)
         if job is not None:
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -186,9 +186,9 @@
             job.settle_at = now + submission.settle_after
             self._settlement.note_unsure()
         self._ends.claim(record, now)
+        if not self._lives.may_have_orphans and record.id not in self._jobs.left_behind:
+            return
         for life in self._lives.by_id.values():
-            if not life.has_orphans and record.id not in self._jobs.left_behind:
-                continue
             for run in [each for each in life.runs.values() if each.task.job == record.id]:
                 self._adopter.adopt_orphan(job, life, run)
                 self._lives.touch(life)
@@ -383,6 +383,7 @@
         self._sweep_due = now + SWEEP_EVERY
         self._watcher.cordon(now)
         self._watcher.forget_silent(now)
+        self._lives.look_for_orphans()
         self._jobs.forget_ended(now)
         self._ends.forget_orphans(now)
 
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -12,6 +12,8 @@
 from .open_job import OpenJob
 from .term import Term
 
+ROOM_KEPT = timedelta(milliseconds=20)
+"""How long a measure of all room is used again: it changes as upstreams come and go."""
 ORPHAN_GRACE = timedelta(milliseconds=800)
 """How long a new leader lets runs of unknown jobs go on: gateways submit their jobs again, within
 0.1 s as a rule; the runs that are left are of callers that have gone."""
@@ -26,6 +28,9 @@
         """Lives of earlier terms that have not answered in this one."""
         self._touched: dict[UpstreamId, Life] = {}
         self._added = 0
+        self.may_have_orphans = False
+        """Whether runs may be at work anywhere whose jobs are not known."""
+        self._room: tuple[timedelta, float] | None = None
         self._term = term
         self._by_address: dict[str, UpstreamId] = {}
         self._health: dict[UpstreamId, Health] = {}
@@ -92,6 +97,11 @@
             for life in self.by_id.values()
         )
 
+    def look_for_orphans(self) -> None:
+        """Learn whether the last run of an unknown job has gone."""
+        if self.may_have_orphans:
+            self.may_have_orphans = any(life.has_orphans for life in self.by_id.values())
+
     def get_health(self, life: Life) -> Health:
         """Return how the runs at a life have gone."""
         return self._health.setdefault(life.info.id, Health())
@@ -125,13 +135,17 @@
 
     def measure_room(self, now: timedelta) -> float:
         """Return the cores to reckon with; at the beginning of a term, also those not seen yet."""
+        if self._room is not None and now < self._room[0]:
+            return self._room[1]
         is_new = self.is_grace(now)
-        return measure_room(
+        room = measure_room(
             life
             for life in self.by_id.values()
             if life.takes_work(now)
             or (is_new and not (life.is_fenced or life.draining or life.is_over or life.is_foreign))
         )
+        self._room = (now + ROOM_KEPT, room)
+        return room
 
     def dispute(self, job: OpenJob) -> None:
         """Let the runs of a job end with their leases, even where their stops do not arrive.
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -39,6 +39,8 @@
         """Jobs that were closed while runs of them were still at work."""
         self.given_up: set[JobId] = set()
         """Jobs that were given up although something of them may have run."""
+        self._kept: set[JobId] = set()
+        """Open jobs that must be kept."""
         self._timed: dict[JobId, OpenJob] = {}
         """Timed jobs with occurrences that are not due yet."""
         self._term = term
@@ -62,6 +64,8 @@
         objective = self.forecast.find_objective(record.queue, record.spec.steps)
         job = OpenJob(record=record, opened_at=now - age, objective=objective)
         self.jobs[record.id] = job
+        if not record.spec.best_effort:
+            self._kept.add(record.id)
         self._term.note(
             "job_taken",
             {
@@ -209,6 +213,7 @@
         if job is None or job.record.is_open:
             return
         del self.jobs[id]
+        self._kept.discard(id)
         self._timed.pop(id, None)
         if job.record.spec.best_effort and job.record.state is not JobState.CANCELLED:
             # A job that was given up may be submitted again, and then runs again.
@@ -298,7 +303,7 @@
 
     def keeps_any(self) -> bool:
         """Whether a job is open that must be kept."""
-        return any(not job.record.spec.best_effort for job in self.jobs.values())
+        return bool(self._kept)
 
     def count_jobs(self) -> int:
         """Return how many jobs are open."""
--- a/cottonlug/net/asgi.py
+++ b/cottonlug/net/asgi.py
@@ -42,11 +42,19 @@
 
 
 Handler = Callable[[HttpRequest], Coroutine[Any, Any, HttpResponse]]
+AtOnce = Callable[[HttpRequest], HttpResponse | None]
+"""Answers a request without waiting for anything, or returns None."""
 AsgiApp = Callable[[Any, "Receive", "Send"], Awaitable[None]]
 
 
-def build_asgi(handle: Handler, max_body_bytes: Callable[[], int]) -> AsgiApp:
-    """Return an ASGI application round a handler, with bounded bodies."""
+def build_asgi(
+    handle: Handler, max_body_bytes: Callable[[], int], at_once: AtOnce | None = None
+) -> AsgiApp:
+    """Return an ASGI application round a handler, with bounded bodies.
+
+    What `at_once` answers is not handed to the handler, whose task takes two more turns of the
+    loop: on a host with much to do these are long.
+    """
 
     async def app(scope: Any, receive: Receive, send: Send) -> None:
         try:
@@ -62,7 +70,9 @@
             request = HttpRequest(
                 method=scope["method"], path=scope["path"], headers=headers, body=body
             )
-            answer = await _handle_while_connected(handle(request), receive)
+            answer = at_once(request) if at_once is not None else None
+            if answer is None:
+                answer = await _handle_while_connected(handle(request), receive)
             if answer is None:
                 return
             response = answer
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -29,7 +29,7 @@
 from .leading import Leading, LeadingSettings
 from .membership import JOIN_PATH, JoinRequest
 from .messenger import MESSAGES_PATH
-from .peer_calls import CALL_PATH, GREETING_PASSED, PASS_ON_TIMEOUT
+from .peer_calls import CALL_PATH, GREETING_PASSED, PASS_ON_TIMEOUT, decode_greeting
 from .ports import UpstreamPort
 from .replica import HELLO_PATH, Replica, ReplicaSettings
 from .replicated import ReplicatedRecords
@@ -118,6 +118,18 @@
             return answer if answer.hosts else self._add_hosts(answer)
         return await self._pass_on(leader, call, PASS_ON_TIMEOUT)
 
+    def answer_greeting_at_once(self, request: HttpRequest) -> HttpResponse | None:
+        """Answer a gateway's greeting where this host leads; None for all else.
+
+        A gateway takes its jobs elsewhere after two greetings without an answer within 0.1 s.
+        """
+        if self.leading is None or not self.replica.has_lease():
+            return None
+        greeting = decode_greeting(request)
+        if greeting is None:
+            return None
+        return _reply(self._add_hosts(self.leading.answer_greeting(greeting)))
+
     async def handle_peer(self, request: HttpRequest) -> HttpResponse:
         """Answer a request of another host of the cluster."""
         try:
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -29,7 +29,13 @@
 from .decider import DeciderLink, Via
 from .deputy import Deputy
 from .events import Event, log_event
-from .peer_calls import CALL_PATH, GREETING_PASSED, PASS_ON_TIMEOUT, PeerCalls
+from .peer_calls import (
+    CALL_PATH,
+    GREETING_PASSED,
+    PASS_ON_TIMEOUT,
+    PeerCalls,
+    decode_greeting,
+)
 from .ports import OnFailure, UpstreamPort
 
 RETRY_SECONDS = 0.05
@@ -240,6 +246,16 @@
 
     # Calls of other gateways
 
+    def answer_greeting_at_once(self, request: HttpRequest) -> HttpResponse | None:
+        """Answer another gateway's greeting where this one stands in; None for all else."""
+        deputy = self.deputy
+        greeting = decode_greeting(request) if deputy is not None else None
+        if deputy is None or greeting is None:
+            return None
+        answer = deputy.leading.answer_greeting(greeting)
+        answer = msgspec.structs.replace(answer, is_deputy=True, domain=deputy.domain)
+        return HttpResponse(status=200, body=msgspec.json.encode(answer))
+
     async def handle_peer(self, request: HttpRequest) -> HttpResponse:
         """Answer a request of another gateway, as its deputy or by passing it on to the leader."""
         if request.path != CALL_PATH:
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -183,7 +183,7 @@
         if isinstance(call, AskState):
             return await self._jobs.answer_state(call)
         if isinstance(call, Greet):
-            return self._answer_greeting(call)
+            return self.answer_greeting(call)
         if isinstance(call, Submit):
             return await self._jobs.answer_submit(call)
         if isinstance(call, Abandon):
@@ -200,7 +200,7 @@
             return self._answer_configuration()
         return Answer(outcome=Outcome.DONE)
 
-    def _answer_greeting(self, call: Greet) -> Answer:
+    def answer_greeting(self, call: Greet) -> Answer:
         """Tell a gateway what it needs to know, and count on it for its jobs."""
         self.gateways.take_greeting(call)
         if not self._settings.keeps_log:
--- a/cottonlug/runtime/peer_calls.py
+++ b/cottonlug/runtime/peer_calls.py
@@ -10,7 +10,8 @@
 from returns.result import Result
 
 from ..config.options import Address
-from ..core.cluster.calls import Answer, Call, Outcome, answer_decoder
+from ..core.cluster.calls import Answer, Call, Greet, Outcome, answer_decoder, call_decoder
+from ..net.asgi import HttpRequest
 from ..net.connections import ConnectionPools, parse_address
 from ..net.transport import HttpReply, TransportError
 
@@ -20,6 +21,22 @@
 """How long a host that passes a greeting on waits: its own answer must not come too late."""
 
 
+def decode_greeting(request: HttpRequest) -> Greet | None:
+    """Return the greeting that a request is, or None; other calls are not decoded."""
+    if request.path != CALL_PATH or _GREETING_MARK not in request.body[:_MARK_END]:
+        return None
+    try:
+        call = call_decoder.decode(request.body)
+    except msgspec.MsgspecError:
+        return None
+    return call if isinstance(call, Greet) else None
+
+
+_GREETING_MARK = b'"greet"'
+"""The tag of a greeting, which stands first in what is sent."""
+_MARK_END = 24
+
+
 class PeerCalls:
     """Calls under way, by the host that is to answer them."""
 
