Greetings have connections of their own

A gateway whose jobs held all 32 connections to a host could not greet it any more, was taken for silent, and had its jobs given up.

--- a/cottonlug/runtime/peer_calls.py
+++ b/cottonlug/runtime/peer_calls.py
@@ -1,4 +1,9 @@
-"""Calls to other hosts of the cluster; those to a host that is given up as lost end at once."""
+"""Calls to other hosts of the cluster; those to a host that is given up as lost end at once.
+
+Jobs that need not be kept hold their calls until they have ended. All other calls are short and
+have connections of their own: a greeting that had to open one, behind those of all jobs that come
+at once, was not answered in time.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +15,7 @@
 from returns.result import Result
 
 from ..config.options import Address
-from ..core.cluster.calls import Answer, Call, Greet, Outcome, answer_decoder, call_decoder
+from ..core.cluster.calls import Answer, Call, Greet, Outcome, Submit, answer_decoder, call_decoder
 from ..net.asgi import HttpRequest
 from ..net.connections import ConnectionPools, parse_address
 from ..net.transport import HttpReply, TransportError
@@ -19,6 +24,10 @@
 PASS_ON_TIMEOUT = timedelta(seconds=3)
 GREETING_PASSED = timedelta(milliseconds=60)
 """How long a host that passes a greeting on waits: its own answer must not come too late."""
+HELD_CALLS = 32
+"""Calls that last, at one host: as many connections of each gateway must fit a leader's files."""
+SHORT_CALLS = 8
+"""Calls that do not: a greeting at a time, and the odd question or cancel."""
 
 
 def decode_greeting(request: HttpRequest) -> Greet | None:
@@ -41,7 +50,8 @@
     """Calls under way, by the host that is to answer them."""
 
     def __init__(self) -> None:
-        self._pools = ConnectionPools()
+        self._pools = ConnectionPools(max_connections=SHORT_CALLS)
+        self._held_pools = ConnectionPools(max_connections=HELD_CALLS)
         self._lost: dict[str, asyncio.Event] = {}
         """For each host, set when calls that it has not answered are to be sent elsewhere."""
 
@@ -71,6 +81,7 @@
     def close(self) -> None:
         """Close all connections."""
         self._pools.close()
+        self._held_pools.close()
 
     async def _send(
         self, host: str, address: Address, call: Call, timeout: timedelta
@@ -78,7 +89,8 @@
         """Send a call; None where the host was lost before it answered."""
         lost = self._lost.setdefault(host, asyncio.Event())
         body = msgspec.json.encode(call)
-        pool = self._pools.get(address)
+        is_held = isinstance(call, Submit) and call.spec.best_effort
+        pool = (self._held_pools if is_held else self._pools).get(address)
         sending = asyncio.create_task(pool.call("POST", CALL_PATH, body, timeout=timeout))
         losing = asyncio.create_task(lost.wait())
         try:
