Renew no lease beside runs that are given up or that nobody claims; match ends by upstream; keep what a deputy may use

Cause: a job that its caller sends again is begun at once, since its first try is taken to be over by then. But what ends it were messages and flags that can be late, lost or forgotten at a change of leader: - numbers of runs are counted in the open job, so that a job which was given up and sent again has its runs numbered from the first again: an end of the first try, listed late, was taken for that of the second, which then began a third time. One leader and an upstream out of sight for a while are enough. - a new leader renewed leases for runs that nobody claimed, for 0.8 s and for as long as stops were late. - runs of a job given up for another reason than a silent gateway were not disputed. - what was given up was forgotten as a whole every 10 s, however young; an upstream not heard for 10 s was dropped from the log, though a deputy beyond a cut may go on to use it. Change: every run whose job is not open here is disputed (nothing is renewed or started beside it); those of an earlier leader are borne for 0.3 s, within which gateways submit their jobs again; ends and lapses are matched by upstream, too; jobs left behind go by age; upstreams not heard are cordoned, and forgotten after an hour.

--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -43,7 +43,8 @@
             seen_at=now,
             advanced_at=now,
             is_orphan=record is None,
-            is_disputed=record is None and self._term.may_be_decided_elsewhere(report.run),
+            # Whoever has its job now, or gets it from its caller, counts on its lease to end.
+            is_disputed=record is None,
         )
         life.add_run(run)
         if run.is_orphan:
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -224,7 +224,6 @@
                 heard[job.gateway] = is_heard(job.gateway)
             if not heard[job.gateway]:
                 self._term.note("gateway_silent", {"gateway": job.gateway, "job": job.record.id})
-                self._lives.dispute(job)
                 self._give_up(job, now)
 
     def take_applied(self, command: Command, now: timedelta) -> None:
@@ -294,7 +293,7 @@
         is_full = outcome is StartOutcome.NO_ROOM
         life.avoid_until = now + (AVOID_WITHOUT_ROOM if is_full else AVOID_AFTER_REFUSAL)
         life.remove_run((order.task, order.run))
-        self._jobs.requeue(order.task, order.run, now)
+        self._jobs.requeue(order.task, order.run, life.info.id)
 
     def take_stop_answer(
         self, order: StopOrder, failure: CallFailure | None, now: timedelta
@@ -412,4 +411,4 @@
                 run.stop_wanted = True
             if run.stopped_at is not None and run.stopped_at <= sent_at:
                 life.remove_run(key)
-                self._jobs.requeue(run.task, run.run, now)
+                self._jobs.requeue(run.task, run.run, life.info.id)
--- a/cottonlug/core/cluster/ends.py
+++ b/cottonlug/core/cluster/ends.py
@@ -44,7 +44,7 @@
             run = life.remove_run((end.task, end.run))
             if run is not None:
                 self._judge(life, run, end, now)
-            self._jobs.mark_noting(end)
+            self._jobs.mark_noting(end, life.info.id)
             if end.task.job in self._term.records.jobs:
                 kept.append(end)
             else:
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -8,8 +8,7 @@
 from .admission import measure_room
 from .guards import MOST_SET_ASIDE, Health
 from .lives import Life
-from .model import RunNumber, ServiceName, TaskRef, UpstreamInfo
-from .open_job import OpenJob
+from .model import JobId, RunNumber, ServiceName, TaskRef, UpstreamInfo
 from .term import Term
 
 ROOM_KEPT = timedelta(milliseconds=20)
@@ -147,16 +146,15 @@
         self._room = (now + ROOM_KEPT, room)
         return room
 
-    def dispute(self, job: OpenJob) -> None:
+    def dispute(self, job: JobId) -> None:
         """Let the runs of a job end with their leases, even where their stops do not arrive.
 
         Whoever decides about it next waits for these leases only; that of an upstream holds for all
         that runs there, so that other runs would keep it alive.
         """
-        for ref, task in job.tasks.items():
-            life = self.by_id.get(task.life) if task.life is not None else None
-            if life is not None:
-                life.dispute((ref, task.run))
+        for life in self.by_id.values():
+            for key in [each for each in life.runs if each[0].job == job]:
+                life.dispute(key)
 
     def want_stop(self, upstream: UpstreamId, ref: TaskRef, run: RunNumber) -> None:
         """Have a run stopped as soon as it can be."""
--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -38,6 +38,13 @@
     is_unknown: bool = False
     """Whether another run of it, of an earlier leader, may be at work somewhere."""
 
+    def runs_as(self, run: RunNumber, upstream: UpstreamId) -> bool:
+        """Whether this is its present run.
+
+        A job that was given up and is submitted again has its runs numbered from the first again.
+        """
+        return self.phase is TaskPhase.RUNNING and (self.run, self.life) == (run, upstream)
+
 
 @dataclass(slots=True, kw_only=True)
 class OpenJob:
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from ..clock import to_milliseconds
+from ..ids import UpstreamId
 from .admission import Rejection
 from .backlog import Backlog, Batch
 from .forecast import LATE_FACTOR, Forecast
@@ -35,8 +36,8 @@
         self.ended: dict[JobId, tuple[JobState, timedelta]] = {}
         self.rejections: dict[JobId, Rejection] = {}
         """Why jobs were given up that had not begun."""
-        self.left_behind: set[JobId] = set()
-        """Jobs that were closed while runs of them were still at work."""
+        self.left_behind: dict[JobId, timedelta] = {}
+        """Jobs that were closed while runs of them were still at work, and when."""
         self.given_up: set[JobId] = set()
         """Jobs that were given up although something of them may have run."""
         self._kept: set[JobId] = set()
@@ -167,11 +168,11 @@
             batch.has_begun = True
         self.backlog.add(batch)
 
-    def requeue(self, ref: TaskRef, run: RunNumber, now: timedelta) -> None:
-        """Queue a task again whose run is surely over without an end."""
+    def requeue(self, ref: TaskRef, run: RunNumber, upstream: UpstreamId) -> None:
+        """Queue a task again whose run there is surely over without an end."""
         job = self.jobs.get(ref.job)
         task = job.tasks.get(ref) if job is not None else None
-        if job is None or task is None or task.phase is not TaskPhase.RUNNING or task.run != run:
+        if job is None or task is None or not task.runs_as(run, upstream):
             return
         self.queue(job, ref.occurrence, ref.step, [ref.place])
 
@@ -183,13 +184,13 @@
                 batch.waiting.remove(ref.place)
         self.backlog.drop_empty()
 
-    def mark_noting(self, end: EndReport) -> None:
-        """Hold a task whose run has ended until note is taken of it."""
+    def mark_noting(self, end: EndReport, upstream: UpstreamId) -> None:
+        """Hold a task whose run has ended there until note is taken of it."""
         job = self.jobs.get(end.task.job)
         task = job.tasks.get(end.task) if job is not None else None
         if task is None:
             return
-        is_current = task.phase is TaskPhase.RUNNING and task.run == end.run
+        is_current = task.runs_as(end.run, upstream)
         # A run that was given up with its lease may have ended well before that.
         is_done_after_all = task.phase is TaskPhase.QUEUED and end.how is EndKind.DONE
         if is_done_after_all:
@@ -222,7 +223,10 @@
         for ref, task in job.tasks.items():
             if task.phase is TaskPhase.RUNNING and task.life is not None:
                 self._lives.want_stop(task.life, ref, task.run)
-                self.left_behind.add(id)
+                self.left_behind[id] = now
+        if job.record.spec.best_effort and job.record.state is not JobState.COMPLETED:
+            # Its caller may send it again, to another host that decides.
+            self._lives.dispute(id)
         took_ms = to_milliseconds(now - job.opened_at)
         objective_ms = to_milliseconds(job.objective)
         if job.record.state is not JobState.COMPLETED:
@@ -266,7 +270,7 @@
         self.ended = {id: end for id, end in self.ended.items() if end[1] >= limit}
         self.rejections.clear()
         self.given_up.clear()
-        self.left_behind.clear()
+        self.left_behind = {id: at for id, at in self.left_behind.items() if at >= limit}
 
     def find_ended(self, id: JobId) -> JobState | None:
         """Return how a job that need not be kept ended a short while ago."""
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -22,13 +22,17 @@
 """Shorter parked looks would cost more calls than what they learn is worth."""
 LOOK_RETRY = timedelta(milliseconds=100)
 MOST_RETRY_STEPS = 10
+ORPHAN_BORNE = timedelta(milliseconds=300)
+"""How long a run of an earlier leader is borne, whose upstream can take no work meanwhile; gateways
+submit their jobs again within that time as a rule. Its lease is not renewed."""
 DISPUTED_GRACE = timedelta(milliseconds=100)
-"""How long a run is borne whose upstream can take no work meanwhile; gateways submit their jobs
-again within that time as a rule."""
+"""The same for a run that a deputy, or a leader beside a deputy, may still decide about."""
 LOOKS_BEFORE_CORDON = 2
 """An upstream that has just joined may miss one."""
 SILENT_AFTER = timedelta(seconds=10)
-"""Without heartbeats for that long, and with nothing running, a life is forgotten."""
+"""Without heartbeats for that long, and with nothing running, a life is looked at no more."""
+FORGOTTEN_AFTER = timedelta(hours=1)
+"""A deputy may have used it until then, beyond a cut."""
 MOST_MOVES = 2
 """How often a task is moved: one that stands still everywhere is not moved for ever."""
 
@@ -55,6 +59,8 @@
             return
         if life.look_is_out or now < life.look_due or life.proposed > life.noted:
             return
+        if life.is_cordoned and _is_silent(life, now, SILENT_AFTER):
+            return
         has_news = life.noted > life.confirmed
         if life.is_fenced and not life.runs and not has_news:
             return
@@ -159,9 +165,8 @@
 
     def _is_borne(self, run: Run, now: timedelta) -> bool:
         """Whether the job of a run may still be submitted again."""
-        if run.is_disputed:
-            return now < run.since + DISPUTED_GRACE
-        return self._lives.is_grace(now)
+        is_elsewhere = self._term.may_be_decided_elsewhere(run.run)
+        return now < run.since + (DISPUTED_GRACE if is_elsewhere else ORPHAN_BORNE)
 
     def judge_runs(self, life: Life, now: timedelta) -> None:
         """Stop runs that stand still or are far too slow, so that they start elsewhere.
@@ -210,13 +215,13 @@
         # A run cannot outlive the lease, whatever the last looks said.
         self._term.note("lease_lapsed", {"upstream": life.info.id, "runs": len(life.runs)})
         life.is_fenced = False
-        self._give_up_runs(life, now)
+        self._give_up_runs(life)
 
-    def _give_up_runs(self, life: Life, now: timedelta) -> None:
+    def _give_up_runs(self, life: Life) -> None:
         for key, run in list(life.runs.items()):
             self._term.counts.lapsed_runs += 1
             life.remove_run(key)
-            self._jobs.requeue(run.task, run.run, now)
+            self._jobs.requeue(run.task, run.run, life.info.id)
 
     def end_life(self, life: Life, now: timedelta) -> None:
         """A later life holds the address: nothing of this one can run any more."""
@@ -225,7 +230,7 @@
         life.is_over = True
         self._lives.unseen.discard(life.info.id)
         self._term.note("upstream_gone", {"upstream": life.info.id, "runs": len(life.runs)})
-        self._give_up_runs(life, now)
+        self._give_up_runs(life)
         self._term.proposals.append(RemoveUpstreams(upstreams=(life.info.id,)))
 
     def cordon(self, now: timedelta) -> None:
@@ -271,10 +276,23 @@
 
     def forget_silent(self, now: timedelta) -> None:
         """Forget lives that have been silent, with nothing running."""
+        if not self._term.keeps_log:
+            # Deputies get no heartbeats.
+            return
         for life in self._lives.by_id.values():
-            heard_at = max(life.heard_at or timedelta(), life.contact_at or timedelta())
-            if life.is_over or life.runs or now - heard_at < SILENT_AFTER:
+            if life.is_over or life.runs or not _is_silent(life, now, SILENT_AFTER):
+                continue
+            if not life.is_cordoned:
+                # A deputy may use it: it stays in the record.
+                life.is_cordoned, life.is_fenced = True, False
+                self._term.proposals.append(CordonUpstreams(upstreams=(life.info.id,)))
+            if not _is_silent(life, now, FORGOTTEN_AFTER):
                 continue
             life.is_over = True
             self._term.note("upstream_silent", {"upstream": life.info.id})
             self._term.proposals.append(RemoveUpstreams(upstreams=(life.info.id,)))
+
+
+def _is_silent(life: Life, now: timedelta, span: timedelta) -> bool:
+    heard_at = max(life.heard_at or timedelta(), life.contact_at or timedelta())
+    return now - heard_at >= span
