--- a/cottonlug/tests/test_cluster_orphans.py
+++ b/cottonlug/tests/test_cluster_orphans.py
@@ -14,6 +14,8 @@
 from ..core.cluster.open_jobs import KEEP_ENDED
 from ..core.cluster.orders import StopOrder
 from ..core.cluster.records import Records
+from ..core.cluster.term import TOKENS_PER_TERM
+from ..core.cluster.watcher import SILENT_AFTER
 from ..core.ids import UpstreamId
 from ..runtime.gateways import GATEWAY_SILENT
 from .gateway_builders import JOB
@@ -145,3 +147,70 @@
     leader.dispatch.abandon(JobId(JOB), "", world.now)
     world.run_until(world.now + TERMS.lapse_after + GATEWAY_SILENT)
     assert not any(ref.job == JOB for ref in world.running)
+
+
+def test_runs_left_behind_are_known_however_shortly_before_old_jobs_are_forgotten() -> None:
+    """Two runs, begun by one leader, 50 ms after it had given the job up.
+
+    The leader has not heard the job's gateway for a while and gives the job up; the gateway sends
+    it again 50 ms later. The stops have not arrived yet. In between, what is known of jobs given up
+    was dropped, as it is every 10 s however young it is: the runs were not adopted.
+
+    Cause: `OpenJobs.forget_ended` clears `left_behind` as a whole. Proof: passes 20 ms earlier.
+    """
+    leader, where = start_runs(6, tasks=2)
+    world = leader.world
+    leader.cut_off = {where}
+    leader.dispatch.abandon(JobId(JOB), "", world.now)
+    world.run_until(KEEP_ENDED + milliseconds(40))
+    spec = build_spec(tasks=2, run_ms=2_600)
+    leader.submit(JOB, spec, build_queue(), may_have_begun=True)
+    world.run_until(world.now + milliseconds(100))
+    assert world.starts == 2
+
+
+def test_a_job_of_a_deputy_waits_for_an_upstream_that_the_leader_has_forgotten() -> None:
+    """Two runs, at once after a cut of over 10 s has healed.
+
+    The leader forgets upstreams that it has not heard for 10 s and where nothing of its own runs.
+    A deputy in the cut-off domain goes on to use them. When the cut heals, its gateways send their
+    jobs on to the leader, which sees all upstreams that it knows, and begins them at once, up to a
+    heartbeat before it hears of the upstream where they run.
+
+    Cause: an upstream that the log does not hold is not waited for. Proof: the record of that
+    upstream is gone, and the job waits with it.
+    """
+    world, upstreams = build_world(13)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda job: milliseconds(2_600)
+    first = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    far = UpstreamId("u1")
+    near = set(upstreams) - {far}
+    roster = Records()
+    roster.restore(first.records.encode())
+    first.cut_off = {far}
+    for step in range(110):
+        world.run_until(milliseconds(200 + step * 100))
+        beat_all(first, near)
+    assert world.now > SILENT_AFTER
+    deputy = Leader(
+        world=world,
+        upstreams=upstreams,
+        records=roster,
+        token=TOKENS_PER_TERM + 1,
+        cut_off=near,
+        is_deputy=True,
+    )
+    world.run_until(world.now + milliseconds(50))
+    deputy.submit(JOB, SPEC, build_queue(), settle_after=timedelta())
+    world.run_until(world.now + milliseconds(50))
+    assert list(world.running.values()) == [far]
+    first.is_over = deputy.is_over = True
+    token = 2 * TOKENS_PER_TERM
+    second = Leader(world=world, upstreams=upstreams, records=first.records, token=token)
+    beat_all(second, near)
+    world.run_until(world.now + milliseconds(50))
+    second.submit(JOB, SPEC, build_queue(), may_have_begun=True, may_be_of_deputy=True)
+    world.run_until(world.now + milliseconds(100))
+    assert world.starts == 1
