--- a/cottonlug/tests/test_cluster_contact.py
+++ b/cottonlug/tests/test_cluster_contact.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from ..core.clock import ManualClock
-from ..core.cluster.calls import Answer, Call, Greet, Outcome, Submit
+from ..core.cluster.calls import Abandon, Answer, Call, Greet, Outcome, Submit
 from ..core.cluster.lives import choose_terms
 from ..core.cluster.model import JobId
 from ..core.cluster.records import UpstreamRecord
@@ -54,16 +54,22 @@
     gateway: Gateway
     leading: Leading
     is_cut: bool = False
+    holds_submissions: bool = False
+    answers_late: bool = False
     held: list[Call] = field(default_factory=list)
 
     async def ask(self, host: str, call: Call, timeout: timedelta) -> Answer:
         call = self.gateway.link.stamp(call)
         if host != LEADER:
             return Answer(outcome=Outcome.UNAVAILABLE, detail="cannot connect")
-        if self.is_cut:
+        if isinstance(call, Abandon):
+            return Answer(outcome=Outcome.UNKNOWN, detail="lost")
+        if self.is_cut or (self.holds_submissions and isinstance(call, Submit)):
             self.held.append(call)
             return Answer(outcome=Outcome.UNKNOWN, detail="no reply in time")
         answer = await self.leading.answer(call)
+        if self.answers_late:
+            return Answer(outcome=Outcome.UNKNOWN, detail="no reply in time")
         if isinstance(call, Greet):
             return msgspec.structs.replace(answer, leader=LEADER, hosts=(LEADER,))
         return answer
@@ -199,3 +205,105 @@
     assert gateways.take_contact("a", gateways.make_contact())
     clock.advance(GATEWAY_SILENT)
     assert gateways.may_be_silent()
+
+
+async def submit_by(gateway: Gateway, way: Way) -> asyncio.Task[Answer]:
+    """Have a caller's job under way at the leader."""
+    waiting = asyncio.create_task(gateway.call(submit(), PATIENCE))
+    await let_run()
+    assert way.leading.dispatch.jobs.is_open(JobId(JOB))
+    return waiting
+
+
+def test_greetings_tell_what_their_gateway_waits_for_no_more() -> None:
+    """The message that a caller has left can be lost; its job went on, and its caller came again.
+
+    Whoever decides counts on a gateway while it greets: so the greetings must tell.
+    """
+
+    async def script() -> None:
+        gateway, way, clock = prepare_way()
+        await greet_for_a_while(gateway, clock)
+        waiting = await submit_by(gateway, way)
+        waiting.cancel()
+        await let_run()
+        await gateway.link.greet_leader()
+        assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
+        gateway.stop()
+        way.leading.stop()
+
+    play(script())
+
+
+def test_a_submission_that_comes_after_its_end_was_told_begins_nothing() -> None:
+    async def script() -> None:
+        gateway, way, clock = prepare_way()
+        await greet_for_a_while(gateway, clock)
+        way.holds_submissions = True
+        waiting = asyncio.create_task(gateway.call(submit(), PATIENCE))
+        await let_run()
+        waiting.cancel()
+        await let_run()
+        await gateway.link.greet_leader()
+        answer = await asyncio.wait_for(way.leading.answer(way.held[0]), timeout=1)
+        assert answer.outcome is Outcome.UNKNOWN
+        assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
+        gateway.stop()
+        way.leading.stop()
+
+    play(script())
+
+
+def test_a_submission_vouches_for_its_own_job_only() -> None:
+    """It does not tell what its gateway waits for no more, as greetings do."""
+
+    async def script() -> None:
+        gateway, way, clock = prepare_way()
+        await greet_for_a_while(gateway, clock)
+        waiting = await submit_by(gateway, way)
+        clock.advance(GATEWAY_SILENT - BETWEEN_GREETINGS - milliseconds(10))
+        other = msgspec.structs.replace(submit_from(gateway), path=f"/q/{'f' * 16}")
+        also_waiting = asyncio.create_task(gateway._try(other, PATIENCE))
+        await let_run()
+        clock.advance(milliseconds(20))
+        leading = way.leading
+        leading.dispatch.abandon_silent(leading.gateways.is_heard, clock.monotonic())
+        assert not leading.dispatch.jobs.is_open(JobId(JOB))
+        assert leading.dispatch.jobs.is_open(JobId("f" * 16))
+        clock.advance(GATEWAY_SILENT)
+        assert leading.gateways.may_be_silent()
+        leading.dispatch.abandon_silent(leading.gateways.is_heard, clock.monotonic())
+        assert not leading.dispatch.jobs.count_jobs()
+        waiting.cancel()
+        also_waiting.cancel()
+        gateway.stop()
+        leading.stop()
+
+    play(script())
+
+
+def test_a_leader_has_given_up_what_its_gateway_left_by_the_time_its_caller_comes_again() -> None:
+    """Greetings that arrive, and are answered too late, kept jobs at a leader that was too slow."""
+
+    async def script() -> None:
+        gateway, way, clock = prepare_way()
+        await greet_for_a_while(gateway, clock)
+        waiting = await submit_by(gateway, way)
+        waiting.cancel()
+        await let_run()
+        way.answers_late = True
+        while gateway.decider is not None:
+            clock.advance(milliseconds(50))
+            await gateway.link.greet_leader()
+            await gateway.link.replace_leader()
+        left_at = clock.monotonic()
+        while clock.monotonic() < left_at + GATEWAY_SILENT:
+            clock.advance(milliseconds(50))
+            await gateway.link.greet_leader()
+            way.leading._decide()
+        way.leading._decide()
+        assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
+        gateway.stop()
+        way.leading.stop()
+
+    play(script())
