Greetings tell what their gateway waits for no more; a submission vouches for its own job only

Cause: a gateway is counted on while it greets, also for jobs whose callers have left or were answered 504; that those are over was told once, by a message that can be lost, late, or sent to another host by then. Their runs went on beside those of the callers' next tries. Change: submissions are numbered, and greetings list the numbers that were given up within the last second, so that nothing vouches for a job later than its gateway waited for it; a submission that comes after that is refused. A submission, which lists nothing, vouches for its own job. What a gateway had submitted before a silence is given up when it is heard again. Let t be when a gateway leaves a job: what it sent before vouches until t, so the last lease is granted before t + 0.3 s and has ended by t + 1.3 s, which is when the caller comes again (caller_retry) or whoever is next begins it (settle_after), whatever stops and leaders do.

--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -27,6 +27,14 @@
     """How long before it sent this the gateway had that answer."""
 
 
+class GivenUp(Value, frozen=True):
+    """A submission that its gateway waits for no more; its caller may send the job again."""
+
+    host: str
+    path: str
+    number: int
+
+
 class Submit(Value, frozen=True, tag="submit"):
     """Submit a job; `path` is that of the request, whose end after the prefix is the job's id.
 
@@ -42,6 +50,8 @@
     gateway: str = ""
     """Address of the gateway that waits for the answer; empty where that itself decides."""
     contact: Contact | None = None
+    number: int = 0
+    """Unlike for every submission of its gateway."""
     may_have_begun: bool = False
     """Whether an earlier try has an unknown outcome: it can no longer be rejected as not run."""
     deputy_term: int = 0
@@ -101,6 +111,8 @@
     domain: DomainName = DomainName("")
     roster: str = ""
     contact: Contact | None = None
+    given_up: tuple[GivenUp, ...] = ()
+    """What the gateway has given up lately: a greeting vouches for all else that it submitted."""
 
 
 NO_CONFIGURATION = "no configuration yet"
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -180,6 +180,7 @@
         self._jobs.open(record, phase, now, submission.waited)
         job = self._jobs.jobs[record.id]
         job.gateway = submission.gateway
+        job.vouched_until = submission.vouched_until
         job.may_be_of_deputy = submission.may_be_of_deputy
         job.has_begun = job.has_begun or submission.may_have_begun
         if is_unsure:
@@ -222,7 +223,7 @@
         for job in list(self._jobs.jobs.values()):
             if job.gateway not in heard:
                 heard[job.gateway] = is_heard(job.gateway)
-            if not heard[job.gateway]:
+            if not heard[job.gateway] and now >= job.vouched_until:
                 self._term.note("gateway_silent", {"gateway": job.gateway, "job": job.record.id})
                 self._give_up(job, now)
 
--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -58,6 +58,8 @@
     has_begun: bool = False
     gateway: str = ""
     """Address of the gateway that waits for its end, if one does."""
+    vouched_until: timedelta = timedelta()
+    """So long its gateway waits for it, as its submission says, heard or not."""
     may_be_of_deputy: bool = False
     """Whether a deputy may have begun it, of whose starts no leader knows."""
     settle_at: timedelta = timedelta()
@@ -93,6 +95,7 @@
 
     gateway: str
     may_have_begun: bool
+    vouched_until: timedelta = timedelta()
     may_be_of_deputy: bool = False
     """Whether that host may be one that stood in for a leader."""
     settle_after: timedelta
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from enum import Enum
@@ -16,7 +17,7 @@
 from ..config.cluster import GatewaySettings
 from ..config.options import Address
 from ..core.clock import Clock, to_milliseconds
-from ..core.cluster.calls import Answer, Call, Contact, Greet, Outcome, Roster, Submit
+from ..core.cluster.calls import Answer, Call, Contact, GivenUp, Greet, Outcome, Roster, Submit
 from ..core.cluster.queues import QueueIndex
 from ..core.cluster.rosters import choose_asked, find_own_domain, merge_roster
 from ..core.ids import DomainName
@@ -41,6 +42,10 @@
 """Two greetings unanswered; a change of leader is seen sooner by those who reach a control host."""
 CALLS_LOST_AFTER = GATEWAY_SILENT + timedelta(milliseconds=50)
 """After so long without a leader, calls that it has not answered are not waited for."""
+GIVEN_UP_TOLD = timedelta(seconds=1)
+"""For so long greetings tell it: whoever gets none of them for a third of that gives all up."""
+MOST_GIVEN_UP = 256
+"""In a second of a gateway: 20 KB of a greeting."""
 CORE_SILENT = timedelta(milliseconds=250)
 """A control host that has not answered for so long can take no part in an election."""
 LEVELS_PER_TURN = 1_000
@@ -95,6 +100,8 @@
         self._roster: Roster | None = None
         self._reached_at: timedelta | None = None
         self._led_at = clock.monotonic()
+        self._given_up: deque[tuple[timedelta, GivenUp]] = deque(maxlen=MOST_GIVEN_UP)
+        """What is waited for no more, and since when."""
         self._contact: Contact | None = None
         """What whoever decides gave with its last answer, and when that arrived."""
         self._contact_at = clock.monotonic()
@@ -207,12 +214,24 @@
         """Return a call of this gateway with its contact with whoever decides, as of now."""
         if not isinstance(call, Greet | Submit) or call.gateway != self.own:
             return call
+        if isinstance(call, Greet):
+            call = msgspec.structs.replace(call, given_up=self._list_given_up())
         if self._contact is None:
             return msgspec.structs.replace(call, contact=None)
         since = self._clock.monotonic() - self._contact_at
         contact = msgspec.structs.replace(self._contact, since_ms=to_milliseconds(since))
         return msgspec.structs.replace(call, contact=contact)
 
+    def note_given_up(self, given_up: GivenUp) -> None:
+        """Tell whoever is greeted in the next while that a submission is waited for no more."""
+        self._given_up.append((self._clock.monotonic(), given_up))
+
+    def _list_given_up(self) -> tuple[GivenUp, ...]:
+        oldest = self._clock.monotonic() - GIVEN_UP_TOLD
+        while self._given_up and self._given_up[0][0] < oldest:
+            self._given_up.popleft()
+        return tuple(given_up for _, given_up in self._given_up)
+
     def _keep_contact(self, answer: Answer) -> None:
         self._contact = answer.contact
         self._contact_at = self._clock.monotonic()
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -18,6 +18,7 @@
     Abandon,
     Answer,
     Call,
+    GivenUp,
     Greet,
     Outcome,
     Submit,
@@ -72,6 +73,8 @@
         self.held_to_end = 0
         """How many calls were answered only when their callers gave up waiting."""
         self._clock = clock
+        self._number = int(clock.now().timestamp() * 1000)
+        """Of the last submission; no earlier process at this address has used it."""
         self.calls = PeerCalls()
         self.link = DeciderLink(
             settings=settings,
@@ -142,8 +145,15 @@
         """Have a call carried out, and log what was not."""
         began_at = self._clock.monotonic()
         if isinstance(call, Submit):
-            call = msgspec.structs.replace(call, gateway=self.link.own)
-        answer = await self._call(call, patience)
+            self._number += 1
+            call = msgspec.structs.replace(call, gateway=self.link.own, number=self._number)
+        try:
+            answer = await self._call(call, patience)
+        except asyncio.CancelledError:
+            self._note_given_up(call)
+            raise
+        if answer.outcome in (Outcome.UNKNOWN, Outcome.GIVEN_UP):
+            self._note_given_up(call)
         if answer.outcome is Outcome.UNKNOWN and isinstance(call, Submit) and call.spec.best_effort:
             # Its caller hears no more of this try, so what runs of it is of no use.
             self.abandon(call)
@@ -159,6 +169,11 @@
             )
         return answer
 
+    def _note_given_up(self, call: Call) -> None:
+        """Have whoever decides told, until it surely knows, that nobody waits for a job here."""
+        if isinstance(call, Submit) and call.spec.best_effort:
+            self.link.note_given_up(GivenUp(host=call.host, path=call.path, number=call.number))
+
     def _count(self, call: Call, answer: Answer, took: timedelta, patience: timedelta) -> None:
         """Count a call that has been answered."""
         self.outcomes[answer.outcome.value] += 1
--- a/cottonlug/runtime/gateways.py
+++ b/cottonlug/runtime/gateways.py
@@ -14,6 +14,8 @@
 
 GATEWAY_SILENT = timedelta(milliseconds=300)
 """Jobs of a gateway not heard for so long are given up; it takes them elsewhere no sooner."""
+CHECK_SUBMISSIONS = timedelta(milliseconds=10)
+"""Each vouches for its job for a span of its own; half of the time between two decisions."""
 NEVER = timedelta.max
 LATE_GREETING = timedelta(milliseconds=150)
 """A greeting takes some milliseconds; one that took as long was held up, on its way or here."""
@@ -28,8 +30,12 @@
         self.log = RosterLog(term=term, takes_calls=takes_calls)
         self.record_age: Callable[[float], object] = lambda age_ms: None
         """Called with how old each greeting was when it was taken in, in milliseconds."""
+        self._vouched_until = timedelta()
+        """Until when the newest submission, or greeting, vouches for anything."""
         self._check_at = NEVER
         """Until then no gateway falls silent."""
+        self.on_silence: Callable[[str], object] = lambda gateway: None
+        """Called when a gateway that was silent is counted on again."""
         self._token = token
         self._clock = clock
         self._late_line_due = timedelta()
@@ -52,22 +58,33 @@
         if gateway not in self._domains:
             self._domains[gateway] = greeting.domain
             self.log.note_other()
-        self.take_contact(gateway, greeting.contact)
+        sent_at = self.find_sent(gateway, greeting.contact)
+        if sent_at is not None:
+            self._vouch(gateway, sent_at)
 
-    def take_contact(self, gateway: str, contact: Contact | None) -> bool:
-        """Count on a gateway from when it sent something; False where that is too long ago.
+    def find_sent(self, gateway: str, contact: Contact | None) -> timedelta | None:
+        """Return when something was sent, at the earliest; None where it counts no more.
 
         It counts from the sending, never from the arrival: a gateway takes its jobs elsewhere by
         when it was last answered, and what was held up on its way or here says nothing of that.
         """
         if contact is None or contact.token != self._token:
-            return False
+            return None
         now = self._clock.monotonic()
         sent_at = timedelta(milliseconds=contact.answered_ms + contact.since_ms)
-        self._sent_at[gateway] = max(sent_at, self._sent_at.get(gateway, sent_at))
-        self._check_at = min(self._check_at, sent_at + GATEWAY_SILENT)
         self._note_age(gateway, now - sent_at, now)
-        return now - sent_at < GATEWAY_SILENT
+        if now - sent_at >= GATEWAY_SILENT:
+            return None
+        self._vouched_until = max(self._vouched_until, sent_at + GATEWAY_SILENT)
+        self._check_at = min(self._check_at, sent_at + GATEWAY_SILENT)
+        return sent_at
+
+    def _vouch(self, gateway: str, sent_at: timedelta) -> None:
+        """Count on a gateway; what it had submitted before a silence it has taken elsewhere."""
+        known = self._sent_at.get(gateway)
+        if known is not None and not self.is_heard(gateway):
+            self.on_silence(gateway)
+        self._sent_at[gateway] = max(sent_at, known or sent_at)
 
     def make_contact(self) -> Contact:
         """Return what a gateway that is answered now is to return."""
@@ -96,6 +113,8 @@
             return False
         heard = (at + GATEWAY_SILENT for at in self._sent_at.values() if now - at < GATEWAY_SILENT)
         self._check_at = min(heard, default=NEVER)
+        if now < self._vouched_until:
+            self._check_at = min(self._check_at, now + CHECK_SUBMISSIONS)
         return True
 
     def is_any_heard(self) -> bool:
--- a/cottonlug/runtime/job_answers.py
+++ b/cottonlug/runtime/job_answers.py
@@ -15,6 +15,7 @@
     Answer,
     AskState,
     Cancel,
+    GivenUp,
     Outcome,
     Submit,
 )
@@ -33,6 +34,9 @@
 STATE_WAIT = timedelta(milliseconds=60)
 """How long a question for the state of a job waits that is about to end; a commit takes 20 ms."""
 
+KEEP_GIVEN_UP = timedelta(seconds=2)
+"""A submission that is older than `GATEWAY_SILENT` is refused in any case."""
+
 
 class JobAnswers:
     """Answers about jobs, for as long as one term lasts."""
@@ -63,6 +67,8 @@
         self._caller_retry = caller_retry
         self._propose = propose
         self._wait = wait
+        self._given_up: dict[tuple[str, int], timedelta] = {}
+        """Submissions that gateways wait for no more, by their numbers, and since when."""
         self._wake = wake
 
     async def answer_submit(self, call: Submit) -> Answer:
@@ -71,7 +77,10 @@
         if isinstance(found, Answer):
             return found
         queue, job = found
-        if call.gateway and not self._gateways.take_contact(call.gateway, call.contact):
+        if (call.gateway, call.number) in self._given_up:
+            return Answer(outcome=Outcome.UNKNOWN, detail="its gateway waits for it no more")
+        sent_at = self._gateways.find_sent(call.gateway, call.contact)
+        if call.gateway and sent_at is None:
             # Held up: by now its gateway may have taken it to another host that decides.
             return Answer(outcome=Outcome.UNAVAILABLE, detail=NOT_IN_TOUCH)
         if call.deputy_term >= self._term:
@@ -100,7 +109,7 @@
         if rejection is not None and not call.may_have_begun:
             return _reject(job, rejection)
         if call.spec.best_effort:
-            return await self._run_to_end(job, queue, call)
+            return await self._run_to_end(job, queue, call, sent_at or timedelta())
         at_ms = self._read_wall() - call.waited_ms
         command = AcceptJob(job=job, queue=queue, spec=call.spec, at_ms=at_ms)
         return await self._propose(command, ("job", job))
@@ -114,6 +123,23 @@
         self._wake()
         return Answer(outcome=Outcome.DONE)
 
+    def give_up(self, gateway: str, given_up: GivenUp) -> bool:
+        """Give up what a gateway waits for no more; False where that is known already."""
+        key = (gateway, given_up.number)
+        if key in self._given_up:
+            return False
+        now = self._clock.monotonic()
+        self._given_up[key] = now
+        found = self._find_queue(given_up.host, given_up.path)
+        if not isinstance(found, Answer):
+            self._dispatch.abandon(found[1], gateway, now)
+        return True
+
+    def forget_given_up(self) -> None:
+        """Forget what was given up so long ago that it can hardly come any more."""
+        limit = self._clock.monotonic() - KEEP_GIVEN_UP
+        self._given_up = {key: at for key, at in self._given_up.items() if at >= limit}
+
     async def answer_state(self, call: AskState) -> Answer:
         """Tell a job's state, or how many jobs of a queue have not begun."""
         found = self._find_queue(call.host, call.path)
@@ -156,7 +182,9 @@
         found = queues.find(host, path)
         return found if found is not None else Answer(outcome=Outcome.NO_QUEUE)
 
-    async def _run_to_end(self, job: JobId, queue: Queue, call: Submit) -> Answer:
+    async def _run_to_end(
+        self, job: JobId, queue: Queue, call: Submit, sent_at: timedelta
+    ) -> Answer:
         """Run a job that need not be kept, and answer when it has ended."""
         record = JobRecord(id=job, queue=queue, spec=call.spec, accepted_ms=self._read_wall())
         now = self._clock.monotonic()
@@ -164,6 +192,7 @@
         after_retry = max(longest - self._caller_retry, timedelta())
         submission = Submission(
             gateway=call.gateway,
+            vouched_until=sent_at + GATEWAY_SILENT,
             may_have_begun=call.may_have_begun,
             may_be_of_deputy=call.may_be_of_deputy or bool(call.deputy_term),
             # A caller whose gateway was lost sends its job again only after a while.
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -151,6 +151,7 @@
             wait=self._wait,
             wake=self._wake,
         )
+        self.gateways.on_silence = self._give_up_silent
         self._proposals: list[Command] = []
         self._is_awake = False
         self._calls: set[asyncio.Task[None]] = set()
@@ -202,6 +203,7 @@
 
     def answer_greeting(self, call: Greet) -> Answer:
         """Tell a gateway what it needs to know, and count on it for its jobs."""
+        self._take_given_up(call)
         self.gateways.take_greeting(call)
         if not self._settings.keeps_log:
             # A deputy has nothing to tell that its roster did not.
@@ -211,6 +213,18 @@
         contact = self.gateways.make_contact()
         return Answer(outcome=Outcome.DONE, roster=roster, contact=contact)
 
+    def _take_given_up(self, greeting: Greet) -> None:
+        """Go on with nothing that a gateway waits for no more, before counting on it for the rest.
+
+        Its callers may have sent it again: see `JobAnswers.answer_submit`.
+        """
+        for each in greeting.given_up:
+            if self._jobs.give_up(greeting.gateway, each):
+                self._wake()
+
+    def _give_up_silent(self, gateway: str) -> None:
+        self.dispatch.abandon_silent(lambda each: each != gateway, self._clock.monotonic())
+
     async def _answer_beat(self, call: Beat) -> Answer:
         heartbeat = call.heartbeat
         self.dispatch.take_heartbeat(heartbeat, self._clock.monotonic())
@@ -370,6 +384,7 @@
         if now < self._forget_at:
             return
         self._forget_at = now + FORGET_EVERY
+        self._jobs.forget_given_up()
         limit = self._read_wall() - int(self._settings.keep_ended / timedelta(milliseconds=1))
         jobs = self._records.jobs.values()
         old = tuple(job.id for job in jobs if not job.is_open and job.ended_ms < limit)
