Orders are acknowledged beside a leader that is late, which is not greeted the more; hosts with new disks are taken in

Cause of the missing acknowledgement: a leader with too much to do answers late, while its log goes on. A control host that was asked waited for that answer (operators wait 1 s), although its own log held the order. Cause of the breakdown: a greeting is given up after 0.1 s, and then seven other control hosts were greeted, each of which passed it on to the leader: up to 3,500 greetings a second at a leader that was late already. Change: a control host answers an order as done once its own log has it; orders have connections of their own and a second try after 0.4 s; a configuration and a leaving are put into the log also while the leader is without its lease. Only one of the other hosts passes a greeting on, the rest say whether they are alive. Found beside it, by the model or by reading, and mended: a leader that had no lease for 1 s hands over, and decides nothing more in that term (else two might); one whose every turn is late decides all the same; a member without a vote forgets a leader that it does not hear, and a host with a new disk asks to be taken in though it hears one; old requests to join do not push out the present member; who stops hands over to one that has everything, by chance, until it comes to it; a deputy that is fenced off carries nothing out.

--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -113,6 +113,8 @@
     contact: Contact | None = None
     given_up: tuple[GivenUp, ...] = ()
     """What the gateway has given up lately: a greeting vouches for all else that it submitted."""
+    is_probe: bool = False
+    """Whether a host that does not lead is only to say that it is alive, and who leads."""
 
 
 NO_CONFIGURATION = "no configuration yet"
--- a/cottonlug/core/consensus/member.py
+++ b/cottonlug/core/consensus/member.py
@@ -94,8 +94,12 @@
         self._now = now
         if self.role is Role.LEADER:
             self._tick_leader()
-        elif now >= self._election_due and self.id in self.members.voters:
-            self._campaign(pre=True)
+        elif now >= self._election_due:
+            if self.id in self.members.voters:
+                self._campaign(pre=True)
+            else:
+                # One that does not vote has to look for whoever leads now.
+                self.leader = None
 
     def receive(self, message: Message, now: timedelta) -> None:
         """Take in a message from another member."""
@@ -138,16 +142,23 @@
         return Success(entry.index)
 
     def transfer(self, now: timedelta) -> MemberId | None:
-        """Ask the voter that is furthest to take over; None where none is up to date."""
+        """Ask a voter that has everything to take over; None where none has.
+
+        Which one is left to chance: if it cannot lead, another is asked the next time.
+        """
         self._now = now
         if self.role is not Role.LEADER:
             return None
-        for voter in self.members.voters:
-            progress = self._progress.get(voter)
-            if progress is not None and progress.matched == self.log.last_index:
-                self._send(voter, TransferRequest(term=self.term, sender=self.id))
-                return voter
-        return None
+        heirs = [
+            voter
+            for voter in self.members.voters
+            if voter in self._progress and self.matched(voter) == self.log.last_index
+        ]
+        if not heirs:
+            return None
+        heir = heirs[int(self._chance() * len(heirs))]
+        self._send(heir, TransferRequest(term=self.term, sender=self.id))
+        return heir
 
     def compact(self, data: str, index: Index) -> None:
         """Replace all entries up to a delivered one by a snapshot of the state after it."""
--- a/cottonlug/net/connections.py
+++ b/cottonlug/net/connections.py
@@ -153,6 +153,12 @@
             self.counts.failed += 1
             return Err(TransportError(message="no reply in time", unsent=False))
 
+    def drop_idle(self) -> None:
+        """Close what is not in use: it may have gone silent, as one that brought no answer."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
     def close(self) -> None:
         """Close all connections."""
         for connection in (*self._idle, *self._busy):
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -13,13 +13,18 @@
 from ..core.clock import Clock
 from ..core.cluster.calls import (
     Answer,
+    AskConfiguration,
+    Beat,
     Call,
+    Configure,
     Greet,
+    Leave,
     Outcome,
     answer_decoder,
     call_decoder,
 )
 from ..core.cluster.lives import LeaseTerms, choose_terms
+from ..core.consensus.types import Term
 from ..core.control_messages import ConsensusBatch
 from ..net.asgi import HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
@@ -40,6 +45,15 @@
 GREETING_KEPT = timedelta(milliseconds=70)
 """Less than a gateway waits for its answer (100 ms)."""
 LED_CHECK_SECONDS = 0.01
+WITHOUT_LEASE = timedelta(seconds=1)
+"""A leader that had no lease for so long lets another lead; an election takes 0.7 s."""
+LOG_CHECK_SECONDS = 0.04
+"""The leader's answer, which tells an upstream where to go, comes sooner as a rule."""
+_OPEN = (Outcome.UNKNOWN, Outcome.UNAVAILABLE)
+GIVE_WAY_EVERY = timedelta(milliseconds=100)
+FIRST_TRY = timedelta(milliseconds=400)
+"""Whoever sends an order waits 1 s for the answer, and a commit takes 20 ms: without an answer by
+then the connection may have gone silent, and a second try still comes in time."""
 
 
 class ControlHost:
@@ -64,8 +78,15 @@
         self._port = port
         self._on_failure = on_failure
         self._pools = ConnectionPools()
+        self._order_pools = ConnectionPools()
+        """For orders alone: what is passed on for gateways is given up, and its connection closed,
+        as soon as it is late, and a busy leader takes new ones in late."""
         self._is_stopping = False
         self._had_lease = False
+        self._leased_at = clock.monotonic()
+        self._gave_way_at = clock.monotonic()
+        self._gave_way_in = Term(0)
+        """The last term that this host gave up: it decides nothing in it any more."""
         self._checking: asyncio.Task[None] | None = None
         self.replica = Replica(
             settings=ReplicaSettings(
@@ -90,7 +111,7 @@
         """Stop leading, if this host does, and have another voter take over."""
         self._is_stopping = True
         self._check_leading()
-        await self.replica.hand_over()
+        self._give_way()
 
     async def stop(self) -> None:
         """Stop taking part."""
@@ -100,23 +121,31 @@
         self._check_leading()
         await self.replica.stop()
         self._pools.close()
+        self._order_pools.close()
 
     async def answer(self, call: Call, *, passed_on: bool = False) -> Answer:
         """Answer a call here, if this host leads, or by asking the leader."""
         if isinstance(call, Greet):
             await self._wait_until_led()
-        if self.leading is not None and self.replica.has_lease():
-            answer = await self.leading.answer(call)
+        leading = self.leading
+        if leading is not None and (self.replica.has_lease() or leading.needs_no_lease(call)):
+            answer = await leading.answer(call)
             return self._add_hosts(answer) if isinstance(call, Greet) else answer
         leader = self.replica.leader_host
         is_own = leader == str(self._settings.listen.peers)
         if passed_on or leader is None or is_own:
+            if self._is_in_log(call):
+                return Answer(outcome=Outcome.DONE)
             return self._add_hosts(Answer(outcome=Outcome.UNAVAILABLE, detail="no leader"))
+        if isinstance(call, Greet) and call.is_probe:
+            return self._add_hosts(Answer(outcome=Outcome.UNAVAILABLE, detail="not the leader"))
         if isinstance(call, Greet):
-            answer = await self._pass_on(leader, call, GREETING_PASSED)
+            answer = await self._pass_on(leader, call, GREETING_PASSED, self._pools)
             # Whoever greets learns at least that this host is alive.
             return answer if answer.hosts else self._add_hosts(answer)
-        return await self._pass_on(leader, call, PASS_ON_TIMEOUT)
+        if isinstance(call, Configure | AskConfiguration | Beat | Leave):
+            return await self._pass_order_on(leader, call)
+        return await self._pass_on(leader, call, PASS_ON_TIMEOUT, self._pools)
 
     def answer_greeting_at_once(self, request: HttpRequest) -> HttpResponse | None:
         """Answer a gateway's greeting where this host leads; None for all else.
@@ -178,11 +207,53 @@
             return LeaseTerms(longest=settings.longest_lease, delivery=DELIVERY)
         return terms
 
-    async def _pass_on(self, leader: str, call: Call, timeout: timedelta) -> Answer:
+    async def _pass_order_on(self, leader: str, call: Call) -> Answer:
+        """Pass a call on that may be carried out twice; done once the log says so here, too.
+
+        A leader with too much to do answers late, but what it has put into the log is in force.
+        """
+        asking = asyncio.create_task(self._ask_twice(leader, call))
+        try:
+            while not asking.done():
+                await asyncio.wait([asking], timeout=LOG_CHECK_SECONDS)
+                if not asking.done() and self._is_in_log(call):
+                    return Answer(outcome=Outcome.DONE)
+            answer = asking.result()
+            if answer.outcome in _OPEN and self._is_in_log(call):
+                return Answer(outcome=Outcome.DONE)
+            return answer
+        finally:
+            asking.cancel()
+
+    def _is_in_log(self, call: Call) -> bool:
+        """Whether what a call asks for was committed, as far as this host knows."""
+        records = self.replicated.records
+        if isinstance(call, Configure):
+            current = records.configuration
+            return current is not None and call.configuration.version <= current.version
+        if isinstance(call, Beat) and call.heartbeat.draining:
+            known = records.upstreams.get(call.heartbeat.info.id)
+            return known is not None and known.draining
+        return False
+
+    async def _ask_twice(self, leader: str, call: Call) -> Answer:
+        """Ask the leader, and again over a new connection if need be."""
+        pools = self._order_pools
+        answer = await self._pass_on(leader, call, FIRST_TRY, pools)
+        if answer.outcome is not Outcome.UNKNOWN:
+            return answer
+        address = parse_address(leader)
+        assert address is not None, "members are named by their addresses"
+        pools.get(address).drop_idle()
+        return await self._pass_on(leader, call, PASS_ON_TIMEOUT - FIRST_TRY, pools)
+
+    async def _pass_on(
+        self, leader: str, call: Call, timeout: timedelta, pools: ConnectionPools
+    ) -> Answer:
         address = parse_address(leader)
         assert address is not None, "members are named by their addresses"
         body = msgspec.json.encode(call)
-        pool = self._pools.get(address)
+        pool = pools.get(address)
         headers = {PASSED_ON: "1"}
         sent = await pool.call("POST", CALL_PATH, body, timeout=timeout, headers=headers)
         if isinstance(sent, Err):
@@ -198,14 +269,37 @@
         while True:
             self._check_leading()
             self._note_lease()
+            self._give_way()
             await asyncio.sleep(CHECK_SECONDS)
 
+    def _give_way(self) -> None:
+        """Have another voter lead, again and again, while this one does and is not to.
+
+        A host that is always late keeps its office by answers that arrive, but may be without a
+        lease for good, since that counts from when it sent; and one that is about to stop may be
+        made leader by another that stops.
+        """
+        now = self._clock.monotonic()
+        is_fit = self.replica.has_lease() and not self._is_stopping
+        if not self.replica.is_leader or (is_fit and self.replica.term != self._gave_way_in):
+            self._leased_at = now
+            return
+        if not self._is_stopping and now - self._leased_at < WITHOUT_LEASE:
+            return
+        if now - self._gave_way_at >= GIVE_WAY_EVERY:
+            self._gave_way_at = now
+            # Its lease may come back while the other is elected: two would decide.
+            self._gave_way_in = self.replica.term
+            self._check_leading()
+            self.replica.hand_over()
+
     def _check_leading(self) -> None:
         """Begin or end to lead as the log says."""
         replica = self.replica
         leads = (
             replica.is_leader
             and not self._is_stopping
+            and replica.term != self._gave_way_in
             and self.replicated.ready_term == replica.term
         )
         if self.leading is not None and (not leads or self.leading.term != replica.term):
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
@@ -105,6 +106,8 @@
         self._contact: Contact | None = None
         """What whoever decides gave with its last answer, and when that arrived."""
         self._contact_at = clock.monotonic()
+        self._named: set[str] = set()
+        """Whom control hosts have named as leader since they were last asked."""
         self._answered_at: dict[str, timedelta] = {}
         """When each control host last answered."""
         self._level = 0
@@ -201,14 +204,26 @@
     # Greeting
 
     async def greet_leader(self) -> None:
-        """Greet the host known as leader, or else all control hosts at once."""
+        """Greet the host known as leader, or else all control hosts at once.
+
+        One of them passes the greeting on to the leader. A leader that has too much to do is late:
+        with a greeting from each of them it had more to do, and was later still.
+        """
         known = self.host if self.via is Via.LEADER else None
         if known is not None and await self._greet(known, Via.LEADER):
             return
-        await self._greet_any((host for host in self.hosts if host != known), Via.LEADER)
+        self._named.clear()
+        others = [host for host in self.hosts if host != known]
+        if others and await self._greet_any(others, random.choice(others)):
+            return
+        for named in self._named - {known}:
+            if await self._greet(named, Via.LEADER):
+                return
 
-    def _build_greeting(self, roster: str = "") -> Greet:
-        return Greet(gateway=self.own, domain=self._settings.domain, roster=roster)
+    def _build_greeting(self, roster: str = "", *, is_probe: bool = False) -> Greet:
+        return Greet(
+            gateway=self.own, domain=self._settings.domain, roster=roster, is_probe=is_probe
+        )
 
     def stamp(self, call: Call) -> Call:
         """Return a call of this gateway with its contact with whoever decides, as of now."""
@@ -236,9 +251,12 @@
         self._contact = answer.contact
         self._contact_at = self._clock.monotonic()
 
-    async def _greet_any(self, hosts: Iterable[str], via: Via) -> bool:
+    async def _greet_any(self, hosts: Iterable[str], passes_on: str) -> bool:
         """Greet several hosts at once; return as soon as one of them has led to the leader."""
-        waiting = {asyncio.create_task(self._greet(host, via)) for host in hosts}
+        waiting = {
+            asyncio.create_task(self._greet(host, Via.LEADER, is_probe=host != passes_on))
+            for host in hosts
+        }
         self._greetings |= waiting
         for task in waiting:
             task.add_done_callback(self._greetings.discard)
@@ -248,13 +266,17 @@
                 return True
         return False
 
-    async def _greet(self, host: str, via: Via) -> bool:
+    async def _greet(self, host: str, via: Via, *, is_probe: bool = False) -> bool:
         """Greet a host; follow the leader that it is, or that it passed the greeting to."""
-        return self._take_greeted(host, via, await self._ask_greeting(host))
+        answer = await self._ask_greeting(host, is_probe=is_probe)
+        if via is Via.LEADER and answer.leader is not None:
+            self._named.add(answer.leader)
+        return self._take_greeted(host, via, answer)
 
-    async def _ask_greeting(self, host: str) -> Answer:
+    async def _ask_greeting(self, host: str, *, is_probe: bool = False) -> Answer:
         version = self._roster.version if self._roster is not None else ""
-        return await self._calls.ask(host, self._build_greeting(version), GREET_TIMEOUT)
+        greeting = self._build_greeting(version, is_probe=is_probe)
+        return await self._calls.ask(host, greeting, GREET_TIMEOUT)
 
     def _take_greeted(self, host: str, via: Via, answer: Answer) -> bool:
         """Follow whom the answer to a greeting leads to; False where that is nobody."""
--- a/cottonlug/runtime/deputy.py
+++ b/cottonlug/runtime/deputy.py
@@ -56,6 +56,8 @@
 
     def propose(self, data: str) -> bool:
         """Carry out commands here at once; nothing is kept."""
+        if self.is_over:
+            return False
         for command in decode_commands(data):
             self._replicated.records.apply(command)
             if self._replicated.listener is not None:
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -126,6 +126,7 @@
         self.record_hold: Callable[[float], object] = lambda held_ms: None
         """Called with the milliseconds between two decisions, where there are more than usual."""
         self._decided_at = clock.monotonic()
+        self._has_waited = False
         self.waiters = Waiters()
         self.dispatch = Dispatch(
             records=self._records,
@@ -177,8 +178,14 @@
 
     # Calls
 
+    def needs_no_lease(self, call: Call) -> bool:
+        """Whether the log alone decides about a call: its answer waits for the commit."""
+        if isinstance(call, Beat):
+            return call.heartbeat.draining and self._heartbeats is None
+        return isinstance(call, Configure)
+
     async def answer(self, call: Call) -> Answer:
-        """Carry out one call; only called while the lease of this leader lasts."""
+        """Carry out one call, while the lease of this leader lasts or the call needs none."""
         if not self._settings.keeps_log and not _needs_no_log(call):
             return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LOG)
         if isinstance(call, AskState):
@@ -331,7 +338,11 @@
             self._on_failure(error)
 
     def _decide_now(self) -> None:
-        if self._authority.term != self.term or not self._authority.has_lease():
+        if self._authority.term != self.term:
+            return
+        # The log decides about these: what one proposes that leads no more comes to nothing.
+        self._propose()
+        if not self._authority.has_lease():
             return
         now = self._clock.monotonic()
         held_up = now - self._decided_at
@@ -340,8 +351,12 @@
             self.record_hold(held_up / timedelta(milliseconds=1))
         if held_up > HELD_UP:
             log_event(Event.HELD_UP, term=int(self.term), held_up_ms=to_milliseconds(held_up))
-            # What has arrived in the meantime is taken in before anything is decided.
+        if held_up > HELD_UP and not self._has_waited:
+            # What has arrived in the meantime is taken in before anything is decided; where every
+            # turn is late, by the next one.
+            self._has_waited = True
             return
+        self._has_waited = False
         if self.dispatch.is_fenced_off and self.gateways.is_any_heard():
             self.dispatch.forgive_fence()
             self._authority.renew()
@@ -353,6 +368,10 @@
             task = asyncio.create_task(self._carry_out(order))
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
+        self._propose()
+
+    def _propose(self) -> None:
+        """Put into the log what waits for it."""
         self._proposals += self.dispatch.take_proposals()
         if self._proposals:
             proposals, self._proposals = self._proposals, []
--- a/cottonlug/runtime/membership.py
+++ b/cottonlug/runtime/membership.py
@@ -44,8 +44,11 @@
         self._joiners: dict[str, MemberId] = {}
 
     def learn(self, members: Members) -> None:
-        """Know the hosts of a set of members."""
-        self.hosts.update(get_host(each) for each in members.voters + members.learners)
+        """Know the hosts of a set of members, and the member of each host's present disk."""
+        everybody = members.voters + members.learners
+        self.hosts.update(get_host(each) for each in everybody)
+        # A new disk learns before the member of the lost one is removed, so it comes last.
+        self._joiners.update({get_host(each): each for each in everybody})
 
     def take_join(self, request: JoinRequest) -> None:
         """Remember a member that asks to be taken in."""
--- a/cottonlug/runtime/replica.py
+++ b/cottonlug/runtime/replica.py
@@ -149,8 +149,8 @@
         self._tasks.append(asyncio.create_task(self._guard(self._find_others_forever())))
         return None
 
-    async def hand_over(self) -> None:
-        """Ask another voter to lead, if this one does."""
+    def hand_over(self) -> None:
+        """Ask another voter to lead, if this one does; it may not come to that."""
         if self.member is None or self.member.role is not Role.LEADER:
             return
         self.member.transfer(self._clock.monotonic())
@@ -438,10 +438,17 @@
             member = self.member
             if member is not None and member.role is Role.LEADER:
                 self._change_members()
-            elif member is not None and member.leader is None:
+            elif member is not None and self._must_ask(member):
                 await self._look_for_members()
             await asyncio.sleep(GREET_SECONDS)
 
+    def _must_ask(self, member: Member) -> bool:
+        """Whether a host has to ask to be taken in.
+
+        One with a new disk may know a leader by messages to the member that was there before.
+        """
+        return member.leader is None or not member.members.has(member.id)
+
     async def _look_for_members(self) -> None:
         assert self.member is not None and self._journal is not None
         hellos = await self._membership.ask_to_join(self.member.id)
--- a/cottonlug/tests/test_acknowledgements.py
+++ b/cottonlug/tests/test_acknowledgements.py
@@ -10,7 +10,7 @@
 import random
 import socket
 from collections.abc import Callable, Coroutine
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 from typing import Any
 
 import pytest
@@ -18,28 +18,48 @@
 
 from ..config.options import Address
 from ..core.clock import ManualClock
+from ..core.cluster.calls import Configure
+from ..core.consensus.member import Member
+from ..core.consensus.replacement import get_host
 from ..core.consensus.types import (
+    AppendRequest,
+    HardState,
+    Index,
     MemberId,
+    Members,
+    Snapshot,
+    Stored,
+    Term,
 )
 from ..core.ids import UpstreamId
 from ..net.asgi import Handler, HttpRequest, HttpResponse, build_asgi
 from ..net.servers import Listener
+from ..platform.configurations import decode_configuration
 from ..runtime.control_host import ControlHost
+from ..runtime.leading import Leading, LeadingSettings
+from ..runtime.membership import JoinRequest
 from ..runtime.messenger import MESSAGES_PATH
 from ..runtime.peer_calls import CALL_PATH
+from ..runtime.replica import TIMING
+from ..runtime.replicated import ReplicatedRecords
 from .model_hosts import (
     PATIENCE_SECONDS,
     PEER_PORT,
     RESTART_SECONDS,
     Machine,
+    ModelPort,
     ModelUpstream,
     Operator,
     Process,
+    SimulatedLoop,
     World,
+    build_configuration,
     greet_forever,
     play,
 )
+from .model_upstreams import TERMS
 from .processes import find_base_port
+from .test_replica import NOW, A, B, C, D, acknowledge, build_leader, build_membership
 
 OWN, OTHER = MemberId("10.0.0.1:1/x"), MemberId("10.0.0.2:1/x")
 
@@ -384,6 +404,54 @@
     return leader
 
 
+def test_a_host_that_lost_its_disk_is_taken_in_again_though_no_seed_leads() -> None:
+    """Two hosts back with empty disks were no members for the rest of the day.
+
+    Five of eight hosts voted then, and the two passed orders to a leader that was long lost. A
+    leader addresses hosts: what it sends to the member of the lost disk reaches the new one, which
+    takes it for its leader, and asks to be taken in only while it knows none. So it was taken in
+    only if the leader was among its seeds, or by luck in the first quarter of a second. Not being
+    a voter it has no time-out that would end its belief. Proved by the members in the leader's log.
+    """
+
+    async def day(world: World, machines: list[Machine]) -> None:
+        seeds = machines[:3]
+        leader = await let_lead(world, machines[3:])
+        lost = next(each for each in machines[3:] if each is not leader)
+        world.kill(lost, wipe=True)
+        await asyncio.sleep(RESTART_SECONDS)
+        world.start(lost, seeds)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        members = get_control(leader).replica.member
+        own = get_control(lost).replica.member
+        assert members is not None and own is not None
+        assert members.members.has(own.id)
+        world.kill(leader, power=True)
+        await asyncio.sleep(CONTACT_SECONDS)
+        assert get_control(lost).replica.leader_host == str(get_leader(world).peers)
+
+    play_core(1, day)
+
+
+def test_one_that_does_not_vote_forgets_a_leader_that_it_does_not_hear() -> None:
+    """The same belief alone: a member without a vote held its last leader for good.
+
+    It passed orders to it, and did not ask to be taken in, since only voters have a time-out.
+    """
+    snapshot = Snapshot(index=Index(1), term=Term(0), members=Members(voters=(OTHER,)), data="")
+    stored = Stored(hard_state=HardState(term=Term(0)), snapshot=snapshot)
+    member = Member(id=OWN, stored=stored, timing=TIMING, chance=lambda: 0.5, now=timedelta())
+    heartbeat = AppendRequest(
+        term=Term(1), sender=OTHER, previous_index=Index(1), previous_term=Term(0), commit=Index(1)
+    )
+    member.receive(heartbeat, timedelta(seconds=1))
+    assert member.leader == OTHER
+    member.tick(timedelta(seconds=1.3))
+    assert member.leader == OTHER
+    member.tick(timedelta(seconds=2))
+    assert member.leader is None
+
+
 async def hold_up(process: Process, seconds: float) -> None:
     """Make each turn of a process's loop so long."""
     while True:
@@ -391,6 +459,27 @@
         await asyncio.sleep(0)
 
 
+def test_a_leader_that_is_always_late_takes_orders() -> None:
+    """A leader whose loop takes 80 ms a turn leads for good, and answers every order with no.
+
+    It keeps its office by answers that arrive within 350 ms, and its heartbeats hold all others
+    back; but its lease counts 280 ms from when it sent, and a round trip takes several turns. So it
+    has none, and without one nothing is taken, not even what the log alone decides. Seen in the
+    model only: the term stays, and the lease is missing at each look.
+    """
+
+    async def day(world: World, machines: list[Machine]) -> None:
+        operator = Operator(world, random.Random(1))
+        leader = get_leader(world)
+        assert leader.process is not None
+        leader.process.run(hold_up(leader.process, 0.08))
+        await asyncio.sleep(CONTACT_SECONDS)
+        async with asyncio.timeout(ACKNOWLEDGED_WITHIN):
+            await operator.configure(1)
+
+    play_core(2, day)
+
+
 class LateClock(ManualClock):
     """A clock that has moved on by much whenever it is read."""
 
@@ -418,6 +507,84 @@
         raise AssertionError("nobody has a later term")
 
 
+def test_a_leader_whose_every_turn_is_late_decides_all_the_same() -> None:
+    """A leader whose every turn takes over 150 ms decides nothing, and proposes nothing.
+
+    Held up for so long it decides in its next turn, once it has taken in what has arrived; but that
+    one is late as well. Found by reading.
+    """
+
+    async def run() -> None:
+        clock = LateClock(start=datetime(2030, 1, 1, tzinfo=UTC))
+        authority = FixedAuthority()
+        world = World(1, SimulatedLoop())
+        leading = Leading(
+            authority=authority,
+            replicated=ReplicatedRecords(),
+            port=ModelPort(world),
+            clock=clock,
+            on_failure=lambda error: None,
+            settings=LeadingSettings(
+                terms=TERMS,
+                keep_ended=timedelta(seconds=1),
+                caller_retry=timedelta(seconds=1),
+                control_address=None,
+            ),
+        )
+        configuration = decode_configuration(build_configuration(1)).unwrap()
+        answering = asyncio.create_task(leading.answer(Configure(configuration=configuration)))
+        await asyncio.sleep(0.5)
+        assert authority.proposed
+        answering.cancel()
+        leading.stop()
+
+    asyncio.run(run())
+
+
+def test_an_order_is_passed_on_though_the_open_connections_are_silent() -> None:
+    """A host that passes an order on waits 3 s for a connection that has gone silent.
+
+    Operators wait 1 s, and each try uses up one such connection. With one or more at each of seven
+    hosts, four tries in turn find no other. Found by reading. Where the connections of the log are
+    silent as well, the leader changes, and nobody has old connections to the new one.
+    """
+
+    async def day(world: World, machines: list[Machine]) -> None:
+        operator = Operator(world, random.Random(1))
+        leader = get_leader(world)
+        follower = next(each for each in machines if each is not leader)
+        for version in range(1, 4):
+            await operator.send_once(follower, build_configuration(version))
+        world.silence_connections(of_the_log=False)
+        await asyncio.sleep(CONTACT_SECONDS)
+        assert get_leader(world) is leader
+        reply = await operator.send_once(follower, build_configuration(4))
+        assert reply is not None and reply.status == 200
+
+    play_core(1, day)
+
+
+def test_a_leader_that_stops_hands_over_to_one_that_stays() -> None:
+    """A leader that was told to stop handed over to another that was.
+
+    That one led the log and decided nothing until its process had ended, 1.5 s and more later. The
+    first voter in the list was asked, once. Found by reading.
+    """
+
+    async def day(world: World, machines: list[Machine]) -> None:
+        leader = get_leader(world)
+        member = get_control(leader).replica.member
+        assert member is not None
+        heir = next(voter for voter in member.members.voters if voter != member.id)
+        other = next(each for each in machines if str(each.peers) == get_host(heir))
+        stopping = [asyncio.ensure_future(world.terminate(each)) for each in (leader, other)]
+        await asyncio.sleep(0.5)
+        assert world.find_leader() not in (None, leader, other)
+        await asyncio.gather(*stopping)
+
+    play_core(1, day)
+
+
 def test_what_is_in_force_is_acknowledged_though_the_leader_answers_late() -> None:
     """Orders were in force and had no acknowledgement for over 5 s, in calm.
 
@@ -533,3 +700,25 @@
 
     process.handlers[PEER_PORT] = handle
     return greetings
+
+
+def test_a_join_of_long_ago_does_not_push_out_the_present_member_of_its_host() -> None:
+    """A new leader took the members of lost disks in again, which it had once been asked to do.
+
+    Requests to join are remembered for good, by each host that got them; that of the present disk
+    went to others. A host that only learns lost its place so, and went on as if it had it.
+    """
+    leader = build_leader(A, B, C)
+    for voter in (B, C):
+        acknowledge(leader, voter, leader.log.last_index)
+    membership = build_membership(1)
+    host = get_host(D)
+    before = MemberId(f"{host}/before")
+    membership.take_join(JoinRequest(member=before))
+    members = Members(voters=(A, B, C), learners=(D,))
+    leader.change_members(members, NOW)
+    for voter in (B, C):
+        acknowledge(leader, voter, leader.log.last_index)
+    membership.learn(members)
+    planned = membership.plan_step(leader, NOW)
+    assert planned is None or planned.has(D)
