--- a/cottonlug/tests/model_site.py
+++ b/cottonlug/tests/model_site.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -21,7 +22,7 @@
 from ..core.cluster.records import JobRecord, Records
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName, UpstreamId
-from ..runtime.decider import CALLS_LOST_AFTER, GREET_TIMEOUT
+from ..runtime.decider import CALLS_LOST_AFTER, GIVEN_UP_TOLD, GREET_TIMEOUT
 from ..runtime.deputy import DEPUTY_AFTER, DEPUTY_AFTER_SILENCE
 from ..runtime.gateways import GATEWAY_SILENT
 from ..runtime.leading import HELD_UP
@@ -55,6 +56,8 @@
     busy_until: timedelta = timedelta()
     decided_at: timedelta = timedelta()
     heard: dict[str, timedelta] = field(default_factory=dict)
+    given_up: set[int] = field(default_factory=set)
+    """Numbers of the calls that their gateways have given up."""
 
     def when_free(self, act: Callable[[], None]) -> None:
         """Do something as soon as this host gets on, unless it has ceased to decide by then."""
@@ -77,8 +80,38 @@
     def is_heard(self, gateway: str) -> bool:
         return self.world.now - self.heard.get(gateway, -GATEWAY_SILENT) < GATEWAY_SILENT
 
-    def take_job(self, gateway: str, call: ModelCall) -> None:
+    def counts(self, contact: Contact | None) -> bool:
+        """Whether what came with a contact was sent here, and lately."""
+        if contact is None or contact.decider is not self:
+            return False
+        return self.world.now - contact.sent_at < GATEWAY_SILENT
+
+    def hear(self, gateway: str, contact: Contact | None) -> None:
+        """Count on a gateway from when it sent something, as `Gateways` does."""
+        if contact is None or not self.counts(contact):
+            return
+        if gateway in self.heard and not self.is_heard(gateway):
+            self.dispatch.abandon_silent(lambda each: each != gateway, self.world.now)
+        known = self.heard.get(gateway, contact.sent_at)
+        self.heard[gateway] = max(contact.sent_at, known)
+
+    def take_given_up(self, gateway: str, calls: list[ModelCall]) -> None:
+        """Give up what a gateway has given up, and refuse it where it comes only now."""
+        for call in calls:
+            self.given_up.add(call.number)
+            job = self.dispatch.jobs.jobs.get(call.job)
+            if job is not None and job.gateway == gateway:
+                self.dispatch.abandon(call.job, gateway, self.world.now)
+
+    def take_job(self, gateway: str, call: ModelCall, contact: Contact | None) -> None:
         """Take a job in as `JobAnswers` does."""
+        if call.number in self.given_up:
+            return
+        if contact is None or not self.counts(contact):
+            # Refused as not begun: its gateway tries again.
+            if call.at is self:
+                call.at, call.has_arrived = None, False
+            return
         if not self.is_deputy and call.deputy_term * TOKENS_PER_TERM >= self.token:
             # A deputy's token is higher: only a leader of a later term may go on.
             self.site.lead_from(self.home)
@@ -89,6 +122,7 @@
             JobRecord(id=call.job, queue=self.site.queue, spec=call.spec, accepted_ms=0),
             Submission(
                 gateway=gateway,
+                vouched_until=contact.sent_at + GATEWAY_SILENT,
                 may_have_begun=call.may_have_begun,
                 may_be_of_deputy=call.may_be_of_deputy,
                 settle_after=SETTLE_AFTER if call.may_have_begun else SETTLE_AFTER - CALLER_RETRY,
@@ -120,6 +154,14 @@
         Leader._take_answer(self, order, value, sent_at, upstream)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Contact:
+    """Whom a message was sent to, by a gateway that it has answered, and when."""
+
+    decider: Decider
+    sent_at: timedelta
+
+
 @dataclass(slots=True, kw_only=True)
 class ModelCall:
     """One try of a caller to have a job run, and where its gateway has it."""
@@ -132,6 +174,7 @@
     may_have_begun: bool = False
     may_be_of_deputy: bool = False
     deputy_term: int = 0
+    number: int = field(default_factory=itertools.count().__next__)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -147,6 +190,9 @@
     """When the decider that it follows has last answered."""
     led_at: timedelta = timedelta()
     calls: list[ModelCall] = field(default_factory=list)
+    is_answered: bool = False
+    """Whether the decider that it follows has answered it, so that it can vouch for itself."""
+    given_up: list[tuple[timedelta, ModelCall]] = field(default_factory=list)
 
     def turn(self) -> None:
         """Greet, follow whoever is to be followed, and pass calls on."""
@@ -164,13 +210,17 @@
             self.answered_at = now
             if self.decider is not None:
                 # It was asked, and so heard, before it was followed.
-                self.decider.heard[self.name] = now
+                self.is_answered = True
         for call in list(self.calls):
             self._pass_on(call)
 
+    def _find_contact(self, decider: Decider) -> Contact | None:
+        is_there = self.decider is decider and self.is_answered
+        return Contact(decider=decider, sent_at=self.site.world.now) if is_there else None
+
     def leave(self) -> None:
         """Send all calls elsewhere: what has become of them is not known."""
-        self.decider = None
+        self.decider, self.is_answered = None, False
         for call in self.calls:
             self._lose(call)
 
@@ -184,9 +234,12 @@
 
     def _greet(self, decider: Decider) -> None:
         world, sent_at = self.site.world, self.site.world.now
+        contact = self._find_contact(decider)
+        given_up = [call for at, call in self.given_up if sent_at - at < GIVEN_UP_TOLD]
 
         def hear() -> None:
-            decider.heard[self.name] = world.now
+            decider.take_given_up(self.name, given_up)
+            decider.hear(self.name, contact)
             world.at(HOP, take_answer)
 
         def take_answer() -> None:
@@ -201,6 +254,7 @@
                     self.site.stand_down(self)
             if self.decider is decider:
                 self.answered_at = world.now
+                self.is_answered = True
 
         if self.site.can_reach(self.domain, decider.home):
             world.at(HOP, lambda: decider.when_free(hear))
@@ -218,16 +272,19 @@
             self.site.send_again(call, self.domain)
             return
         if call.at is None and self.decider is not None:
-            target = call.at = self.decider
+            target = self.decider
+            contact = self._find_contact(target)
+            call.at = target
 
             def arrive() -> None:
                 call.has_arrived = call.has_arrived or call.at is target
-                target.take_job(self.name, call)
+                target.take_job(self.name, call, contact)
 
             if self.site.can_reach(self.domain, target.home):
                 world.at(HOP, lambda: target.when_free(arrive))
 
     def _abandon(self, call: ModelCall) -> None:
+        self.given_up.append((self.site.world.now, call))
         target = self.decider
         if target is not None and self.site.can_reach(self.domain, target.home):
 
@@ -321,6 +378,7 @@
             deputy.is_over = True
         gateway.is_up = False
         calls, gateway.calls, gateway.decider = gateway.calls, [], None
+        gateway.is_answered = False
         for call in calls:
             self.send_again(call, gateway.domain)
 
--- /dev/null
+++ b/cottonlug/tests/test_cluster_site.py
@@ -0,0 +1,110 @@
+"""A seeded campaign on the model of a site, which stops the test at two runs of a task.
+
+Cuts of a domain, leaders in turn, killed gateways, stops that are lost and orders that come late;
+and hosts that decide but are held up, so that what they hear is old by then.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import pytest
+
+from .model_site import EAST, NORTH, SOUTH, Site, build_site
+from .model_upstreams import milliseconds
+
+LENGTH_MS = 12_000
+Trouble = Callable[[Site, random.Random], None]
+
+
+def change_leader(site: Site, chance: random.Random, lasts_ms: float = 0.0) -> None:
+    """End the term of the leader, and have another host lead 0.4 to 1.2 s later."""
+    former = site.leader
+    if former is None:
+        return
+
+    def end() -> None:
+        if site.leader is former:
+            site.lose_leader()
+
+    def elect() -> None:
+        if site.leader in (None, former):
+            site.lead_from(chance.choice([each for each in DOMAINS if each not in site.cut_off]))
+
+    site.world.at(milliseconds(lasts_ms), end)
+    site.world.at(milliseconds(chance.uniform(400, 1_200)), elect)
+
+
+def cut_domain(site: Site, chance: random.Random) -> None:
+    """Cut a domain off; a leader in it loses its majority, and its lease 0.28 s later at most."""
+    if site.cut_off or site.leader is None:
+        return
+    site.cut_off = {chance.choice(DOMAINS)}
+    site.world.at(milliseconds(chance.uniform(300, 3_000)), site.cut_off.clear)
+    if site.leader.home in site.cut_off:
+        change_leader(site, chance, chance.uniform(0, 280))
+
+
+def kill_gateway(site: Site, chance: random.Random) -> None:
+    gateway = chance.choice(site.gateways)
+    if not gateway.is_up:
+        return
+
+    def restart() -> None:
+        gateway.is_up, gateway.led_at = True, site.world.now
+
+    site.kill(gateway)
+    site.world.at(milliseconds(1_500), restart)
+
+
+def lose_stops(site: Site, chance: random.Random) -> None:
+    site.stops_lost_at = set(chance.sample(list(site.upstreams), 3))
+    site.world.at(milliseconds(chance.uniform(100, 1_500)), site.stops_lost_at.clear)
+
+
+def hold_up(site: Site, chance: random.Random) -> None:
+    """Have a host that decides get on for 25 ms between times in which it does nothing."""
+    deciders = [each for each in (site.leader, *site.deputies.values()) if each is not None]
+    held = chance.choice(deciders) if deciders else None
+    span = milliseconds(chance.choice((120, 250, 600)))
+
+    def hold() -> None:
+        if held is not None:
+            held.busy_until = site.world.now + span
+
+    for number in range(chance.choice((1, 3, 6))):
+        site.world.at((span + milliseconds(25)) * number, hold)
+
+
+DOMAINS = (NORTH, SOUTH, EAST)
+TROUBLES: tuple[Trouble, ...] = (cut_domain, change_leader, kill_gateway, lose_stops)
+
+
+def play(seed: int, troubles: tuple[Trouble, ...], late_share: float) -> None:
+    site = build_site(seed, upstreams_each=3, late_share=late_share)
+    chance = random.Random(seed)
+    for upstream in site.upstreams.values():
+        upstream.run_times = lambda job: milliseconds(chance.choice((60, 700, 2_500, 4_000)))
+    number, at_ms = 0, 300
+    while at_ms < LENGTH_MS:
+        at_ms += chance.choice((50, 100, 150, 300))
+        site.world.run_until(milliseconds(at_ms))
+        for gateway in chance.sample(site.gateways, chance.choice((0, 1, 2))):
+            if gateway.is_up:
+                number += 1
+                run_ms = chance.choice((900, 2_500))
+                site.submit(f"{number:016x}", gateway, run_ms, tasks=chance.choice((1, 2)))
+        if chance.random() < 0.06 * len(troubles):
+            chance.choice(troubles)(site, chance)
+    assert site.world.starts > 30
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_campaign_of_leaders_and_deputies(seed: int) -> None:
+    play(seed, TROUBLES, late_share=0.02)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_campaign_of_hosts_that_are_held_up(seed: int) -> None:
+    play(seed, (cut_domain, *[hold_up] * 5), late_share=0.0)
