--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-from collections import deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from enum import Enum
@@ -18,7 +17,7 @@
 from ..config.cluster import GatewaySettings
 from ..config.options import Address
 from ..core.clock import Clock, to_milliseconds
-from ..core.cluster.calls import Answer, Call, Contact, GivenUp, Greet, Outcome, Roster, Submit
+from ..core.cluster.calls import Answer, Greet, Outcome, Roster
 from ..core.cluster.queues import QueueIndex
 from ..core.cluster.rosters import choose_asked, find_own_domain, merge_roster
 from ..core.ids import DomainName
@@ -27,6 +26,7 @@
 from .gateways import GATEWAY_SILENT
 from .peer_calls import PeerCalls
 from .ports import OnFailure, UpstreamPort
+from .vouching import Vouching
 
 GREET_SECONDS = 0.08
 GREET_SECONDS_WITHOUT_LEADER = 0.05
@@ -43,10 +43,6 @@
 """Two greetings unanswered; a change of leader is seen sooner by those who reach a control host."""
 CALLS_LOST_AFTER = GATEWAY_SILENT + timedelta(milliseconds=50)
 """After so long without a leader, calls that it has not answered are not waited for."""
-GIVEN_UP_TOLD = timedelta(seconds=1)
-"""For so long greetings tell it: whoever gets none of them for a third of that gives all up."""
-MOST_GIVEN_UP = 256
-"""In a second of a gateway: 20 KB of a greeting."""
 CORE_SILENT = timedelta(milliseconds=250)
 """A control host that has not answered for so long can take no part in an election."""
 LEVELS_PER_TURN = 1_000
@@ -79,6 +75,7 @@
         on_failure: OnFailure,
     ) -> None:
         self.own = str(settings.listen.peers)
+        self.vouching = Vouching(own=self.own, clock=clock)
         self.hosts: list[str] = [str(seed) for seed in settings.seeds]
         """Addresses of the known control hosts."""
         self.host: str | None = None
@@ -101,11 +98,6 @@
         self._roster: Roster | None = None
         self._reached_at: timedelta | None = None
         self._led_at = clock.monotonic()
-        self._given_up: deque[tuple[timedelta, GivenUp]] = deque(maxlen=MOST_GIVEN_UP)
-        """What is waited for no more, and since when."""
-        self._contact: Contact | None = None
-        """What whoever decides gave with its last answer, and when that arrived."""
-        self._contact_at = clock.monotonic()
         self._named: set[str] = set()
         """Whom control hosts have named as leader since they were last asked."""
         self._answered_at: dict[str, timedelta] = {}
@@ -188,7 +180,7 @@
         if self.host == host:
             self.host = None
             self.via = Via.LEADER
-            self._contact = None
+            self.vouching.end()
             self._calls.lose(host)
 
     def stand_down(self) -> None:
@@ -225,32 +217,6 @@
             gateway=self.own, domain=self._settings.domain, roster=roster, is_probe=is_probe
         )
 
-    def stamp(self, call: Call) -> Call:
-        """Return a call of this gateway with its contact with whoever decides, as of now."""
-        if not isinstance(call, Greet | Submit) or call.gateway != self.own:
-            return call
-        if isinstance(call, Greet):
-            call = msgspec.structs.replace(call, given_up=self._list_given_up())
-        if self._contact is None:
-            return msgspec.structs.replace(call, contact=None)
-        since = self._clock.monotonic() - self._contact_at
-        contact = msgspec.structs.replace(self._contact, since_ms=to_milliseconds(since))
-        return msgspec.structs.replace(call, contact=contact)
-
-    def note_given_up(self, given_up: GivenUp) -> None:
-        """Tell whoever is greeted in the next while that a submission is waited for no more."""
-        self._given_up.append((self._clock.monotonic(), given_up))
-
-    def _list_given_up(self) -> tuple[GivenUp, ...]:
-        oldest = self._clock.monotonic() - GIVEN_UP_TOLD
-        while self._given_up and self._given_up[0][0] < oldest:
-            self._given_up.popleft()
-        return tuple(given_up for _, given_up in self._given_up)
-
-    def _keep_contact(self, answer: Answer) -> None:
-        self._contact = answer.contact
-        self._contact_at = self._clock.monotonic()
-
     async def _greet_any(self, hosts: Iterable[str], passes_on: str) -> bool:
         """Greet several hosts at once; return as soon as one of them has led to the leader."""
         waiting = {
@@ -290,7 +256,7 @@
         if via is Via.RELAY and self.is_led_directly():
             # A control host has answered in the meantime.
             return True
-        self._keep_contact(answer)
+        self.vouching.take(answer)
         self.follow(host if via is Via.RELAY else answer.leader or host, via)
         if answer.roster is not None:
             self.use_roster(answer.roster)
@@ -379,7 +345,7 @@
             return self._take_greeted(host, via, answer)
         if not answer.is_deputy or answer.outcome is not Outcome.DONE:
             return False
-        self._keep_contact(answer)
+        self.vouching.take(answer)
         self._reached_at = self._clock.monotonic()
         return True
 
@@ -432,12 +398,12 @@
 
     def _follow_gateway(self, gateway: str, answer: Answer) -> None:
         if not answer.is_deputy:
-            self._keep_contact(answer)
+            self.vouching.take(answer)
             self.follow(gateway, Via.RELAY)
             if answer.roster is not None:
                 self.use_roster(answer.roster)
         elif self._clock.monotonic() - self._led_at >= DEPUTY_AFTER_SILENCE:
-            self._keep_contact(answer)
+            self.vouching.take(answer)
             self.follow(gateway, Via.DEPUTY)
 
     def _find_deputy_delay(self) -> timedelta:
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -83,7 +83,7 @@
             calls=self.calls,
             on_failure=on_failure,
         )
-        self.calls.stamp = self.link.stamp
+        self.calls.stamp = self.link.vouching.stamp
         self._background: set[asyncio.Task[Answer]] = set()
 
     def start(self) -> None:
@@ -172,7 +172,9 @@
     def _note_given_up(self, call: Call) -> None:
         """Have whoever decides told, until it surely knows, that nobody waits for a job here."""
         if isinstance(call, Submit) and call.spec.best_effort:
-            self.link.note_given_up(GivenUp(host=call.host, path=call.path, number=call.number))
+            self.link.vouching.note_given_up(
+                GivenUp(host=call.host, path=call.path, number=call.number)
+            )
 
     def _count(self, call: Call, answer: Answer, took: timedelta, patience: timedelta) -> None:
         """Count a call that has been answered."""
--- a/cottonlug/tests/model_site.py
+++ b/cottonlug/tests/model_site.py
@@ -22,10 +22,11 @@
 from ..core.cluster.records import JobRecord, Records
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName, UpstreamId
-from ..runtime.decider import CALLS_LOST_AFTER, GIVEN_UP_TOLD, GREET_TIMEOUT
+from ..runtime.decider import CALLS_LOST_AFTER, GREET_TIMEOUT
 from ..runtime.deputy import DEPUTY_AFTER, DEPUTY_AFTER_SILENCE
 from ..runtime.gateways import GATEWAY_SILENT
 from ..runtime.leading import HELD_UP
+from ..runtime.vouching import GIVEN_UP_TOLD
 from .model_upstreams import (
     Leader,
     ModelUpstream,
--- a/cottonlug/tests/test_cluster_contact.py
+++ b/cottonlug/tests/test_cluster_contact.py
@@ -60,7 +60,7 @@
     held: list[Call] = field(default_factory=list)
 
     async def ask(self, host: str, call: Call, timeout: timedelta) -> Answer:
-        call = self.gateway.link.stamp(call)
+        call = self.gateway.link.vouching.stamp(call)
         if host != LEADER:
             return Answer(outcome=Outcome.UNAVAILABLE, detail="cannot connect")
         if isinstance(call, Abandon):
