--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -108,6 +108,8 @@
     """Tell that a gateway lives; ask who leads, and for a roster newer than the one it has."""
 
     gateway: str = ""
+    life: int = 0
+    """Unlike for each process at the gateway's address: a new one waits for nothing of before."""
     domain: DomainName = DomainName("")
     roster: str = ""
     contact: Contact | None = None
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -227,6 +227,12 @@
                 self._term.note("gateway_silent", {"gateway": job.gateway, "job": job.record.id})
                 self._give_up(job, now)
 
+    def abandon_gateway(self, gateway: str, now: timedelta) -> None:
+        """Give up all that a gateway has submitted: it began anew, and waits for none of it."""
+        for job in list(self._jobs.jobs.values()):
+            if job.gateway == gateway:
+                self._give_up(job, now)
+
     def take_applied(self, command: Command, now: timedelta) -> None:
         """Act on a command that the record has just carried out."""
         if isinstance(command, AcceptJob):
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -214,7 +214,11 @@
 
     def _build_greeting(self, roster: str = "", *, is_probe: bool = False) -> Greet:
         return Greet(
-            gateway=self.own, domain=self._settings.domain, roster=roster, is_probe=is_probe
+            gateway=self.own,
+            life=self.vouching.life,
+            domain=self._settings.domain,
+            roster=roster,
+            is_probe=is_probe,
         )
 
     async def _greet_any(self, hosts: Iterable[str], passes_on: str) -> bool:
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -73,8 +73,6 @@
         self.held_to_end = 0
         """How many calls were answered only when their callers gave up waiting."""
         self._clock = clock
-        self._number = int(clock.now().timestamp() * 1000)
-        """Of the last submission; no earlier process at this address has used it."""
         self.calls = PeerCalls()
         self.link = DeciderLink(
             settings=settings,
@@ -83,6 +81,8 @@
             calls=self.calls,
             on_failure=on_failure,
         )
+        self._number = self.link.vouching.life
+        """Of the last submission; no earlier process at this address has used it."""
         self.calls.stamp = self.link.vouching.stamp
         self._background: set[asyncio.Task[Answer]] = set()
 
--- a/cottonlug/runtime/gateways.py
+++ b/cottonlug/runtime/gateways.py
@@ -36,12 +36,15 @@
         """Until then no gateway falls silent."""
         self.on_silence: Callable[[str], object] = lambda gateway: None
         """Called when a gateway that was silent is counted on again."""
+        self.on_restart: Callable[[str], object] = lambda gateway: None
+        """Called when another process than before greets from the address of a gateway."""
         self._token = token
         self._clock = clock
         self._late_line_due = timedelta()
         self._sent_at: dict[str, timedelta] = {}
         """When each gateway last sent something, or later: what its contacts vouch for."""
         self._domains: dict[str, DomainName] = {}
+        self._lives: dict[str, int] = {}
         self._keeps_jobs = False
 
     def note_kept_jobs(self, are_open: bool) -> None:
@@ -58,6 +61,9 @@
         if gateway not in self._domains:
             self._domains[gateway] = greeting.domain
             self.log.note_other()
+        if self._lives.setdefault(gateway, greeting.life) != greeting.life:
+            self._lives[gateway] = greeting.life
+            self.on_restart(gateway)
         sent_at = self.find_sent(gateway, greeting.contact)
         if sent_at is not None:
             self._vouch(gateway, sent_at)
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -153,6 +153,7 @@
             wake=self._wake,
         )
         self.gateways.on_silence = self._give_up_silent
+        self.gateways.on_restart = self._give_up_all
         self._proposals: list[Command] = []
         self._is_awake = False
         self._calls: set[asyncio.Task[None]] = set()
@@ -232,6 +233,9 @@
     def _give_up_silent(self, gateway: str) -> None:
         self.dispatch.abandon_silent(lambda each: each != gateway, self._clock.monotonic())
 
+    def _give_up_all(self, gateway: str) -> None:
+        self.dispatch.abandon_gateway(gateway, self._clock.monotonic())
+
     async def _answer_beat(self, call: Beat) -> Answer:
         heartbeat = call.heartbeat
         self.dispatch.take_heartbeat(heartbeat, self._clock.monotonic())
--- a/cottonlug/runtime/vouching.py
+++ b/cottonlug/runtime/vouching.py
@@ -24,6 +24,8 @@
     """The contact with whoever decides, and what was given up lately."""
 
     def __init__(self, *, own: str, clock: Clock) -> None:
+        self.life = int(clock.now().timestamp() * 1000)
+        """Names this process: no earlier one at this address has begun at the same millisecond."""
         self._own = own
         self._clock = clock
         self._contact: Contact | None = None
--- a/cottonlug/tests/test_cluster_contact.py
+++ b/cottonlug/tests/test_cluster_contact.py
@@ -36,6 +36,7 @@
     PATIENCE,
     IdlePort,
     build_clock,
+    build_gateway,
     build_roster,
     fail,
     greet,
@@ -347,3 +348,25 @@
         way.leading.stop()
 
     play(script())
+
+
+def test_a_gateway_that_began_anew_has_left_what_it_had_submitted() -> None:
+    """Its callers saw their connections break; what it greets with now is not for their jobs."""
+
+    async def script() -> None:
+        gateway, way, clock = prepare_way()
+        await greet_for_a_while(gateway, clock)
+        waiting = await submit_by(gateway, way)
+        clock.advance(milliseconds(100))
+        reborn = build_gateway(clock, number=1)
+        assert reborn.link.own == gateway.link.own
+        reborn.calls.ask = way.ask  # type: ignore[method-assign]
+        way.gateway = reborn
+        await reborn.link.greet_leader()
+        assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
+        waiting.cancel()
+        for each in (gateway, reborn):
+            each.stop()
+        way.leading.stop()
+
+    play(script())
