--- a/cottonlug/net/servers.py
+++ b/cottonlug/net/servers.py
@@ -121,10 +121,10 @@
 class Listener:
     """One application on one address.
 
-    With `takes_all` nobody waits to be taken in for as many turns of the loop as others came first:
-    for those who call seldom, and go after a second (operators and upstreams). Gateways do not: at a
-    leader that is behind, what is taken in at once is late at once (0.31 of the worth under a long
-    press, 0.51 with one connection a turn).
+    With `takes_all` nobody waits to be taken in for as many turns of the loop as others came first.
+    That is for those who call seldom and go after a second, operators and upstreams. At a leader
+    that is behind, gateways that are all taken in at once are late at once (0.31 of the worth under
+    a long press, 0.51 with one connection a turn).
     """
 
     def __init__(self, *, app: Litestar | Any, address: Address, takes_all: bool = False) -> None:
--- /dev/null
+++ b/cottonlug/tests/test_cluster_waiting.py
@@ -0,0 +1,166 @@
+"""How long anybody waits for a job, and what a host that ceases to decide still does.
+
+Found by a review of the incident's mend: each of these let a job go on for which nobody waited, or
+a host decide that had ceased to, so that a task could run beside the next try of its caller.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from ..core.cluster.calls import Outcome
+from ..core.cluster.commands import AddUpstream
+from ..core.cluster.lives import choose_terms
+from ..core.cluster.model import EndKind, JobId, LookReply
+from ..core.cluster.orders import CallFailure, LookOrder
+from ..core.cluster.records import Records, UpstreamRecord
+from ..runtime.gateways import GATEWAY_SILENT
+from ..runtime.leading import Leading, LeadingSettings
+from ..runtime.replicated import ReplicatedRecords
+from .gateway_builders import (
+    JOB,
+    IdlePort,
+    build_clock,
+    build_roster,
+    fail,
+    stand_in,
+    submit,
+)
+from .model_upstreams import build_info, build_queue, build_spec, milliseconds
+from .test_cluster_contact import CALLER_RETRY, let_run
+from .test_cluster_dispatch import build_world, start_leader
+
+LONG = build_spec(tasks=1, run_ms=2_500)
+
+
+class OwnOffice:
+    """Of a host that leads on in the log, with its lease."""
+
+    term = 6
+
+    def has_lease(self) -> bool:
+        return True
+
+    def propose(self, data: str) -> bool:
+        return True
+
+    def renew(self) -> None:
+        return None
+
+
+class CountingPort(IdlePort):
+    """Upstreams that are counted when they are looked at, and may never answer."""
+
+    def __init__(self, *, answers: bool = True) -> None:
+        super().__init__()
+        self.looks = 0
+        self._answers = answers
+
+    async def look(self, order: LookOrder, token: int) -> LookReply | CallFailure:
+        self.looks += 1
+        if not self._answers:
+            await asyncio.sleep(3_600)
+        return await super().look(order, token)
+
+
+def lead(port: IdlePort, *, keeps_log: bool = True) -> tuple[Leading, ReplicatedRecords]:
+    replicated = ReplicatedRecords()
+    replicated.records.put_in_force(build_roster().configuration)
+    for name in ("u1", "u2"):
+        info = build_info(name)
+        replicated.records.upstreams[info.id] = UpstreamRecord(info=info)
+    leading = Leading(
+        authority=OwnOffice(),
+        replicated=replicated,
+        port=port,
+        clock=build_clock(),
+        on_failure=fail,
+        settings=LeadingSettings(
+            terms=choose_terms(timedelta(seconds=1), CALLER_RETRY, GATEWAY_SILENT),
+            keep_ended=timedelta(),
+            caller_retry=CALLER_RETRY,
+            control_address=None,
+            keeps_log=keeps_log,
+            level=0 if keeps_log else 1_001,
+        ),
+    )
+    return leading, replicated
+
+
+def test_a_gateway_that_stands_in_waits_no_longer_than_its_caller() -> None:
+    """Its own calls had no time-out: a job went on, with its lease, for a caller long gone.
+
+    A caller outside a domain that is cut off, with its gateway inside, times out after 1.5 s and
+    comes again elsewhere 1.3 s later; by then the gateway, which stands in, had begun the job.
+    """
+
+    async def play() -> None:
+        gateway, clock = stand_in()
+        await gateway.link.replace_leader()
+        assert gateway.deputy is not None
+        call = msgspec.structs.replace(submit(), spec=LONG)
+        waiting = asyncio.create_task(gateway.call(call, milliseconds(200)))
+        for _ in range(12):
+            clock.advance(milliseconds(50))
+            await gateway.link.replace_leader()
+            await asyncio.sleep(0.02)
+        deputy = gateway.deputy
+        assert waiting.done() and waiting.result().outcome is Outcome.UNKNOWN
+        assert not deputy.leading.dispatch.jobs.is_open(JobId(JOB))
+        gateway.stop()
+
+    asyncio.run(play())
+
+
+def test_an_old_end_does_not_free_a_task_whose_good_end_awaits_its_commit() -> None:
+    """A third run, 12 ms after the second had ended well: the first had lapsed long before.
+
+    Its upstream came back and listed that; the commit of this old end queued the task, though the
+    end of the second was on its way into the log.
+    """
+    world, upstreams = build_world(15)
+    for each in upstreams.values():
+        each.run_times = lambda job: timedelta(seconds=2)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.submit(JOB, build_spec(tasks=1, kept=True, run_ms=2_000), build_queue())
+    world.run_until(milliseconds(130))
+    first = next(each for each in upstreams.values() if each.runs)
+    leader.cut_off = {first.info.id}
+    while world.starts < 2:
+        world.run_until(world.now + milliseconds(5))
+    second = next(each for each in upstreams.values() if each.runs)
+    (run,) = second.runs.values()
+    assert second is not first
+    world.run_until(run.ends_at - milliseconds(4))
+    look = LookOrder(upstream=first.info, last_seen=0, expires_ms=None, wait=timedelta())
+    reply = first.report()
+    assert [end.how for end in reply.ended] == [EndKind.LAPSED]
+    leader.cut_off = set()
+    leader.dispatch.take_look(look, reply, world.now, world.now)
+    leader.act()
+    world.run_until(run.ends_at + timedelta(seconds=3))
+    assert world.starts == 2
+
+
+@pytest.mark.parametrize("wakes_by", ["a decision that was due", "a commit"])
+def test_a_term_that_was_ended_decides_nothing_more(wakes_by: str) -> None:
+    """A host that hands over keeps its lease for a while, in which the next one decides."""
+
+    async def play() -> int:
+        port = CountingPort()
+        leading, replicated = lead(port)
+        if wakes_by == "a decision that was due":
+            leading._wake()
+        listener = replicated.listener
+        leading.stop()
+        if wakes_by == "a commit" and listener is not None:
+            listener(AddUpstream(info=build_info("u3")))
+        await let_run()
+        return port.looks
+
+    assert asyncio.run(play()) == 0
