--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -97,6 +97,8 @@
         self._ends = Ends(
             term=self._term, lives=self._lives, jobs=self._jobs, settlement=self._settlement
         )
+        self.may_be_stood_in_for: Callable[[], bool] = lambda: True
+        """Whether a gateway that is out of touch may stand in for this host."""
         self._joining: set[UpstreamId] = set()
         self._sweep_due = now
 
@@ -194,6 +196,18 @@
                 self._adopter.adopt_orphan(job, life, run)
                 self._lives.touch(life)
 
+    def join(self, id: JobId, submission: Submission, now: timedelta) -> None:
+        """Learn from a second submission of an open job that another host may have begun it."""
+        job = self._jobs.jobs.get(id)
+        if job is None or not submission.may_have_begun:
+            return
+        job.may_be_of_deputy = job.may_be_of_deputy or submission.may_be_of_deputy
+        if not self._settlement.is_unsure(of_deputies=job.may_be_of_deputy):
+            return
+        job.settle_at = max(job.settle_at, now + submission.settle_after)
+        self._jobs.doubt(job)
+        self._settlement.note_unsure()
+
     def abandon(self, id: JobId, gateway: str, now: timedelta) -> None:
         """Give up a job that need not be kept, since its gateway waits for it no more.
 
@@ -388,7 +402,7 @@
         """Forget what is long over."""
         self._sweep_due = now + SWEEP_EVERY
         self._watcher.cordon(now)
-        self._watcher.forget_silent(now)
+        self._watcher.forget_silent(now, may_be_used=self.may_be_stood_in_for())
         self._lives.look_for_orphans()
         self._jobs.forget_ended(now)
         self._ends.forget_orphans(now)
--- a/cottonlug/core/cluster/ends.py
+++ b/cottonlug/core/cluster/ends.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from ..clock import to_milliseconds
+from ..ids import UpstreamId
 from .commands import NoteEnds
 from .life_table import LifeTable
 from .lives import Life
@@ -48,7 +49,7 @@
             if end.task.job in self._term.records.jobs:
                 kept.append(end)
             else:
-                self._note_here(end, now)
+                self._note_here(end, life.info.id, now)
         if not kept and not awaits_record:
             life.noted = max(life.noted, life.proposed)
             return
@@ -68,13 +69,13 @@
             life.look_due = now
             self._lives.touch(life)
         for end in command.ends:
-            self._take_noted_end(end, now)
+            self._take_noted_end(end, command.upstream, now)
 
     def claim(self, record: JobRecord, now: timedelta) -> None:
         """Take note of ends that were listed before their job was submitted again."""
         for end in self._orphans.pop(record.id, []):
             note_end(record, end, self._term.wall_ms())
-            self._take_noted_end(end, now)
+            self._take_noted_end(end, None, now)
 
     def forget_orphans(self, now: timedelta) -> None:
         """Forget ends of jobs that nobody has submitted again in time."""
@@ -113,16 +114,16 @@
         elif end.how is EndKind.FAILED and health.take_failure(now):
             self._term.note("upstream_failing", {"upstream": life.info.id})
 
-    def _note_here(self, end: EndReport, now: timedelta) -> None:
+    def _note_here(self, end: EndReport, upstream: UpstreamId, now: timedelta) -> None:
         """Take note of an end that need not be kept."""
         job = self._jobs.jobs.get(end.task.job)
         if job is not None:
             note_end(job.record, end, self._term.wall_ms())
-            self._take_noted_end(end, now)
+            self._take_noted_end(end, upstream, now)
         elif self._lives.is_grace(now):
             self._orphans.setdefault(end.task.job, []).append(end)
 
-    def _take_noted_end(self, end: EndReport, now: timedelta) -> None:
+    def _take_noted_end(self, end: EndReport, upstream: UpstreamId | None, now: timedelta) -> None:
         job = self._jobs.jobs.get(end.task.job)
         if job is None:
             return
@@ -146,5 +147,6 @@
             # An end of one run says nothing of a later one at an upstream not seen yet.
             task.phase = TaskPhase.UNKNOWN
             self._settlement.note_unsure()
-        elif task.phase is TaskPhase.NOTING:
+        elif task.phase is TaskPhase.NOTING and task.noted == (upstream, end.run):
+            # An older end, noted meanwhile, must not free a task whose later run has ended well.
             self._jobs.queue(job, end.task.occurrence, end.task.step, [end.task.place])
--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -37,6 +37,8 @@
     """How often it was stopped to be started elsewhere."""
     is_unknown: bool = False
     """Whether another run of it, of an earlier leader, may be at work somewhere."""
+    noted: tuple[UpstreamId, RunNumber] | None = None
+    """Whose end the record has yet to take note of, while it is `NOTING`."""
 
     def runs_as(self, run: RunNumber, upstream: UpstreamId) -> bool:
         """Whether this is its present run.
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -199,6 +199,14 @@
             task.is_unknown = task.phase is TaskPhase.UNKNOWN
             task.phase = TaskPhase.NOTING
             task.run = RunNumber(max(task.run, end.run))
+            task.noted = (upstream, end.run)
+
+    def doubt(self, job: OpenJob) -> None:
+        """Hold the tasks of a job that wait for room: another host may have begun them."""
+        for ref, task in job.tasks.items():
+            if task.phase is TaskPhase.QUEUED:
+                self.unqueue(ref)
+                task.phase = TaskPhase.UNKNOWN
 
     def queue_unknown(self, job: OpenJob) -> None:
         """Queue the unknown tasks of a job: nothing of them can run any more."""
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -30,9 +30,12 @@
 LOOKS_BEFORE_CORDON = 2
 """An upstream that has just joined may miss one."""
 SILENT_AFTER = timedelta(seconds=10)
-"""Without heartbeats for that long, and with nothing running, a life is looked at no more."""
+"""Without heartbeats for that long, and with nothing running, a life is forgotten, unless it may be
+beyond a cut, where a deputy uses it."""
+SILENT_LOOK = timedelta(seconds=5)
+"""Between looks at one that may be: a later life at its address answers that it is over."""
 FORGOTTEN_AFTER = timedelta(hours=1)
-"""A deputy may have used it until then, beyond a cut."""
+"""Longer than domains are cut off as a rule (minutes)."""
 MOST_MOVES = 2
 """How often a task is moved: one that stands still everywhere is not moved for ever."""
 
@@ -59,8 +62,6 @@
             return
         if life.look_is_out or now < life.look_due or life.proposed > life.noted:
             return
-        if life.is_cordoned and _is_silent(life, now, SILENT_AFTER):
-            return
         has_news = life.noted > life.confirmed
         if life.is_fenced and not life.runs and not has_news:
             return
@@ -125,7 +126,9 @@
         if failure is CallFailure.LIFE_ENDED:
             self.end_life(life, now)
             return
-        life.look_due = now + LOOK_RETRY * min(life.failed_looks, MOST_RETRY_STEPS)
+        is_gone = life.is_cordoned and _is_silent(life, now, SILENT_AFTER)
+        retry = SILENT_LOOK if is_gone else LOOK_RETRY * min(life.failed_looks, MOST_RETRY_STEPS)
+        life.look_due = now + retry
         life.failed_looks += 1
         self._out_of_sight[life.info.id] = life
         for run in life.runs.values():
@@ -274,24 +277,31 @@
             self._lives.touch(life)
             self._term.note("upstream_uncordoned", {"upstream": upstream})
 
-    def forget_silent(self, now: timedelta) -> None:
-        """Forget lives that have been silent, with nothing running."""
+    def forget_silent(self, now: timedelta, *, may_be_used: bool) -> None:
+        """Forget lives that have been silent, with nothing running.
+
+        With `may_be_used` a deputy may order those that are not leaving, beyond a cut: they stay in
+        the record, cordoned, so that jobs which a deputy has begun wait for them.
+        """
         if not self._term.keeps_log:
             # Deputies get no heartbeats.
             return
         for life in self._lives.by_id.values():
             if life.is_over or life.runs or not _is_silent(life, now, SILENT_AFTER):
                 continue
-            if not life.is_cordoned:
-                # A deputy may use it: it stays in the record.
-                life.is_cordoned, life.is_fenced = True, False
-                self._term.proposals.append(CordonUpstreams(upstreams=(life.info.id,)))
-            if not _is_silent(life, now, FORGOTTEN_AFTER):
+            is_kept = may_be_used and not life.draining
+            if is_kept and not _is_silent(life, now, FORGOTTEN_AFTER):
+                self._cordon_silent(life)
                 continue
             life.is_over = True
             self._term.note("upstream_silent", {"upstream": life.info.id})
             self._term.proposals.append(RemoveUpstreams(upstreams=(life.info.id,)))
 
+    def _cordon_silent(self, life: Life) -> None:
+        if not life.is_cordoned:
+            life.is_cordoned, life.is_fenced = True, False
+            self._term.proposals.append(CordonUpstreams(upstreams=(life.info.id,)))
+
 
 def _is_silent(life: Life, now: timedelta, span: timedelta) -> bool:
     heard_at = max(life.heard_at or timedelta(), life.contact_at or timedelta())
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -26,6 +26,7 @@
 from ..core.cluster.lives import LeaseTerms, choose_terms
 from ..core.consensus.types import Term
 from ..core.control_messages import ConsensusBatch
+from ..core.ids import UpstreamId
 from ..net.asgi import HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
 from .events import Event, log_event
@@ -143,7 +144,7 @@
             answer = await self._pass_on(leader, call, GREETING_PASSED, self._pools)
             # Whoever greets learns at least that this host is alive.
             return answer if answer.hosts else self._add_hosts(answer)
-        if isinstance(call, Configure | AskConfiguration | Beat | Leave):
+        if self._is_order(call):
             return await self._pass_order_on(leader, call)
         return await self._pass_on(leader, call, PASS_ON_TIMEOUT, self._pools)
 
@@ -225,17 +226,31 @@
         finally:
             asking.cancel()
 
+    def _is_order(self, call: Call) -> bool:
+        """Whether a call may be sent to the leader twice, and answered from this host's own log.
+
+        Not a heartbeat that is answered with orders: each must come once, and with its answer.
+        """
+        if isinstance(call, Beat):
+            return call.heartbeat.draining and self._settings.orders is OrdersBy.CALL
+        return isinstance(call, Configure | AskConfiguration | Leave)
+
     def _is_in_log(self, call: Call) -> bool:
         """Whether what a call asks for was committed, as far as this host knows."""
         records = self.replicated.records
         if isinstance(call, Configure):
             current = records.configuration
             return current is not None and call.configuration.version <= current.version
-        if isinstance(call, Beat) and call.heartbeat.draining:
-            known = records.upstreams.get(call.heartbeat.info.id)
-            return known is not None and known.draining
+        if isinstance(call, Leave):
+            return self._is_leaving(call.upstream)
+        if isinstance(call, Beat) and self._is_order(call):
+            return self._is_leaving(call.heartbeat.info.id)
         return False
 
+    def _is_leaving(self, upstream: UpstreamId) -> bool:
+        known = self.replicated.records.upstreams.get(upstream)
+        return known is not None and known.draining
+
     async def _ask_twice(self, leader: str, call: Call) -> Answer:
         """Ask the leader, and again over a new connection if need be."""
         pools = self._order_pools
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -248,7 +248,7 @@
 
     async def _try(self, call: Call, timeout: timedelta) -> Answer:
         if self.deputy is not None:
-            return await self.deputy.leading.answer(_to_itself(call))
+            return await _ask_itself(self.deputy, call, timeout)
         host = self.link.host
         if host is None:
             return Answer(outcome=Outcome.UNAVAILABLE, detail="nobody is known who decides")
@@ -316,6 +316,15 @@
     return call
 
 
+async def _ask_itself(deputy: Deputy, call: Call, timeout: timedelta) -> Answer:
+    """Have this gateway answer a call of its own, while it stands in, and wait no longer."""
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            return await deputy.leading.answer(_to_itself(call))
+    except TimeoutError:
+        return Answer(outcome=Outcome.UNKNOWN, detail="no reply in time")
+
+
 def _to_itself(call: Call) -> Call:
     """Return a call as this gateway answers it, while it stands in: it cannot lose itself."""
     if isinstance(call, Submit | Abandon):
--- a/cottonlug/runtime/gateways.py
+++ b/cottonlug/runtime/gateways.py
@@ -127,6 +127,15 @@
         """Whether any gateway was heard lately."""
         return any(self.is_heard(gateway) for gateway in self._sent_at)
 
+    def may_stand_in(self, domains: set[DomainName]) -> bool:
+        """Whether a gateway that was not heard lately may stand in for upstreams of these domains.
+
+        None can where each of the domains has gateways, and all that were ever heard are in touch.
+        """
+        if not domains <= set(self._domains.values()):
+            return True
+        return not all(self.is_heard(gateway) for gateway in self._domains)
+
     def build_roster(self, records: Records, known: str) -> Roster | None:
         """Return what a gateway that has the version `known` must learn to stand in, or None."""
         gateways = tuple(
--- a/cottonlug/runtime/job_answers.py
+++ b/cottonlug/runtime/job_answers.py
@@ -92,6 +92,8 @@
         if call.spec.best_effort and self._dispatch.jobs.find_ended(job) is not None:
             return Answer(outcome=Outcome.DONE, state=self._dispatch.jobs.find_ended(job))
         if call.spec.best_effort and self._dispatch.jobs.is_open(job):
+            submission = self._build_submission(call, sent_at or timedelta())
+            self._dispatch.join(job, submission, self._clock.monotonic())
             return await self._wait_end(job)
         if ("job", job) in self._waiters:
             return await self._wait(("job", job))
@@ -188,9 +190,15 @@
         """Run a job that need not be kept, and answer when it has ended."""
         record = JobRecord(id=job, queue=queue, spec=call.spec, accepted_ms=self._read_wall())
         now = self._clock.monotonic()
+        submission = self._build_submission(call, sent_at)
+        self._dispatch.submit(record, submission, now)
+        self._wake()
+        return await self._wait_end(job)
+
+    def _build_submission(self, call: Submit, sent_at: timedelta) -> Submission:
         longest = self._terms.lapse_after + GATEWAY_SILENT
         after_retry = max(longest - self._caller_retry, timedelta())
-        submission = Submission(
+        return Submission(
             gateway=call.gateway,
             vouched_until=sent_at + GATEWAY_SILENT,
             may_have_begun=call.may_have_begun,
@@ -199,9 +207,6 @@
             settle_after=longest if call.may_have_begun else after_retry,
             waited=timedelta(milliseconds=call.waited_ms),
         )
-        self._dispatch.submit(record, submission, now)
-        self._wake()
-        return await self._wait_end(job)
 
     async def _wait_end(self, job: JobId) -> Answer:
         if self._dispatch.jobs.is_open(job) and not await self._waiters.wait_for(("end", job)):
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -127,6 +127,7 @@
         """Called with the milliseconds between two decisions, where there are more than usual."""
         self._decided_at = clock.monotonic()
         self._has_waited = False
+        self._had_lease = True
         self.waiters = Waiters()
         self.dispatch = Dispatch(
             records=self._records,
@@ -152,10 +153,12 @@
             wait=self._wait,
             wake=self._wake,
         )
+        self.dispatch.may_be_stood_in_for = self._may_be_stood_in_for
         self.gateways.on_silence = self._give_up_silent
         self.gateways.on_restart = self._give_up_all
         self._proposals: list[Command] = []
         self._is_awake = False
+        self._is_over = False
         self._calls: set[asyncio.Task[None]] = set()
         self._forget_at = clock.monotonic() + FORGET_EVERY
         replicated.listener = self._take_applied
@@ -168,7 +171,11 @@
         )
 
     def stop(self) -> None:
-        """End the term: nothing more is ordered, and whoever waits learns that it is not known."""
+        """End the term: nothing more is ordered, and whoever waits learns that it is not known.
+
+        The host may hold the term and its lease for a while after that, beside the next one.
+        """
+        self._is_over = True
         self._timer.cancel()
         for task in self._calls:
             task.cancel()
@@ -183,7 +190,7 @@
         """Whether the log alone decides about a call: its answer waits for the commit."""
         if isinstance(call, Beat):
             return call.heartbeat.draining and self._heartbeats is None
-        return isinstance(call, Configure)
+        return isinstance(call, Configure | Leave)
 
     async def answer(self, call: Call) -> Answer:
         """Carry out one call, while the lease of this leader lasts or the call needs none."""
@@ -233,6 +240,10 @@
     def _give_up_silent(self, gateway: str) -> None:
         self.dispatch.abandon_silent(lambda each: each != gateway, self._clock.monotonic())
 
+    def _may_be_stood_in_for(self) -> bool:
+        domains = {record.info.domain for record in self._records.upstreams.values()}
+        return self.gateways.may_stand_in(domains)
+
     def _give_up_all(self, gateway: str) -> None:
         self.dispatch.abandon_gateway(gateway, self._clock.monotonic())
 
@@ -295,6 +306,8 @@
     # Decisions
 
     def _take_applied(self, command: Command) -> None:
+        if self._is_over:
+            return
         self.dispatch.take_applied(command, self._clock.monotonic())
         self._note_roster(command)
         if isinstance(command, AcceptJob):
@@ -334,6 +347,8 @@
 
     def _decide(self) -> None:
         self._is_awake = False
+        if self._is_over:
+            return
         try:
             self._decide_now()
         except Exception as error:
@@ -347,14 +362,14 @@
         # The log decides about these: what one proposes that leads no more comes to nothing.
         self._propose()
         if not self._authority.has_lease():
+            self._had_lease = False
             return
         now = self._clock.monotonic()
         held_up = now - self._decided_at
         self._decided_at = now
-        if held_up > USUAL_HOLD:
-            self.record_hold(held_up / timedelta(milliseconds=1))
-        if held_up > HELD_UP:
-            log_event(Event.HELD_UP, term=int(self.term), held_up_ms=to_milliseconds(held_up))
+        if self._had_lease:
+            self._note_hold(held_up)
+        self._had_lease = True
         if held_up > HELD_UP and not self._has_waited:
             # What has arrived in the meantime is taken in before anything is decided; where every
             # turn is late, by the next one.
@@ -374,6 +389,13 @@
             task.add_done_callback(self._calls.discard)
         self._propose()
 
+    def _note_hold(self, held_up: timedelta) -> None:
+        """Tell how late a decision is, where nothing but this host has kept it from deciding."""
+        if held_up > USUAL_HOLD:
+            self.record_hold(held_up / timedelta(milliseconds=1))
+        if held_up > HELD_UP:
+            log_event(Event.HELD_UP, term=int(self.term), held_up_ms=to_milliseconds(held_up))
+
     def _propose(self) -> None:
         """Put into the log what waits for it."""
         self._proposals += self.dispatch.take_proposals()
--- a/cottonlug/runtime/vouching.py
+++ b/cottonlug/runtime/vouching.py
@@ -33,6 +33,7 @@
         self._contact_at = clock.monotonic()
         self._given_up: deque[tuple[timedelta, GivenUp]] = deque(maxlen=MOST_GIVEN_UP)
         """What is waited for no more, and since when."""
+        self._silent_until = timedelta()
 
     def take(self, answer: Answer) -> None:
         """Keep the contact that came with an answer of whoever decides."""
@@ -45,7 +46,11 @@
 
     def note_given_up(self, given_up: GivenUp) -> None:
         """Tell whoever is greeted in the next while that a submission is waited for no more."""
-        self._given_up.append((self._clock.monotonic(), given_up))
+        now = self._clock.monotonic()
+        if len(self._list_given_up()) >= MOST_GIVEN_UP:
+            # Not all can be told: until the oldest need not be, nothing is vouched for at all.
+            self._silent_until = now + GIVEN_UP_TOLD
+        self._given_up.append((now, given_up))
 
     def stamp(self, call: Call) -> Call:
         """Return a call of this gateway with its contact, as of now; others as they are."""
@@ -56,7 +61,7 @@
         return msgspec.structs.replace(call, contact=self._find_contact())
 
     def _find_contact(self) -> Contact | None:
-        if self._contact is None:
+        if self._contact is None or self._clock.monotonic() < self._silent_until:
             return None
         since = self._clock.monotonic() - self._contact_at
         return msgspec.structs.replace(self._contact, since_ms=to_milliseconds(since))
--- a/cottonlug/tests/conftest.py
+++ b/cottonlug/tests/conftest.py
@@ -30,7 +30,9 @@
         # One line stands for all cases of a test.
         why = known.get(item.nodeid.partition("[")[0])
         if why is not None:
-            item.add_marker(pytest.mark.xfail(reason=why, strict=True))
+            # One that fails otherwise than by what it asserts is not known.
+            known_ways = (AssertionError, TimeoutError)
+            item.add_marker(pytest.mark.xfail(reason=why, strict=True, raises=known_ways))
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
--- a/cottonlug/tests/model_site.py
+++ b/cottonlug/tests/model_site.py
@@ -389,10 +389,13 @@
         gateway.calls.append(ModelCall(job=JobId(job), spec=spec, give_up_at=give_up_at))
 
     def send_again(self, call: ModelCall, domain: DomainName) -> None:
-        """Have a caller send its job again, to any gateway of its domain."""
+        """Have a caller send its job again, mostly to a gateway of its domain, else to any other."""
+        elsewhere = self.world.random.random() < 0.25
 
         def send() -> None:
-            up = list(self.list_up(domain))
+            up = [each for each in self.gateways if each.is_up]
+            if not elsewhere:
+                up = list(self.list_up(domain))
             if up:
                 gateway = self.world.random.choice(up)
                 give_up_at = self.world.now + PATIENCE
--- a/cottonlug/tests/test_cluster_contact.py
+++ b/cottonlug/tests/test_cluster_contact.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from ..core.clock import ManualClock
-from ..core.cluster.calls import Abandon, Answer, Call, Greet, Outcome, Submit
+from ..core.cluster.calls import Abandon, Answer, Call, GivenUp, Greet, Outcome, Submit
 from ..core.cluster.lives import choose_terms
 from ..core.cluster.model import JobId
 from ..core.cluster.records import UpstreamRecord
@@ -30,6 +30,7 @@
 from ..runtime.gateways import GATEWAY_SILENT, Gateways
 from ..runtime.leading import Leading, LeadingSettings
 from ..runtime.replicated import ReplicatedRecords
+from ..runtime.vouching import MOST_GIVEN_UP
 from .gateway_builders import (
     JOB,
     LEADER,
@@ -370,3 +371,26 @@
         way.leading.stop()
 
     play(script())
+
+
+def test_with_more_given_up_than_can_be_told_nothing_is_vouched_for() -> None:
+    async def script() -> None:
+        gateway, way, clock = prepare_way()
+        await greet_for_a_while(gateway, clock)
+        waiting = await submit_by(gateway, way)
+        waiting.cancel()
+        await let_run()
+        for number in range(MOST_GIVEN_UP):
+            other = GivenUp(host="host", path=f"/q/{number:016x}", number=-number - 1)
+            gateway.link.vouching.note_given_up(other)
+        until = clock.monotonic() + GATEWAY_SILENT
+        while clock.monotonic() < until:
+            await gateway.link.greet_leader()
+            clock.advance(BETWEEN_GREETINGS)
+            way.leading._decide()
+        way.leading._decide()
+        assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
+        gateway.stop()
+        way.leading.stop()
+
+    play(script())
--- a/cottonlug/tests/test_cluster_waiting.py
+++ b/cottonlug/tests/test_cluster_waiting.py
@@ -12,12 +12,13 @@
 import msgspec
 import pytest
 
-from ..core.cluster.calls import Outcome
+from ..core.cluster.calls import Answer, Outcome, Submit
 from ..core.cluster.commands import AddUpstream
 from ..core.cluster.lives import choose_terms
 from ..core.cluster.model import EndKind, JobId, LookReply
 from ..core.cluster.orders import CallFailure, LookOrder
 from ..core.cluster.records import Records, UpstreamRecord
+from ..core.ids import UpstreamId
 from ..runtime.gateways import GATEWAY_SILENT
 from ..runtime.leading import Leading, LeadingSettings
 from ..runtime.replicated import ReplicatedRecords
@@ -27,10 +28,11 @@
     build_clock,
     build_roster,
     fail,
+    greet,
     stand_in,
     submit,
 )
-from .model_upstreams import build_info, build_queue, build_spec, milliseconds
+from .model_upstreams import ModelUpstream, build_info, build_queue, build_spec, milliseconds
 from .test_cluster_contact import CALLER_RETRY, let_run
 from .test_cluster_dispatch import build_world, start_leader
 
@@ -104,7 +106,7 @@
         assert gateway.deputy is not None
         call = msgspec.structs.replace(submit(), spec=LONG)
         waiting = asyncio.create_task(gateway.call(call, milliseconds(200)))
-        for _ in range(12):
+        for _ in range(30):
             clock.advance(milliseconds(50))
             await gateway.link.replace_leader()
             await asyncio.sleep(0.02)
@@ -164,3 +166,93 @@
         return port.looks
 
     assert asyncio.run(play()) == 0
+
+
+def test_a_second_submission_of_an_open_job_tells_what_the_first_did_not() -> None:
+    """Another decider may have begun it for the second gateway: its lease was not waited for."""
+
+    async def play() -> None:
+        leading, _ = lead(CountingPort(answers=False), keeps_log=False)
+        clock = leading._clock
+
+        def hear(gateway: str) -> None:
+            contact = leading.gateways.make_contact()
+            leading.gateways.take_greeting(msgspec.structs.replace(greet(gateway), contact=contact))
+
+        def send(gateway: str) -> asyncio.Task[Answer]:
+            call = Submit(
+                host="host",
+                path=f"/q/{JOB}",
+                spec=LONG,
+                gateway=gateway,
+                number=1,
+                may_have_begun=True,
+                may_be_of_deputy=True,
+                contact=leading.gateways.make_contact(),
+            )
+            return asyncio.create_task(leading.answer(call))
+
+        hear("a")
+        hear("b")
+        waiting = [send("a")]
+        await let_run()
+        for _ in range(10):
+            clock.advance(milliseconds(100))  # type: ignore[attr-defined]
+            hear("a")
+            hear("b")
+            leading._decide()
+        left_at = clock.monotonic()
+        waiting.append(send("b"))
+        await let_run()
+        job = leading.dispatch.jobs.jobs[JobId(JOB)]
+        assert job.settle_at >= left_at + CALLER_RETRY
+        for each in waiting:
+            each.cancel()
+        leading.stop()
+
+    asyncio.run(play())
+
+
+def test_an_upstream_that_went_down_is_forgotten_where_nobody_can_stand_in() -> None:
+    """It was kept for an hour, and each job that a deputy may have had waited for its lease."""
+    world, upstreams = build_world(3)
+    records = Records()
+    leader = start_leader(world, upstreams, records, 1)
+    leader.dispatch.may_be_stood_in_for = lambda: False
+    world.run_until(milliseconds(100))
+    upstreams[UpstreamId("u1")].crash()
+    while world.now < timedelta(seconds=14):
+        world.run_until(world.now + milliseconds(500))
+        for each in upstreams.values():
+            if each.is_up:
+                leader.beat(each, sequence=int(world.now / milliseconds(1)))
+    assert UpstreamId("u1") not in records.upstreams
+    at = world.now
+    spec = build_spec(tasks=1)
+    leader.submit(JOB, spec, build_queue(), may_have_begun=True, may_be_of_deputy=True)
+    while not leader.ended and world.now < at + timedelta(seconds=5):
+        world.run_until(world.now + milliseconds(10))
+    assert leader.ended_at[JobId(JOB)] - at < milliseconds(500)
+
+
+def test_a_silent_upstream_is_looked_at_when_another_life_takes_its_address() -> None:
+    world, upstreams = build_world(3)
+    records = Records()
+    leader = start_leader(world, upstreams, records, 1)
+    world.run_until(milliseconds(100))
+    old = upstreams[UpstreamId("u1")]
+    old.crash()
+
+    def live(until: timedelta) -> None:
+        while world.now < until:
+            world.run_until(world.now + milliseconds(500))
+            for each in list(upstreams.values()):
+                if each.is_up:
+                    leader.beat(each, sequence=int(world.now / milliseconds(1)))
+
+    live(timedelta(seconds=13))
+    looked = leader.dispatch.lives[old.info.id].failed_looks
+    info = msgspec.structs.replace(build_info("u9"), address=old.info.address)
+    upstreams[info.id] = ModelUpstream(world=world, info=info, rate=1.0, run_times=old.run_times)
+    live(timedelta(seconds=14))
+    assert leader.dispatch.lives[old.info.id].failed_looks > looked
