--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -14,8 +14,8 @@
 ROOM_KEPT = timedelta(milliseconds=20)
 """How long a measure of all room is used again: it changes as upstreams come and go."""
 ORPHAN_GRACE = timedelta(milliseconds=800)
-"""How long a new leader keeps ends of jobs that it does not know, and reckons with upstreams that it
-has not seen: gateways submit their jobs again, within 0.1 s as a rule."""
+"""How long a new leader keeps ends of jobs that it does not know, and reckons with upstreams that
+it has not seen: gateways submit their jobs again, within 0.1 s as a rule."""
 
 
 class LifeTable:
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -188,6 +188,8 @@
         if self.deputy is None:
             return
         deputy, self.deputy = self.deputy, None
+        if deputy.authority.is_over:
+            self._fenced_off_at = self._clock.monotonic()
         deputy.stop()
         if self.host == self.own:
             self.host = None
@@ -302,8 +304,6 @@
         was_held_up = now - self._checked_at > STAND_DOWN_GAP
         self._checked_at = now
         if self.deputy is not None:
-            if self.deputy.authority.is_over:
-                self._fenced_off_at = now
             if was_held_up or self.deputy.authority.is_over:
                 self.stand_down()
                 return False
--- a/cottonlug/tests/model_site.py
+++ b/cottonlug/tests/model_site.py
@@ -389,7 +389,7 @@
         gateway.calls.append(ModelCall(job=JobId(job), spec=spec, give_up_at=give_up_at))
 
     def send_again(self, call: ModelCall, domain: DomainName) -> None:
-        """Have a caller send its job again, mostly to a gateway of its domain, else to any other."""
+        """Have a caller send its job again, mostly to a gateway of its domain, or to any."""
         elsewhere = self.world.random.random() < 0.25
 
         def send() -> None:
