--- a/cottonlug/tests/test_cluster_contact.py
+++ b/cottonlug/tests/test_cluster_contact.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -115,8 +115,20 @@
         await asyncio.sleep(0)
 
 
-def play(script: Coroutine[None, None, None]) -> None:
-    asyncio.run(script)
+Script = Callable[[Gateway, Way, ManualClock], Coroutine[None, None, None]]
+
+
+def play(script: Script) -> None:
+    """Play a script with a gateway that is in touch with a leader."""
+
+    async def play_whole() -> None:
+        gateway, way, clock = prepare_way()
+        await greet_for_a_while(gateway, clock)
+        await script(gateway, way, clock)
+        gateway.stop()
+        way.leading.stop()
+
+    asyncio.run(play_whole())
 
 
 def prepare_way() -> tuple[Gateway, Way, ManualClock]:
@@ -128,9 +140,7 @@
 
 
 def test_a_greeting_that_was_held_up_says_nothing_of_the_present() -> None:
-    async def script() -> None:
-        gateway, way, clock = prepare_way()
-        await greet_for_a_while(gateway, clock)
+    async def script(gateway: Gateway, way: Way, clock: ManualClock) -> None:
         assert way.leading.gateways.is_heard(gateway.link.own)
         way.is_cut = True
         await gateway.link.greet_leader()
@@ -141,16 +151,12 @@
         for call in way.held:
             await way.leading.answer(call)
         assert not way.leading.gateways.is_heard(gateway.link.own)
-        gateway.stop()
-        way.leading.stop()
 
-    play(script())
+    play(script)
 
 
 def test_a_submission_that_was_held_up_begins_nothing() -> None:
-    async def script() -> None:
-        gateway, way, clock = prepare_way()
-        await greet_for_a_while(gateway, clock)
+    async def script(gateway: Gateway, way: Way, clock: ManualClock) -> None:
         way.is_cut = True
         await gateway._try(submit_from(gateway), PATIENCE)
         clock.advance(DEPUTY_AFTER_SILENCE)
@@ -161,18 +167,14 @@
         await let_run()
         assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
         assert (await late).outcome is Outcome.UNAVAILABLE
-        gateway.stop()
-        way.leading.stop()
 
-    play(script())
+    play(script)
 
 
 def test_a_submission_shows_that_its_gateway_is_there() -> None:
     """A busy host takes in greetings late: each job was given up on its arrival."""
 
-    async def script() -> None:
-        gateway, way, clock = prepare_way()
-        await greet_for_a_while(gateway, clock)
+    async def script(gateway: Gateway, way: Way, clock: ManualClock) -> None:
         clock.advance(GATEWAY_SILENT - BETWEEN_GREETINGS - milliseconds(10))
         waiting = asyncio.create_task(gateway._try(submit_from(gateway), PATIENCE))
         await let_run()
@@ -181,10 +183,8 @@
         leading.dispatch.abandon_silent(leading.gateways.is_heard, clock.monotonic())
         assert leading.dispatch.jobs.is_open(JobId(JOB))
         waiting.cancel()
-        gateway.stop()
-        leading.stop()
 
-    play(script())
+    play(script)
 
 
 def test_silence_is_looked_for_only_when_it_may_have_come() -> None:
@@ -242,24 +242,18 @@
     Whoever decides counts on a gateway while it greets: so the greetings must tell.
     """
 
-    async def script() -> None:
-        gateway, way, clock = prepare_way()
-        await greet_for_a_while(gateway, clock)
+    async def script(gateway: Gateway, way: Way, clock: ManualClock) -> None:
         waiting = await submit_by(gateway, way)
         waiting.cancel()
         await let_run()
         await gateway.link.greet_leader()
         assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
-        gateway.stop()
-        way.leading.stop()
 
-    play(script())
+    play(script)
 
 
 def test_a_submission_that_comes_after_its_end_was_told_begins_nothing() -> None:
-    async def script() -> None:
-        gateway, way, clock = prepare_way()
-        await greet_for_a_while(gateway, clock)
+    async def script(gateway: Gateway, way: Way, clock: ManualClock) -> None:
         way.holds_submissions = True
         waiting = asyncio.create_task(gateway.call(submit(), PATIENCE))
         await let_run()
@@ -269,18 +263,14 @@
         answer = await asyncio.wait_for(way.leading.answer(way.held[0]), timeout=1)
         assert answer.outcome is Outcome.UNKNOWN
         assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
-        gateway.stop()
-        way.leading.stop()
 
-    play(script())
+    play(script)
 
 
 def test_a_submission_vouches_for_its_own_job_only() -> None:
     """It does not tell what its gateway waits for no more, as greetings do."""
 
-    async def script() -> None:
-        gateway, way, clock = prepare_way()
-        await greet_for_a_while(gateway, clock)
+    async def script(gateway: Gateway, way: Way, clock: ManualClock) -> None:
         waiting = await submit_by(gateway, way)
         clock.advance(GATEWAY_SILENT - BETWEEN_GREETINGS - milliseconds(10))
         other = msgspec.structs.replace(submit_from(gateway), path=f"/q/{'f' * 16}")
@@ -297,18 +287,14 @@
         assert not leading.dispatch.jobs.count_jobs()
         waiting.cancel()
         also_waiting.cancel()
-        gateway.stop()
-        leading.stop()
 
-    play(script())
+    play(script)
 
 
 def test_a_leader_has_given_up_what_its_gateway_left_by_the_time_its_caller_comes_again() -> None:
     """Greetings that arrive, and are answered too late, kept jobs at a leader that was too slow."""
 
-    async def script() -> None:
-        gateway, way, clock = prepare_way()
-        await greet_for_a_while(gateway, clock)
+    async def script(gateway: Gateway, way: Way, clock: ManualClock) -> None:
         waiting = await submit_by(gateway, way)
         waiting.cancel()
         await let_run()
@@ -324,18 +310,14 @@
             way.leading._decide()
         way.leading._decide()
         assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
-        gateway.stop()
-        way.leading.stop()
 
-    play(script())
+    play(script)
 
 
 def test_a_gateway_that_was_silent_has_left_what_it_had_submitted() -> None:
     """Also where it greets again before anything is decided, as after a time without a lease."""
 
-    async def script() -> None:
-        gateway, way, clock = prepare_way()
-        await greet_for_a_while(gateway, clock)
+    async def script(gateway: Gateway, way: Way, clock: ManualClock) -> None:
         waiting = await submit_by(gateway, way)
         clock.advance(GATEWAY_SILENT)
         gateway.link.leave(LEADER)
@@ -345,18 +327,14 @@
             await gateway.link.greet_leader()
         assert way.leading.gateways.is_heard(gateway.link.own)
         assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
-        gateway.stop()
-        way.leading.stop()
 
-    play(script())
+    play(script)
 
 
 def test_a_gateway_that_began_anew_has_left_what_it_had_submitted() -> None:
     """Its callers saw their connections break; what it greets with now is not for their jobs."""
 
-    async def script() -> None:
-        gateway, way, clock = prepare_way()
-        await greet_for_a_while(gateway, clock)
+    async def script(gateway: Gateway, way: Way, clock: ManualClock) -> None:
         waiting = await submit_by(gateway, way)
         clock.advance(milliseconds(100))
         reborn = build_gateway(clock, number=1)
@@ -366,17 +344,13 @@
         await reborn.link.greet_leader()
         assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
         waiting.cancel()
-        for each in (gateway, reborn):
-            each.stop()
-        way.leading.stop()
+        reborn.stop()
 
-    play(script())
+    play(script)
 
 
 def test_with_more_given_up_than_can_be_told_nothing_is_vouched_for() -> None:
-    async def script() -> None:
-        gateway, way, clock = prepare_way()
-        await greet_for_a_while(gateway, clock)
+    async def script(gateway: Gateway, way: Way, clock: ManualClock) -> None:
         waiting = await submit_by(gateway, way)
         waiting.cancel()
         await let_run()
@@ -390,7 +364,5 @@
             way.leading._decide()
         way.leading._decide()
         assert not way.leading.dispatch.jobs.is_open(JobId(JOB))
-        gateway.stop()
-        way.leading.stop()
 
-    play(script())
+    play(script)
