--- a/cottonlug/runtime/gateways.py
+++ b/cottonlug/runtime/gateways.py
@@ -42,7 +42,7 @@
         self._clock = clock
         self._late_line_due = timedelta()
         self._sent_at: dict[str, timedelta] = {}
-        """When each gateway last sent something, or later: what its contacts vouch for."""
+        """When each gateway last sent something, at the earliest, as its contacts tell."""
         self._domains: dict[str, DomainName] = {}
         self._lives: dict[str, int] = {}
         self._keeps_jobs = False
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -190,7 +190,7 @@
         """Whether the log alone decides about a call: its answer waits for the commit."""
         if isinstance(call, Beat):
             return call.heartbeat.draining and self._heartbeats is None
-        return isinstance(call, Configure | Leave)
+        return isinstance(call, Configure)
 
     async def answer(self, call: Call) -> Answer:
         """Carry out one call, while the lease of this leader lasts or the call needs none."""
