--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -197,9 +197,13 @@
                 self._lives.touch(life)
 
     def join(self, id: JobId, submission: Submission, now: timedelta) -> None:
-        """Learn from a second submission of an open job that another host may have begun it."""
+        """Learn from a second submission of an open job that another host may have begun it.
+
+        Not from the gateway of the first, which was at no other host for so long that this one would
+        not have given the job up: it only repeats what had no answer here.
+        """
         job = self._jobs.jobs.get(id)
-        if job is None or not submission.may_have_begun:
+        if job is None or not submission.may_have_begun or submission.gateway == job.gateway:
             return
         job.may_be_of_deputy = job.may_be_of_deputy or submission.may_be_of_deputy
         if not self._settlement.is_unsure(of_deputies=job.may_be_of_deputy):
