--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -199,8 +199,8 @@
     def join(self, id: JobId, submission: Submission, now: timedelta) -> None:
         """Learn from a second submission of an open job that another host may have begun it.
 
-        Not from the gateway of the first, which was at no other host for so long that this one would
-        not have given the job up: it only repeats what had no answer here.
+        Not from the gateway of the first: had it been at another host since, this one would have
+        given the job up. It only repeats what had no answer here.
         """
         job = self._jobs.jobs.get(id)
         if job is None or not submission.may_have_begun or submission.gateway == job.gateway:
@@ -406,7 +406,7 @@
         """Forget what is long over."""
         self._sweep_due = now + SWEEP_EVERY
         self._watcher.cordon(now)
-        self._watcher.forget_silent(now, may_be_used=self.may_be_stood_in_for())
+        self._watcher.forget_silent(now, may_be_used=self.may_be_stood_in_for)
         self._lives.look_for_orphans()
         self._jobs.forget_ended(now)
         self._ends.forget_orphans(now)
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from ..clock import to_milliseconds
@@ -277,11 +278,11 @@
             self._lives.touch(life)
             self._term.note("upstream_uncordoned", {"upstream": upstream})
 
-    def forget_silent(self, now: timedelta, *, may_be_used: bool) -> None:
+    def forget_silent(self, now: timedelta, *, may_be_used: Callable[[], bool]) -> None:
         """Forget lives that have been silent, with nothing running.
 
-        With `may_be_used` a deputy may order those that are not leaving, beyond a cut: they stay in
-        the record, cordoned, so that jobs which a deputy has begun wait for them.
+        Where `may_be_used` says that a deputy may order those that are not leaving, beyond a cut,
+        they stay in the record, cordoned, so that jobs which a deputy has begun wait for them.
         """
         if not self._term.keeps_log:
             # Deputies get no heartbeats.
@@ -289,8 +290,8 @@
         for life in self._lives.by_id.values():
             if life.is_over or life.runs or not _is_silent(life, now, SILENT_AFTER):
                 continue
-            is_kept = may_be_used and not life.draining
-            if is_kept and not _is_silent(life, now, FORGOTTEN_AFTER):
+            may_be_kept = not (life.draining or _is_silent(life, now, FORGOTTEN_AFTER))
+            if may_be_kept and may_be_used():
                 self._cordon_silent(life)
                 continue
             life.is_over = True
