--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -195,7 +195,7 @@
 
 @pytest.mark.parametrize("via", [Via.DEPUTY, Via.RELAY])
 def test_a_gateway_that_answers_late_is_not_left_at_once(via: Via) -> None:
-    """Found on mizan-hq-grown: one late answer of a busy deputy sent it every call again."""
+    """One late answer of a busy deputy sent it every call of its gateways again."""
 
     async def play() -> None:
         clock = build_clock()
