--- a/cottonlug/tests/test_cluster_disputed.py
+++ b/cottonlug/tests/test_cluster_disputed.py
@@ -145,3 +145,59 @@
     leader.dispatch.abandon_silent(lambda gateway: False, world.now)
     world.run_until(world.now + TERMS.lapse_after)
     assert not any(ref.job == JOB for ref in world.running)
+
+
+def let_a_leader_stop_a_run_of_a_deputy(seed: int) -> tuple[Leader, Leader, UpstreamId]:
+    """Return a deputy and a leader that sees no other upstream than the one with the deputy's run.
+
+    Nobody has submitted the job to the leader in time, so that it has had the run stopped. The
+    deputy has a look parked there from before, and decides on.
+    """
+    first, _ = start_long_run(seed)
+    world = first.world
+    world.run_until(milliseconds(3_000))
+    first.is_over = True
+    deputy = stand_in(first, set(first.upstreams), 1_001)
+    world.run_until(world.now + milliseconds(100))
+    deputy.submit(JOB, build_spec(tasks=1, run_ms=2_600), build_queue())
+    world.run_until(world.now + milliseconds(50))
+    ((_, text),) = world.running.items()
+    where = UpstreamId(text)
+    leader = Leader(
+        world=world,
+        upstreams=first.upstreams,
+        records=first.records,
+        token=2 * TOKENS_PER_TERM,
+        cut_off=set(first.upstreams) - {where},
+    )
+    while leader.dispatch.counts.stops == 0:
+        world.run_until(world.now + milliseconds(1))
+    return deputy, leader, where
+
+
+def test_a_run_that_was_adopted_and_ends_says_nothing_of_upstreams_not_seen_yet() -> None:
+    """An alert was given twice while upstreams were replaced and a failure domain was cut off.
+
+    After the cut the leader had stopped a run of the deputy as unclaimed; its job was submitted in
+    that moment, so that the run was adopted, and its end had the task begun anew at once. The
+    deputy, whose look had been parked there, heard of the end as well, and did the same.
+    """
+    deputy, leader, _ = let_a_leader_stop_a_run_of_a_deputy(11)
+    spec = build_spec(tasks=1, run_ms=2_600)
+    leader.submit(JOB, spec, build_queue(), may_have_begun=True, may_be_of_deputy=True)
+    leader.world.run_until(leader.world.now + milliseconds(500))
+    assert leader.dispatch.counts.starts == 0
+    deputy.is_over = True
+    leader.cut_off = set()
+    leader.world.run_until(leader.world.now + TERMS.lapse_after * 2)
+    assert leader.dispatch.counts.starts == 1
+
+
+def test_a_deputy_whose_run_somebody_else_has_stopped_decides_no_more() -> None:
+    """Only whoever has a higher token can have stopped it, and may have begun its task again."""
+    deputy, _, where = let_a_leader_stop_a_run_of_a_deputy(12)
+    starts = deputy.dispatch.counts.starts
+    deputy.world.run_until(deputy.world.now + milliseconds(30))
+    assert deputy.dispatch.is_fenced_off
+    assert not deputy.upstreams[where].runs
+    assert deputy.dispatch.counts.starts == starts
