An adopted run that ends leaves its task unknown until all upstreams were seen; a deputy starts nothing once fenced off

Cause of the alert given twice (two deciders beside each other for 0.2 s after a cut has healed): the leader adopts a run of the deputy, that run ends by a stop, and the adoption counted as knowledge of where the task is, so that the task was begun anew at once, though upstreams of the deputy's domain were not seen yet. The deputy, whose look was parked at the upstream before the leader's first, learnt of the same stop and began it anew as well.

Now: a task whose run was adopted while it was unknown stays so: once the run ends or lapses it waits for what any unsure task waits for. A stop that a decider has not sent means that another one decides; a deputy starts nothing any more then. The same for tasks that run here while another gateway says that another host may have begun their job.

Ruled out: contacts and leases (the deputy was in touch with its gateways, rightly); flags of the submission (the test has them set).

--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -77,6 +77,8 @@
         # One that is being stopped holds its task, too: no other run of it may begin until it ends.
         if task.phase is TaskPhase.QUEUED:
             self._jobs.unqueue(run.task)
+        # Whoever began it may begin it again, at an upstream not seen yet, once this run has ended.
+        task.is_unknown = task.is_unknown or task.phase is TaskPhase.UNKNOWN
         task.phase = TaskPhase.RUNNING
         task.life = life.info.id
         task.run = run.run
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -383,7 +383,8 @@
         for life in lives:
             self._watcher.lapse(life, now)
             self._watcher.stop_runs(life, now)
-        self._filler.fill(now, None if is_sweep else lives)
+        if self._term.may_start:
+            self._filler.fill(now, None if is_sweep else lives)
         changed = (*lives, *self._lives.take_touched())
         for life in {each.info.id: each for each in changed}.values():
             self._watcher.look(life, now)
--- a/cottonlug/core/cluster/ends.py
+++ b/cottonlug/core/cluster/ends.py
@@ -44,6 +44,7 @@
         for end in new:
             run = life.remove_run((end.task, end.run))
             if run is not None:
+                self._look_for_another(life, run, end)
                 self._judge(life, run, end, now)
             self._jobs.mark_noting(end, life.info.id)
             if end.task.job in self._term.records.jobs:
@@ -82,6 +83,15 @@
         if self._orphans and not self._lives.is_grace(now):
             self._orphans.clear()
 
+    def _look_for_another(self, life: Life, run: Run, end: EndReport) -> None:
+        """Learn from a stop that is not ours that another host decides, with a higher token.
+
+        It may have begun the task again by now.
+        """
+        if end.how is EndKind.STOPPED and not run.stop_wanted:
+            self._term.is_fenced_off = True
+            self._term.note("run_stopped_elsewhere", {"upstream": life.info.id, "job": end.task.job})
+
     def _judge(self, life: Life, run: Run, end: EndReport, now: timedelta) -> None:
         """Learn from the end of a run how fast its kind is, and how well its upstream."""
         health = self._lives.get_health(life)
--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -36,7 +36,8 @@
     moves: int = 0
     """How often it was stopped to be started elsewhere."""
     is_unknown: bool = False
-    """Whether another run of it, of an earlier leader, may be at work somewhere."""
+    """Whether another run of it, of another host that decides, may be at work somewhere; also of
+    one whose run was adopted: see `Settlement`."""
     noted: tuple[UpstreamId, RunNumber] | None = None
     """Whose end the record has yet to take note of, while it is `NOTING`."""
 
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -40,6 +40,8 @@
         """Jobs that were closed while runs of them were still at work, and when."""
         self.given_up: set[JobId] = set()
         """Jobs that were given up although something of them may have run."""
+        self.has_unsure = True
+        """Whether tasks may have become unknown since this was last looked at."""
         self._kept: set[JobId] = set()
         """Open jobs that must be kept."""
         self._timed: dict[JobId, OpenJob] = {}
@@ -174,6 +176,10 @@
         task = job.tasks.get(ref) if job is not None else None
         if job is None or task is None or not task.runs_as(run, upstream):
             return
+        if task.is_unknown:
+            task.phase = TaskPhase.UNKNOWN
+            self.has_unsure = True
+            return
         self.queue(job, ref.occurrence, ref.step, [ref.place])
 
     def unqueue(self, ref: TaskRef) -> None:
@@ -196,23 +202,28 @@
         if is_done_after_all:
             self.unqueue(end.task)
         if is_current or is_done_after_all or task.phase is TaskPhase.UNKNOWN:
-            task.is_unknown = task.phase is TaskPhase.UNKNOWN
+            task.is_unknown = task.is_unknown or task.phase is TaskPhase.UNKNOWN
             task.phase = TaskPhase.NOTING
             task.run = RunNumber(max(task.run, end.run))
             task.noted = (upstream, end.run)
 
     def doubt(self, job: OpenJob) -> None:
-        """Hold the tasks of a job that wait for room: another host may have begun them."""
+        """Hold the tasks of a job that wait for room: another host may have begun them.
+
+        So are those that run here, should they have to begin again.
+        """
         for ref, task in job.tasks.items():
             if task.phase is TaskPhase.QUEUED:
                 self.unqueue(ref)
                 task.phase = TaskPhase.UNKNOWN
+            task.is_unknown = True
 
     def queue_unknown(self, job: OpenJob) -> None:
         """Queue the unknown tasks of a job: nothing of them can run any more."""
         for task in job.tasks.values():
             if task.phase is TaskPhase.UNKNOWN:
                 task.phase = TaskPhase.BLOCKED
+                task.is_unknown = False
         for occurrence in range(job.next_occurrence):
             self.unblock(job, occurrence)
 
--- a/cottonlug/core/cluster/settlement.py
+++ b/cottonlug/core/cluster/settlement.py
@@ -20,7 +20,6 @@
         self._term = term
         self._lives = lives
         self._jobs = jobs
-        self._has_unsure_jobs = True
 
     @property
     def first_phase(self) -> TaskPhase:
@@ -33,7 +32,7 @@
 
     def note_unsure(self) -> None:
         """Look again whether tasks are unknown."""
-        self._has_unsure_jobs = True
+        self._jobs.has_unsure = True
 
     def settle(self, now: timedelta) -> None:
         """Once nothing unknown can run any more, queue what an earlier leader left open."""
@@ -43,12 +42,12 @@
             self._term.note(
                 "term_settled", {"term": self._term.number, "unseen": len(self._lives.unseen)}
             )
-        if not self._has_unsure_jobs:
+        if not self._jobs.has_unsure:
             return
-        self._has_unsure_jobs = False
+        self._jobs.has_unsure = False
         is_unsure = {each: self.is_unsure(of_deputies=each) for each in (False, True)}
         for job in self._jobs.jobs.values():
             if now >= job.settle_at or not is_unsure[job.may_be_of_deputy]:
                 self._jobs.queue_unknown(job)
             elif job.is_unsure():
-                self._has_unsure_jobs = True
+                self._jobs.has_unsure = True
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -75,6 +75,15 @@
     is_fenced_off: bool = False
     """Whether an upstream has taken orders under a higher token: this term is over there."""
 
+    @property
+    def may_start(self) -> bool:
+        """Whether tasks may be started at all.
+
+        A deputy has been replaced once an upstream shows a higher token. A leader goes on at all
+        others until its next term, since a deputy decides for its own failure domain only.
+        """
+        return self.keeps_log or not self.is_fenced_off
+
     def may_be_decided_elsewhere(self, run: RunNumber) -> bool:
         """Whether whoever began a run of another term may still decide about its job.
 
