A new leader is found, and settles, sooner

Cause: (a) gateways asked other control hosts only after the lost leader's greeting had timed out, with each round anew, and paused 80 ms between rounds; (b) a new leader's look that was lost was given up after 80 ms and repeated after 100 ms: 268 of 270 upstreams had answered 0.1 s after the election, the last two after 0.31 s, and every job under way waited for these.

Now: control hosts are asked once a greeting is 40 ms late, as probes, which ask the leader for nothing; the last tenth of the upstreams is looked at by a second call after 30 ms. Ruled out: more looks at all upstreams at once (270 connections are 0.06 s of the leader's time), shorter election (a sync of a slow disk takes 270 ms).

--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -22,6 +22,13 @@
 SHORTEST_LOOK = timedelta(milliseconds=20)
 """Shorter parked looks would cost more calls than what they learn is worth."""
 LOOK_RETRY = timedelta(milliseconds=100)
+STRAGGLERS_SHARE = 0.1
+"""While fewer of the upstreams than that have not answered a new leader, they are looked at by
+several calls: what runs there is all that jobs wait for. With orders left unanswered (5.5 percent)
+268 of 270 had answered after 0.1 s, and the last after 0.31 s."""
+STRAGGLER_PATIENCE = timedelta(milliseconds=30)
+STRAGGLER_LOOKS = 8
+"""After so many it is out of reach, and looked at as others are."""
 MOST_RETRY_STEPS = 10
 ORPHAN_BORNE = timedelta(milliseconds=300)
 """How long a run of an earlier leader is borne, whose upstream can take no work meanwhile; gateways
@@ -55,10 +62,11 @@
         """Look at an upstream where its lease or its ends need it."""
         if life.is_over or life.is_foreign:
             return
-        is_unsure = self._awaits_stop(life)
+        is_straggler = self._is_straggler(life)
+        is_unsure = is_straggler or self._awaits_stop(life)
         if is_unsure and life.look_is_out and not life.probe_is_out and now >= life.probe_due:
             # The parked look answers only when a run ends.
-            life.probe_due = now + LOOK_RETRY
+            life.probe_due = now + (STRAGGLER_PATIENCE if is_straggler else LOOK_RETRY)
             self._send_look(life, timedelta(), now)
             return
         if life.look_is_out or now < life.look_due or life.proposed > life.noted:
@@ -76,6 +84,8 @@
         renews = bool(life.runs) and life.failed_looks == 0 and not life.has_disputed
         expires_ms = life.grant(now) if renews else None
         is_probe = life.look_is_out
+        if not is_probe and not life.is_fenced:
+            life.probe_due = now + STRAGGLER_PATIENCE
         life.probe_is_out = life.probe_is_out or is_probe
         life.look_is_out = True
         self._term.counts.looks += 1
@@ -116,6 +126,13 @@
         step = job.record.spec.steps[run.task.step]
         return self._jobs.forecast.predict(job.record.queue.key, step)
 
+    def _is_straggler(self, life: Life) -> bool:
+        """Whether a life is one of the last that have not answered this leader."""
+        unseen = self._lives.unseen
+        if life.info.id not in unseen or life.failed_looks >= STRAGGLER_LOOKS:
+            return False
+        return len(unseen) <= STRAGGLERS_SHARE * len(self._lives.by_id)
+
     def _awaits_stop(self, life: Life) -> bool:
         return any(run.phase is RunPhase.UNSURE for run in life.runs.values())
 
@@ -129,7 +146,7 @@
             return
         is_gone = life.is_cordoned and _is_silent(life, now, SILENT_AFTER)
         retry = SILENT_LOOK if is_gone else LOOK_RETRY * min(life.failed_looks, MOST_RETRY_STEPS)
-        life.look_due = now + retry
+        life.look_due = now if self._is_straggler(life) else now + retry
         life.failed_looks += 1
         self._out_of_sight[life.info.id] = life
         for run in life.runs.values():
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -24,13 +24,16 @@
 from .deputy import DEPUTY_AFTER, DEPUTY_AFTER_SILENCE, Deputy
 from .events import Event, log_event
 from .gateways import GATEWAY_SILENT
-from .overdue import Overdue
+from .overdue import OVERDUE_AFTER, Overdue
 from .peer_calls import PeerCalls
 from .ports import OnFailure, UpstreamPort
 from .vouching import Vouching
 
 GREET_SECONDS = 0.08
 GREET_SECONDS_WITHOUT_LEADER = 0.05
+GREET_SECONDS_BETWEEN = 0.025
+"""Control hosts keep a greeting for 70 ms until somebody leads; who is elected in the pause between
+two of them a gateway learns only with the next."""
 TURN_SECONDS = 0.003
 """For each gateway: the lowest of them is asked by all others in each turn."""
 LONGEST_TURN_SECONDS = 0.15
@@ -103,7 +106,7 @@
         self._reached_at: timedelta | None = None
         self._led_at = clock.monotonic()
         self._named: set[str] = set()
-        """Whom control hosts have named as leader since they were last asked."""
+        """Who is greeted in this round, and need not be once more because others name it."""
         self._answered_at: dict[str, timedelta] = {}
         """When each control host last answered."""
         self._level = 0
@@ -215,15 +218,20 @@
         with a greeting from each of them it had more to do, and was later still.
         """
         known = self.host if self.via is Via.LEADER else None
-        if known is not None and await self._greet(known, Via.LEADER):
-            return
-        self._named.clear()
+        self._named = {*self.hosts, known or ""}
+        asking = self._begin_greeting(known) if known is not None else None
+        if asking is not None:
+            await asyncio.wait([asking], timeout=OVERDUE_AFTER.total_seconds())
+            if asking.done() and asking.result():
+                return
         others = [host for host in self.hosts if host != known]
-        if others and await self._greet_any(others, random.choice(others)):
+        is_late = asking is not None and not asking.done()
+        # A leader that is only late gets no second greeting from here.
+        passes_on = None if is_late or not others else random.choice(others)
+        if others and await self._greet_any(others, passes_on):
             return
-        for named in self._named - {known}:
-            if await self._greet(named, Via.LEADER):
-                return
+        if asking is not None:
+            await asking
 
     def _build_greeting(self, roster: str = "", *, is_probe: bool = False) -> Greet:
         return Greet(
@@ -234,15 +242,16 @@
             is_probe=is_probe,
         )
 
-    async def _greet_any(self, hosts: Iterable[str], passes_on: str) -> bool:
+    def _begin_greeting(self, host: str, *, is_probe: bool = False) -> asyncio.Task[bool]:
+        """Greet a host; what it answers counts also where nobody waits for that any more."""
+        task = asyncio.create_task(self._greet(host, Via.LEADER, is_probe=is_probe))
+        self._greetings.add(task)
+        task.add_done_callback(self._greetings.discard)
+        return task
+
+    async def _greet_any(self, hosts: Iterable[str], passes_on: str | None) -> bool:
         """Greet several hosts at once; return as soon as one of them has led to the leader."""
-        waiting = {
-            asyncio.create_task(self._greet(host, Via.LEADER, is_probe=host != passes_on))
-            for host in hosts
-        }
-        self._greetings |= waiting
-        for task in waiting:
-            task.add_done_callback(self._greetings.discard)
+        waiting = {self._begin_greeting(host, is_probe=host != passes_on) for host in hosts}
         while waiting:
             done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
             if any(task.result() for task in done):
@@ -250,11 +259,15 @@
         return False
 
     async def _greet(self, host: str, via: Via, *, is_probe: bool = False) -> bool:
-        """Greet a host; follow the leader that it is, or that it passed the greeting to."""
+        """Greet a host; follow the leader that it is, passes the greeting on to, or names."""
         answer = await self._ask_greeting(host, is_probe=is_probe)
-        if via is Via.LEADER and answer.leader is not None:
-            self._named.add(answer.leader)
-        return self._take_greeted(host, via, answer)
+        if self._take_greeted(host, via, answer):
+            return True
+        named = answer.leader
+        if via is not Via.LEADER or named is None or named in (host, *self._named):
+            return False
+        self._named.add(named)
+        return await self._greet(named, via)
 
     async def _ask_greeting(self, host: str, *, is_probe: bool = False) -> Answer:
         version = self._roster.version if self._roster is not None else ""
@@ -296,13 +309,19 @@
 
     async def _greet_forever(self) -> None:
         while True:
+            began_at = self._clock.monotonic()
             await self.greet_leader()
             is_ready = self.is_reached() and not self.is_stopping
             if is_ready != self._was_ready:
                 self._was_ready = is_ready
                 log_event(Event.READINESS_CHANGED, ready=is_ready)
-            is_led = self.host is not None and self.via is Via.LEADER
-            await asyncio.sleep(GREET_SECONDS if is_led else GREET_SECONDS_WITHOUT_LEADER)
+            await asyncio.sleep(self._find_pause(self._clock.monotonic() - began_at))
+
+    def _find_pause(self, taken: timedelta) -> float:
+        """Return how long to wait before the leader is greeted or looked for again, in seconds."""
+        if self.host is not None and self.via is Via.LEADER and not self.is_overdue():
+            return GREET_SECONDS
+        return max(GREET_SECONDS_WITHOUT_LEADER - taken.total_seconds(), GREET_SECONDS_BETWEEN)
 
     # Without a leader
 
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -106,6 +106,29 @@
     asyncio.run(play())
 
 
+def test_the_next_leader_is_found_while_the_lost_one_owes_an_answer() -> None:
+    """Failed before: nobody else was asked for 100 ms, with each greeting of a lost leader."""
+
+    async def play() -> None:
+        gateway = build_gateway(build_clock())
+        gateway.link.hosts = [LEADER, "10.0.1.2:7000", "10.0.1.3:7000"]
+        gateway.link.follow(LEADER, Via.LEADER)
+
+        async def ask(host: str, call: Call, timeout: timedelta) -> Answer:
+            if host == LEADER:
+                await asyncio.sleep(3_600)
+            if host == "10.0.1.2:7000":
+                return Answer(outcome=Outcome.UNAVAILABLE, leader="10.0.1.3:7000")
+            return Answer(outcome=Outcome.DONE, leader=host, hosts=("10.0.1.2:7000", host))
+
+        gateway.calls.ask = ask  # type: ignore[method-assign]
+        await gateway.link.greet_leader()
+        assert gateway.decider == "10.0.1.3:7000"
+        gateway.stop()
+
+    asyncio.run(asyncio.wait_for(play(), 30))
+
+
 def test_a_job_is_not_sent_to_a_leader_that_owes_an_answer_but_to_the_next_as_not_begun() -> None:
     """Failed before: what came in the 0.35 s before a lost leader was left might have begun there.
 
--- /dev/null
+++ b/cottonlug/tests/test_cluster_settling.py
@@ -0,0 +1,103 @@
+"""How soon a new leader knows what runs at all upstreams, where some orders go unanswered.
+
+Load pattern: one order in twenty is left unanswered, or carried out seconds late, when a leader is
+lost. Jobs that were under way wait for the last upstream, so that with hundreds of them some look
+is lost at nearly every change of leader.
+"""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ..core.cluster.orders import LookOrder, Order
+from ..core.cluster.records import Records
+from ..core.cluster.term import TOKENS_PER_TERM
+from ..core.ids import UpstreamId
+from .model_upstreams import (
+    Leader,
+    ModelUpstream,
+    World,
+    build_info,
+    build_queue,
+    build_spec,
+    milliseconds,
+)
+
+UPSTREAMS = 40
+JOB = "a" * 16
+
+
+def replace_leader(seed: int) -> Leader:
+    """Return a leader that has just been elected, with a lost one's job submitted to it again."""
+    world = World(random=random.Random(seed))
+    upstreams: dict[UpstreamId, ModelUpstream] = {}
+    for number in range(UPSTREAMS):
+        info = build_info(f"u{number + 1}")
+        upstreams[info.id] = ModelUpstream(
+            world=world, info=info, rate=1.0, run_times=lambda job: milliseconds(400)
+        )
+    records = Records()
+    first = Leader(world=world, upstreams=upstreams, records=records, token=TOKENS_PER_TERM)
+    for upstream in upstreams.values():
+        first.beat(upstream, 1)
+    world.run_until(milliseconds(200))
+    first.is_over = True
+    second = Leader(world=world, upstreams=upstreams, records=records, token=2 * TOKENS_PER_TERM)
+    second.submit(JOB, build_spec(tasks=4), build_queue(), may_have_begun=True)
+    return second
+
+
+def lose_looks(monkeypatch: pytest.MonkeyPatch, lost: dict[UpstreamId, int]) -> None:
+    """Have the first looks at some upstreams never arrive, as many as are given."""
+    send = Leader._send
+
+    def lose(self: Leader, order: Order) -> None:
+        id = order.upstream.id
+        is_lost = self.token == 2 * TOKENS_PER_TERM and lost.get(id, 0) > 0
+        if isinstance(order, LookOrder) and is_lost:
+            lost[id] -= 1
+            self.cut_off = {id}
+            send(self, order)
+            self.cut_off = set()
+            return
+        send(self, order)
+
+    monkeypatch.setattr(Leader, "_send", lose)
+
+
+def test_the_last_upstreams_are_looked_at_again_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Failed before: a look was given up after 80 ms, and the second one 100 ms after that.
+
+    Seen on a day with 5.5 % of the orders unanswered: 268 of 270 upstreams had answered 0.1 s after
+    the election, the others after 0.31 s.
+    """
+    lose_looks(monkeypatch, {UpstreamId("u3"): 2, UpstreamId("u7"): 1})
+    leader = replace_leader(1)
+    leader.world.run_until(leader.world.now + milliseconds(100))
+    assert leader.world.starts == 4
+
+
+def test_upstreams_out_of_reach_are_not_looked_at_by_many_calls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A domain that is cut off does not answer, however often it is asked."""
+    gone = {UpstreamId(f"u{number}"): 10_000 for number in range(1, 13)}
+    lose_looks(monkeypatch, gone)
+    leader = replace_leader(2)
+    before = leader.dispatch.counts.looks
+    leader.world.run_until(leader.world.now + milliseconds(1_000))
+    looks = leader.dispatch.counts.looks - before
+    assert looks < UPSTREAMS * 6
+
+
+def test_one_upstream_out_of_reach_is_soon_looked_at_as_others_are(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    gone = UpstreamId("u5")
+    left = {gone: 10_000}
+    lose_looks(monkeypatch, left)
+    leader = replace_leader(3)
+    leader.world.run_until(leader.world.now + milliseconds(3_000))
+    assert 10_000 - left[gone] < 20
