--- a/cottonlug/tests/test_peer_calls.py
+++ b/cottonlug/tests/test_peer_calls.py
@@ -69,7 +69,7 @@
     """Load: hundreds of jobs have waited for a host that comes back, and each opens a connection.
 
     Failed before: after a power cut of all hosts the leader took one connection in a turn, and for
-    six seconds greetings came 0.4 to 0.85 s late: their gateways' jobs were given up and came again.
+    six seconds greetings came 0.4 to 0.85 s late: jobs were given up and came again.
     """
 
     async def play() -> tuple[Outcome, int]:
