--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -20,9 +20,11 @@
     Greet,
     Leave,
     Outcome,
+    Submit,
     answer_decoder,
     call_decoder,
 )
+from ..core.cluster.forecast import find_last_use
 from ..core.cluster.lives import LeaseTerms, choose_terms
 from ..core.cluster.reports import LONGEST_ELECTION, ReportTerms
 from ..core.consensus.types import Term
@@ -33,6 +35,7 @@
 from .events import Event, log_event
 from .gateways import GATEWAY_SILENT
 from .heartbeat_port import DELIVERY
+from .job_lines import JobLines
 from .leading import Leading, LeadingSettings
 from .membership import JOIN_PATH, JoinRequest
 from .messenger import MESSAGES_PATH
@@ -83,6 +86,7 @@
         self._order_pools = ConnectionPools(port=settings.urgent_port)
         """For orders alone: what is passed on for gateways is given up, and its connection closed,
         as soon as it is late, and a busy leader takes new ones in late."""
+        self._job_lines = JobLines(answer=self.answer, clock=clock, find_slack=self._find_slack)
         self._is_stopping = False
         self._had_lease = False
         self._leased_at = clock.monotonic()
@@ -167,6 +171,8 @@
     async def handle_peer(self, request: HttpRequest) -> HttpResponse:
         """Answer a request of another host of the cluster."""
         try:
+            if self._job_lines.handles(request.path):
+                return await self._job_lines.handle(request)
             if request.path == MESSAGES_PATH:
                 batch = msgspec.json.decode(request.body, type=ConsensusBatch)
                 return _reply(self.replica.receive(batch))
@@ -184,6 +190,14 @@
 
     # Parts
 
+    def _find_slack(self, call: Submit) -> float:
+        """Return for how many seconds a job may wait to be of use; 0 where that is not known."""
+        queues = self.replicated.records.queues
+        found = queues.find(call.host, call.path) if queues is not None else None
+        if found is None:
+            return 0.0
+        return find_last_use(found[0], call.spec).total_seconds() - call.waited_ms / 1000
+
     async def _wait_until_led(self) -> None:
         """Keep a greeting until somebody leads, so that gateways learn of a leader at once."""
         give_up_at = self._clock.monotonic() + GREETING_KEPT
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -30,6 +30,8 @@
 from .decider import DeciderLink, Via
 from .deputy import Deputy
 from .events import Event, log_event
+from .job_line import NOT_SENT
+from .job_lines import JobLines
 from .peer_calls import (
     CALL_PATH,
     GREETING_PASSED,
@@ -76,7 +78,10 @@
         self.held_back = 0
         """How often a job was not sent to a host that owed an answer."""
         self._clock = clock
-        self.calls = PeerCalls(urgent_port=settings.urgent_port)
+        self.calls = PeerCalls(own=str(settings.listen.peers), urgent_port=settings.urgent_port)
+        self._job_lines = JobLines(
+            answer=self.answer_peer, clock=clock, find_slack=self._find_slack
+        )
         self.link = DeciderLink(
             settings=settings,
             clock=clock,
@@ -250,6 +255,13 @@
             return False
         return waited > find_last_use(queue, spec)
 
+    def _find_slack(self, call: Submit) -> float:
+        """Return for how many seconds a job may wait to be of use; 0 where that is not known."""
+        queue = self._find_queue(call)
+        if queue is None:
+            return 0.0
+        return find_last_use(queue, call.spec).total_seconds() - call.waited_ms / 1000
+
     async def _try(self, call: Call, timeout: timedelta) -> Answer:
         if self.deputy is not None:
             return await _ask_itself(self.deputy, call, timeout)
@@ -261,7 +273,7 @@
             return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_ANSWER)
         sent_call = _to_deputy(call) if self.link.via is Via.DEPUTY else call
         answer = await self.calls.ask(host, sent_call, timeout)
-        still_decides = answer.detail in (NO_CONFIGURATION, NO_LOG, NOT_IN_TOUCH)
+        still_decides = answer.detail in (NO_CONFIGURATION, NO_LOG, NOT_IN_TOUCH, NOT_SENT)
         if answer.outcome is Outcome.UNAVAILABLE and not still_decides:
             self.link.leave(host)
         return answer
@@ -280,9 +292,11 @@
 
     async def handle_peer(self, request: HttpRequest) -> HttpResponse:
         """Answer a request of another gateway, as its deputy or by passing it on to the leader."""
-        if request.path != CALL_PATH:
-            return HttpResponse(status=404)
         try:
+            if self._job_lines.handles(request.path):
+                return await self._job_lines.handle(request)
+            if request.path != CALL_PATH:
+                return HttpResponse(status=404)
             call = call_decoder.decode(request.body)
         except msgspec.MsgspecError as error:
             return HttpResponse(status=400, body=msgspec.json.encode({"error": str(error)}))
--- /dev/null
+++ b/cottonlug/runtime/job_line.py
@@ -0,0 +1,188 @@
+"""Jobs of one host to another over few connections: sent in batches, answered as they end.
+
+Load pattern: hundreds of hosts, each with some jobs under way at whoever decides, who changes.
+With a connection for each job, a thousand had to be opened at once, and a host takes in one in each
+turn of its loop: for seconds after a change of leader jobs arrived a second late, and were refused
+as not begun. Three connections a host carry any number of jobs.
+
+A batch that had no reply is sent again under the same numbers, so that none is carried out twice;
+an answer is given again until the next question shows that it has arrived.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure as Err
+
+from ..core.cluster.batches import (
+    AskAnswers,
+    JobBatch,
+    NumberedJob,
+    answer_batch_decoder,
+)
+from ..core.cluster.calls import Answer, Call, Outcome, Submit
+from ..net.connections import ConnectionPool
+from ..net.transport import HttpReply
+
+JOBS_PATH = "/v1/jobs"
+ANSWERS_PATH = "/v1/answers"
+MOST_IN_BATCH = 64
+"""Jobs of 1,000 tasks have 5 KB each: a third of a megabyte at the most."""
+SEND_TIMEOUT = timedelta(milliseconds=300)
+"""A host that is alive replies in a few milliseconds; a connection may have gone silent."""
+ANSWERS_KEPT = timedelta(milliseconds=300)
+"""How long a question for answers is kept at the other host until there is one."""
+ANSWERS_TIMEOUT = ANSWERS_KEPT + SEND_TIMEOUT
+NOT_SENT = "it was not sent"
+"""Detail of an answer to a job that was given up before it was sent."""
+RETRY_SECONDS = 0.02
+IDLE_SECONDS = 1.0
+"""So long after its last job a line asks for answers no more."""
+_GONE = "the host does not decide any more"
+_MOST_LINES = 1 << 53
+
+
+@dataclass(slots=True)
+class _Item:
+    submit: Submit
+    answer: asyncio.Future[Answer] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+    is_sent: bool = False
+    """Whether it may have arrived."""
+    is_taken: bool = False
+    """Whether the other host has said that it has."""
+
+
+class JobLine:
+    """The jobs of this host at another one."""
+
+    def __init__(
+        self,
+        *,
+        own: str,
+        open_pool: Callable[[], ConnectionPool],
+        stamp: Callable[[Call], Call],
+    ) -> None:
+        self._own = own
+        self._line = random.randrange(_MOST_LINES)
+        self._open_pool = open_pool
+        self._stamp = stamp
+        self._numbers = itertools.count(1)
+        self._items: dict[int, _Item] = {}
+        self._count = self._have = 0
+        self._news = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def ask(self, submit: Submit, timeout: timedelta) -> Answer:
+        """Have the other host carry out a job; `UNAVAILABLE` only where it has not seen it."""
+        number = next(self._numbers)
+        item = self._items[number] = _Item(submit)
+        self._start()
+        self._news.set()
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await item.answer
+        except TimeoutError:
+            return _give_up(item, "no reply in time")
+        finally:
+            del self._items[number]
+
+    def lose(self) -> None:
+        """Wait for no answer any more: what was sent may have been carried out."""
+        for item in self._items.values():
+            if not item.answer.done():
+                item.answer.set_result(_give_up(item, _GONE))
+
+    def close(self) -> None:
+        """Send and ask nothing more."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _start(self) -> None:
+        self._tasks = [task for task in self._tasks if not task.done()]
+        if not self._tasks:
+            self._tasks = [
+                asyncio.create_task(self._send_forever()),
+                asyncio.create_task(self._ask_forever()),
+            ]
+
+    async def _send_forever(self) -> None:
+        while await self._wait_for(self._list_unsent):
+            batch = dict(self._list_unsent()[:MOST_IN_BATCH])
+            if not await self._send(batch):
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _send(self, batch: dict[int, _Item]) -> bool:
+        def build() -> bytes:
+            return self._encode(batch)
+
+        sent = await self._open_pool().call("POST", JOBS_PATH, build, timeout=SEND_TIMEOUT)
+        if isinstance(sent, Err) or sent.unwrap().status != 200:
+            return False
+        for item in batch.values():
+            item.is_taken = True
+        return True
+
+    def _encode(self, batch: dict[int, _Item]) -> bytes:
+        """Return a message with what of a batch is still waited for, as of now."""
+        jobs: list[NumberedJob] = []
+        for number, item in batch.items():
+            stamped = self._stamp(item.submit)
+            assert isinstance(stamped, Submit), "a call is stamped as what it is"
+            item.is_sent = True
+            jobs.append(NumberedJob(number=number, submit=stamped))
+        return msgspec.json.encode(JobBatch(caller=self._own, line=self._line, jobs=tuple(jobs)))
+
+    async def _ask_forever(self) -> None:
+        while await self._wait_for(lambda: list(self._items.items())):
+            ask = AskAnswers(caller=self._own, line=self._line, count=self._count, have=self._have)
+            sent = await self._open_pool().call(
+                "POST", ANSWERS_PATH, msgspec.json.encode(ask), timeout=ANSWERS_TIMEOUT
+            )
+            if isinstance(sent, Err) or sent.unwrap().status != 200:
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            self._take_answers(sent.unwrap())
+
+    def _take_answers(self, reply: HttpReply) -> None:
+        answers = answer_batch_decoder.decode(reply.body)
+        is_known = answers.count == self._count
+        self._have = max(self._have, answers.through) if is_known else answers.through
+        self._count = answers.count
+        for each in answers.answers:
+            item = self._items.get(each.number)
+            if item is not None and not item.answer.done():
+                item.answer.set_result(each.answer)
+
+    def _list_unsent(self) -> list[tuple[int, _Item]]:
+        return [
+            (number, item)
+            for number, item in self._items.items()
+            if not (item.is_taken or item.answer.done())
+        ]
+
+    async def _wait_for(self, find: Callable[[], list[tuple[int, _Item]]]) -> bool:
+        """Return True once there is something to do, False if there is nothing for a while."""
+        while not find():
+            self._news.clear()
+            try:
+                async with asyncio.timeout(IDLE_SECONDS):
+                    await self._news.wait()
+            except TimeoutError:
+                if not self._items:
+                    return False
+        return True
+
+
+def _give_up(item: _Item, detail: str) -> Answer:
+    if item.is_sent:
+        return Answer(outcome=Outcome.UNKNOWN, detail=detail)
+    return Answer(outcome=Outcome.UNAVAILABLE, detail=NOT_SENT)
--- a/cottonlug/runtime/peer_calls.py
+++ b/cottonlug/runtime/peer_calls.py
@@ -1,10 +1,8 @@
 """Calls to other hosts of the cluster; those to a host that is given up as lost end at once.
 
-Jobs that need not be kept hold their calls until they have ended. All other calls are short and
-have connections of their own, to a port of their own: a greeting that had to open one, behind those
-of all jobs that come at once, was not answered in time. A host takes in one connection in each turn
-of its loop, and after a power cut 97 gateways open a thousand for the jobs that have waited: their
-greetings were up to 0.85 s old for six seconds, so that their jobs were given up and came again.
+Jobs that need not be kept go by `job_line`, over few connections. All other calls are short and
+have connections of their own, to a port of their own, so that no greeting waits behind jobs:
+gateways whose greetings were up to 0.85 s late were given up with all their jobs, which came again.
 """
 
 from __future__ import annotations
@@ -22,15 +20,16 @@
 from ..net.asgi import HttpRequest
 from ..net.connections import ConnectionPools, parse_address
 from ..net.transport import HttpReply, TransportError
+from .job_line import JobLine
 
 CALL_PATH = "/v1/call"
 PASS_ON_TIMEOUT = timedelta(seconds=3)
 GREETING_PASSED = timedelta(milliseconds=60)
 """How long a host that passes a greeting on waits: its own answer must not come too late."""
-HELD_CALLS = 32
-"""Calls that last, at one host: as many connections of each gateway must fit a leader's files."""
 SHORT_CALLS = 8
-"""Calls that do not: a greeting at a time, and the odd question or cancel."""
+"""A greeting at a time, and the odd question or cancel."""
+LINE_CONNECTIONS = 4
+"""A batch of jobs, a question for answers, and one each to take the place of one gone silent."""
 
 
 def decode_greeting(request: HttpRequest) -> Greet | None:
@@ -52,9 +51,11 @@
 class PeerCalls:
     """Calls under way, by the host that is to answer them."""
 
-    def __init__(self, *, urgent_port: int | None = None) -> None:
+    def __init__(self, *, own: str = "", urgent_port: int | None = None) -> None:
+        self._own = own
         self._pools = ConnectionPools(max_connections=SHORT_CALLS, port=urgent_port)
-        self._held_pools = ConnectionPools(max_connections=HELD_CALLS)
+        self._job_pools = ConnectionPools(max_connections=LINE_CONNECTIONS)
+        self._lines: dict[str, JobLine] = {}
         self.stamp: Callable[[Call], Call] = lambda call: call
         """Called with each call in the moment in which it is sent; returns what is sent."""
         self._lost: dict[str, asyncio.Event] = {}
@@ -65,6 +66,8 @@
         address = parse_address(host)
         if address is None:
             return Answer(outcome=Outcome.UNAVAILABLE, detail=f"{host} is not an address")
+        if isinstance(call, Submit) and call.spec.best_effort:
+            return await self._find_line(host, address).ask(call, timeout)
         sent = await self._send(host, address, call, timeout)
         if sent is None:
             return Answer(outcome=Outcome.UNKNOWN, detail=f"{host} does not decide any more")
@@ -82,21 +85,34 @@
         lost = self._lost.pop(host, None)
         if lost is not None:
             lost.set()
+        line = self._lines.get(host)
+        if line is not None:
+            line.lose()
 
     def close(self) -> None:
         """Close all connections."""
+        for line in self._lines.values():
+            line.close()
         self._pools.close()
-        self._held_pools.close()
+        self._job_pools.close()
+
+    def _find_line(self, host: str, address: Address) -> JobLine:
+        line = self._lines.get(host)
+        if line is None:
+            line = self._lines[host] = JobLine(
+                own=self._own,
+                open_pool=lambda: self._job_pools.get(address),
+                stamp=lambda call: self.stamp(call),
+            )
+        return line
 
     async def _send(
         self, host: str, address: Address, call: Call, timeout: timedelta
     ) -> Result[HttpReply, TransportError] | None:
         """Send a call; None where the host was lost before it answered."""
         lost = self._lost.setdefault(host, asyncio.Event())
-        is_held = isinstance(call, Submit) and call.spec.best_effort
-        pool = (self._held_pools if is_held else self._pools).get(address)
         sending = asyncio.create_task(
-            pool.call(
+            self._pools.get(address).call(
                 "POST",
                 CALL_PATH,
                 lambda: msgspec.json.encode(self.stamp(call)),
