--- a/cottonlug/runtime/job_line.py
+++ b/cottonlug/runtime/job_line.py
@@ -30,6 +30,7 @@
 from ..core.cluster.calls import Answer, Call, Outcome, Submit
 from ..net.connections import ConnectionPool
 from ..net.transport import HttpReply
+from .events import Event, log_event
 
 JOBS_PATH = "/v1/jobs"
 ANSWERS_PATH = "/v1/answers"
@@ -79,7 +80,7 @@
         self._items: dict[int, _Item] = {}
         self._count = self._have = 0
         self._news = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: dict[str, asyncio.Task[None]] = {}
 
     async def ask(self, submit: Submit, timeout: timedelta) -> Answer:
         """Have the other host carry out a job; `UNAVAILABLE` only where it has not seen it."""
@@ -103,16 +104,15 @@
 
     def close(self) -> None:
         """Send and ask nothing more."""
-        for task in self._tasks:
+        for task in self._tasks.values():
             task.cancel()
 
     def _start(self) -> None:
-        self._tasks = [task for task in self._tasks if not task.done()]
-        if not self._tasks:
-            self._tasks = [
-                asyncio.create_task(self._send_forever()),
-                asyncio.create_task(self._ask_forever()),
-            ]
+        """Begin to send, and to ask; either may have left off by itself."""
+        for name, work in (("send", self._send_forever), ("ask", self._ask_forever)):
+            task = self._tasks.get(name)
+            if task is None or task.done():
+                self._tasks[name] = asyncio.create_task(work())
 
     async def _send_forever(self) -> None:
         while await self._wait_for(self._list_unsent):
@@ -147,13 +147,18 @@
             sent = await self._open_pool().call(
                 "POST", ANSWERS_PATH, msgspec.json.encode(ask), timeout=ANSWERS_TIMEOUT
             )
-            if isinstance(sent, Err) or sent.unwrap().status != 200:
+            if isinstance(sent, Err) or not self._take_answers(sent.unwrap()):
                 await asyncio.sleep(RETRY_SECONDS)
-                continue
-            self._take_answers(sent.unwrap())
 
-    def _take_answers(self, reply: HttpReply) -> None:
-        answers = answer_batch_decoder.decode(reply.body)
+    def _take_answers(self, reply: HttpReply) -> bool:
+        """Give what has been answered to those who wait; False where it cannot be read."""
+        if reply.status != 200:
+            return False
+        try:
+            answers = answer_batch_decoder.decode(reply.body)
+        except msgspec.MsgspecError as error:
+            log_event(Event.CALL_FAILED, call="AskAnswers", outcome="unknown", detail=str(error))
+            return False
         is_known = answers.count == self._count
         self._have = max(self._have, answers.through) if is_known else answers.through
         self._count = answers.count
@@ -161,6 +166,7 @@
             item = self._items.get(each.number)
             if item is not None and not item.answer.done():
                 item.answer.set_result(each.answer)
+        return True
 
     def _list_unsent(self) -> list[tuple[int, _Item]]:
         return [
--- a/cottonlug/tests/test_job_lines.py
+++ b/cottonlug/tests/test_job_lines.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 
 import msgspec
+import pytest
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -17,6 +18,7 @@
 from ..net.asgi import HttpRequest, HttpResponse, build_asgi
 from ..net.servers import Listener
 from ..net.transport import HttpReply, TransportError
+from ..runtime import job_line
 from ..runtime.job_line import ANSWERS_PATH, JOBS_PATH, JobLine
 from ..runtime.job_lines import TAKEN_IN_A_TURN, JobLines
 from ..runtime.peer_calls import LINE_CONNECTIONS, PeerCalls
@@ -163,6 +165,18 @@
     assert len(play(work).carried_out) == 23
 
 
+def test_a_line_that_was_idle_for_any_time_is_used_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """In a trial one of its two tasks had left off, the other had not, and nothing was sent."""
+    monkeypatch.setattr(job_line, "IDLE_SECONDS", 0.02)
+
+    async def work(host: Host, wire: Wire, line: JobLine) -> None:
+        for pause in range(40):
+            assert (await line.ask(build_job(pause), PATIENCE)).outcome is Outcome.DONE
+            await asyncio.sleep(0.001 * pause)
+
+    assert len(play(work).carried_out) == 40
+
+
 def test_only_what_was_sent_may_have_been_carried_out() -> None:
     async def work(host: Host, wire: Wire, line: JobLine) -> None:
         sent = asyncio.create_task(line.ask(build_job(1), PATIENCE))
