--- /dev/null
+++ b/bench/leader.py
@@ -0,0 +1,237 @@
+"""What a leader spends on each start, calls and gateways included.
+
+    python -m bench.leader > bench/results/leader.json
+    python -m bench.leader --profile
+
+Three processes on loopback: stand-in upstreams (`standin`), real gateways with callers (`callers`)
+and, in this one, what a control host does while it leads, without the log's other members. Only
+the processor time of this process counts. Rounds are repeated, and their spread is printed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import cProfile
+import json
+import pstats
+import statistics
+import subprocess
+import sys
+import time
+from datetime import timedelta
+from typing import Annotated, Any
+
+import msgspec
+import typer
+import uvloop
+
+from cottonlug.config.options import Address
+from cottonlug.core.cluster.calls import Answer, Call, Greet, Submit, call_decoder
+from cottonlug.core.cluster.lives import choose_terms
+from cottonlug.core.cluster.model import (
+    Capacity,
+    Configuration,
+    ConfigurationVersion,
+    Heartbeat,
+    Queue,
+    Service,
+    ServiceName,
+    UpstreamInfo,
+)
+from cottonlug.core.cluster.records import UpstreamRecord
+from cottonlug.core.ids import DomainName, UpstreamId
+from cottonlug.net.asgi import HttpRequest, HttpResponse, build_asgi
+from cottonlug.net.connections import ConnectionPools
+from cottonlug.net.servers import Listener
+from cottonlug.platform.workers import WorkerClient
+from cottonlug.runtime.clocks import SystemClock
+from cottonlug.runtime.gateways import GATEWAY_SILENT
+from cottonlug.runtime.job_lines import JobLines
+from cottonlug.runtime.leading import Leading, LeadingSettings
+from cottonlug.runtime.replicated import ReplicatedRecords
+from cottonlug.tests.gateway_builders import fail
+from cottonlug.tests.processes import find_base_port
+from cottonlug.tests.test_cluster_waiting import OwnOffice
+
+from .callers import KINDS
+from .standin import build_address
+
+UPSTREAMS = 40
+GATEWAYS = 15
+JOBS_A_SECOND = 95.0
+"""What 40 upstreams of 32 to 48 cores get on the users' largest sheet: 0.56 of their room."""
+SECONDS = 8.0
+SERVICE = ServiceName("service")
+SIZES_MILLIS = (32_000, 32_000, 48_000)
+CALLER_RETRY = timedelta(milliseconds=1_300)
+
+
+def build_configuration() -> Configuration:
+    """Return a queue for each kind of job."""
+    queues = tuple(
+        Queue(
+            name=name,
+            host="host",
+            prefix=f"/{name}/",
+            service=SERVICE,
+            timeout_ms=1_500,
+            target_latency_ms=64,
+            max_attempts=3,
+            stretch=1.6,
+        )
+        for name, *_ in KINDS
+    )
+    return Configuration(
+        version=ConfigurationVersion(1),
+        queues=queues,
+        services=(Service(name=SERVICE),),
+        max_body_bytes=262_144,
+        document="",
+    )
+
+
+def build_infos(port: int, count: int) -> list[UpstreamInfo]:
+    """Return what the stand-ins would say of themselves."""
+    return [
+        UpstreamInfo(
+            id=UpstreamId(f"u{number}"),
+            service=SERVICE,
+            address=f"{build_address(number)}:{port}",
+            domain=DomainName("domain"),
+            capacity=Capacity(
+                cpu_millis=SIZES_MILLIS[number % len(SIZES_MILLIS)], memory_mb=100_000
+            ),
+        )
+        for number in range(count)
+    ]
+
+
+class Host:
+    """A leader with the listener that its gateways reach."""
+
+    def __init__(self, *, address: Address, infos: list[UpstreamInfo]) -> None:
+        replicated = ReplicatedRecords()
+        replicated.records.put_in_force(build_configuration())
+        for info in infos:
+            replicated.records.upstreams[info.id] = UpstreamRecord(info=info)
+        self._address = address
+        self._pools = ConnectionPools(max_connections=16)
+        clock = SystemClock()
+        self.leading = Leading(
+            authority=OwnOffice(),
+            replicated=replicated,
+            port=WorkerClient(pools=self._pools),
+            clock=clock,
+            on_failure=fail,
+            settings=LeadingSettings(
+                terms=choose_terms(timedelta(seconds=1), CALLER_RETRY, GATEWAY_SILENT),
+                keep_ended=timedelta(seconds=120),
+                caller_retry=CALLER_RETRY,
+                control_address=None,
+            ),
+        )
+        for info in infos:
+            heartbeat = Heartbeat(info=info, sequence=1, draining=False, clock_ms=0)
+            self.leading.dispatch.take_heartbeat(heartbeat, clock.monotonic())
+        self._lines = JobLines(
+            answer=self.leading.answer, clock=clock, find_slack=lambda submit: 1.0
+        )
+        app = build_asgi(self._handle, lambda: 1 << 24, self._answer_at_once)
+        self.listener = Listener(app=app, address=address)
+
+    def stop(self) -> None:
+        """Decide nothing more."""
+        self.leading.stop()
+        self._pools.close()
+
+    def _answer_at_once(self, request: HttpRequest) -> HttpResponse | None:
+        taken = self._lines.handle_at_once(request)
+        if taken is not None:
+            return taken
+        if b'"greet"' not in request.body[:24]:
+            return None
+        call = call_decoder.decode(request.body)
+        assert isinstance(call, Greet), "its tag says so"
+        return _reply(self._add_host(self.leading.answer_greeting(call)))
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if self._lines.handles(request.path):
+            return await self._lines.handle(request)
+        call: Call = call_decoder.decode(request.body)
+        assert not isinstance(call, Submit), "jobs come in batches"
+        return _reply(await self.leading.answer(call))
+
+    def _add_host(self, answer: Answer) -> Answer:
+        own = str(self._address)
+        return msgspec.structs.replace(answer, leader=own, hosts=(own,))
+
+
+def _reply(answer: Answer) -> HttpResponse:
+    return HttpResponse(status=200, body=msgspec.json.encode(answer))
+
+
+def _spawn(module: str, *arguments: object) -> subprocess.Popen[str]:
+    command = [sys.executable, "-m", f"bench.{module}", *map(str, arguments)]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+
+async def play_round(profile: cProfile.Profile | None) -> dict[str, Any]:
+    """Lead for one load; return what that has cost."""
+    port = find_base_port()
+    address = Address("127.0.0.1", port + 1)
+    upstreams = _spawn("standin", port, UPSTREAMS)
+    assert upstreams.stdout is not None
+    upstreams.stdout.readline()
+    host = Host(address=address, infos=build_infos(port, UPSTREAMS))
+    error = await host.listener.start()
+    assert error is None, error
+    await asyncio.sleep(0.5)
+    callers = _spawn("callers", address, GATEWAYS, JOBS_A_SECOND, SECONDS)
+    began = time.thread_time()
+    if profile is not None:
+        profile.enable()
+    while callers.poll() is None:
+        await asyncio.sleep(0.1)
+    if profile is not None:
+        profile.disable()
+    spent = time.thread_time() - began
+    assert callers.stdout is not None
+    answered = json.loads(callers.stdout.read())
+    counts = host.leading.dispatch.counts
+    host.stop()
+    await host.listener.stop()
+    upstreams.terminate()
+    upstreams.wait()
+    return {
+        **answered,
+        "starts": counts.starts,
+        "looks_a_start": round(counts.looks / counts.starts, 2),
+        "us_a_start": round(1e6 * spent / counts.starts, 1),
+    }
+
+
+def main(
+    rounds: Annotated[int, typer.Option(min=1, help="How often it is measured.")] = 5,
+    profile: Annotated[bool, typer.Option(help="Print where the time goes instead.")] = False,
+) -> None:
+    """Print the processor time of a leader for each start."""
+    if profile:
+        profiled = cProfile.Profile()
+        print(uvloop.run(play_round(profiled)))
+        pstats.Stats(profiled).sort_stats("tottime").print_stats(45)
+        return
+    played = [uvloop.run(play_round(None)) for _ in range(rounds)]
+    costs = [each["us_a_start"] for each in played]
+    results = {
+        "us_a_start": {
+            "median": statistics.median(costs),
+            "least": min(costs),
+            "most": max(costs),
+        },
+        "rounds": played,
+    }
+    print(json.dumps(results, indent=1))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/cottonlug/commands/control.py
+++ b/cottonlug/commands/control.py
@@ -58,7 +58,7 @@
         CONTROL_BODY_BYTES,
         takes_all=True,
     )
-    peers = listen_peers(host.handle_peer, settings, PEER_BODY_BYTES, host.answer_greeting_at_once)
+    peers = listen_peers(host.handle_peer, settings, PEER_BODY_BYTES, host.answer_at_once)
     metrics = listen_metrics(build_control_metrics(host, output), settings.listen.metrics)
     error = await host.start() or await start_all([*peers, control, *metrics])
     if error is not None:
--- a/cottonlug/core/cluster/forecast.py
+++ b/cottonlug/core/cluster/forecast.py
@@ -19,6 +19,9 @@
 
     def __init__(self) -> None:
         self._ratios: dict[QueueKey, float] = {}
+        """On a logarithmic scale."""
+        self._factors: dict[QueueKey, float] = {}
+        """The same as they are multiplied with."""
 
     def learn(self, queue: QueueKey, step: StepSpec, taken: timedelta) -> None:
         """Learn from a run that ended as done."""
@@ -26,11 +29,12 @@
         ratio = math.log(taken_ms / max(step.estimate_ms, LEAST_MS))
         known = self._ratios.get(queue, 0.0)
         self._ratios[queue] = known + LEARNING_RATE * (ratio - known)
+        self._factors[queue] = math.exp(self._ratios[queue])
 
     def predict(self, queue: QueueKey, step: StepSpec) -> timedelta:
         """Return how long a task of a step will run."""
-        ratio = math.exp(self._ratios.get(queue, 0.0))
-        return timedelta(milliseconds=max(step.estimate_ms, LEAST_MS) * ratio)
+        factor = self._factors.get(queue, 1.0)
+        return timedelta(milliseconds=max(step.estimate_ms, LEAST_MS) * factor)
 
     def find_chain(self, queue: QueueKey, steps: tuple[StepSpec, ...], first: int) -> timedelta:
         """Return how long the longest chain of steps takes that begins with one step."""
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -108,7 +108,10 @@
 
     def get_health(self, life: Life) -> Health:
         """Return how the runs at a life have gone."""
-        return self._health.setdefault(life.info.id, Health())
+        health = self._health.get(life.info.id)
+        if health is None:
+            health = self._health[life.info.id] = Health()
+        return health
 
     def find_working(self, now: timedelta) -> dict[ServiceName, list[Life]]:
         """Return the lives that take work, by service, without those set aside."""
--- a/cottonlug/net/servers.py
+++ b/cottonlug/net/servers.py
@@ -139,6 +139,7 @@
             log_config=None,
             access_log=False,
             server_header=False,
+            proxy_headers=False,
             date_header=False,
             backlog=4096,
             timeout_keep_alive=75,
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -156,11 +156,14 @@
             return await self._pass_order_on(leader, call)
         return await self._pass_on(leader, call, PASS_ON_TIMEOUT, self._pools)
 
-    def answer_greeting_at_once(self, request: HttpRequest) -> HttpResponse | None:
-        """Answer a gateway's greeting where this host leads; None for all else.
+    def answer_at_once(self, request: HttpRequest) -> HttpResponse | None:
+        """Take jobs in, and answer greetings where this host leads; None for all else.
 
         A gateway takes its jobs elsewhere after two greetings without an answer within 0.1 s.
         """
+        taken = self._job_lines.handle_at_once(request)
+        if taken is not None:
+            return taken
         if self.leading is None or not self.replica.has_lease():
             return None
         greeting = decode_greeting(request)
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -280,8 +280,11 @@
 
     # Calls of other gateways
 
-    def answer_greeting_at_once(self, request: HttpRequest) -> HttpResponse | None:
-        """Answer another gateway's greeting where this one stands in; None for all else."""
+    def answer_at_once(self, request: HttpRequest) -> HttpResponse | None:
+        """Take jobs in, and answer greetings where this gateway stands in; None for all else."""
+        taken = self._job_lines.handle_at_once(request)
+        if taken is not None:
+            return taken
         deputy = self.deputy
         greeting = decode_greeting(request) if deputy is not None else None
         if deputy is None or greeting is None:
--- a/cottonlug/runtime/job_lines.py
+++ b/cottonlug/runtime/job_lines.py
@@ -81,16 +81,23 @@
 
     def handles(self, path: str) -> bool:
         """Whether a request is for here."""
-        return path in (JOBS_PATH, ANSWERS_PATH)
+        return path == ANSWERS_PATH
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer a request; raises `msgspec.MsgspecError` for one that cannot be read."""
-        if request.path == JOBS_PATH:
-            self.take(job_batch_decoder.decode(request.body))
-            return HttpResponse(status=200)
+        """Answer a question for answers; raises `msgspec.MsgspecError` if it cannot be read."""
         batch = await self.find_answers(ask_answers_decoder.decode(request.body))
         return HttpResponse(status=200, body=msgspec.json.encode(batch))
 
+    def handle_at_once(self, request: HttpRequest) -> HttpResponse | None:
+        """Take a batch of jobs in; None for any other request."""
+        if request.path != JOBS_PATH:
+            return None
+        try:
+            self.take(job_batch_decoder.decode(request.body))
+        except msgspec.MsgspecError as error:
+            return HttpResponse(status=400, body=msgspec.json.encode({"error": str(error)}))
+        return HttpResponse(status=200)
+
     def take(self, batch: JobBatch) -> None:
         """Take jobs in that have not come before."""
         line = self._find_line(batch.caller, batch.line)
--- a/cottonlug/tests/model_hosts.py
+++ b/cottonlug/tests/model_hosts.py
@@ -43,7 +43,7 @@
     StopOrder,
 )
 from ..core.ids import DomainName, HostId, UpstreamId
-from ..net.asgi import Handler, HttpRequest, _handle_while_connected
+from ..net.asgi import Handler, HttpRequest, HttpResponse, _handle_while_connected
 from ..net.transport import HttpReply, TransportError
 from ..platform.control import build_control_handler
 from ..runtime import control_host as control_host_module
@@ -340,7 +340,7 @@
         process.control = control
         process.handlers = {
             CONTROL_PORT: build_control_handler(control.answer),
-            PEER_PORT: control.handle_peer,
+            PEER_PORT: _answer_peers(control),
         }
         process.run(control.start())
 
@@ -374,7 +374,7 @@
             )
 
         gateway = process.context.run(build)
-        process.handlers = {PEER_PORT: gateway.handle_peer}
+        process.handlers = {PEER_PORT: _answer_peers(gateway)}
 
         async def begin() -> None:
             gateway.start()
@@ -684,6 +684,15 @@
         await asyncio.sleep(0.08)
 
 
+def _answer_peers(host: ControlHost | Gateway) -> Handler:
+    """Return the handler of a host's listener for peers."""
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        return host.answer_at_once(request) or await host.handle_peer(request)
+
+    return handle
+
+
 @contextmanager
 def patch_processes(world: World, seed: int) -> Iterator[None]:
     """Give control hosts the disks, links and chance of a world."""
--- a/cottonlug/tests/test_job_lines.py
+++ b/cottonlug/tests/test_job_lines.py
@@ -58,7 +58,7 @@
         if self._is_lost(self.lost_requests, path):
             return Err(TransportError(message="no reply in time", unsent=False))
         request = HttpRequest(method=method, path=path, headers={}, body=whole)
-        reply = await self.lines.handle(request)
+        reply = self.lines.handle_at_once(request) or await self.lines.handle(request)
         if self._is_lost(self.lost_replies, path):
             return Err(TransportError(message="no reply in time", unsent=False))
         return Success(HttpReply(status=reply.status, body=reply.body))
@@ -245,7 +245,7 @@
         async def handle(request: HttpRequest) -> HttpResponse:
             return await lines.handle(request)
 
-        app = build_asgi(handle, lambda: 1_000_000)
+        app = build_asgi(handle, lambda: 1_000_000, lines.handle_at_once)
         address = Address("127.0.0.1", find_base_port() + 5)
         listener = Listener(app=app, address=address)
         assert await listener.start() is None
--- a/cottonlug/tests/test_peer_calls.py
+++ b/cottonlug/tests/test_peer_calls.py
@@ -56,7 +56,8 @@
             return HttpResponse(status=200, body=msgspec.json.encode(Answer(outcome=Outcome.DONE)))
 
         address = Address("127.0.0.1", find_base_port() + 2)
-        listener = Listener(app=build_asgi(answer, lambda: 1_000_000), address=address)
+        app = build_asgi(answer, lambda: 1_000_000, lines.handle_at_once)
+        listener = Listener(app=app, address=address)
         assert await listener.start() is None
         calls = PeerCalls()
         waiting = [
@@ -126,18 +127,18 @@
     async def play() -> None:
         gateway, _ = stand_in()
         request = build_request(greet("10.0.0.2:7000"))
-        assert gateway.answer_greeting_at_once(request) is None
+        assert gateway.answer_at_once(request) is None
         await gateway.link.replace_leader()
-        reply = gateway.answer_greeting_at_once(request)
+        reply = gateway.answer_at_once(request)
         assert reply is not None
         answer = answer_decoder.decode(reply.body)
         assert (answer.outcome, answer.is_deputy) == (Outcome.DONE, True)
         assert gateway.deputy is not None
         # It counts on a gateway that has had an answer of its own, and says so.
         again = msgspec.structs.replace(greet("10.0.0.2:7000"), contact=answer.contact)
-        assert gateway.answer_greeting_at_once(build_request(again)) is not None
+        assert gateway.answer_at_once(build_request(again)) is not None
         assert gateway.deputy.leading.gateways.is_heard("10.0.0.2:7000")
-        assert gateway.answer_greeting_at_once(build_request(submit())) is None
+        assert gateway.answer_at_once(build_request(submit())) is None
         gateway.stop()
 
     asyncio.run(play())
