--- a/cottonlug/storage/files.py
+++ b/cottonlug/storage/files.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
 import os
 from pathlib import Path
 from typing import Protocol
@@ -18,6 +20,10 @@
         """Write at the end of a file and sync it."""
         ...
 
+    def sync(self, name: str) -> None:
+        """Make what a file holds, and its name, outlast a loss of power."""
+        ...
+
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to a size and sync it."""
         ...
@@ -49,9 +55,18 @@
             file = os.open(self._folder / name, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
             self._open[name] = file
             self._sync_folder()
-        _write_all(file, data)
+        _write(file, data)
         os.fsync(file)
 
+    def sync(self, name: str) -> None:
+        """Make what a file holds, and its name, outlast a loss of power."""
+        file = os.open(self._folder / name, os.O_WRONLY)
+        try:
+            os.fsync(file)
+        finally:
+            os.close(file)
+        self._sync_folder()
+
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to a size and sync it."""
         file = os.open(self._folder / name, os.O_WRONLY)
@@ -65,9 +80,12 @@
         """Replace a file whole: after a crash either the old or the new content is there."""
         self._close(name)
         temporary = self._folder / f"{name}.new"
-        file = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        # After a loss of power it may be a second name of the file that is to be replaced.
+        with contextlib.suppress(FileNotFoundError):
+            os.unlink(temporary)
+        file = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
         try:
-            _write_all(file, data)
+            _write(file, data)
             os.fsync(file)
         finally:
             os.close(file)
@@ -92,7 +110,7 @@
             os.close(folder)
 
 
-def _write_all(file: int, data: bytes) -> None:
-    while data:
-        written = os.write(file, data)
-        data = data[written:]
+def _write(file: int, data: bytes) -> None:
+    """Write all in one call: of two unsynced ones the second may last without the first."""
+    if os.write(file, data) < len(data):
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
--- a/cottonlug/storage/journal.py
+++ b/cottonlug/storage/journal.py
@@ -210,6 +210,8 @@
         if not data:
             files.replace(JOURNAL, _frame(IdentityRecord(member=new_member)))
             return Success(Journal(files=files, member=new_member, content=_Content(), cut=0))
+        # An earlier process may have ended between a write and its sync.
+        files.sync(JOURNAL)
         replayed = _replay(data)
         if isinstance(replayed, Err):
             return Err(replayed.failure())
--- a/cottonlug/tests/model_hosts.py
+++ b/cottonlug/tests/model_hosts.py
@@ -191,6 +191,9 @@
         self._sync()
         self.content[name] = self.content.get(name, b"") + data
 
+    def sync(self, name: str) -> None:
+        self._sync()
+
     def truncate(self, name: str, size: int) -> None:
         self._sync()
         self.content[name] = self.content[name][:size]
--- a/cottonlug/tests/test_consensus_faults.py
+++ b/cottonlug/tests/test_consensus_faults.py
@@ -75,6 +75,9 @@
             raise CrashError
         self.content[name] = old + data
 
+    def sync(self, name: str) -> None:
+        pass
+
     def truncate(self, name: str, size: int) -> None:
         self.content[name] = self.content[name][:size]
 
--- a/cottonlug/tests/test_inputs.py
+++ b/cottonlug/tests/test_inputs.py
@@ -128,6 +128,9 @@
     def append(self, name: str, data: bytes) -> None:
         self.content += data
 
+    def sync(self, name: str) -> None:
+        assert name == JOURNAL
+
     def truncate(self, name: str, size: int) -> None:
         self.content = self.content[:size]
 
--- /dev/null
+++ b/cottonlug/tests/test_journal_disks.py
@@ -0,0 +1,176 @@
+"""What a host has counted itself for is on its disk, whatever the disk does with unsynced writes.
+
+Failure pattern: a process is killed between a write and its sync, begins anew, reads what it had
+written and counts itself for it; then the power fails, and the disk has never held it.
+"""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure as Err
+
+from ..core.consensus.types import (
+    Entry,
+    EntryKind,
+    HardState,
+    Index,
+    MemberId,
+    Members,
+    Output,
+    Snapshot,
+    Stored,
+    Term,
+)
+from ..storage import files as files_module
+from ..storage.files import FolderFiles
+from ..storage.journal import Journal, open_journal
+from .model_disk import FOLDER_NAME, ModelDisk, ProcessEnded
+
+STEPS = 30
+
+
+class DiskFiles(FolderFiles):
+    """The real code of a folder, on a model of its disk."""
+
+    def __init__(self, disk: ModelDisk) -> None:
+        self._disk = disk
+        self._folder = Path("/") / FOLDER_NAME
+        self._open = {}
+
+    def read(self, name: str) -> bytes | None:
+        return self._disk.read(name)
+
+
+class Promises:
+    """What a member has counted itself for."""
+
+    def __init__(self) -> None:
+        self.member: MemberId | None = None
+        self.term = Term(0)
+        self.entries: dict[Index, Entry] = {}
+        self.first = Index(1)
+        """Entries before it are in a snapshot."""
+
+    def keep(self, stored: Stored, member: MemberId) -> None:
+        self.member = member
+        self.term = stored.hard_state.term
+        self.first = Index(stored.snapshot.index + 1)
+        self.entries = {entry.index: entry for entry in stored.entries}
+
+    def find_broken(self, journal: Journal) -> str:
+        """Return what a journal that was opened again lacks, or nothing."""
+        stored = journal.stored
+        if self.member is not None and journal.member != self.member:
+            return f"member {self.member} is {journal.member}"
+        if stored.hard_state.term < self.term:
+            return f"term {self.term} is {stored.hard_state.term}"
+        there = {entry.index: entry for entry in stored.entries}
+        lost = [
+            index
+            for index, entry in self.entries.items()
+            if index > stored.snapshot.index and there.get(index) != entry
+        ]
+        return f"lost entries {lost}" if lost else ""
+
+
+class Play:
+    """A host that saves, is killed, loses power and finds its disk full."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.disk = ModelDisk(self.chance)
+        self.promises = Promises()
+        self.journal: Journal | None = None
+        self.lives = 0
+        self.number = 0
+
+    def open(self) -> None:
+        self.lives += 1
+        opened = open_journal(DiskFiles(self.disk), MemberId(f"m{self.lives}"))
+        if isinstance(opened, Err):
+            assert not opened.failure().damaged, opened.failure().message
+            return
+        self.journal = opened.unwrap()
+        broken = self.promises.find_broken(self.journal)
+        assert not broken, broken
+        self.promises.keep(self.journal.stored, self.journal.member)
+
+    def save(self) -> None:
+        journal = self.journal
+        assert journal is not None
+        self.number += 1
+        stored = journal.stored
+        last = max([stored.snapshot.index, *(entry.index for entry in stored.entries)])
+        term = Term(stored.hard_state.term + 1)
+        output = Output(hard_state=HardState(term=term))
+        fate = self.chance.random()
+        if fate < 0.15 and stored.entries:
+            output.truncate_from = Index(last)
+            last = Index(last - 1)
+        output.entries = [
+            Entry(
+                index=Index(last + 1 + number),
+                term=term,
+                kind=EntryKind.COMMAND,
+                data=f"{self.number}.{number} " + "x" * self.chance.choice((5, 90)),
+            )
+            for number in range(self.chance.randint(0, 3))
+        ]
+        if fate > 0.85 and stored.entries:
+            at = stored.entries[0].index
+            output.snapshot = Snapshot(
+                index=at, term=term, members=Members(voters=()), data="state"
+            )
+        # A vote that was cast, or entries voided, may be on the disk also where that said no.
+        self.promises.entries = {
+            index: entry
+            for index, entry in self.promises.entries.items()
+            if output.truncate_from is None or index < output.truncate_from
+        }
+        if isinstance(journal.save(output), Err):
+            self.journal = None
+            return
+        self.promises.keep(journal.stored, journal.member)
+
+    def play(self) -> None:
+        for _ in range(STEPS):
+            self.disk.end_share = self.chance.choice((0.0, 0.05, 0.2))
+            self.disk.fail_share = self.chance.choice((0.0, 0.0, 0.1))
+            try:
+                if self.journal is None:
+                    self.open()
+                else:
+                    self.save()
+            except ProcessEnded:
+                self.journal = None
+                self.disk.end_process()
+            if self.chance.random() < 0.15:
+                self.journal = None
+                self.disk.lose_power()
+        self.disk.end_share = self.disk.fail_share = 0.0
+        self.disk.lose_power()
+        self.open()
+
+
+def play(seed: int) -> Play:
+    patch = pytest.MonkeyPatch()
+    played = Play(seed)
+    patch.setattr(files_module, "os", played.disk)
+    try:
+        played.play()
+    finally:
+        patch.undo()
+    return played
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(seed=st.integers(0, 1 << 32))
+def test_what_was_counted_for_outlasts_any_end_of_a_process_and_any_loss_of_power(
+    seed: int,
+) -> None:
+    play(seed)
