--- a/cottonlug/cli.py
+++ b/cottonlug/cli.py
@@ -13,7 +13,7 @@
 
 from . import __version__
 from .commands import control as control_hosts
-from .commands import demo, explanation, jobs, operations, serve
+from .commands import demo, evacuations, explanation, jobs, operations, serve
 from .commands import gateway as gateways
 from .commands.exits import ExitCode
 from .commands.output import print_refusal
@@ -38,6 +38,10 @@
 )
 rules_app = typer.Typer(help="Check, apply, show and explain the rules.", no_args_is_help=True)
 app.add_typer(rules_app, name="rules")
+evacuations_app = typer.Typer(
+    help="Evacuate a failure domain, take it back, list them.", no_args_is_help=True
+)
+app.add_typer(evacuations_app, name="evacuations")
 
 ConfigOption = Annotated[Path, typer.Option("--config", "-c", help="Settings file (YAML).")]
 HostOption = Annotated[
@@ -48,6 +52,10 @@
     Path,
     typer.Option("--token-file", envvar="COTTONLUG_TOKEN_FILE", help="File with the token."),
 ]
+ControlOption = Annotated[
+    list[str],
+    typer.Option("--control", help="Control listener of a control host, as IP:PORT; repeatable."),
+]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON, for scripts.")]
 
 
@@ -252,6 +260,27 @@
     raise typer.Exit(operations.explain_remote(target, asked))
 
 
+@evacuations_app.command("begin", epilog="Example: ... begin ridge-hut --control 10.1.0.16:8166")
+def evacuations_begin(domain: str, control: ControlOption) -> None:
+    """Start nothing more at the upstreams of a failure domain; what runs there ends by itself."""
+    hosts = [_read_host(each, "--control") for each in control]
+    raise typer.Exit(evacuations.order_evacuation(hosts, domain, begin=True))
+
+
+@evacuations_app.command("end", epilog="Example: ... end ridge-hut --control 10.1.0.16:8166")
+def evacuations_end(domain: str, control: ControlOption) -> None:
+    """Use the upstreams of a failure domain again."""
+    hosts = [_read_host(each, "--control") for each in control]
+    raise typer.Exit(evacuations.order_evacuation(hosts, domain, begin=False))
+
+
+@evacuations_app.command("list")
+def evacuations_list(control: ControlOption, as_json: JsonOption = False) -> None:
+    """Print which failure domains are evacuated, and since when."""
+    hosts = [_read_host(each, "--control") for each in control]
+    raise typer.Exit(evacuations.list_evacuations(hosts, as_json))
+
+
 def main() -> None:
     """Run the command line; settings errors are printed whole, broken invariants stop it."""
     try:
@@ -268,14 +297,19 @@
 
 
 def _build_target(host: str, token_file: Path, as_json: bool) -> jobs.Target:
-    name, _, port = host.rpartition(":")
-    if not name or not port.isdecimal():
-        raise typer.BadParameter(f"--host is IP:PORT, not {host!r}")
+    address = _read_host(host, "--host")
     try:
         token = token_file.read_text().strip()
     except OSError as error:
         raise typer.BadParameter(f"--token-file {token_file}: {error.strerror}") from error
-    return jobs.Target(address=Address(name, int(port)), token=token, as_json=as_json)
+    return jobs.Target(address=address, token=token, as_json=as_json)
+
+
+def _read_host(host: str, option: str) -> Address:
+    name, _, port = host.rpartition(":")
+    if not name or not port.isdecimal():
+        raise typer.BadParameter(f"{option} is IP:PORT, not {host!r}")
+    return Address(name, int(port))
 
 
 def _read_labels(given: list[str]) -> dict[str, str]:
--- /dev/null
+++ b/cottonlug/commands/evacuations.py
@@ -0,0 +1,83 @@
+"""`cottonlug evacuations`: empty a failure domain, take it back, list what is evacuated."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from datetime import UTC, datetime, timedelta
+
+import httpx
+
+from ..config.options import Address
+from ..platform.operators import (
+    EvacuationList,
+    OperatorCall,
+    OperatorReply,
+    build_list,
+    build_order,
+    read_reply,
+)
+from ..platform.operators import read_list as read_evacuations
+from .exits import ExitCode
+from .output import print_json
+
+PATIENCE = timedelta(seconds=1)
+"""A control host that has not answered by then is taken for lost, and the next one is asked."""
+KEEP_TRYING = timedelta(seconds=20)
+"""Longer than an election and a restart of all control hosts take."""
+PAUSE = timedelta(milliseconds=200)
+
+
+def order_evacuation(hosts: list[Address], domain: str, *, begin: bool) -> ExitCode:
+    """Begin or end the evacuation of a domain, asking one host after another until one says so."""
+    reply = asyncio.run(_ask_in_turn(hosts, build_order(domain, begin=begin)))
+    if reply.is_done:
+        print(f"{domain} is {'evacuated' if begin else 'used again'}")
+        return ExitCode.OK
+    print(f"not known to be in force: {reply.problem}", file=sys.stderr)
+    return ExitCode.REFUSED if reply.is_final else ExitCode.UNAVAILABLE
+
+
+def list_evacuations(hosts: list[Address], as_json: bool) -> ExitCode:
+    """Print the domains that are evacuated, and since when."""
+    reply = asyncio.run(_ask_in_turn(hosts, build_list()))
+    listed = read_evacuations(reply)
+    if listed is None:
+        print(f"not known: {reply.problem}", file=sys.stderr)
+        return ExitCode.UNAVAILABLE
+    if as_json:
+        print_json(listed)
+    else:
+        _print_list(listed)
+    return ExitCode.OK
+
+
+def _print_list(listed: EvacuationList) -> None:
+    if not listed.evacuations:
+        print("no failure domain is evacuated")
+    for each in listed.evacuations:
+        since = datetime.fromtimestamp(each.since_ms / 1000, UTC)
+        print(f"{each.domain} since {since.isoformat(timespec='seconds')}")
+
+
+async def _ask_in_turn(hosts: list[Address], call: OperatorCall) -> OperatorReply:
+    """Return the first clear answer, or the last one where none came in time."""
+    give_up_at = time.monotonic() + KEEP_TRYING.total_seconds()
+    async with httpx.AsyncClient(timeout=PATIENCE.total_seconds()) as client:
+        while True:
+            for host in hosts:
+                reply = await _ask(client, host, call)
+                if reply.is_done or reply.is_final:
+                    return reply
+            if time.monotonic() >= give_up_at:
+                return reply
+            await asyncio.sleep(PAUSE.total_seconds())
+
+
+async def _ask(client: httpx.AsyncClient, host: Address, call: OperatorCall) -> OperatorReply:
+    try:
+        response = await client.request(call.method, f"http://{host}{call.path}")
+    except httpx.HTTPError as error:
+        return OperatorReply(problem=f"{host}: {type(error).__name__}")
+    return read_reply(response.status_code, response.content)
--- a/cottonlug/config/cluster.py
+++ b/cottonlug/config/cluster.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 from pathlib import Path
@@ -67,6 +67,8 @@
     caller_retry: timedelta
     keep_ended: timedelta
     orders: OrdersBy
+    domains: list[DomainName] = field(default_factory=list)
+    """All failure domains, so that one without upstreams at the moment can be evacuated."""
     drain_limit: timedelta
     urgent_port: int | None = None
     """Port of all hosts, this one among them, for what must not wait behind jobs."""
@@ -122,6 +124,7 @@
     "data_folder": Option(read_path),
     "keep_ended": Option(read_span, timedelta(seconds=150)),
     "orders": Option(read_choice(OrdersBy), OrdersBy.CALL),
+    "domains": Option(read_list(read_name), []),
 }
 _GATEWAY: Options = {
     **_COMMON,
--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -8,7 +8,17 @@
 
 from ..ids import DomainName, UpstreamId
 from .crashes import Suspect, SuspectRecord
-from .model import Configuration, Heartbeat, JobSpec, JobState, RunNumber, TaskRef, Value
+from .evacuations import EvacuationRecord
+from .model import (
+    Configuration,
+    Heartbeat,
+    JobSpec,
+    JobState,
+    OrderId,
+    RunNumber,
+    TaskRef,
+    Value,
+)
 from .records import UpstreamRecord
 
 
@@ -107,6 +117,23 @@
     """Ask for the newest configuration."""
 
 
+class Evacuate(Value, frozen=True, tag="evacuate"):
+    """Begin or end the evacuation of a failure domain.
+
+    The host that takes it in from the operator fills in the last two fields.
+    """
+
+    domain: DomainName
+    is_evacuated: bool
+    base_revision: int = 0
+    """Revision of the domain in that host's log when the order came."""
+    order: OrderId = OrderId("")
+
+
+class AskEvacuations(Value, frozen=True, tag="evacuations"):
+    """Ask which failure domains are evacuated."""
+
+
 class Greet(Value, frozen=True, tag="greet"):
     """Tell that a gateway lives; ask who leads, and for a roster newer than the one it has."""
 
@@ -130,7 +157,19 @@
 NOT_IN_TOUCH = "the gateway was not answered lately"
 """Detail of an answer to a submission that was held up, or that follows no greeting."""
 
-Call = Submit | Abandon | AskState | Cancel | Beat | Leave | Configure | AskConfiguration | Greet
+Call = (
+    Submit
+    | Abandon
+    | AskState
+    | Cancel
+    | Beat
+    | Leave
+    | Configure
+    | AskConfiguration
+    | Evacuate
+    | AskEvacuations
+    | Greet
+)
 
 
 class GatewayInfo(Value, frozen=True):
@@ -155,9 +194,12 @@
     keeps_jobs: bool
     """Whether jobs are under way whose ends must be kept, which a deputy cannot do."""
     base: str = ""
+    is_partial: bool = False
+    """Whether more is to be asked for before a gateway can stand in by it."""
     removed: tuple[UpstreamId, ...] = ()
     suspects: tuple[SuspectRecord, ...] = ()
     """Tasks under which upstreams have ended."""
+    evacuations: tuple[EvacuationRecord, ...] = ()
     takes_calls: bool = True
     """Whether upstreams are called; a gateway, to which they send no heartbeat, can only call."""
 
@@ -176,6 +218,7 @@
     """It may have been done in part; nobody goes on with it, since that would be of no use."""
     NO_QUEUE = "no_queue"
     NO_JOB = "no_job"
+    NO_DOMAIN = "no_domain"
     INVALID = "invalid"
     UNSUPPORTED = "unsupported"
 
@@ -213,6 +256,8 @@
     pending: int | None = None
     retry_after_ms: int | None = None
     document: str | None = None
+    evacuations: tuple[EvacuationRecord, ...] | None = None
+    """The failure domains that are evacuated, where this was asked."""
     leader: str | None = None
     """Address for calls of entry hosts, where it is known."""
     leader_control: str | None = None
--- a/cottonlug/core/cluster/commands.py
+++ b/cottonlug/core/cluster/commands.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..ids import UpstreamId
+from ..ids import DomainName, UpstreamId
 from .crashes import LostRuns
 from .model import (
     Capacity,
@@ -12,6 +12,7 @@
     EndReport,
     JobId,
     JobSpec,
+    OrderId,
     Queue,
     TaskRef,
     UpstreamInfo,
@@ -123,6 +124,16 @@
     configuration: Configuration
 
 
+class SetEvacuation(Value, frozen=True, tag="evacuate"):
+    """Begin or end the evacuation of a domain, unless another order has come since the base."""
+
+    domain: DomainName
+    is_evacuated: bool
+    base_revision: int
+    order: OrderId
+    at_ms: int
+
+
 Command = (
     AcceptJob
     | CancelJob
@@ -137,6 +148,7 @@
     | CordonUpstreams
     | UncordonUpstream
     | SetConfiguration
+    | SetEvacuation
 )
 
 _decoder = msgspec.json.Decoder(tuple[Command, ...])
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -21,6 +21,7 @@
     NoteEnds,
     RemoveUpstreams,
     SetDraining,
+    SetEvacuation,
     UncordonUpstream,
 )
 from .ends import Ends
@@ -258,6 +259,8 @@
         elif isinstance(command, SetDraining):
             if command.upstream in self._lives.by_id:
                 self._lives.by_id[command.upstream].draining = True
+        elif isinstance(command, SetEvacuation):
+            self._take_evacuation(command, now)
         elif isinstance(command, UncordonUpstream):
             self._watcher.uncordon(command.upstream)
         elif isinstance(command, NoteCrash):
@@ -268,6 +271,17 @@
             for upstream in command.upstreams:
                 self._drop(upstream)
 
+    def _take_evacuation(self, command: SetEvacuation, now: timedelta) -> None:
+        """Start nothing more in a domain, or take its upstreams back."""
+        runs = self._lives.set_evacuated(command.domain)
+        record = self._term.records.evacuations.get(command.domain)
+        self._term.note(
+            "domain_evacuated" if record.is_evacuated else "domain_taken_back",
+            {"domain": command.domain, "revision": record.revision, "runs": runs},
+        )
+        if record.is_evacuated:
+            self._filler.reject_evacuated(now)
+
     def _drop(self, upstream: UpstreamId) -> None:
         life = self._lives.by_id.get(upstream)
         self._lives.drop(upstream)
--- a/cottonlug/core/cluster/filler.py
+++ b/cottonlug/core/cluster/filler.py
@@ -19,6 +19,10 @@
 from .rooms import Rooms
 from .term import Term
 
+EVACUATED = "all upstreams of the service are in evacuated failure domains"
+EVACUATED_RETRY = timedelta(seconds=2)
+"""An evacuation lasts from seconds to hours: often enough for the former, seldom enough for the
+latter."""
 NOTHING_WAITS = 1 << 62
 """More room than any upstream has: no change of one is worth looking for room again."""
 
@@ -121,6 +125,9 @@
         """Return why a job is not taken at the moment that has waited elsewhere, or None."""
         if spec.is_timed or spec.long_running:
             return None
+        if self._lives.is_evacuated(queue.service):
+            self._term.counts.evacuated_rejections += 1
+            return Rejection(reason=EVACUATED, retry_after=EVACUATED_RETRY)
         objective = self._jobs.forecast.find_objective(queue, spec.steps)
         chain = self._jobs.forecast.find_chain(queue.key, spec.steps, 0)
         latest_start = now - waited + find_longest_wait(queue, objective, chain)
@@ -136,6 +143,20 @@
             return None
         return Rejection(reason="the work before it takes too long", retry_after=wait)
 
+    def reject_evacuated(self, now: timedelta) -> None:
+        """Reject, at once, what waits for services whose upstreams are all evacuated."""
+        evacuated: dict[ServiceName, bool] = {}
+        for job in list(self._jobs.jobs.values()):
+            spec = job.record.spec
+            if job.has_begun or job.is_unsure() or not spec.best_effort or spec.is_timed:
+                continue
+            service = self._find_service(job.record)
+            if service not in evacuated:
+                evacuated[service] = self._lives.is_evacuated(service)
+            if evacuated[service]:
+                self._term.counts.evacuated_rejections += 1
+                self._jobs.reject(job, EVACUATED, EVACUATED_RETRY, now)
+
     def _find_service(self, job: JobRecord) -> ServiceName:
         """Return the service that the job's queue is sent to now."""
         queues = self._term.records.queues
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -4,7 +4,7 @@
 
 from datetime import timedelta
 
-from ..ids import UpstreamId
+from ..ids import DomainName, UpstreamId
 from .admission import measure_room
 from .guards import MOST_SET_ASIDE, Health
 from .lives import Life
@@ -59,6 +59,7 @@
             number=self._added,
             proposed=noted,
             draining=draining,
+            is_evacuated=info.domain in self._term.records.evacuations.evacuated,
             is_foreign=self._term.domain not in (None, info.domain),
             heard_at=now,
             look_due=now,
@@ -106,6 +107,22 @@
         if self.may_have_orphans:
             self.may_have_orphans = any(life.has_orphans for life in self.by_id.values())
 
+    def set_evacuated(self, domain: DomainName) -> int:
+        """Take over whether a domain is evacuated; return how many runs are at work there."""
+        is_evacuated = domain in self._term.records.evacuations.evacuated
+        lives = [life for life in self.by_id.values() if life.info.domain == domain]
+        for life in lives:
+            life.is_evacuated = is_evacuated
+            self.touch(life)
+        self._room = None
+        return sum(len(life.runs) for life in lives)
+
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Whether nothing but the evacuation of their domains keeps the upstreams of a service."""
+        lives = (life for life in self.by_id.values() if life.info.service == service)
+        there = [life for life in lives if not (life.is_over or life.draining or life.is_foreign)]
+        return bool(there) and all(life.is_evacuated for life in there)
+
     def get_health(self, life: Life) -> Health:
         """Return how the runs at a life have gone."""
         health = self._health.get(life.info.id)
@@ -181,8 +198,7 @@
         room = measure_room(
             life
             for life in self.by_id.values()
-            if life.takes_work(now)
-            or (is_new and not (life.is_fenced or life.draining or life.is_over or life.is_foreign))
+            if life.takes_work(now) or (is_new and _may_take_work(life))
         )
         self._room = (now + ROOM_KEPT, room)
         return room
@@ -204,3 +220,10 @@
         if life is not None and found is not None:
             found.stop_wanted = True
             self.touch(life)
+
+
+def _may_take_work(life: Life) -> bool:
+    """Whether an upstream that has not answered this leader can be expected to take work."""
+    return not (
+        life.is_fenced or life.draining or life.is_evacuated or life.is_over or life.is_foreign
+    )
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -61,6 +61,8 @@
     number: int = 0
     """Lives are numbered as they come, so that those alike have an order."""
     draining: bool = False
+    is_evacuated: bool = False
+    """Whether its failure domain is evacuated: what runs there goes on, nothing is started."""
     is_over: bool = False
     is_cordoned: bool = False
     """Whether nothing that a leader began can be at work there, and nothing may be started."""
@@ -203,6 +205,7 @@
             self.is_fenced
             and not self.is_cordoned
             and not self.draining
+            and not self.is_evacuated
             and not self.has_disputed
             and not self._alone
             and not self.is_over
--- a/cottonlug/core/cluster/model.py
+++ b/cottonlug/core/cluster/model.py
@@ -13,6 +13,8 @@
 RunNumber = NewType("RunNumber", int)
 ServiceName = NewType("ServiceName", str)
 ConfigurationVersion = NewType("ConfigurationVersion", int)
+OrderId = NewType("OrderId", str)
+"""Names one order of an operator, as the host that took it in has numbered it."""
 
 
 class Value(msgspec.Struct, kw_only=True, frozen=True, omit_defaults=True):
--- a/cottonlug/core/cluster/records.py
+++ b/cottonlug/core/cluster/records.py
@@ -25,6 +25,7 @@
     ResizeUpstream,
     SetConfiguration,
     SetDraining,
+    SetEvacuation,
     UncordonUpstream,
 )
 from .crashes import (
@@ -39,6 +40,7 @@
     LostRuns,
     SuspectRecord,
 )
+from .evacuations import EvacuationRecord, Evacuations
 from .model import (
     Configuration,
     EndKind,
@@ -132,6 +134,7 @@
     jobs: tuple[JobRecord, ...]
     upstreams: tuple[UpstreamRecord, ...]
     suspects: tuple[SuspectRecord, ...] = ()
+    evacuations: tuple[EvacuationRecord, ...] = ()
 
 
 _decoder = msgspec.json.Decoder(Saved)
@@ -146,6 +149,7 @@
         self.jobs: dict[JobId, JobRecord] = {}
         self.upstreams: dict[UpstreamId, UpstreamRecord] = {}
         self.suspects: dict[TaskRef, SuspectRecord] = {}
+        self.evacuations = Evacuations()
 
     def apply(self, command: Command) -> None:
         """Carry out one committed command; one that comes twice changes nothing the second time."""
@@ -182,6 +186,8 @@
             self._note_crash(command)
         elif isinstance(command, UncordonUpstream):
             self._set_cordoned(command.upstream, False)
+        elif isinstance(command, SetEvacuation):
+            self.evacuations.apply(command)
         else:
             self._configure(command)
 
@@ -192,6 +198,7 @@
             jobs=tuple(self.jobs.values()),
             upstreams=tuple(self.upstreams.values()),
             suspects=tuple(self.suspects.values()),
+            evacuations=self.evacuations.records,
         )
         return msgspec.json.encode(saved).decode()
 
@@ -202,6 +209,7 @@
         self.jobs = {job.id: job for job in saved.jobs}
         self.upstreams = {record.info.id: record for record in saved.upstreams}
         self.suspects = {suspect.task: suspect for suspect in saved.suspects}
+        self.evacuations = Evacuations(saved.evacuations)
 
     def find_crashes(self, task: TaskRef) -> CrashCounts:
         """Return how often upstreams have ended under a task."""
--- a/cottonlug/core/cluster/rosters.py
+++ b/cottonlug/core/cluster/rosters.py
@@ -89,6 +89,7 @@
             gateways=gateways,
             keeps_jobs=keeps_jobs,
             suspects=tuple(records.suspects.values()),
+            evacuations=records.evacuations.records,
             takes_calls=self._takes_calls,
         )
 
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -48,6 +48,8 @@
     resized_upstreams: int = 0
     starts_without_room: int = 0
     """Starts that upstreams refused for want of room."""
+    evacuated_rejections: int = 0
+    """Jobs rejected since all upstreams of their service are in evacuated domains."""
     settled_after_ms: int = 0
     """How long it took until nothing of earlier leaders could run unknown."""
 
--- a/cottonlug/platform/control.py
+++ b/cottonlug/platform/control.py
@@ -11,14 +11,17 @@
 from ..core.cluster.calls import (
     Answer,
     AskConfiguration,
+    AskEvacuations,
     Beat,
     Call,
     Configure,
+    Evacuate,
     HeartbeatOrders,
     Leave,
     Outcome,
 )
 from ..core.cluster.checks import find_configuration_problem
+from ..core.cluster.evacuations import EvacuationRecord
 from ..core.cluster.model import Capacity, Heartbeat, ServiceName, UpstreamInfo
 from ..core.ids import DomainName, UpstreamId
 from ..net.asgi import Handler, HttpRequest, HttpResponse
@@ -28,6 +31,7 @@
 
 INSTANCES = "/instances/"
 CONFIGURATION = "/config"
+EVACUATION = "/evacuation"
 DRAINING = "draining"
 
 STATUS_OF_OUTCOME = {
@@ -36,6 +40,7 @@
     Outcome.UNAVAILABLE: 503,
     Outcome.UNKNOWN: 504,
     Outcome.INVALID: 400,
+    Outcome.NO_DOMAIN: 404,
 }
 
 
@@ -84,9 +89,23 @@
             return AskConfiguration()
         if request.method == "PUT":
             return _decode_configure(request.body)
+    if request.path == EVACUATION and request.method == "GET":
+        return AskEvacuations()
+    if request.path.startswith(f"{EVACUATION}/") and request.method in ("POST", "DELETE"):
+        return _decode_evacuation(request)
     return HttpResponse(status=404)
 
 
+def _decode_evacuation(request: HttpRequest) -> Call | HttpResponse:
+    """Decode an order about a zone; its whole meaning is in method and path."""
+    if request.body.strip():
+        return _refuse("an order about an evacuation has no body; it was not carried out")
+    zone = request.path[len(EVACUATION) + 1 :]
+    if not zone:
+        return _refuse("the path names no zone")
+    return Evacuate(domain=DomainName(zone), is_evacuated=request.method == "POST")
+
+
 def _decode_heartbeat(id: UpstreamId, body: bytes) -> Call | HttpResponse:
     try:
         read = _heartbeat_decoder.decode(body)
@@ -137,6 +156,8 @@
     status = STATUS_OF_OUTCOME.get(answer.outcome, 503)
     if status != 200:
         return HttpResponse(status=status, body=msgspec.json.encode({"error": answer.detail}))
+    if answer.evacuations is not None:
+        return HttpResponse(status=200, body=_encode_evacuations(answer.evacuations))
     if answer.document is not None:
         return HttpResponse(status=200, body=answer.document.encode())
     body: dict[str, Any] = {}
@@ -147,6 +168,14 @@
     return HttpResponse(status=200, body=msgspec.json.encode(body))
 
 
+def _encode_evacuations(evacuations: tuple[EvacuationRecord, ...]) -> bytes:
+    rows = [
+        {"zone": each.domain, "since_ms": each.since_ms, "revision": each.revision}
+        for each in evacuations
+    ]
+    return msgspec.json.encode({"evacuations": rows})
+
+
 def _encode_orders(orders: HeartbeatOrders) -> dict[str, Any]:
     body: dict[str, Any] = {"fencing_token": orders.token, "last_seen": orders.last_seen}
     if orders.lease_ms is not None:
--- a/cottonlug/runtime/cluster_dump.py
+++ b/cottonlug/runtime/cluster_dump.py
@@ -23,6 +23,7 @@
         "version": records.configuration.version if records.configuration is not None else None,
         "jobs": len(records.jobs),
         "upstreams": len(records.upstreams),
+        "evacuations": records.evacuations.records,
     }
     if host.leading is not None:
         dump["leading"] = _dump_dispatch(host)
@@ -42,6 +43,7 @@
                 "id": life.info.id,
                 "fenced": life.is_fenced,
                 "draining": life.draining,
+                "evacuated": life.is_evacuated,
                 "runs": len(life.runs),
                 "free_cpu": life.free_cpu,
                 "capacity": life.info.capacity,
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -87,12 +87,12 @@
 _DISPATCH_COUNTS = (
     "starts", "started", "refused_starts", "unknown_starts", "stops", "looks", "failed_looks",
     "lapsed_runs", "ends", "rejected_jobs", "given_up_jobs", "moved_runs", "resized_upstreams",
-    "starts_without_room", "crashed_upstreams", "crashing_tasks",
+    "starts_without_room", "crashed_upstreams", "crashing_tasks", "evacuated_rejections",
 )  # fmt: skip
 _DISPATCH_GAUGES = (
     "settled_after_ms", "open_jobs", "unsure_jobs", "waiting_tasks", "upstreams",
     "upstreams_working", "upstreams_draining", "free_cpu_millis", "capacity_cpu_millis",
-    "oldest_report_ms", "suspects",
+    "oldest_report_ms", "suspects", "domains_evacuated", "evacuated_for_ms", "runs_evacuated",
 )  # fmt: skip
 
 
@@ -100,6 +100,7 @@
     assert host.leading is not None
     dispatch = host.leading.dispatch
     lives = list(dispatch.lives.values())
+    evacuated = host.leading.list_evacuated_ms()
     working = [life for life in lives if life.is_fenced and not life.draining]
     return {
         "settled_after_ms": dispatch.counts.settled_after_ms,
@@ -110,6 +111,9 @@
         "upstreams_working": len(working),
         "upstreams_draining": sum(life.draining for life in lives),
         "suspects": len(host.replicated.records.suspects),
+        "domains_evacuated": len(evacuated),
+        "evacuated_for_ms": max(evacuated, default=0.0),
+        "runs_evacuated": sum(len(life.runs) for life in lives if life.is_evacuated),
         "free_cpu_millis": sum(life.free_cpu for life in working),
         "capacity_cpu_millis": sum(life.info.capacity.cpu_millis for life in working),
         "oldest_report_ms": host.leading.find_oldest_report() / timedelta(milliseconds=1),
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -17,6 +17,7 @@
     Beat,
     Call,
     Configure,
+    Evacuate,
     Greet,
     Leave,
     Outcome,
@@ -32,6 +33,7 @@
 from ..core.ids import UpstreamId
 from ..net.asgi import HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
+from .evacuations import OrderDesk
 from .events import Event, log_event
 from .gateways import GATEWAY_SILENT
 from .heartbeat_port import DELIVERY
@@ -87,6 +89,9 @@
         """For orders alone: what is passed on for gateways is given up, and its connection closed,
         as soon as it is late, and a busy leader takes new ones in late."""
         self._job_lines = JobLines(answer=self.answer, clock=clock, find_slack=self._find_slack)
+        self._desk = OrderDesk(
+            host=settings.host, clock=clock, get_records=lambda: self.replicated.records
+        )
         self._is_stopping = False
         self._had_lease = False
         self._leased_at = clock.monotonic()
@@ -136,6 +141,8 @@
         """Answer a call here, if this host leads, or by asking the leader."""
         if isinstance(call, Greet):
             await self._wait_until_led()
+        if isinstance(call, Evacuate) and not passed_on:
+            call = await self._desk.receive(call)
         leading = self.leading
         if leading is not None and (self.replica.has_lease() or leading.needs_no_lease(call)):
             answer = await leading.answer(call)
@@ -254,7 +261,7 @@
         """
         if isinstance(call, Beat):
             return call.heartbeat.draining and self._settings.orders is OrdersBy.CALL
-        return isinstance(call, Configure | AskConfiguration | Leave)
+        return isinstance(call, Configure | AskConfiguration | Leave | Evacuate)
 
     def _is_in_log(self, call: Call) -> bool:
         """Whether what a call asks for was committed, as far as this host knows."""
@@ -262,6 +269,8 @@
         if isinstance(call, Configure):
             current = records.configuration
             return current is not None and call.configuration.version <= current.version
+        if isinstance(call, Evacuate):
+            return self._desk.is_in_log(call)
         if isinstance(call, Leave):
             return self._is_leaving(call.upstream)
         if isinstance(call, Beat) and self._is_order(call):
@@ -366,6 +375,7 @@
                     orders_by_heartbeat=self._settings.orders is OrdersBy.HEARTBEAT,
                     keep_ended=self._settings.keep_ended,
                     caller_retry=self._settings.caller_retry,
+                    domains=frozenset({*self._settings.domains, self._settings.domain}),
                     control_address=str(self._settings.listen.control),
                     reports=reports,
                     known_until=self._find_known_until(reports),
--- a/cottonlug/runtime/deputy.py
+++ b/cottonlug/runtime/deputy.py
@@ -23,6 +23,7 @@
 from ..core.clock import Clock
 from ..core.cluster.calls import Roster
 from ..core.cluster.commands import decode_commands
+from ..core.cluster.evacuations import Evacuations
 from ..core.cluster.lives import choose_terms
 from ..core.cluster.reports import ReportTerms
 from ..core.ids import DomainName
@@ -94,6 +95,7 @@
         records.put_in_force(roster.configuration)
         records.upstreams = {record.info.id: record for record in roster.upstreams}
         records.suspects = {suspect.task: suspect for suspect in roster.suspects}
+        records.evacuations = Evacuations(roster.evacuations)
         self.authority = DeputyAuthority(term=roster.term, replicated=replicated)
         self.leading = Leading(
             authority=self.authority,
--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -64,6 +64,11 @@
     GREETING_LATE = EventKind(4014, logging.WARNING, "a gateway's greeting was held up")
     HELD_UP = EventKind(4015, logging.WARNING, "whoever decides here was held up")
     PROPOSAL_LOST = EventKind(4016, logging.WARNING, "commands did not get into the log")
+    EVACUATION_BEGUN = EventKind(4017, logging.WARNING, "a failure domain is evacuated")
+    EVACUATION_ENDED = EventKind(4018, logging.INFO, "a failure domain is used again")
+    EVACUATION_REFUSED = EventKind(
+        4019, logging.WARNING, "an order to evacuate was not carried out"
+    )
     STORAGE_FAILED = EventKind(5001, logging.ERROR, "the data folder cannot be written")
     STORAGE_TORN = EventKind(5002, logging.WARNING, "a torn tail of a log file was cut")
     STORAGE_DAMAGED = EventKind(5003, logging.ERROR, "a file of the data folder is damaged")
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -16,11 +16,13 @@
     Abandon,
     Answer,
     AskConfiguration,
+    AskEvacuations,
     AskState,
     Beat,
     Call,
     Cancel,
     Configure,
+    Evacuate,
     Greet,
     Leave,
     Outcome,
@@ -41,6 +43,7 @@
     ResizeUpstream,
     SetConfiguration,
     SetDraining,
+    SetEvacuation,
     encode_commands,
 )
 from ..core.cluster.dispatch import Dispatch
@@ -55,6 +58,7 @@
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName
 from .decisions import note_decision
+from .evacuations import EvacuationAnswers
 from .events import Event, log_event
 from .gateways import Gateways
 from .heartbeat_port import HeartbeatPort
@@ -82,6 +86,8 @@
     """A caller that lost its gateway waits at least so long before it sends a job again."""
     control_address: str | None
     """Address of this host for upstreams, where it serves them."""
+    domains: frozenset[DomainName] = frozenset()
+    """Failure domains that the settings name; those of known upstreams exist besides."""
     keeps_log: bool = True
     """Whether commands are kept; a deputy answers no call that needs the log."""
     orders_by_heartbeat: bool = False
@@ -162,6 +168,13 @@
             wait=self._wait,
             wake=self._wake,
         )
+        self._evacuations = EvacuationAnswers(
+            authority=authority,
+            records=self._records,
+            domains=settings.domains,
+            propose=self._propose_and_wait,
+            read_wall=self._read_wall,
+        )
         self.dispatch.may_be_stood_in_for = self._may_be_stood_in_for
         self.gateways.on_silence = self._give_up_silent
         self.gateways.on_restart = self._give_up_all
@@ -204,13 +217,19 @@
         ages = (now - life.reported_at for life in lives if life.reported_at is not None)
         return max(ages, default=timedelta())
 
+    def list_evacuated_ms(self) -> list[float]:
+        """Return for how long each domain that is evacuated has been, in milliseconds."""
+        now_ms = self._read_wall()
+        records = self._records.evacuations.records
+        return [float(now_ms - record.since_ms) for record in records if record.is_evacuated]
+
     # Calls
 
     def needs_no_lease(self, call: Call) -> bool:
         """Whether the log alone decides about a call: its answer waits for the commit."""
         if isinstance(call, Beat):
             return call.heartbeat.draining and self._heartbeats is None
-        return isinstance(call, Configure)
+        return isinstance(call, Configure | Evacuate)
 
     async def answer(self, call: Call) -> Answer:
         """Carry out one call, while the lease of this leader lasts or the call needs none."""
@@ -234,6 +253,10 @@
             return await self._answer_configure(call)
         if isinstance(call, AskConfiguration):
             return self._answer_configuration()
+        if isinstance(call, Evacuate):
+            return await self._evacuations.answer_order(call)
+        if isinstance(call, AskEvacuations):
+            return self._evacuations.answer_list()
         return Answer(outcome=Outcome.DONE)
 
     def answer_greeting(self, call: Greet) -> Answer:
@@ -353,10 +376,21 @@
             self.waiters.resolve(("draining", command.upstream))
         elif isinstance(command, AddUpstream):
             log_event(Event.UPSTREAM_OPENED, upstream=command.info.id, at=command.info.address)
+        elif isinstance(command, SetEvacuation):
+            self._take_evacuation(command)
         elif isinstance(command, ResizeUpstream):
             self.waiters.resolve(("capacity", command.upstream, command.sequence))
         self._wake()
 
+    def _take_evacuation(self, command: SetEvacuation) -> None:
+        """Log an order that was carried out; one that came too late is only answered."""
+        record = self._records.evacuations.get(command.domain)
+        if record.order == command.order:
+            begun = record.is_evacuated
+            event = Event.EVACUATION_BEGUN if begun else Event.EVACUATION_ENDED
+            log_event(event, domain=record.domain, revision=record.revision, order=record.order)
+        self.waiters.resolve(("evacuation", command.order))
+
     def _note_roster(self, command: Command) -> None:
         """Count what a command has changed for those who may stand in."""
         if isinstance(command, AddUpstream):
@@ -368,6 +402,8 @@
                 self.gateways.log.note_upstream(upstream)
         elif isinstance(command, SetConfiguration):
             self.gateways.log.note_configuration()
+        elif isinstance(command, SetEvacuation):
+            self.gateways.log.note_other()
 
     def _take_end(self, job: JobId) -> None:
         self.waiters.resolve(("end", job))
--- a/cottonlug/tests/model_hosts.py
+++ b/cottonlug/tests/model_hosts.py
@@ -320,6 +320,7 @@
             listen=ControlListeners(
                 control=Address(machine.ip, CONTROL_PORT), peers=machine.peers, metrics=None
             ),
+            domains=sorted({DomainName(each.domain) for each in self.machines.values()}),
             seeds=[seed.peers for seed in seeds],
             may_begin=may_begin,
             data_folder=Path(machine.name),
--- a/cottonlug/tests/test_cluster_waiting.py
+++ b/cottonlug/tests/test_cluster_waiting.py
@@ -19,6 +19,7 @@
 from ..core.cluster.orders import CallFailure, LookOrder
 from ..core.cluster.records import Records, UpstreamRecord
 from ..core.ids import UpstreamId
+from ..runtime.deputy import DeputyAuthority
 from ..runtime.gateways import GATEWAY_SILENT
 from ..runtime.leading import Leading, LeadingSettings
 from ..runtime.replicated import ReplicatedRecords
@@ -69,14 +70,17 @@
         return await super().look(order, token)
 
 
-def lead(port: IdlePort, *, keeps_log: bool = True) -> tuple[Leading, ReplicatedRecords]:
+def lead(
+    port: IdlePort, *, keeps_log: bool = True, commits: bool = False
+) -> tuple[Leading, ReplicatedRecords]:
+    """Lead two upstreams; with `commits` the log carries out at once what is proposed."""
     replicated = ReplicatedRecords()
     replicated.records.put_in_force(build_roster().configuration)
     for name in ("u1", "u2"):
         info = build_info(name)
         replicated.records.upstreams[info.id] = UpstreamRecord(info=info)
     leading = Leading(
-        authority=OwnOffice(),
+        authority=DeputyAuthority(term=1, replicated=replicated) if commits else OwnOffice(),
         replicated=replicated,
         port=port,
         clock=build_clock(),
--- /dev/null
+++ b/cottonlug/tests/test_evacuation_commands.py
@@ -0,0 +1,62 @@
+"""What operators are told by `cottonlug evacuations`."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import httpx
+import pytest
+from typer.testing import CliRunner
+
+from ..cli import app
+from ..commands.exits import ExitCode
+
+LOST, SOUND = "127.0.0.1:1", "127.0.0.1:2"
+
+
+@pytest.fixture(name="asked")
+def _asked(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Have one host refuse connections, and the other one know the domain `north` alone."""
+    asked: list[str] = []
+
+    async def request(self: httpx.AsyncClient, method: str, url: str) -> httpx.Response:
+        asked.append(f"{method} {url}")
+        if LOST in url:
+            raise httpx.ConnectError("refused")
+        if method == "GET":
+            rows = b'{"evacuations":[{"zone":"north","since_ms":0,"revision":3}]}'
+            return httpx.Response(200, content=rows)
+        return httpx.Response(200 if url.endswith("/north") else 404, content=b"{}")
+
+    monkeypatch.setattr(httpx.AsyncClient, "request", request)
+    return asked
+
+
+def test_the_next_host_is_asked_where_one_does_not_answer(asked: list[str]) -> None:
+    arguments = ["evacuations", "begin", "north", "--control", LOST, "--control", SOUND]
+    result = CliRunner().invoke(app, arguments)
+    assert result.exit_code == ExitCode.OK, result.output
+    assert result.output == "north is evacuated\n"
+    assert asked == [f"POST http://{host}/evacuation/north" for host in (LOST, SOUND)]
+
+
+def test_an_unknown_domain_is_refused_once(asked: list[str]) -> None:
+    result = CliRunner().invoke(app, ["evacuations", "end", "nowhere", "--control", SOUND])
+    assert result.exit_code == ExitCode.REFUSED
+    assert asked == [f"DELETE http://{SOUND}/evacuation/nowhere"]
+
+
+def test_evacuated_domains_are_printed(asked: list[str]) -> None:
+    result = CliRunner().invoke(app, ["evacuations", "list", "--control", SOUND])
+    assert result.output == "north since 1970-01-01T00:00:00+00:00\n"
+
+
+def test_a_bad_address_is_a_usage_error() -> None:
+    result = CliRunner().invoke(app, ["evacuations", "list", "--control", "nonsense"])
+    assert result.exit_code == ExitCode.USAGE
+    assert "IP:PORT" in result.output
+
+
+def test_the_example_settings_name_all_domains() -> None:
+    template = Path(__file__).parents[2] / "deploy" / "control.yaml.template"
+    assert 'domains: [{{#zones}}"{{@}}"' in template.read_text()
--- /dev/null
+++ b/cottonlug/tests/test_evacuations.py
@@ -0,0 +1,410 @@
+"""A failure domain that is evacuated gets no new work, whoever decides; what runs there ends well.
+
+Load pattern: operators empty a domain while its callers go on, and take it back seconds later.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from ..core.cluster.calls import (
+    Answer,
+    AskEvacuations,
+    Call,
+    Evacuate,
+    Outcome,
+)
+from ..core.cluster.commands import SetEvacuation, decode_commands, encode_commands
+from ..core.cluster.evacuations import Evacuations
+from ..core.cluster.filler import EVACUATED
+from ..core.cluster.model import EndKind, JobId, JobState, OrderId
+from ..core.cluster.records import Records
+from ..core.ids import DomainName, UpstreamId
+from ..net.asgi import HttpRequest, HttpResponse
+from ..platform.control import build_control_handler
+from ..runtime.leading import Leading
+from .gateway_builders import IdlePort
+from .model_site import EAST, NORTH, SOUTH, Site, build_site
+from .model_upstreams import (
+    Leader,
+    ModelUpstream,
+    build_info,
+    build_queue,
+    build_spec,
+    milliseconds,
+)
+from .test_cluster_homes import DOMAINS, EACH, build_leader, count_domains, submit
+from .test_cluster_site import cut_domain, kill_gateway
+from .test_cluster_waiting import lead
+
+HOME = DOMAINS[1]
+
+
+def build_command(
+    domain: DomainName, *, is_evacuated: bool = True, base: int = 0, order: str = "o1"
+) -> SetEvacuation:
+    return SetEvacuation(
+        domain=domain,
+        is_evacuated=is_evacuated,
+        base_revision=base,
+        order=OrderId(order),
+        at_ms=1_000,
+    )
+
+
+def commit(leader: Leader, domain: DomainName, *, is_evacuated: bool = True) -> None:
+    """Have the log carry out an order."""
+    base = leader.records.evacuations.get(domain).revision
+    command = build_command(domain, is_evacuated=is_evacuated, base=base, order=f"o{base + 1}")
+    leader._commit(decode_commands(encode_commands((command,)))[0])
+
+
+# The record
+
+
+def test_of_two_orders_from_one_revision_the_first_in_the_log_holds() -> None:
+    evacuations = Evacuations()
+    assert evacuations.apply(build_command(HOME, order="first"))
+    assert not evacuations.apply(build_command(HOME, is_evacuated=False, order="second"))
+    assert evacuations.evacuated == {HOME}
+    assert evacuations.get(HOME).order == "first"
+
+
+def test_an_order_that_was_delayed_does_not_undo_a_later_one() -> None:
+    evacuations = Evacuations()
+    order = build_command(HOME)
+    assert evacuations.apply(order)
+    assert evacuations.apply(build_command(HOME, is_evacuated=False, base=1, order="o2"))
+    assert not evacuations.apply(order)
+    assert evacuations.evacuated == frozenset()
+
+
+def test_a_snapshot_keeps_evacuations_and_what_an_older_one_lacks_is_none() -> None:
+    records, other = Records(), Records()
+    records.apply(build_command(HOME))
+    records.apply(build_command(EAST))
+    records.apply(build_command(EAST, is_evacuated=False, base=1, order="o2"))
+    other.restore(records.encode())
+    assert other.evacuations.evacuated == {HOME}
+    assert other.evacuations.get(EAST).revision == 2
+    older = msgspec.json.decode(records.encode())
+    del older["evacuations"]
+    other.restore(msgspec.json.encode(older).decode())
+    assert other.evacuations.records == ()
+
+
+# What a leader starts
+
+
+def test_nothing_is_started_in_an_evacuated_domain_and_what_runs_there_ends_well() -> None:
+    leader = build_leader(1)
+    world = leader.world
+    before = [submit(leader, number, HOME, tasks=4) for number in range(4)]
+    world.run_until(world.now + milliseconds(50))
+    assert count_domains(leader)[HOME] == EACH * 2
+    commit(leader, HOME)
+    after = [submit(leader, 100 + number, HOME, tasks=4) for number in range(4)]
+    world.run_until(world.now + milliseconds(100))
+    assert count_domains(leader)[HOME] == EACH * 2, "what ran there goes on"
+    world.run_until(world.now + milliseconds(150))
+    assert count_domains(leader)[HOME] == 0
+    world.run_until(world.now + milliseconds(2_000))
+    for job in (*before, *after):
+        assert leader.dispatch.jobs.find_ended(job) is JobState.COMPLETED
+    assert not any(
+        end.how is not EndKind.DONE
+        for upstream in leader.upstreams.values()
+        for end in upstream.ended
+    )
+
+
+def test_a_domain_that_is_taken_back_gets_work_again() -> None:
+    leader = build_leader(1)
+    commit(leader, HOME)
+    leader.world.run_until(leader.world.now + milliseconds(100))
+    commit(leader, HOME, is_evacuated=False)
+    submit(leader, 1, HOME, tasks=4)
+    leader.world.run_until(leader.world.now + milliseconds(30))
+    assert count_domains(leader)[HOME] == 4
+
+
+def test_an_upstream_that_joins_an_evacuated_domain_gets_no_work() -> None:
+    leader = build_leader(1)
+    for domain in DOMAINS[1:]:
+        commit(leader, domain)
+    info = build_info("u99", domain=HOME)
+    leader.upstreams[info.id] = ModelUpstream(
+        world=leader.world, info=info, rate=1.0, run_times=lambda job: milliseconds(200)
+    )
+    leader.beat(leader.upstreams[info.id], 1)
+    leader.world.run_until(leader.world.now + milliseconds(100))
+    for number in range(10):
+        submit(leader, number, HOME, tasks=4)
+    leader.world.run_until(leader.world.now + milliseconds(50))
+    assert set(count_domains(leader)) == {DOMAINS[0]}
+
+
+def test_the_next_leader_starts_nothing_there_from_its_first_decision_on() -> None:
+    leader = build_leader(1)
+    commit(leader, HOME)
+    leader.is_over = True
+    records = Records()
+    records.restore(leader.records.encode())
+    successor = Leader(
+        world=leader.world, upstreams=leader.upstreams, records=records, token=2_000_000
+    )
+    leader.world.run_until(leader.world.now + milliseconds(40))
+    for number in range(10):
+        submit(successor, number, HOME, tasks=4)
+    leader.world.run_until(leader.world.now + milliseconds(60))
+    counts = count_domains(successor)
+    assert counts[HOME] == 0 and sum(counts.values()) == 40
+
+
+def test_kept_jobs_lose_nothing_by_an_evacuation() -> None:
+    leader = build_leader(3, run_ms=700)
+    for number in range(8):
+        leader.submit(f"{number:016x}", build_spec(tasks=8, run_ms=700, kept=True), build_queue())
+    leader.world.run_until(leader.world.now + milliseconds(100))
+    for domain in DOMAINS[1:]:
+        commit(leader, domain)
+    leader.world.run_until(leader.world.now + timedelta(seconds=8))
+    states = {leader.records.jobs[JobId(f"{number:016x}")].state for number in range(8)}
+    assert states == {JobState.COMPLETED}
+
+
+# What callers are told
+
+
+def test_with_all_domains_evacuated_jobs_are_rejected_at_once() -> None:
+    leader = build_leader(1)
+    waiting = [submit(leader, number, HOME, tasks=16) for number in range(20)]
+    leader.world.run_until(leader.world.now + milliseconds(50))
+    begun = {job for job in waiting if leader.dispatch.jobs.jobs[job].has_begun}
+    assert 0 < len(begun) < len(waiting)
+    for domain in DOMAINS:
+        commit(leader, domain)
+    rejected = {job for job in waiting if job in leader.dispatch.jobs.rejections}
+    assert rejected == set(waiting) - begun
+    queue, spec = build_queue(), build_spec(tasks=1)
+    rejection = leader.dispatch.find_rejection(queue, spec, timedelta(), leader.world.now)
+    assert rejection is not None and rejection.reason == EVACUATED
+    commit(leader, HOME, is_evacuated=False)
+    assert leader.dispatch.find_rejection(queue, spec, timedelta(), leader.world.now) is None
+
+
+def test_a_deputy_of_an_evacuated_domain_rejects_at_once() -> None:
+    leader = build_leader(1)
+    commit(leader, HOME)
+    records = Records()
+    records.restore(leader.records.encode())
+    leader.is_over = True
+    deputy = Leader(
+        world=leader.world,
+        upstreams=leader.upstreams,
+        records=records,
+        token=1_000_001,
+        domain=HOME,
+        is_deputy=True,
+    )
+    now = leader.world.now
+    rejection = deputy.dispatch.find_rejection(build_queue(), build_spec(), timedelta(), now)
+    assert rejection is not None and rejection.reason == EVACUATED
+
+
+# Orders at a leader
+
+
+def order(leading: Leading, domain: str, *, begin: bool = True, base: int = 0, id: str) -> Call:
+    return Evacuate(
+        domain=DomainName(domain), is_evacuated=begin, base_revision=base, order=OrderId(id)
+    )
+
+
+def test_orders_are_idempotent_and_the_last_acknowledged_one_holds() -> None:
+    async def play() -> None:
+        leading, replicated = lead(IdlePort(), commits=True)
+        evacuations = replicated.records.evacuations
+
+        async def send(begin: bool, base: int, id: str) -> Outcome:
+            call = order(leading, "domain", begin=begin, base=base, id=id)
+            return (await leading.answer(call)).outcome
+
+        assert await send(True, 0, "a") is Outcome.DONE
+        assert await send(True, 0, "a") is Outcome.DONE, "the same order twice"
+        assert await send(True, 0, "b") is Outcome.DONE, "sent again to another host"
+        assert await send(False, 0, "c") is Outcome.UNAVAILABLE, "from before the first"
+        assert evacuations.evacuated == {"domain"}
+        assert await send(False, 1, "d") is Outcome.DONE
+        assert await send(True, 0, "a") is Outcome.UNAVAILABLE, "delayed until after the second"
+        assert evacuations.evacuated == frozenset()
+        answer = await leading.answer(AskEvacuations())
+        assert answer.evacuations == ()
+        leading.stop()
+
+    asyncio.run(play())
+
+
+def test_an_unknown_domain_is_refused_and_nothing_is_kept() -> None:
+    async def play() -> None:
+        leading, replicated = lead(IdlePort())
+        answer = await leading.answer(order(leading, "nowhere", id="a"))
+        assert answer.outcome is Outcome.NO_DOMAIN and "nowhere" in answer.detail
+        assert replicated.records.evacuations.records == ()
+        leading.stop()
+
+    asyncio.run(play())
+
+
+def test_a_deputy_takes_no_order() -> None:
+    async def play() -> None:
+        leading, replicated = lead(IdlePort(), keeps_log=False)
+        answer = await leading.answer(order(leading, "domain", id="a"))
+        assert answer.outcome is Outcome.UNAVAILABLE
+        assert replicated.records.evacuations.records == ()
+        leading.stop()
+
+    asyncio.run(play())
+
+
+# The platform's words
+
+
+def ask(
+    method: str, path: str, body: bytes = b"", *, answer: Answer | None = None
+) -> tuple[HttpResponse, list[Call]]:
+    calls: list[Call] = []
+
+    async def take(call: Call) -> Answer:
+        calls.append(call)
+        return answer or Answer(outcome=Outcome.DONE)
+
+    request = HttpRequest(method=method, path=path, headers={}, body=body)
+    return asyncio.run(build_control_handler(take)(request)), calls
+
+
+@pytest.mark.parametrize(("method", "is_evacuated"), [("POST", True), ("DELETE", False)])
+def test_an_order_is_decoded(method: str, is_evacuated: bool) -> None:
+    response, calls = ask(method, "/evacuation/ridge-hut")
+    assert response.status == 200
+    assert calls == [Evacuate(domain=DomainName("ridge-hut"), is_evacuated=is_evacuated)]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("POST", "/evacuation/ridge-hut", b'{"until":9}', 400),
+        ("DELETE", "/evacuation/", b"", 400),
+        ("PUT", "/evacuation/ridge-hut", b"", 404),
+    ],
+)
+def test_a_bad_order_is_refused_and_goes_no_further(
+    method: str, path: str, body: bytes, status: int
+) -> None:
+    response, calls = ask(method, path, body)
+    assert response.status == status and not calls
+
+
+def test_an_unknown_domain_is_a_404_and_a_lost_race_is_worth_another_try() -> None:
+    unknown = Answer(outcome=Outcome.NO_DOMAIN, detail="no failure domain 'x' is known")
+    response, _ = ask("POST", "/evacuation/x", answer=unknown)
+    assert response.status == 404 and b"no failure domain" in response.body
+    response, _ = ask("POST", "/evacuation/x", answer=Answer(outcome=Outcome.UNAVAILABLE))
+    assert response.status == 503
+
+
+def test_evacuated_domains_are_listed() -> None:
+    evacuations = Evacuations()
+    evacuations.apply(build_command(HOME))
+    answer = Answer(outcome=Outcome.DONE, evacuations=evacuations.records)
+    response, calls = ask("GET", "/evacuation", answer=answer)
+    assert calls == [AskEvacuations()]
+    assert msgspec.json.decode(response.body) == {
+        "evacuations": [{"zone": HOME, "since_ms": 1_000, "revision": 1}]
+    }
+
+
+# A campaign
+
+DOMAINS_OF_SITE = (NORTH, SOUTH, EAST)
+IN_FORCE_WITHIN = milliseconds(500)
+"""An order commits in 15 ms and a start arrives 4 ms after it was sent; the operators bear 5 s."""
+CONTACT = timedelta(seconds=4)
+
+
+class Campaign:
+    """A day of a site on which domains are evacuated and taken back, beside other troubles."""
+
+    def __init__(self, seed: int) -> None:
+        self.site = build_site(seed, upstreams_each=3)
+        self.chance = random.Random(seed)
+        self.since: dict[DomainName, timedelta] = {}
+        """Evacuated domains, and when the order was committed."""
+        self.cut_at: dict[DomainName, timedelta] = {}
+        """When a domain was last seen cut off: its deputy may not know of the order."""
+        self.orders = 0
+        for upstream in self.site.upstreams.values():
+            upstream.run_times = self.watch(upstream.info.id)
+
+    def watch(self, id: UpstreamId):  # type: ignore[no-untyped-def]
+        """Return the run times of an upstream, which is asked for one at every start."""
+        domain = self.site.upstreams[id].info.domain
+
+        def choose(job: JobId) -> timedelta:
+            now = self.site.world.now
+            since, cut_at = self.since.get(domain), self.cut_at.get(domain)
+            is_in_touch = cut_at is None or now > cut_at + CONTACT
+            if since is not None and is_in_touch:
+                assert now <= since + IN_FORCE_WITHIN, f"{job} starts in {domain}, evacuated"
+            return milliseconds(self.chance.choice((60, 700, 2_500)))
+
+        return choose
+
+    def send_order(self) -> None:
+        leader = self.site.leader
+        domain = self.chance.choice(DOMAINS_OF_SITE)
+        if leader is None or leader.is_over or leader.home in self.site.cut_off:
+            return
+        begin = domain not in self.since
+        self.since.pop(domain, None)
+        commit(leader, domain, is_evacuated=begin)
+        self.orders += 1
+        if begin:
+            self.since[domain] = self.site.world.now
+
+    def play(self) -> None:
+        world, number = self.site.world, 0
+        while world.now < timedelta(seconds=14):
+            world.run_until(world.now + milliseconds(self.chance.choice((50, 100, 150))))
+            for domain in self.site.cut_off:
+                self.cut_at[domain] = world.now
+            for gateway in self.chance.sample(self.site.gateways, self.chance.choice((0, 1, 2))):
+                if gateway.is_up:
+                    number += 1
+                    self.site.submit(f"{number:016x}", gateway, 900)
+            if self.chance.random() < 0.12:
+                self.send_order()
+            if self.chance.random() < 0.05:
+                self.chance.choice((cut_domain, kill_gateway, change_leader_now))(
+                    self.site, self.chance
+                )
+
+
+def change_leader_now(site: Site, chance: random.Random) -> None:
+    """Have another host lead at once, as after a graceful shutdown."""
+    if site.leader is not None:
+        site.lead_from(
+            chance.choice([each for each in DOMAINS_OF_SITE if each not in site.cut_off])
+        )
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_campaign_of_evacuations(seed: int) -> None:
+    campaign = Campaign(seed)
+    campaign.play()
+    assert campaign.orders > 3 and campaign.site.world.starts > 30
