Rosters come in parts that fit the wait of a greeting; answers to operators have modules of their own

Each gateway asked for it again and again, over new connections, none ever had it, and what it asked for kept greetings and jobs from getting through.

The test of a gateway that missed too much asked for the whole roster in one answer; it now asks that the parts make up the whole, in as many answers as their size says. bench.shortage compares orders of service on the mix of the changed workload.

--- /dev/null
+++ b/bench/shortage.py
@@ -0,0 +1,160 @@
+"""What callers are served when there is more work than room, by the order in which it is served.
+
+    python -m bench.shortage > bench/results/shortage.json
+
+Jobs of three kinds, each task on half of an upstream, so that two tasks above the mean do not fit
+together. For six of twelve seconds so many times the usual load comes, which takes a quarter of all
+cores; what fits beside splinters is about 0.75 of them.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+from contextlib import ExitStack
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from cottonlug.core.cluster import backlog, filler, open_jobs
+from cottonlug.core.cluster.backlog import Batch, Tier
+from cottonlug.core.cluster.filler import Filler
+
+from . import load
+from .load import Kind, Run, Submitted, build_queue, iterate_arrived
+from .variants import replace
+
+KINDS = (
+    Kind(name="short", rate=6.16, tasks=8, run_ms=60, worth=0.00485),
+    Kind(name="long", rate=1.95, tasks=4, run_ms=900, worth=0.0267),
+    Kind(name="middle", rate=18.0, tasks=2, run_ms=200, worth=0.00167),
+)
+CPU_MILLIS = 16_000
+SECONDS = 12
+FIRST, LAST = 4.0, 9.0
+FACTORS = (3.0, 4.0, 6.0, 8.0)
+SEEDS = (1, 2, 3)
+SOON = 0.25
+"""Share of its objective within which a caller that is refused can still act."""
+
+
+def _reject_late(self: Filler, now: timedelta) -> None:
+    """Reject what can no longer be in time at once, while something waits that can."""
+    shed(self, now)
+    waiting = self._jobs.backlog
+    if not waiting.list_tier(Tier.ON_TIME):
+        return
+    wait = filler.estimate_wait(waiting.measure_work(), self._lives.measure_room(now))
+    for batch in waiting.list_tier(Tier.LATE):
+        job = self._jobs.jobs.get(batch.job.id)
+        if job is not None and not job.has_begun:
+            self._jobs.reject(job, "cannot be in time", wait, now)
+
+
+shed = Filler._shed
+
+
+def _by_newest(batch: Batch) -> timedelta:
+    return -batch.latest_start
+
+
+def _demote_all(self: backlog.Backlog, now: timedelta) -> list[Batch]:
+    """Move what is too late, wherever in the order it stands."""
+    on_time, late = self._tiers[Tier.ON_TIME], self._tiers[Tier.LATE]
+    moved = [each for each in on_time if _is_too_late(each, now)]
+    if moved:
+        self._tiers[Tier.ON_TIME] = [each for each in on_time if not _is_too_late(each, now)]
+    while late and late[0].last_use < now:
+        moved.append(late.pop(0))
+    for batch in moved:
+        batch.tier = Tier.LATE if batch.last_use >= now else Tier.HOPELESS
+        self.add(batch)
+    return moved
+
+
+def _is_too_late(batch: Batch, now: timedelta) -> bool:
+    return batch.latest_start < now and not (batch.has_begun and batch.latest_task_start >= now)
+
+
+Change = tuple[Any, str, Any]
+VARIANTS: dict[str, tuple[Change, ...]] = {
+    "latest start first (stands)": (),
+    "no estimate at the door": ((Filler, "find_rejection", lambda self, *rest: None),),
+    "late ones rejected at once": ((Filler, "_shed", _reject_late),),
+    "newest first": (
+        (backlog, "_by_latest_start", _by_newest),
+        (backlog.Backlog, "demote", _demote_all),
+    ),
+    "0.2 of the wait kept for longer runs": ((open_jobs, "START_MARGIN", 0.2),),
+    "0.6 of the wait kept for longer runs": ((open_jobs, "START_MARGIN", 0.6),),
+}
+
+
+def main() -> None:
+    """Print the shares of each variant at each load, as means over the seeds."""
+    results: dict[str, dict[str, dict[str, float]]] = {}
+    for name, changes in VARIANTS.items():
+        results[name] = {}
+        for factor in FACTORS:
+            results[name][f"{factor:g} times the usual"] = _measure(changes, factor)
+            print(name, factor, results[name][f"{factor:g} times the usual"], file=sys.stderr)
+    json.dump(results, sys.stdout, indent=1)
+    print()
+
+
+def _measure(changes: tuple[Change, ...], factor: float) -> dict[str, float]:
+    rows = [_play(changes, factor, seed) for seed in SEEDS]
+    return {name: round(sum(row[name] for row in rows) / len(rows), 3) for name in rows[0]}
+
+
+def _play(changes: tuple[Change, ...], factor: float, seed: int) -> dict[str, float]:
+    queues = {
+        kind.name: msgspec.structs.replace(
+            build_queue(target_ms=load.TARGET_MS), name=kind.name, prefix=f"/{kind.name}/"
+        )
+        for kind in KINDS
+    }
+    settings: tuple[Change, ...] = (
+        (load, "KINDS", KINDS),
+        (load, "QUEUES", queues),
+        (load, "CPU_MILLIS", CPU_MILLIS),
+        (load, "SECONDS", SECONDS),
+    )
+    with ExitStack() as stack:
+        for owner, name, value in (*settings, *changes):
+            stack.enter_context(replace(owner, name, value))
+        run = Run(seed=seed)
+        run.bursts.append((FIRST - 1.0, LAST, factor))
+        run.play()
+    return _judge(list(iterate_arrived(run, FIRST, LAST)))
+
+
+def _judge(jobs: list[Submitted]) -> dict[str, float]:
+    def share(holds: Callable[[Submitted], bool], of: list[Submitted]) -> float:
+        return sum(map(holds, of)) / len(of) if of else 0.0
+
+    refused = [each for each in jobs if each.ended_at is None and each.refused_at is not None]
+    shares = {
+        "worth": sum(each.earned for each in jobs) / sum(each.worth for each in jobs),
+        "in time": share(_is_in_time, jobs),
+        "refused": len(refused) / len(jobs),
+        "refused soon": share(_is_refused_soon, refused),
+    }
+    for kind in KINDS:
+        own = [each for each in jobs if each.kind is kind]
+        shares[f"{kind.name} in time"] = share(_is_in_time, own)
+    return shares
+
+
+def _is_in_time(job: Submitted) -> bool:
+    return job.ended_at is not None and job.ended_at - job.at <= job.objective
+
+
+def _is_refused_soon(job: Submitted) -> bool:
+    return job.refused_at is not None and job.refused_at - job.at <= job.objective * SOON
+
+
+if __name__ == "__main__":
+    main()
--- a/cottonlug/core/cluster/rosters.py
+++ b/cottonlug/core/cluster/rosters.py
@@ -1,22 +1,40 @@
-"""What gateways must know to stand in, sent whole once and then as changes.
+"""What gateways must know to stand in, sent once and then as changes, in parts of a bounded size.
 
 At 176 upstreams and 44 gateways a whole roster of 35 KB for each change of one upstream would be
-1.5 MB, on links of 1.5 MB/s.
+1.5 MB, on links of 1.5 MB/s. At 999 upstreams it has 225 KB: that takes longer on such a link than
+a greeting is waited for, so that it was sent again and again, and never arrived.
 """
 
 from __future__ import annotations
 
+import bisect
 from collections import deque
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import msgspec
 
 from ..ids import DomainName, UpstreamId
 from .calls import GatewayInfo, Roster
+from .commands import (
+    AddUpstream,
+    Command,
+    DoubtCapacities,
+    NoteCrash,
+    RemoveUpstreams,
+    ResizeUpstream,
+    SetConfiguration,
+    SetDraining,
+    SetEvacuation,
+)
 from .records import Records
 
 KEPT_CHANGES = 512
-"""A gateway that has missed more gets the whole roster."""
+"""A gateway that has missed more begins anew."""
+PART = 128
+"""Upstreams in one answer: 29 KB, 23 ms of a link of 10 Mbit/s, and greetings wait 100 ms."""
+_FIRST = UpstreamId("")
+"""Before all ids of upstreams."""
 OWN_DOMAIN_ASKED = 3
 OTHER_DOMAINS_ASKED = 2
 MOST_FOR_ONE_DEPUTY = 64
@@ -24,6 +42,16 @@
 """Gateways asked in each domain for a leader or a deputy: two may be down at once."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Position:
+    """How far a gateway has got: what its version says."""
+
+    number: int
+    """All changes up to it are known."""
+    after: UpstreamId | None = None
+    """Of the upstreams of the beginning those up to this one are known; None for all of them."""
+
+
 class RosterLog:
     """The changes of what a roster holds, under one leader."""
 
@@ -35,6 +63,8 @@
         """Number of each change, and the upstream that changed or left, if it was one."""
         self._configured = 0
         """Number of the last change of the configuration."""
+        self._sorted: tuple[int, list[UpstreamId]] = (-1, [])
+        """All upstreams in order, as of the change with this number."""
 
     @property
     def version(self) -> str:
@@ -57,6 +87,20 @@
         self._number += 1
         self._changes.append((self._number, None))
 
+    def note_command(self, command: Command) -> None:
+        """Count what a command of the log has changed, if a roster holds it."""
+        if isinstance(command, AddUpstream):
+            self.note_upstream(command.info.id)
+        elif isinstance(command, SetDraining | ResizeUpstream | NoteCrash):
+            self.note_upstream(command.upstream)
+        elif isinstance(command, RemoveUpstreams | DoubtCapacities):
+            for upstream in command.upstreams:
+                self.note_upstream(upstream)
+        elif isinstance(command, SetConfiguration):
+            self.note_configuration()
+        elif isinstance(command, SetEvacuation):
+            self.note_other()
+
     def build(
         self,
         records: Records,
@@ -65,27 +109,27 @@
         keeps_jobs: bool,
         known: str,
     ) -> Roster | None:
-        """Return what is to be sent to a gateway that has the version `known`, or None."""
+        """Return what is to be sent next to a gateway that has the version `known`, or None."""
         if known == self.version:
             return None
-        since = self._find_number(known)
-        is_new = since is None or since < self._configured
+        position = self._find_position(known)
+        start = position or _Position(number=self._number, after=_FIRST)
+        changed, number = self._list_changed(start.number)
+        begun, after = self._list_next(records, start.after, PART - len(changed))
+        ids = dict.fromkeys((*changed, *begun))
+        is_new = position is None or position.number < self._configured
         configuration = records.configuration if is_new else None
         if configuration is not None:
             # Nobody reads a configuration back from a gateway.
             configuration = msgspec.structs.replace(configuration, document="")
-        if since is None:
-            changed = list(records.upstreams)
-        else:
-            ids = (upstream for number, upstream in self._changes if number > since)
-            changed = list(dict.fromkeys(id for id in ids if id is not None))
         return Roster(
-            version=self.version,
-            base="" if since is None else known,
+            version=f"{self._term}.{number}" + (f">{after}" if after is not None else ""),
+            base="" if position is None else known,
+            is_partial=after is not None or number < self._number,
             term=self._term,
             configuration=configuration,
-            upstreams=tuple(records.upstreams[id] for id in changed if id in records.upstreams),
-            removed=tuple(id for id in changed if id not in records.upstreams),
+            upstreams=tuple(records.upstreams[id] for id in ids if id in records.upstreams),
+            removed=tuple(id for id in ids if id not in records.upstreams),
             gateways=gateways,
             keeps_jobs=keeps_jobs,
             suspects=tuple(records.suspects.values()),
@@ -93,13 +137,41 @@
             takes_calls=self._takes_calls,
         )
 
-    def _find_number(self, version: str) -> int | None:
-        """Return up to which change a version goes, or None where not all later ones are known."""
+    def _list_changed(self, since: int) -> tuple[list[UpstreamId], int]:
+        """Return the upstreams of one part of the changes, and the number of its last one."""
+        ids: dict[UpstreamId, None] = {}
+        for number, upstream in self._changes:
+            if number <= since or upstream is None or upstream in ids:
+                continue
+            if len(ids) == PART:
+                return list(ids), number - 1
+            ids[upstream] = None
+        return list(ids), self._number
+
+    def _list_next(
+        self, records: Records, after: UpstreamId | None, count: int
+    ) -> tuple[list[UpstreamId], UpstreamId | None]:
+        """Return some upstreams that follow on one, and the last of them unless none is left."""
+        if after is None:
+            return [], None
+        if self._sorted[0] != self._number:
+            self._sorted = (self._number, sorted(records.upstreams))
+        ids = self._sorted[1]
+        begin = bisect.bisect_right(ids, after)
+        part = ids[begin : begin + count]
+        is_last = begin + count >= len(ids)
+        return part, None if is_last else (part[-1] if part else after)
+
+    def _find_position(self, version: str) -> _Position | None:
+        """Return up to where a version goes, or None where not all later changes are known."""
+        version, has_cursor, after = version.partition(">")
         term, _, number = version.partition(".")
         if term != str(self._term) or not number.isdecimal():
             return None
         first_known = self._changes[0][0] if self._changes else self._number + 1
-        return int(number) if int(number) >= first_known - 1 else None
+        if int(number) < first_known - 1:
+            return None
+        return _Position(number=int(number), after=UpstreamId(after) if has_cursor else None)
 
 
 def find_own_domain(roster: Roster, own: str) -> DomainName | None:
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -13,13 +13,9 @@
 from ..core.clock import Clock
 from ..core.cluster.calls import (
     Answer,
-    AskConfiguration,
-    Beat,
     Call,
-    Configure,
     Evacuate,
     Greet,
-    Leave,
     Outcome,
     Submit,
     answer_decoder,
@@ -30,10 +26,8 @@
 from ..core.cluster.reports import LONGEST_ELECTION, ReportTerms
 from ..core.consensus.types import Term
 from ..core.control_messages import ConsensusBatch
-from ..core.ids import UpstreamId
 from ..net.asgi import HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
-from .evacuations import OrderDesk
 from .events import Event, log_event
 from .gateways import GATEWAY_SILENT
 from .heartbeat_port import DELIVERY
@@ -41,6 +35,7 @@
 from .leading import Leading, LeadingSettings
 from .membership import JOIN_PATH, JoinRequest
 from .messenger import MESSAGES_PATH
+from .order_desk import OrderDesk
 from .peer_calls import CALL_PATH, GREETING_PASSED, PASS_ON_TIMEOUT, decode_greeting
 from .ports import UpstreamPort
 from .replica import HELLO_PATH, Replica, ReplicaSettings
@@ -90,7 +85,10 @@
         as soon as it is late, and a busy leader takes new ones in late."""
         self._job_lines = JobLines(answer=self.answer, clock=clock, find_slack=self._find_slack)
         self._desk = OrderDesk(
-            host=settings.host, clock=clock, get_records=lambda: self.replicated.records
+            host=settings.host,
+            clock=clock,
+            get_records=lambda: self.replicated.records,
+            orders_by_heartbeat=settings.orders is OrdersBy.HEARTBEAT,
         )
         self._is_stopping = False
         self._had_lease = False
@@ -150,7 +148,7 @@
         leader = self.replica.leader_host
         is_own = leader == str(self._settings.listen.peers)
         if passed_on or leader is None or is_own:
-            if self._is_in_log(call):
+            if self._desk.is_in_log(call):
                 return Answer(outcome=Outcome.DONE)
             return self._add_hosts(Answer(outcome=Outcome.UNAVAILABLE, detail="no leader"))
         if isinstance(call, Greet) and call.is_probe:
@@ -159,7 +157,7 @@
             answer = await self._pass_on(leader, call, GREETING_PASSED, self._pools)
             # Whoever greets learns at least that this host is alive.
             return answer if answer.hosts else self._add_hosts(answer)
-        if self._is_order(call):
+        if self._desk.is_order(call):
             return await self._pass_order_on(leader, call)
         return await self._pass_on(leader, call, PASS_ON_TIMEOUT, self._pools)
 
@@ -245,42 +243,15 @@
         try:
             while not asking.done():
                 await asyncio.wait([asking], timeout=LOG_CHECK_SECONDS)
-                if not asking.done() and self._is_in_log(call):
+                if not asking.done() and self._desk.is_in_log(call):
                     return Answer(outcome=Outcome.DONE)
             answer = asking.result()
-            if answer.outcome in _OPEN and self._is_in_log(call):
+            if answer.outcome in _OPEN and self._desk.is_in_log(call):
                 return Answer(outcome=Outcome.DONE)
             return answer
         finally:
             asking.cancel()
 
-    def _is_order(self, call: Call) -> bool:
-        """Whether a call may be sent to the leader twice, and answered from this host's own log.
-
-        Not a heartbeat that is answered with orders: each must come once, and with its answer.
-        """
-        if isinstance(call, Beat):
-            return call.heartbeat.draining and self._settings.orders is OrdersBy.CALL
-        return isinstance(call, Configure | AskConfiguration | Leave | Evacuate)
-
-    def _is_in_log(self, call: Call) -> bool:
-        """Whether what a call asks for was committed, as far as this host knows."""
-        records = self.replicated.records
-        if isinstance(call, Configure):
-            current = records.configuration
-            return current is not None and call.configuration.version <= current.version
-        if isinstance(call, Evacuate):
-            return self._desk.is_in_log(call)
-        if isinstance(call, Leave):
-            return self._is_leaving(call.upstream)
-        if isinstance(call, Beat) and self._is_order(call):
-            return self._is_leaving(call.heartbeat.info.id)
-        return False
-
-    def _is_leaving(self, upstream: UpstreamId) -> bool:
-        known = self.replicated.records.upstreams.get(upstream)
-        return known is not None and known.draining
-
     async def _ask_twice(self, leader: str, call: Call) -> Answer:
         """Ask the leader, and again over a new connection if need be."""
         pools = self._order_pools
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -101,6 +101,8 @@
         self._calls = calls
         self._on_failure = on_failure
         self._roster: Roster | None = None
+        self._next_roster: Roster | None = None
+        """What has arrived of the next one, which takes the place of the last when it is whole."""
         self._roster_at = clock.monotonic()
         """When a leader last said, or confirmed, what the roster says."""
         self._reached_at: timedelta | None = None
@@ -146,14 +148,18 @@
 
     def use_roster(self, received: Roster) -> None:
         """Keep what is needed to stand in; changes that do not follow on it are left out."""
-        roster = merge_roster(self._roster, received)
+        known = self._next_roster or self._roster
+        roster = merge_roster(known, received)
         if roster is None:
             return
-        self._roster_at = self._clock.monotonic()
-        if self._roster is None or roster.configuration is not self._roster.configuration:
+        if known is None or roster.configuration is not known.configuration:
             configuration = roster.configuration
             self.queues = QueueIndex(configuration=configuration) if configuration else None
-        self._roster = roster
+        if roster.is_partial:
+            self._next_roster = roster
+            return
+        self._roster_at = self._clock.monotonic()
+        self._roster, self._next_roster = roster, None
         self._level = 0
 
     async def wait_change(self, seconds: float) -> None:
@@ -270,7 +276,8 @@
         return await self._greet(named, via)
 
     async def _ask_greeting(self, host: str, *, is_probe: bool = False) -> Answer:
-        version = self._roster.version if self._roster is not None else ""
+        known = self._next_roster or self._roster
+        version = known.version if known is not None else ""
         greeting = self._build_greeting(version, is_probe=is_probe)
         self._overdue.note_asked(host)
         answer = await self._calls.ask(host, greeting, GREET_TIMEOUT)
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -11,7 +11,6 @@
 
 from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.calls import (
-    NO_CONFIGURATION,
     NO_LOG,
     Abandon,
     Answer,
@@ -28,18 +27,12 @@
     Outcome,
     Submit,
 )
-from ..core.cluster.checks import (
-    find_configuration_problem,
-)
 from ..core.cluster.commands import (
     AcceptJob,
     AddUpstream,
     CancelJob,
     Command,
-    DoubtCapacities,
     ForgetJobs,
-    NoteCrash,
-    RemoveUpstreams,
     ResizeUpstream,
     SetConfiguration,
     SetDraining,
@@ -58,11 +51,11 @@
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName
 from .decisions import note_decision
-from .evacuations import EvacuationAnswers
 from .events import Event, log_event
 from .gateways import Gateways
 from .heartbeat_port import HeartbeatPort
 from .job_answers import JobAnswers
+from .order_answers import OrderAnswers
 from .ports import Authority, OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords, Waiters
 
@@ -168,7 +161,7 @@
             wait=self._wait,
             wake=self._wake,
         )
-        self._evacuations = EvacuationAnswers(
+        self._orders = OrderAnswers(
             authority=authority,
             records=self._records,
             domains=settings.domains,
@@ -250,13 +243,13 @@
         if isinstance(call, Leave):
             return await self._answer_leave(call)
         if isinstance(call, Configure):
-            return await self._answer_configure(call)
+            return await self._orders.answer_configure(call)
         if isinstance(call, AskConfiguration):
-            return self._answer_configuration()
+            return self._orders.answer_configuration()
         if isinstance(call, Evacuate):
-            return await self._evacuations.answer_order(call)
+            return await self._orders.answer_evacuate(call)
         if isinstance(call, AskEvacuations):
-            return self._evacuations.answer_list()
+            return self._orders.answer_evacuations()
         return Answer(outcome=Outcome.DONE)
 
     def answer_greeting(self, call: Greet) -> Answer:
@@ -324,24 +317,6 @@
         self._wake()
         return await self._wait(("draining", call.upstream))
 
-    async def _answer_configure(self, call: Configure) -> Answer:
-        configuration = call.configuration
-        problem = find_configuration_problem(configuration)
-        if problem is not None:
-            log_event(Event.RULES_REFUSED, version=configuration.version, problem=problem)
-            return Answer(outcome=Outcome.INVALID, detail=problem)
-        current = self._records.configuration
-        if current is not None and configuration.version <= current.version:
-            return Answer(outcome=Outcome.DONE)
-        command = SetConfiguration(configuration=configuration)
-        return await self._propose_and_wait(command, ("version", configuration.version))
-
-    def _answer_configuration(self) -> Answer:
-        configuration = self._records.configuration
-        if configuration is None:
-            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_CONFIGURATION)
-        return Answer(outcome=Outcome.DONE, document=configuration.document)
-
     async def _propose_and_wait(self, command: Command, key: Hashable) -> Answer:
         waiting = self.waiters.wait_for(key)
         self._proposals.append(command)
@@ -363,48 +338,25 @@
         if self._is_over:
             return
         self.dispatch.take_applied(command, self._clock.monotonic())
-        self._note_roster(command)
+        self.gateways.log.note_command(command)
         if isinstance(command, AcceptJob):
             self.waiters.resolve(("job", command.job))
         elif isinstance(command, CancelJob):
             self.waiters.resolve(("cancel", command.job))
         elif isinstance(command, SetConfiguration):
-            version = command.configuration.version
-            self.waiters.resolve(("version", version))
-            log_event(Event.RULES_IN_FORCE, version=version)
+            self._orders.note_applied(command)
+            self.waiters.resolve(("version", command.configuration.version))
         elif isinstance(command, SetDraining):
             self.waiters.resolve(("draining", command.upstream))
         elif isinstance(command, AddUpstream):
             log_event(Event.UPSTREAM_OPENED, upstream=command.info.id, at=command.info.address)
         elif isinstance(command, SetEvacuation):
-            self._take_evacuation(command)
+            self._orders.note_applied(command)
+            self.waiters.resolve(("evacuation", command.order))
         elif isinstance(command, ResizeUpstream):
             self.waiters.resolve(("capacity", command.upstream, command.sequence))
         self._wake()
 
-    def _take_evacuation(self, command: SetEvacuation) -> None:
-        """Log an order that was carried out; one that came too late is only answered."""
-        record = self._records.evacuations.get(command.domain)
-        if record.order == command.order:
-            begun = record.is_evacuated
-            event = Event.EVACUATION_BEGUN if begun else Event.EVACUATION_ENDED
-            log_event(event, domain=record.domain, revision=record.revision, order=record.order)
-        self.waiters.resolve(("evacuation", command.order))
-
-    def _note_roster(self, command: Command) -> None:
-        """Count what a command has changed for those who may stand in."""
-        if isinstance(command, AddUpstream):
-            self.gateways.log.note_upstream(command.info.id)
-        elif isinstance(command, SetDraining | ResizeUpstream | NoteCrash):
-            self.gateways.log.note_upstream(command.upstream)
-        elif isinstance(command, RemoveUpstreams | DoubtCapacities):
-            for upstream in command.upstreams:
-                self.gateways.log.note_upstream(upstream)
-        elif isinstance(command, SetConfiguration):
-            self.gateways.log.note_configuration()
-        elif isinstance(command, SetEvacuation):
-            self.gateways.log.note_other()
-
     def _take_end(self, job: JobId) -> None:
         self.waiters.resolve(("end", job))
 
--- a/cottonlug/runtime/evacuations.py
+++ b/cottonlug/runtime/order_answers.py
@@ -1,56 +1,24 @@
-"""Orders of operators to evacuate failure domains: taken in by a host, decided by a leader."""
+"""Answers of a leader to its operators: configurations and evacuations."""
 
 from __future__ import annotations
 
-import asyncio
-import itertools
 from collections.abc import Awaitable, Callable, Hashable
 
-import msgspec
-
-from ..core.clock import Clock
-from ..core.cluster.calls import Answer, Evacuate, Outcome
-from ..core.cluster.commands import Command, SetEvacuation
-from ..core.cluster.model import OrderId
+from ..core.cluster.calls import NO_CONFIGURATION, Answer, Configure, Evacuate, Outcome
+from ..core.cluster.checks import find_configuration_problem
+from ..core.cluster.commands import Command, SetConfiguration, SetEvacuation
 from ..core.cluster.records import Records
-from ..core.ids import DomainName, HostId
+from ..core.ids import DomainName
 from .events import Event, log_event
 from .ports import Authority
 
-HANG_UP_SECONDS = 0.03
-"""How long an order is kept before it counts as received: after a freeze or a cut, the end of its
-connection arrives just behind it, and then its sender has long gone to another host."""
 SUPERSEDED = "another order about this failure domain came first; send this one again"
 
 Propose = Callable[[Command, Hashable], Awaitable[Answer]]
 
 
-class OrderDesk:
-    """Takes orders in from operators, and knows which of them this host's log holds."""
-
-    def __init__(self, *, host: HostId, clock: Clock, get_records: Callable[[], Records]) -> None:
-        self._prefix = f"{host}.{int(clock.now().timestamp() * 1000)}"
-        self._numbers = itertools.count(1)
-        self._get_records = get_records
-
-    async def receive(self, call: Evacuate) -> Evacuate:
-        """Return an order with its id and the revision that it was received at."""
-        await asyncio.sleep(HANG_UP_SECONDS)
-        revision = self._get_records().evacuations.get(call.domain).revision
-        order = OrderId(f"{self._prefix}.{next(self._numbers)}")
-        return msgspec.structs.replace(call, base_revision=revision, order=order)
-
-    def is_in_log(self, call: Evacuate) -> bool:
-        """Whether this very order was committed and is the last about its domain.
-
-        That the domain is as the order asks says nothing: the log may be behind by a later order.
-        """
-        record = self._get_records().evacuations.get(call.domain)
-        return bool(call.order) and record.order == call.order
-
-
-class EvacuationAnswers:
-    """Decides about orders while this host leads."""
+class OrderAnswers:
+    """Has the log decide about orders while this host leads."""
 
     def __init__(
         self,
@@ -67,7 +35,27 @@
         self._propose = propose
         self._read_wall = read_wall
 
-    async def answer_order(self, call: Evacuate) -> Answer:
+    async def answer_configure(self, call: Configure) -> Answer:
+        """Put a configuration in force, unless one as new already is."""
+        configuration = call.configuration
+        problem = find_configuration_problem(configuration)
+        if problem is not None:
+            log_event(Event.RULES_REFUSED, version=configuration.version, problem=problem)
+            return Answer(outcome=Outcome.INVALID, detail=problem)
+        current = self._records.configuration
+        if current is not None and configuration.version <= current.version:
+            return Answer(outcome=Outcome.DONE)
+        command = SetConfiguration(configuration=configuration)
+        return await self._propose(command, ("version", configuration.version))
+
+    def answer_configuration(self) -> Answer:
+        """Return the configuration in force, word for word."""
+        configuration = self._records.configuration
+        if configuration is None:
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_CONFIGURATION)
+        return Answer(outcome=Outcome.DONE, document=configuration.document)
+
+    async def answer_evacuate(self, call: Evacuate) -> Answer:
         """Have the log carry out an order; done if the domain is then as it asks."""
         if not self._is_known(call.domain):
             log_event(Event.EVACUATION_REFUSED, domain=call.domain, reason="unknown domain")
@@ -89,12 +77,23 @@
             return answer
         return self._refuse_superseded(call)
 
-    def answer_list(self) -> Answer:
+    def answer_evacuations(self) -> Answer:
         """Tell which domains are evacuated."""
         records = self._records.evacuations.records
         evacuated = tuple(record for record in records if record.is_evacuated)
         return Answer(outcome=Outcome.DONE, evacuations=evacuated)
 
+    def note_applied(self, command: SetConfiguration | SetEvacuation) -> None:
+        """Log an order that the log has carried out; one that came too late is only answered."""
+        if isinstance(command, SetConfiguration):
+            log_event(Event.RULES_IN_FORCE, version=command.configuration.version)
+            return
+        record = self._records.evacuations.get(command.domain)
+        if record.order == command.order:
+            begun = record.is_evacuated
+            event = Event.EVACUATION_BEGUN if begun else Event.EVACUATION_ENDED
+            log_event(event, domain=record.domain, revision=record.revision, order=record.order)
+
     def _is_known(self, domain: DomainName) -> bool:
         if domain in self._domains or self._records.evacuations.get(domain).revision:
             return True
