From 500 upstreams on other control hosts answer heartbeats; greetings, rosters and idle connections have bounds

Cause: of what each upstream and gateway costs while nothing moves, three things grew at the leader alone: heartbeats with a connection each (3,000 of 4,096 descriptors at 300 machines, 2,000 calls a second), a greeting every 80 ms from each gateway (3,750 a second), two idle connections to each upstream; and rosters of all gateways at once after each change of leader (7,200 parts).

Now a control host that is in touch with the leader answers heartbeats in which its own log finds nothing new, and tells the leader four times a second whom it heard; gateways greet every 0.4 ms for each of them, 125 ms at most, so that two fit into the silence that is borne; 600 large parts of rosters a second; 1,500 idle connections, the longest unused are closed. Sites of today have fewer upstreams and gateways than any of these bounds but the last.

Ruled out: heartbeats passed on one by one (the same calls at the leader); upstreams that guard nothing (it matters when they told their capacity, so the leader hears them itself).

--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -101,6 +101,25 @@
     heartbeat: Heartbeat
 
 
+class HeardUpstream(Value, frozen=True):
+    """A heartbeat that another control host has answered."""
+
+    upstream: UpstreamId
+    sequence: int
+    clock_ms: int | None = None
+    """On the upstream's own steady clock, when it was sent."""
+    age_ms: int = 0
+    """How long before this was told it had come."""
+
+
+class Heard(Value, frozen=True, tag="heard"):
+    """Tell the leader whose heartbeats a control host has answered since it last told."""
+
+    desk: str
+    """Address of that host for upstreams."""
+    upstreams: tuple[HeardUpstream, ...] = ()
+
+
 class Leave(Value, frozen=True, tag="leave"):
     """Pass on that an upstream leaves now."""
 
@@ -163,6 +182,7 @@
     | AskState
     | Cancel
     | Beat
+    | Heard
     | Leave
     | Configure
     | AskConfiguration
@@ -266,6 +286,8 @@
     """Addresses for calls of all known control hosts."""
     max_body_bytes: int | None = None
     roster: Roster | None = None
+    is_roster_due: bool = False
+    """Whether there is more to know than `roster`, which another greeting will bring."""
     contact: Contact | None = None
     """To be returned with the next greeting, where this answers one."""
     is_deputy: bool = False
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -148,6 +148,12 @@
         """Learn that an upstream lives, what it has to give, and whether it is leaving."""
         self._registry.take_heartbeat(heartbeat, now)
 
+    def take_heard(
+        self, upstream: UpstreamId, sequence: int, clock_ms: int | None, at: timedelta
+    ) -> None:
+        """Learn that another host has answered a heartbeat in which nothing was new."""
+        self._registry.take_heard(upstream, sequence, clock_ms, at)
+
     def take_leave(self, upstream: UpstreamId) -> None:
         """Send no more work to an upstream."""
         self._registry.take_leave(upstream)
--- a/cottonlug/core/cluster/registry.py
+++ b/cottonlug/core/cluster/registry.py
@@ -46,6 +46,21 @@
         if not life.is_fenced and not life.look_is_out:
             life.look_due = now
 
+    def take_heard(
+        self, id: UpstreamId, sequence: int, clock_ms: int | None, at: timedelta
+    ) -> None:
+        """Learn that another host has answered a heartbeat in which nothing was new."""
+        life = self._lives.by_id.get(id)
+        if life is None or sequence < life.sequence:
+            return
+        life.take_report(life.info.capacity, sequence, at)
+        life.heard_at = max(at, life.heard_at or at)
+        if clock_ms is not None:
+            life.take_clock(clock_ms, at)
+        if not life.is_fenced and not life.look_is_out:
+            life.look_due = min(life.look_due, at)
+            self._lives.touch(life)
+
     def _take_report(self, life: Life, heartbeat: Heartbeat, now: timedelta) -> None:
         """Learn what an upstream has to give at the moment, and put a change into the log."""
         if heartbeat.has_no_capacity and not life.is_unreadable:
--- a/cottonlug/core/cluster/rosters.py
+++ b/cottonlug/core/cluster/rosters.py
@@ -33,6 +33,8 @@
 """A gateway that has missed more begins anew."""
 PART = 128
 """Upstreams in one answer: 29 KB, 23 ms of a link of 10 Mbit/s, and greetings wait 100 ms."""
+FEW = 16
+"""Upstreams in an answer that costs hardly more than one without any."""
 _FIRST = UpstreamId("")
 """Before all ids of upstreams."""
 OWN_DOMAIN_ASKED = 3
@@ -137,6 +139,13 @@
             takes_calls=self._takes_calls,
         )
 
+    def is_large(self, records: Records, known: str) -> bool:
+        """Whether what is to be sent next to a gateway holds many upstreams."""
+        position = self._find_position(known)
+        if position is None or position.after is not None:
+            return len(records.upstreams) > FEW
+        return self._number - position.number > FEW
+
     def _list_changed(self, since: int) -> tuple[list[UpstreamId], int]:
         """Return the upstreams of one part of the changes, and the number of its last one."""
         ids: dict[UpstreamId, None] = {}
--- a/cottonlug/net/connections.py
+++ b/cottonlug/net/connections.py
@@ -22,6 +22,9 @@
 DEFAULT_CONNECT_TIMEOUT = timedelta(milliseconds=500)
 """Longer than a lost opening packet on a quiet link, shorter than a caller waits."""
 DEFAULT_MAX_CONNECTIONS = 32
+MOST_IDLE = 1_500
+"""Connections without a call that are kept to all addresses; a host has 4,096 descriptors, and
+needs the rest for connections that others open."""
 MAX_REPLY_BYTES = 32 * 1024 * 1024
 
 
@@ -109,6 +112,29 @@
     failed: int = 0
 
 
+class IdleConnections:
+    """Connections without a call, to any address; those not used for the longest are closed."""
+
+    def __init__(self, *, most: int = MOST_IDLE) -> None:
+        self._most = most
+        self._connections: dict[_Connection, None] = {}
+        self.closed = 0
+        """How many were closed, since there were too many."""
+
+    def add(self, connection: _Connection) -> None:
+        """Keep one that has just been used."""
+        self._connections[connection] = None
+        while len(self._connections) > self._most:
+            oldest = next(iter(self._connections))
+            del self._connections[oldest]
+            oldest.close()
+            self.closed += 1
+
+    def discard(self, connection: _Connection) -> None:
+        """Count one no more: it is used again, or closed."""
+        self._connections.pop(connection, None)
+
+
 class ConnectionPool:
     """Connections to one address."""
 
@@ -118,8 +144,10 @@
         address: Address,
         connect_timeout: timedelta = DEFAULT_CONNECT_TIMEOUT,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        idle: IdleConnections | None = None,
     ) -> None:
         self.address = address
+        self._all_idle = idle or IdleConnections()
         self.counts = ConnectionCounts()
         self._connect_seconds = connect_timeout.total_seconds()
         self._idle: list[_Connection] = []
@@ -156,14 +184,15 @@
     def drop_idle(self) -> None:
         """Close what is not in use: it may have gone silent, as one that brought no answer."""
         for connection in self._idle:
+            self._all_idle.discard(connection)
             connection.close()
         self._idle.clear()
 
     def close(self) -> None:
         """Close all connections."""
-        for connection in (*self._idle, *self._busy):
+        self.drop_idle()
+        for connection in self._busy:
             connection.close()
-        self._idle.clear()
 
     async def _exchange(
         self, connection: _Connection, data: bytes
@@ -182,11 +211,13 @@
             self._busy.discard(connection)
         if connection.is_open:
             self._idle.append(connection)
+            self._all_idle.add(connection)
         return Success(reply)
 
     async def _take(self) -> _Connection | TransportError:
         while self._idle:
             connection = self._idle.pop()
+            self._all_idle.discard(connection)
             if connection.is_open:
                 return connection
         loop = asyncio.get_running_loop()
@@ -207,6 +238,7 @@
 
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     port: int | None = None
+    idle: IdleConnections = field(default_factory=IdleConnections)
     _pools: dict[Address, ConnectionPool] = field(default_factory=dict)
 
     def get(self, address: Address) -> ConnectionPool:
@@ -215,7 +247,9 @@
             address = Address(address.host, self.port)
         pool = self._pools.get(address)
         if pool is None:
-            pool = ConnectionPool(address=address, max_connections=self.max_connections)
+            pool = ConnectionPool(
+                address=address, max_connections=self.max_connections, idle=self.idle
+            )
             self._pools[address] = pool
         return pool
 
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -13,9 +13,11 @@
 from ..core.clock import Clock
 from ..core.cluster.calls import (
     Answer,
+    Beat,
     Call,
     Evacuate,
     Greet,
+    Heard,
     Outcome,
     Submit,
     answer_decoder,
@@ -30,6 +32,7 @@
 from ..net.connections import ConnectionPools, parse_address
 from .events import Event, log_event
 from .gateways import GATEWAY_SILENT
+from .heartbeat_desk import HeartbeatDesk
 from .heartbeat_port import DELIVERY
 from .job_lines import JobLines
 from .leading import Leading, LeadingSettings
@@ -44,6 +47,8 @@
 PASSED_ON = "x-passed-on"
 """Header of a call that another control host passed on, so that none goes round in circles."""
 CHECK_SECONDS = 0.025
+TELL_TIMEOUT = timedelta(milliseconds=500)
+"""Longer than a busy leader takes; the next heartbeats tell the same again."""
 GREETING_KEPT = timedelta(milliseconds=70)
 """Less than a gateway waits for its answer (100 ms)."""
 LED_CHECK_SECONDS = 0.01
@@ -90,6 +95,11 @@
             get_records=lambda: self.replicated.records,
             orders_by_heartbeat=settings.orders is OrdersBy.HEARTBEAT,
         )
+        self.heartbeats = HeartbeatDesk(
+            control_address=str(settings.listen.control),
+            clock=clock,
+            get_records=lambda: self.replicated.records,
+        )
         self._is_stopping = False
         self._had_lease = False
         self._leased_at = clock.monotonic()
@@ -98,7 +108,7 @@
         """When this host last knew another leader, and had heard it `LONGEST_ELECTION` before."""
         self._gave_way_in = Term(0)
         """The last term that this host gave up: it decides nothing in it any more."""
-        self._checking: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self.replica = Replica(
             settings=ReplicaSettings(
                 address=settings.listen.peers,
@@ -116,7 +126,8 @@
     async def start(self) -> str | None:
         """Begin to take part; return why that failed, or None."""
         error = await self.replica.start()
-        self._checking = asyncio.create_task(self._check_forever())
+        self._tasks.append(asyncio.create_task(self._check_forever()))
+        self._tasks.append(asyncio.create_task(self.heartbeats.tell_forever(self._tell_leader)))
         return error
 
     async def hand_over(self) -> None:
@@ -128,8 +139,8 @@
     async def stop(self) -> None:
         """Stop taking part."""
         self._is_stopping = True
-        if self._checking is not None:
-            self._checking.cancel()
+        for task in self._tasks:
+            task.cancel()
         self._check_leading()
         await self.replica.stop()
         self._pools.close()
@@ -157,6 +168,10 @@
             answer = await self._pass_on(leader, call, GREETING_PASSED, self._pools)
             # Whoever greets learns at least that this host is alive.
             return answer if answer.hosts else self._add_hosts(answer)
+        if isinstance(call, Beat) and self._settings.orders is OrdersBy.CALL:
+            taken = self.heartbeats.take(call.heartbeat)
+            if taken is not None:
+                return taken
         if self._desk.is_order(call):
             return await self._pass_order_on(leader, call)
         return await self._pass_on(leader, call, PASS_ON_TIMEOUT, self._pools)
@@ -198,6 +213,13 @@
 
     # Parts
 
+    async def _tell_leader(self, heard: Heard) -> Answer:
+        """Tell another host that leads whose heartbeats were answered here."""
+        leader = self.replica.leader_host
+        if leader is None or leader == str(self._settings.listen.peers):
+            return Answer(outcome=Outcome.UNAVAILABLE, detail="no other host leads")
+        return await self._pass_on(leader, heard, TELL_TIMEOUT, self._pools)
+
     def _find_slack(self, call: Submit) -> float:
         """Return for how many seconds a job may wait to be of use; 0 where that is not known."""
         queues = self.replicated.records.queues
--- a/cottonlug/runtime/decider.py
+++ b/cottonlug/runtime/decider.py
@@ -30,6 +30,10 @@
 from .vouching import Vouching
 
 GREET_SECONDS = 0.08
+GREET_SECONDS_EACH = 0.0004
+"""For each gateway: with 300 the leader is greeted 2,500 times a second, half of what it can bear.
+Two greetings fit into `GATEWAY_SILENT` up to 125 ms, so that one may be lost."""
+LONGEST_GREET_SECONDS = 0.125
 GREET_SECONDS_WITHOUT_LEADER = 0.05
 GREET_SECONDS_BETWEEN = 0.025
 """Control hosts keep a greeting for 70 ms until somebody leads; who is elected in the pause between
@@ -306,7 +310,7 @@
         """Learn from a leader's answer to a greeting, which brings nothing where all is known."""
         if answer.roster is not None:
             self.use_roster(answer.roster)
-        else:
+        elif not answer.is_roster_due:
             self._roster_at = self._clock.monotonic()
 
     def is_led_directly(self) -> bool:
@@ -327,9 +331,17 @@
     def _find_pause(self, taken: timedelta) -> float:
         """Return how long to wait before the leader is greeted or looked for again, in seconds."""
         if self.host is not None and self.via is Via.LEADER and not self.is_overdue():
-            return GREET_SECONDS
+            return self._find_usual_pause()
         return max(GREET_SECONDS_WITHOUT_LEADER - taken.total_seconds(), GREET_SECONDS_BETWEEN)
 
+    def _find_usual_pause(self) -> float:
+        """Return how long to wait between two greetings that are answered, in seconds."""
+        by_count = self._count_gateways() * GREET_SECONDS_EACH
+        return min(max(GREET_SECONDS, by_count), LONGEST_GREET_SECONDS)
+
+    def _count_gateways(self) -> int:
+        return len(self._roster.gateways) if self._roster is not None else 0
+
     # Without a leader
 
     async def _replace_leader_forever(self) -> None:
@@ -339,8 +351,8 @@
 
     def _find_turn(self) -> float:
         """Return how long to wait between two tries to replace the leader, in seconds."""
-        count = len(self._roster.gateways) if self._roster is not None else 0
-        return min(max(count * TURN_SECONDS, GREET_SECONDS_WITHOUT_LEADER), LONGEST_TURN_SECONDS)
+        by_count = self._count_gateways() * TURN_SECONDS
+        return min(max(by_count, GREET_SECONDS_WITHOUT_LEADER), LONGEST_TURN_SECONDS)
 
     async def replace_leader(self) -> bool:
         """Without a leader in reach, keep in touch with a stand-in, find one, or become one.
--- a/cottonlug/runtime/gateways.py
+++ b/cottonlug/runtime/gateways.py
@@ -16,6 +16,9 @@
 """Jobs of a gateway not heard for so long are given up; it takes them elsewhere no sooner."""
 CHECK_SUBMISSIONS = timedelta(milliseconds=10)
 """Each vouches for its job for a span of its own; half of the time between two decisions."""
+PARTS_A_SECOND = 600
+"""Large parts of rosters, for all gateways: 140 Mbit/s, and a tenth of the time of a leader.
+Whoever is not served now asks with its next greeting."""
 NEVER = timedelta.max
 LATE_GREETING = timedelta(milliseconds=150)
 """A greeting takes some milliseconds; one that took as long was held up, on its way or here."""
@@ -46,6 +49,8 @@
         self._domains: dict[str, DomainName] = {}
         self._lives: dict[str, int] = {}
         self._keeps_jobs = False
+        self._parts_left = float(PARTS_A_SECOND)
+        self._parts_at = clock.monotonic()
 
     def note_kept_jobs(self, are_open: bool) -> None:
         """Tell whether jobs are under way that must be kept."""
@@ -141,9 +146,29 @@
         return not all(self.is_heard(gateway) for gateway in self._domains)
 
     def build_roster(self, records: Records, known: str) -> Roster | None:
-        """Return what a gateway that has the version `known` must learn to stand in, or None."""
+        """Return what a gateway that has the version `known` must learn next, or None.
+
+        Also None where that has to wait: see `is_current`.
+        """
         gateways = tuple(
             GatewayInfo(address=address, domain=domain)
             for address, domain in sorted(self._domains.items())
         )
+        if self.log.is_large(records, known) and not self._may_send_part():
+            return None
         return self.log.build(records, gateways, keeps_jobs=self._keeps_jobs, known=known)
+
+    def is_current(self, known: str) -> bool:
+        """Whether a gateway that has this version has all there is to know."""
+        return known == self.log.version
+
+    def _may_send_part(self) -> bool:
+        """Whether one more large part may be sent now, and count it if so."""
+        now = self._clock.monotonic()
+        earned = (now - self._parts_at).total_seconds() * PARTS_A_SECOND
+        self._parts_at = now
+        self._parts_left = min(self._parts_left + earned, float(PARTS_A_SECOND))
+        if self._parts_left < 1.0:
+            return False
+        self._parts_left -= 1.0
+        return True
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -23,6 +23,7 @@
     Configure,
     Evacuate,
     Greet,
+    Heard,
     Leave,
     Outcome,
     Submit,
@@ -53,6 +54,7 @@
 from .decisions import note_decision
 from .events import Event, log_event
 from .gateways import Gateways
+from .heartbeat_desk import SPREAD_FROM, Desks
 from .heartbeat_port import HeartbeatPort
 from .job_answers import JobAnswers
 from .order_answers import OrderAnswers
@@ -123,6 +125,7 @@
         self._clock = clock
         self._settings = settings
         self._control_address = settings.control_address
+        self._desks = Desks(clock=clock, own=settings.control_address)
         self.gateways = Gateways(
             term=int(authority.term),
             token=self.token,
@@ -240,6 +243,8 @@
             return await self._jobs.answer_cancel(call)
         if isinstance(call, Beat):
             return await self._answer_beat(call)
+        if isinstance(call, Heard):
+            return self._answer_heard(call)
         if isinstance(call, Leave):
             return await self._answer_leave(call)
         if isinstance(call, Configure):
@@ -262,7 +267,8 @@
         self.gateways.note_kept_jobs(self.dispatch.jobs.keeps_any())
         roster = self.gateways.build_roster(self._records, call.roster)
         contact = self.gateways.make_contact()
-        return Answer(outcome=Outcome.DONE, roster=roster, contact=contact)
+        is_due = roster is None and not self.gateways.is_current(call.roster)
+        return Answer(outcome=Outcome.DONE, roster=roster, is_roster_due=is_due, contact=contact)
 
     def _take_given_up(self, greeting: Greet) -> None:
         """Go on with nothing that a gateway waits for no more, before counting on it for the rest.
@@ -287,7 +293,7 @@
         heartbeat = call.heartbeat
         self.dispatch.take_heartbeat(heartbeat, self._clock.monotonic())
         self._wake()
-        answer = Answer(outcome=Outcome.DONE, leader_control=self._control_address)
+        answer = Answer(outcome=Outcome.DONE, leader_control=self._find_desk(heartbeat))
         # Every later leader must know before the upstream counts on it.
         for key in self._find_untold(heartbeat):
             if answer.outcome is Outcome.DONE:
@@ -297,6 +303,21 @@
         orders = await self._heartbeats.exchange(heartbeat, self.token)
         return msgspec.structs.replace(answer, orders=orders)
 
+    def _find_desk(self, heartbeat: Heartbeat) -> str | None:
+        """Return where an upstream is to send its next heartbeats."""
+        is_few = len(self._records.upstreams) < SPREAD_FROM or self._heartbeats is not None
+        return self._control_address if is_few else self._desks.choose(heartbeat.info.id)
+
+    def _answer_heard(self, call: Heard) -> Answer:
+        """Take in whose heartbeats another control host has answered."""
+        self._desks.note(call.desk)
+        now = self._clock.monotonic()
+        for each in call.upstreams:
+            at = now - timedelta(milliseconds=each.age_ms)
+            self.dispatch.take_heard(each.upstream, each.sequence, each.clock_ms, at)
+        self._wake()
+        return Answer(outcome=Outcome.DONE)
+
     def _find_untold(self, heartbeat: Heartbeat) -> list[Hashable]:
         """Return the keys of what a heartbeat tells that the log does not say yet."""
         id = heartbeat.info.id
