Cold upstreams are used last, and those of a domain that is taken back count as cold until their next heartbeat

Work went back at once, as to all others.

Tried against it: work by a share that grows (needs a rate that nobody knows; while others have room it starts tasks where they are slow, while they have none it lets callers wait beside idle upstreams). Last resort needs no figure but the heartbeat's own.

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -279,7 +279,7 @@
 
     def _take_evacuation(self, command: SetEvacuation, now: timedelta) -> None:
         """Start nothing more in a domain, or take its upstreams back."""
-        runs = self._lives.set_evacuated(command.domain)
+        runs = self._lives.set_evacuated(command.domain, now)
         record = self._term.records.evacuations.get(command.domain)
         self._term.note(
             "domain_evacuated" if record.is_evacuated else "domain_taken_back",
--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -107,11 +107,14 @@
         if self.may_have_orphans:
             self.may_have_orphans = any(life.has_orphans for life in self.by_id.values())
 
-    def set_evacuated(self, domain: DomainName) -> int:
+    def set_evacuated(self, domain: DomainName, now: timedelta) -> int:
         """Take over whether a domain is evacuated; return how many runs are at work there."""
         is_evacuated = domain in self._term.records.evacuations.evacuated
         lives = [life for life in self.by_id.values() if life.info.domain == domain]
         for life in lives:
+            if life.is_evacuated and not is_evacuated:
+                # Its next heartbeat tells whether that is so.
+                life.cold_until = now + self._term.reports.every
             life.is_evacuated = is_evacuated
             self.touch(life)
         self._room = None
--- a/cottonlug/core/cluster/lives.py
+++ b/cottonlug/core/cluster/lives.py
@@ -100,6 +100,8 @@
     is_listening: bool = True
     """Whether an order would reach it at once, and not with the answer to its next heartbeat."""
     avoid_until: timedelta = timedelta()
+    cold_until: timedelta = timedelta()
+    """Until then tasks take longer there than usual, so that it is used last."""
     must_check: bool = False
     """Whether it is to be looked at once though nothing runs there."""
     lost_at: timedelta | None = None
@@ -213,6 +215,10 @@
             and now >= self.avoid_until
         )
 
+    def is_cold(self, now: timedelta) -> bool:
+        """Whether tasks take longer there than usual."""
+        return now < self.cold_until
+
     def _change_use(self, run: Run, sign: int) -> None:
         self._used_cpu += sign * run.needs.cpu_millis
         self._used_memory += sign * run.needs.memory_mb
--- a/cottonlug/core/cluster/model.py
+++ b/cottonlug/core/cluster/model.py
@@ -213,5 +213,7 @@
     clock_ms: int | None = None
     has_no_capacity: bool = False
     """Whether what it says of its capacity cannot be read, so that it counts as having none."""
+    cold_left_ms: int = 0
+    """How much longer tasks take longer there than usual, as after its start."""
     held: LookReply | None = None
     """What it holds, where its orders come with the answers to its heartbeats."""
--- a/cottonlug/core/cluster/registry.py
+++ b/cottonlug/core/cluster/registry.py
@@ -39,6 +39,7 @@
         self._lives.touch(life)
         self._take_report(life, heartbeat, now)
         life.heard_at = now
+        life.cold_until = now + timedelta(milliseconds=heartbeat.cold_left_ms)
         if heartbeat.clock_ms is not None:
             life.take_clock(heartbeat.clock_ms, now)
         if heartbeat.draining:
--- a/cottonlug/core/cluster/rooms.py
+++ b/cottonlug/core/cluster/rooms.py
@@ -101,17 +101,23 @@
     ) -> Iterator[Life]:
         """Yield the lives of a service with at least so much room, the least first in each domain.
 
-        The domain `first` comes first, then those with the most room left.
+        The domain `first` comes first, then those with the most room left, and cold ones last.
         """
         pools = self._pools.get(service, {})
+        cold: list[Life] = []
         for domain in sorted(pools, key=lambda each: (each != first, -pools[each].free_cpu)):
             entries = pools[domain].entries
             # No life has the number 0.
             for at in range(bisect.bisect_left(entries, (cpu, 0)), len(entries)):
                 life = entries[at][2]
                 # What has changed since it was put here must not be overlooked.
-                if self._is_known(life) and self._lives.takes_work(life, now):
+                if not (self._is_known(life) and self._lives.takes_work(life, now)):
+                    continue
+                if life.is_cold(now):
+                    cold.append(life)
+                else:
                     yield life
+        yield from cold
 
     def _add(self, entry: _Entry) -> None:
         life = entry[2]
--- a/cottonlug/platform/control.py
+++ b/cottonlug/platform/control.py
@@ -55,6 +55,7 @@
     zone: str = ""
     state: str = "ready"
     seq_no: int = 0
+    cold_left_ms: int = 0
     clock_ms: int | None = None  # on the worker's own steady clock
     capacity: Any = None  # by itself, so that a bad one costs nothing else
     labels: list[str] = []
@@ -127,6 +128,7 @@
         draining=draining,
         clock_ms=read.clock_ms,
         has_no_capacity=capacity is None,
+        cold_left_ms=max(read.cold_left_ms, 0),
         held=read_lists(read.clock_ms, read.running, read.finished),
     )
     return Beat(heartbeat=heartbeat)
--- a/cottonlug/runtime/heartbeat_desk.py
+++ b/cottonlug/runtime/heartbeat_desk.py
@@ -91,6 +91,8 @@
         known = records.upstreams.get(heartbeat.info.id)
         if known is None or known.draining or heartbeat.draining or heartbeat.has_no_capacity:
             return False
+        if heartbeat.cold_left_ms:
+            return False
         is_alike = heartbeat.info == known.info and heartbeat.sequence >= known.sequence
         return is_alike and not known.is_capacity_doubted and self._is_guarded(heartbeat)
 
@@ -116,10 +118,14 @@
         """Count on a desk for a while."""
         self._told_at[desk] = self._clock.monotonic()
 
+    def list_known(self) -> list[str]:
+        """Return the desks that can be counted on now, in order."""
+        since = self._clock.monotonic() - TRUSTED_FOR
+        return sorted(desk for desk, at in self._told_at.items() if at >= since)
+
     def choose(self, upstream: UpstreamId) -> str | None:
         """Return where an upstream sends its heartbeats: always the same while the desks are."""
-        since = self._clock.monotonic() - TRUSTED_FOR
-        desks = sorted(desk for desk, at in self._told_at.items() if at >= since)
+        desks = self.list_known()
         if not desks:
             return self._own
         return desks[_mix(upstream) % len(desks)]
--- a/cottonlug/tests/test_cluster_spread.py
+++ b/cottonlug/tests/test_cluster_spread.py
@@ -81,6 +81,7 @@
         beat("u999999"),
         beat(sequence=4),
         beat(has_no_capacity=True),
+        beat(cold_left_ms=500),
         beat(info=msgspec.structs.replace(build_info("u1"), capacity=Capacity(cpu_millis=1))),
         beat(info=msgspec.structs.replace(build_info("u1"), address="10.9.9.9:1")),
     ],
--- a/cottonlug/tests/test_evacuations.py
+++ b/cottonlug/tests/test_evacuations.py
@@ -24,6 +24,7 @@
 from ..core.cluster.filler import EVACUATED
 from ..core.cluster.model import EndKind, JobId, JobState, OrderId
 from ..core.cluster.records import Records
+from ..core.cluster.reports import USUAL_REPORTS
 from ..core.ids import DomainName, UpstreamId
 from ..net.asgi import HttpRequest, HttpResponse
 from ..platform.control import build_control_handler
@@ -128,11 +129,53 @@
     commit(leader, HOME)
     leader.world.run_until(leader.world.now + milliseconds(100))
     commit(leader, HOME, is_evacuated=False)
+    leader.world.run_until(leader.world.now + USUAL_REPORTS.every)
     submit(leader, 1, HOME, tasks=4)
     leader.world.run_until(leader.world.now + milliseconds(30))
     assert count_domains(leader)[HOME] == 4
 
 
+def test_a_domain_that_is_taken_back_is_used_last_until_its_upstreams_say_that_they_are_warm() -> (
+    None
+):
+    leader = build_leader(1, run_ms=3_000)
+    commit(leader, HOME)
+    leader.world.run_until(leader.world.now + milliseconds(100))
+    commit(leader, HOME, is_evacuated=False)
+    submit(leader, 1, HOME, tasks=4)
+    leader.world.run_until(leader.world.now + milliseconds(30))
+    assert count_domains(leader)[HOME] == 0, "others have room"
+    elsewhere = (len(DOMAINS) - 1) * EACH * 2
+    submit(leader, 2, HOME, tasks=elsewhere)
+    leader.world.run_until(leader.world.now + milliseconds(30))
+    assert count_domains(leader)[HOME] == 4, "nobody waits while there is room"
+
+
+def test_a_domain_whose_upstreams_say_that_they_are_warm_is_used_at_once() -> None:
+    leader = build_leader(1)
+    commit(leader, HOME)
+    commit(leader, HOME, is_evacuated=False)
+    for upstream in leader.upstreams.values():
+        leader.beat(upstream, 2)
+    submit(leader, 1, HOME, tasks=4)
+    leader.world.run_until(leader.world.now + milliseconds(30))
+    assert count_domains(leader)[HOME] == 4
+
+
+def test_a_cold_upstream_is_used_last() -> None:
+    leader = build_leader(1)
+    cold = next(each for each in leader.upstreams.values() if each.info.domain == HOME)
+    heartbeat = msgspec.structs.replace(cold.make_heartbeat(), sequence=9, cold_left_ms=400)
+    leader.dispatch.take_heartbeat(heartbeat, leader.world.now)
+    submit(leader, 1, HOME, tasks=EACH * 2)
+    leader.world.run_until(leader.world.now + milliseconds(30))
+    assert cold.info.id not in leader.world.running.values()
+    leader.world.run_until(leader.world.now + milliseconds(400))
+    submit(leader, 2, HOME, tasks=EACH * 2)
+    leader.world.run_until(leader.world.now + milliseconds(30))
+    assert cold.info.id in leader.world.running.values()
+
+
 def test_an_upstream_that_joins_an_evacuated_domain_gets_no_work() -> None:
     leader = build_leader(1)
     for domain in DOMAINS[1:]:
