--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,6 +8,7 @@
 import asyncio
 import gc
 import json
+import sys
 import time
 import tracemalloc
 from collections.abc import Callable
@@ -192,6 +193,13 @@
     return {"task_us": a * 1e6, "exchange_us": b * 1e6, "check": (a * t3 + b * e3) / c3}
 
 
+def write_page() -> None:
+    """Write the page from what was measured before."""
+    cost = json.loads((RESULTS / "cost.json").read_text())
+    slopes = json.loads((RESULTS / "slopes.json").read_text())
+    PAGE.write_text(render_page(cost, slopes))
+
+
 def main() -> None:
     cost = json.loads((RESULTS / "cost.json").read_text())
     slopes: dict[str, Any] = {
@@ -211,4 +219,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    write_page() if sys.argv[1:] == ["page"] else main()
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from .sweeps import find_newest, render_sweeps
+
 WORKERS = 4_400
 ACCELERATORS = 6_900
 STARTS_PER_SECOND = 110_000
@@ -80,6 +82,7 @@
             _render_slopes(cost, slopes),
             _render_roles(cost, slopes, size),
             _render_limits(cost, slopes, size),
+            render_sweeps(find_newest()),
             _render_gaps(),
         ]
     )
--- a/cottonlug/commands/control.py
+++ b/cottonlug/commands/control.py
@@ -59,7 +59,8 @@
         takes_all=True,
     )
     peers = listen_peers(host.handle_peer, settings, PEER_BODY_BYTES, host.answer_at_once)
-    metrics = listen_metrics(build_control_metrics(host, output), settings.listen.metrics)
+    shown = build_control_metrics(host, output, pools.idle)
+    metrics = listen_metrics(shown, settings.listen.metrics)
     error = await host.start() or await start_all([*peers, control, *metrics])
     if error is not None:
         print(error, file=sys.stderr)
--- a/cottonlug/core/cluster/admission.py
+++ b/cottonlug/core/cluster/admission.py
@@ -3,10 +3,6 @@
 Load pattern: offered work above the room for seconds. Each job that is taken in and given up later
 has waited for nothing, so the wait is estimated from the work that stands before it and from the
 room, and a job that would wait past its use is told when to come back.
-
-Giving late jobs up by an estimate, before they are of no more use, was tried and taken out: on
-three days of mizan-hq it served 0.6 to 1.1 % less of the requests and changed the worth by no more
-than 0.01 (docs/FINDINGS.md).
 """
 
 from __future__ import annotations
--- a/cottonlug/core/cluster/patience.py
+++ b/cottonlug/core/cluster/patience.py
@@ -2,8 +2,7 @@
 
 Pattern: orders that are carried out seconds late or never, at upstreams that answer all others.
 Only once an answer is given up does anybody look whether the task runs, and start it elsewhere; a
-job of eight tasks of 60 ms has 60 ms to spare. Measured in the model (6 percent of orders late, six
-seeds): 0.81 of the worth with 80 ms for all, 0.91 with 20 ms.
+job of eight tasks of 60 ms has 60 ms to spare.
 
 The estimate is that of TCP's retransmission timer (RFC 6298): the mean of the times taken and four
 times their mean deviation. To give up too soon costs one look, since a run that is listed goes on.
--- a/cottonlug/core/cluster/progress.py
+++ b/cottonlug/core/cluster/progress.py
@@ -20,8 +20,7 @@
 RESUME_SLACK = timedelta(seconds=1)
 """A run from a checkpoint is first restored (0.1 to 0.6 s on the users' platform)."""
 SLOW_FACTOR = 3.5
-"""Declared times scatter by 0.4 on a logarithmic scale, and tasks of one step by 2.1 at the most
-of 200 measured: so much longer than either is not the task's own doing."""
+"""So much longer than declared, or than its siblings, is not the task's own doing."""
 SLOW_WATCH = timedelta(milliseconds=100)
 """Progress is told in whole percent: the pace of a younger run is off by too much."""
 LEAST_GAIN = 5
--- a/cottonlug/core/cluster/rosters.py
+++ b/cottonlug/core/cluster/rosters.py
@@ -39,9 +39,9 @@
 """Before all ids of upstreams."""
 OWN_DOMAIN_ASKED = 3
 OTHER_DOMAINS_ASKED = 2
-MOST_FOR_ONE_DEPUTY = 64
-"""Upstreams; an entry host of half a core was overloaded with 176 (mizan-hq-grown trouble-3)."""
 """Gateways asked in each domain for a leader or a deputy: two may be down at once."""
+MOST_FOR_ONE_DEPUTY = 64
+"""Upstreams; a gateway has half a core, and twice as many overload it."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cottonlug/core/cluster/tempo.py
+++ b/cottonlug/core/cluster/tempo.py
@@ -7,8 +7,7 @@
 LEARNING_RATE = 0.05
 """Weight of the newest end: the mean follows a burst within some twenty ends."""
 LONGEST_INTERVAL = timedelta(milliseconds=5)
-"""Longer ones say that little runs, not that room is slow to come free; of 2 and 5 ms a task the
-longer earned more in the model under overload (0.780 against 0.747 of the worth)."""
+"""Longer ones say that little runs, not that room is slow to come free."""
 
 
 class Tempo:
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -25,8 +25,7 @@
 LOOK_RETRY = timedelta(milliseconds=100)
 STRAGGLERS_SHARE = 0.1
 """While fewer of the upstreams than that have not answered a new leader, they are looked at by
-several calls: what runs there is all that jobs wait for. With orders left unanswered (5.5 percent)
-268 of 270 had answered after 0.1 s, and the last after 0.31 s."""
+several calls: what runs there is all that jobs wait for."""
 STRAGGLER_PATIENCE = timedelta(milliseconds=30)
 PROBE_CHECK = timedelta(milliseconds=20)
 """Whether an upstream is one of the last depends on all others, so it is looked at again."""
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import os
 import resource
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from ..net.asgi import Handler, HttpRequest, HttpResponse
+from ..net.connections import IdleConnections
 from .log_output import LogOutput
 from .metrics import Metrics
 
@@ -18,14 +20,16 @@
 _KB_PER_MB = 1024
 
 
-def build_control_metrics(host: ControlHost, output: LogOutput) -> Metrics:
-    """Return the metrics of a control host."""
+def build_control_metrics(host: ControlHost, output: LogOutput, idle: IdleConnections) -> Metrics:
+    """Return the metrics of a control host; `idle` are its connections to upstreams."""
 
     def count() -> dict[str, float]:
         counts: dict[str, float] = dict.fromkeys(_DISPATCH_COUNTS, 0.0)
         if host.leading is not None:
             counts.update(dataclasses.asdict(host.leading.dispatch.counts))
         counts.update(dataclasses.asdict(host.replica.counts))
+        counts["heartbeats_answered_here"] = host.heartbeats.answered
+        counts["idle_connections_closed"] = idle.closed
         counts["log_lines_left_out"] = output.left_out
         return counts
 
@@ -34,6 +38,7 @@
         gauges.update(dict.fromkeys(_DISPATCH_GAUGES, 0.0))
         gauges["jobs_kept"] = len(host.replicated.records.jobs)
         gauges["peak_memory_mb"] = _read_peak_memory()
+        gauges["descriptors_open"] = _count_descriptors()
         if host.leading is not None:
             gauges.update(_gauge_dispatch(host))
         return gauges
@@ -93,6 +98,7 @@
     "settled_after_ms", "open_jobs", "unsure_jobs", "waiting_tasks", "upstreams",
     "upstreams_working", "upstreams_draining", "free_cpu_millis", "capacity_cpu_millis",
     "oldest_report_ms", "suspects", "domains_evacuated", "evacuated_for_ms", "runs_evacuated",
+    "heartbeat_desks",
 )  # fmt: skip
 
 
@@ -111,6 +117,7 @@
         "upstreams_working": len(working),
         "upstreams_draining": sum(life.draining for life in lives),
         "suspects": len(host.replicated.records.suspects),
+        "heartbeat_desks": host.leading.count_desks(),
         "domains_evacuated": len(evacuated),
         "evacuated_for_ms": max(evacuated, default=0.0),
         "runs_evacuated": sum(len(life.runs) for life in lives if life.is_evacuated),
@@ -120,5 +127,13 @@
     }
 
 
+def _count_descriptors() -> float:
+    """Return how many descriptors are open, of those that the limits of the host allow."""
+    try:
+        return float(len(os.listdir("/proc/self/fd")))
+    except OSError:
+        return 0.0
+
+
 def _read_peak_memory() -> float:
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / _KB_PER_MB
--- a/cottonlug/runtime/gateways.py
+++ b/cottonlug/runtime/gateways.py
@@ -115,9 +115,7 @@
     def may_be_silent(self) -> bool:
         """Whether a gateway may have fallen silent since this last said so.
 
-        Decisions are thousands a second, and silence comes by the clock: to look at the gateway of
-        each open job every time was a third of the time of a leader with 120 of them, more of one
-        that had fallen behind.
+        Decisions are thousands a second, and silence comes by the clock.
         """
         now = self._clock.monotonic()
         if now < self._check_at:
--- a/cottonlug/runtime/leading.py
+++ b/cottonlug/runtime/leading.py
@@ -213,6 +213,10 @@
         ages = (now - life.reported_at for life in lives if life.reported_at is not None)
         return max(ages, default=timedelta())
 
+    def count_desks(self) -> int:
+        """Return how many other control hosts answer heartbeats for this leader."""
+        return len(self._desks.list_known())
+
     def list_evacuated_ms(self) -> list[float]:
         """Return for how long each domain that is evacuated has been, in milliseconds."""
         now_ms = self._read_wall()
--- a/cottonlug/tests/test_cluster_deputy.py
+++ b/cottonlug/tests/test_cluster_deputy.py
@@ -80,7 +80,7 @@
 
 
 def test_with_many_upstreams_each_domain_has_a_deputy_of_its_own() -> None:
-    """Failed on mizan-hq-grown trouble-3: one small host decided for 176 upstreams, too slowly."""
+    """One small host decided for 176 upstreams, too slowly."""
 
     async def play() -> None:
         clock = build_clock()
@@ -235,7 +235,7 @@
 
 @pytest.mark.parametrize("longest_ms", [300, 1_000, 5_000])
 def test_leases_have_ended_before_a_lost_caller_can_come_again(longest_ms: float) -> None:
-    """Failed on mizan-hq trouble-3: for 1.1 s each job of a cut-off domain waited for 0.24 s."""
+    """For 1.1 s each job of a cut-off domain waited for 0.24 s."""
     longest, retry = milliseconds(longest_ms), timedelta(milliseconds=1_300)
     terms = choose_terms(longest, retry, GATEWAY_SILENT)
     assert terms.lapse_after + GATEWAY_SILENT <= retry
@@ -248,7 +248,7 @@
 
 
 def test_a_gateway_without_a_leader_asks_few_of_many_others() -> None:
-    """Failed on mizan-hq-grown trouble-1: 44 gateways asked one another, and 105 stood in."""
+    """44 gateways asked one another, and 105 stood in."""
     gateways = [
         GatewayInfo(address=f"10.{domain}.0.{number:02}:7000", domain=DomainName(str(domain)))
         for domain in range(1, 5)
@@ -304,7 +304,7 @@
 
 
 def test_the_term_of_a_deputy_is_that_of_the_roster_it_stands_in_with() -> None:
-    """Found in the logs of mizan-hq scale-1: a leader took two later terms after one deputy."""
+    """A leader took two later terms after one deputy."""
     gateway = build_gateway(build_clock())
     gateway.link.use_roster(build_roster())
     gateway.link.follow("10.0.0.2:7000", Via.DEPUTY)
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -72,7 +72,7 @@
 
 
 def test_a_given_up_job_may_be_submitted_again() -> None:
-    """Failed on mizan-hq scale-1: a second try was told that its job had ended as cancelled."""
+    """A second try was told that its job had ended as cancelled."""
     world, upstreams = build_world(2)
     leader = start_leader(world, upstreams, Records(), 1)
     world.run_until(milliseconds(100))
@@ -123,7 +123,7 @@
 
 
 def test_a_job_that_may_have_begun_is_not_rejected() -> None:
-    """Failed on mizan-hq scale-1 and mvpl-skywatch scale-2 (REFUSED): it had run under another."""
+    """It had run under another."""
     world, upstreams = build_world(5)
     leader = start_leader(world, upstreams, Records(), 1)
     world.run_until(milliseconds(100))
@@ -190,7 +190,7 @@
 
 
 def test_a_new_job_does_not_wait_for_the_leases_of_a_dead_upstream() -> None:
-    """Failed on mizan-hq scale-1: every job waited 1.1 s after a change of leader."""
+    """Every job waited 1.1 s after a change of leader."""
     world, leader = start_beside_a_dead_upstream()
     leader.submit("a" * 16, build_spec(tasks=2), build_queue(), settle_after=milliseconds(340))
     world.run_until(milliseconds(130 + 340 + 400))
--- a/cottonlug/tests/test_cluster_disputed.py
+++ b/cottonlug/tests/test_cluster_disputed.py
@@ -45,7 +45,7 @@
 
 
 def test_a_deputy_does_not_prolong_what_the_leader_has_given_up() -> None:
-    """Found on celmala-vans trouble-3 (TWICE): the leader began the run again elsewhere."""
+    """The leader began the run again elsewhere."""
     leader, where = start_long_run(1)
     leader.cut_off = {where}
     leader.world.run_until(leader.world.now + STANDS_IN_AFTER)
@@ -126,7 +126,7 @@
 def test_runs_of_a_silent_gateway_end_with_their_lease_though_no_stop_arrives(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Found on celmala-vans-grown (TWICE): other runs there kept their lease alive."""
+    """Other runs there kept their lease alive."""
     leader, where = start_long_run(4)
     world = leader.world
     for upstream in leader.upstreams.values():
--- a/cottonlug/tests/test_cluster_events.py
+++ b/cottonlug/tests/test_cluster_events.py
@@ -30,7 +30,7 @@
 def test_a_leader_logs_once_that_it_may_not_decide_and_who_was_not_heard(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Open since mizan-hq's first incident: for 1.5 s no line told why nobody decided."""
+    """For 1.5 s no line told why nobody decided."""
     logged = record_events(monkeypatch, control_host)
     host = ControlHost(
         settings=load_control_settings(write(tmp_path, CONTROL)),
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -32,7 +32,7 @@
 
 
 def test_rejected_after_an_unknown_try_is_not_said_to_have_not_run() -> None:
-    """Failed on mvpl-skywatch scale-2: 429 for a job that an earlier leader had run (REFUSED)."""
+    """429 for a job that an earlier leader had run (REFUSED)."""
     gateway = build_gateway(build_clock())
     answers = [Answer(outcome=Outcome.UNKNOWN), Answer(outcome=Outcome.REJECTED)]
     tried = answer_in_turn(gateway, answers)
@@ -87,7 +87,7 @@
 
 
 def test_a_lost_leader_is_not_waited_for_where_another_host_knows_the_next() -> None:
-    """Failed on mizan-hq scale-1: a wiped leader was greeted for a second beside its successor."""
+    """A wiped leader was greeted for a second beside its successor."""
 
     async def play() -> None:
         gateway = build_gateway(build_clock())
@@ -191,7 +191,7 @@
 
 
 def test_a_gateway_cut_off_from_the_control_hosts_is_served_through_another() -> None:
-    """Failed on mizan-hq scale-1 (node_cut): its callers got nothing for as long as the cut."""
+    """Its callers got nothing for as long as the cut."""
 
     async def play() -> None:
         clock = build_clock()
--- a/cottonlug/tests/test_cluster_overload.py
+++ b/cottonlug/tests/test_cluster_overload.py
@@ -23,7 +23,7 @@
 def test_a_job_that_waited_elsewhere_goes_behind_new_ones() -> None:
     """Load: a backlog after seconds without a leader.
 
-    Failed on mizan-hq trouble-3: jobs that had waited for 1 s counted as new and went first.
+    Jobs that had waited for 1 s counted as new and went first.
     """
     world, upstreams = build_world(1)
     leader = start_leader(world, upstreams, Records(), 1)
@@ -138,7 +138,7 @@
 
 
 def test_a_gateway_that_reaches_nobody_answers_once_a_job_is_of_no_more_use() -> None:
-    """Failed on mizan-hq trouble-3: callers were held to their deadlines, 144 of 4,286."""
+    """Callers were held to their deadlines, 144 of 4,286."""
     clock = build_clock()
     gateway = build_gateway(clock)
     gateway.link.use_roster(build_roster())
--- a/cottonlug/tests/test_cluster_policy.py
+++ b/cottonlug/tests/test_cluster_policy.py
@@ -208,7 +208,7 @@
 
 
 def test_room_is_left_for_runs_whose_jobs_are_not_known() -> None:
-    """Failed on mvpl-skywatch scale-2: 57 starts refused after changes of leader."""
+    """57 starts refused after changes of leader."""
     life = build_life("u1", 32_000)
     batch = build_batch("a", latest_start=0, last_use=0, cpu=14_000)
     orphan = Run(
@@ -283,7 +283,7 @@
 
 
 def test_an_urgent_job_is_not_rejected_for_patient_work_behind_it() -> None:
-    """Failed on mizan-hq scale-1: long jobs in the backlog had short ones rejected in 5 ms."""
+    """Long jobs in the backlog had short ones rejected in 5 ms."""
     world, upstreams = build_world(6)
     leader = start_leader(world, upstreams, Records(), 1)
     world.run_until(milliseconds(100))
@@ -296,7 +296,7 @@
 
 
 def test_a_new_leader_reckons_with_upstreams_that_it_has_not_seen_yet() -> None:
-    """Failed on mizan-hq scale-1: right after a change of leader nearly everything was rejected."""
+    """Right after a change of leader nearly everything was rejected."""
     world, upstreams = build_world(7)
     records = Records()
     leader = start_leader(world, upstreams, records, 1)
--- a/cottonlug/tests/test_cluster_progress.py
+++ b/cottonlug/tests/test_cluster_progress.py
@@ -69,7 +69,7 @@
 
 
 def test_a_hanging_run_starts_elsewhere_in_time() -> None:
-    """Failed on mvpl-skywatch scale-2: it was moved after three times its expected time."""
+    """It was moved after three times its expected time."""
     world, upstreams = build_world(5)
     for number, upstream in enumerate(upstreams.values()):
         run_ms = 60_000 if number == 0 else 200
@@ -92,7 +92,7 @@
 
 
 def test_no_run_is_called_stuck_while_its_upstream_does_not_answer() -> None:
-    """Failed on mizan-hq trouble-3: 28 runs stopped whose looks had lost their answers."""
+    """28 runs stopped whose looks had lost their answers."""
     world, upstreams = build_world(6)
     leader = start_leader(world, upstreams, Records(), 1)
     world.run_until(milliseconds(100))
--- a/cottonlug/tests/test_cluster_rosters.py
+++ b/cottonlug/tests/test_cluster_rosters.py
@@ -69,7 +69,7 @@
 
 
 def test_a_roster_is_sent_whole_once_and_then_as_changes() -> None:
-    """Failed on mizan-hq-grown: each change of one upstream sent 35 KB to each of 44 gateways."""
+    """Each change of one upstream sent 35 KB to each of 44 gateways."""
     gateways = Gateways(term=3, token=3_000_000, clock=build_clock())
     records = Records()
     records.put_in_force(build_roster().configuration)
--- a/cottonlug/tests/test_cluster_settings.py
+++ b/cottonlug/tests/test_cluster_settings.py
@@ -61,7 +61,7 @@
 
 
 def test_requests_are_answered_until_shortly_before_the_limit_of_a_shutdown() -> None:
-    """Found in an incident of mvpl-skywatch: a job was cut 1 s before the host had to end."""
+    """A job was cut 1 s before the host had to end."""
     assert find_drain_seconds(timedelta(seconds=6), 2.5) == pytest.approx(3.1)
     assert find_drain_seconds(timedelta(seconds=2), 2.5) == 0.0
 
--- a/cottonlug/tests/test_consensus.py
+++ b/cottonlug/tests/test_consensus.py
@@ -133,7 +133,7 @@
 
 
 def test_what_is_missing_is_sent_once_for_many_refusals_of_messages_under_way() -> None:
-    """Found with kept jobs on mvpl-skywatch trouble-1: 0.134 GB between domains."""
+    """0.134 GB between domains."""
     entries = tuple(build_entry(index, 3) for index in range(2, 10))
     member = build_member(build_stored(3, entries))
     make_leader(member)
--- a/cottonlug/tests/test_replica.py
+++ b/cottonlug/tests/test_replica.py
@@ -120,7 +120,7 @@
 
 @pytest.mark.parametrize(("hosts", "voters"), [(4, 3), (5, 5), (6, 5), (8, 7), (10, 7)])
 def test_an_odd_number_votes_so_that_a_split_leaves_a_majority(hosts: int, voters: int) -> None:
-    """Failed on mizan-hq-grown trouble-3: 8 voters were split 4 to 4 for 7 s, and nobody led."""
+    """8 voters were split 4 to 4 for 7 s, and nobody led."""
     member = build_leader(A, B, C)
     for voter in (B, C):
         acknowledge(member, voter, member.log.last_index)
