--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from ..clock import to_milliseconds
 from ..ids import DomainName, UpstreamId
 from .admission import Rejection
 from .adoption import Adopter
@@ -406,6 +407,16 @@
         self._ends.take_listed(life, reply.ended, now)
         if reply.clock_ms <= life.listed_ms:
             # Overtaken by a later answer on another connection: what it lists may have ended.
+            self._term.note(
+                "list_overtaken",
+                {
+                    "upstream": life.info.id,
+                    "clock_ms": reply.clock_ms,
+                    "newest_ms": life.listed_ms,
+                    "sent_ms_ago": to_milliseconds(now - sent_at),
+                    "ends": len(reply.ended),
+                },
+            )
             return
         life.listed_ms = reply.clock_ms
         for report in reply.running:
--- a/cottonlug/core/cluster/registry.py
+++ b/cottonlug/core/cluster/registry.py
@@ -35,6 +35,7 @@
                 self._term.proposals.append(SetDraining(upstream=heartbeat.info.id))
             return
         if heartbeat.sequence < life.sequence:
+            self._note_overtaken(life, heartbeat)
             return
         self._lives.touch(life)
         self._take_report(life, heartbeat, now)
@@ -47,6 +48,17 @@
         if not life.is_fenced and not life.look_is_out:
             life.look_due = now
 
+    def _note_overtaken(self, life: Life, heartbeat: Heartbeat) -> None:
+        self._term.note(
+            "heartbeat_overtaken",
+            {
+                "upstream": life.info.id,
+                "sequence": heartbeat.sequence,
+                "newest": life.sequence,
+                "clock_ms": heartbeat.clock_ms or 0,
+            },
+        )
+
     def take_heard(
         self, id: UpstreamId, sequence: int, clock_ms: int | None, at: timedelta
     ) -> None:
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -284,7 +284,16 @@
         if not life.runs or now < life.lapse_at:
             return
         # A run cannot outlive the lease, whatever the last looks said.
-        self._term.note("lease_lapsed", {"upstream": life.info.id, "runs": len(life.runs)})
+        self._term.note(
+            "lease_lapsed",
+            {
+                "upstream": life.info.id,
+                "runs": len(life.runs),
+                "asked_ms_ago": to_milliseconds(now - life.lapse_at + life.terms.lapse_after),
+                "failed_looks": life.failed_looks,
+                "disputed": int(life.has_disputed),
+            },
+        )
         life.is_fenced = False
         self._jobs.suspicion.note_lapse(life, now)
         self._give_up_runs(life)
--- /dev/null
+++ b/cottonlug/tests/test_cluster_overtaken.py
@@ -0,0 +1,60 @@
+"""What an upstream said earlier and what arrives later: it is void, and a log line says so."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+from ..core.cluster.commands import AddUpstream
+from ..core.cluster.dispatch import Dispatch
+from ..core.cluster.model import Heartbeat, LookReply
+from ..core.cluster.orders import LookOrder
+from ..core.cluster.records import Records
+from .model_upstreams import TERMS, ModelUpstream, World, build_info, milliseconds
+
+INFO = build_info("u1")
+Notes = list[tuple[str, dict[str, str | int]]]
+
+
+def build_dispatch(notes: Notes) -> Dispatch:
+    records = Records()
+    records.apply(AddUpstream(info=INFO, sequence=1))
+    return Dispatch(
+        records=records,
+        term=1_000_000,
+        terms=TERMS,
+        now=timedelta(),
+        wall_ms=lambda: 0,
+        note=lambda name, fields: notes.append((name, fields)),
+        on_end=lambda job: None,
+    )
+
+
+def test_a_heartbeat_that_was_overtaken_is_void_and_logged() -> None:
+    notes: Notes = []
+    dispatch = build_dispatch(notes)
+    for sequence, cpu in ((5, 8_000), (4, 16_000)):
+        info = build_info("u1", cpu=cpu)
+        beat = Heartbeat(info=info, sequence=sequence, draining=False, clock_ms=70)
+        dispatch.take_heartbeat(beat, milliseconds(sequence))
+    assert dispatch.lives[INFO.id].info.capacity.cpu_millis == 8_000
+    expected = {"upstream": INFO.id, "sequence": 4, "newest": 5, "clock_ms": 70}
+    assert ("heartbeat_overtaken", expected) in notes
+
+
+def test_a_list_that_was_overtaken_is_void_and_logged() -> None:
+    notes: Notes = []
+    dispatch = build_dispatch(notes)
+    upstream = ModelUpstream(
+        world=World(random=random.Random(1)),
+        info=INFO,
+        rate=1.0,
+        run_times=lambda job: timedelta(),
+    )
+    order = LookOrder(upstream=INFO, last_seen=0, expires_ms=None, wait=timedelta())
+    newer = upstream.report()
+    older = LookReply(clock_ms=newer.clock_ms - 1, running=(), ended=())
+    for reply in (newer, older):
+        dispatch.take_look(order, reply, milliseconds(1), milliseconds(3))
+    assert [name for name, _ in notes].count("list_overtaken") == 1
+    assert dict(notes)["list_overtaken"]["sent_ms_ago"] == 2
