Tests that fail: an upstream that starts again under its id is taken for the one before

What callers saw: one task ran twice at once, and jobs whose tasks had ended well ran again or never ended.

A stand-in that speaks the platform's wire byte for byte (tests/wire_site.py) starts again under its id with counts and clock anew.

--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -155,6 +155,8 @@
     """How fast its steady clock runs, 0.98 to 1."""
     run_times: Callable[[JobId], timedelta]
     """How long a task of a job runs there."""
+    clock_began_ms: int = 0
+    """What its steady clock would have shown when the world began."""
     is_up: bool = True
     is_replaced: bool = False
     """Whether, after a crash, a later life answers at its address."""
@@ -176,7 +178,7 @@
 
     def clock_ms(self) -> int:
         """Return the time on its own steady clock."""
-        return int(self.world.now / milliseconds(1) * self.rate)
+        return self.clock_began_ms + int(self.world.now / milliseconds(1) * self.rate)
 
     def start(self, order: StartOrder, token: int, needs: Needs) -> StartOutcome:
         """Carry out a start."""
--- /dev/null
+++ b/cottonlug/tests/test_upstreams_that_start_again.py
@@ -0,0 +1,87 @@
+"""Upstreams that start again under the id that they had, with counts and clocks anew.
+
+Load pattern: a third of a site's upstreams go down and come back every few seconds.
+"""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+import pytest
+
+from ..core.cluster.lives import choose_terms
+from ..core.cluster.model import JobId, JobState
+from ..core.cluster.records import Records
+from ..core.cluster.term import TOKENS_PER_TERM
+from .model_upstreams import World, build_queue, build_spec, milliseconds
+from .wire_site import WireHost, WireLeader, beat_forever, build_hosts
+
+TERMS = choose_terms(timedelta(seconds=1), timedelta(milliseconds=1_300), milliseconds(300))
+"""As on the users' platform: 0.92 s, where upstreams grant 1 s at the most."""
+JOB = "a" * 16
+PATIENT = build_queue(max_attempts=50, target_ms=60_000)
+
+
+def build_leader(world: World, hosts: dict[str, WireHost], records: Records) -> WireLeader:
+    return WireLeader(
+        world=world,
+        upstreams={},
+        records=records,
+        token=TOKENS_PER_TERM,
+        terms=TERMS,
+        hosts=hosts,
+    )
+
+
+def play_cut_off(*, starts_again: bool) -> JobState | None:
+    """Cut an upstream off from the leader while it runs a task, and let the task begin again."""
+    world = World(random=random.Random(1))
+    hosts = build_hosts(world, 2, run_ms=lambda: 3_000.0, rate=0.98)
+    first, second = hosts.values()
+    first.process.clock_began_ms = 5_000_000
+    leader = build_leader(world, hosts, Records())
+    beat_forever(first, lambda: leader)
+    world.run_until(milliseconds(2_000))
+    if starts_again:
+        first.start_again()
+        first.process.clock_began_ms = 1_000_000
+    world.run_until(milliseconds(4_000))
+    leader.submit(JOB, build_spec(tasks=1, run_ms=3_000), PATIENT)
+    world.run_until(milliseconds(4_300))
+    assert world.running, "nothing was started"
+    beat_forever(second, lambda: leader)
+    world.run_until(milliseconds(4_500))
+    leader.cut_off.add(first.info.id)
+    world.run_until(milliseconds(12_000))
+    return leader.dispatch.jobs.find_ended(JobId(JOB))
+
+
+def test_a_lease_has_ended_when_it_is_counted_so() -> None:
+    assert play_cut_off(starts_again=False) is JobState.COMPLETED
+
+
+# Guards against TWICE: the lease of an upstream that had started again outlived what was counted.
+def test_a_lease_counts_by_the_clock_of_the_upstream_that_started_again() -> None:
+    assert play_cut_off(starts_again=True) is JobState.COMPLETED
+
+
+# Guards against jobs that never end: ends were counted from 1 again, and so taken for old ones.
+@pytest.mark.parametrize("kept", [False, True])
+def test_ends_of_an_upstream_that_started_again_are_noted(kept: bool) -> None:
+    world = World(random=random.Random(2))
+    hosts = build_hosts(world, 1, run_ms=lambda: 60.0)
+    (host,) = hosts.values()
+    records = Records()
+    leader = build_leader(world, hosts, records)
+    beat_forever(host, lambda: leader)
+    world.run_until(milliseconds(100))
+    leader.submit("b" * 16, build_spec(tasks=8), PATIENT)
+    world.run_until(milliseconds(2_000))
+    host.start_again()
+    world.run_until(milliseconds(3_000))
+    leader.submit(JOB, build_spec(tasks=4, kept=kept), PATIENT)
+    world.run_until(milliseconds(3_500))
+    ended = records.jobs[JobId(JOB)].state if kept else leader.dispatch.jobs.find_ended(JobId(JOB))
+    assert ended is JobState.COMPLETED
+    assert world.starts == 12
--- /dev/null
+++ b/cottonlug/tests/wire_site.py
@@ -0,0 +1,359 @@
+"""A site whose upstreams speak the platform's wire, byte for byte, and start again under their ids.
+
+The model of upstreams stands behind it: a process of an upstream is one `ModelUpstream`. The clock
+is that of the model; the platform's client and decoder are the real ones.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine, Generator, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any, cast
+
+import msgspec
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..core.cluster.calls import Answer, Beat, Call, Leave, Outcome
+from ..core.cluster.model import Needs, RunNumber, UpstreamInfo
+from ..core.cluster.orders import (
+    CallFailure,
+    LookOrder,
+    Order,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+)
+from ..net.asgi import HttpRequest
+from ..net.connections import ConnectionPools
+from ..net.transport import HttpReply, TransportError
+from ..platform.control import build_control_handler
+from ..platform.jobs import name_task, parse_task
+from ..platform.workers import LIFE_HEADER, LOOK, START, STOP, WorkerClient
+from .model_upstreams import TASK_CPU, Leader, ModelUpstream, World, build_info, milliseconds
+
+BEAT_EVERY = milliseconds(500)
+EPOCH_MS = 1_790_000_000_000
+"""Unix time at which the world begins."""
+REASONS = {
+    StartOutcome.FENCED: "fence",
+    StartOutcome.OUTDATED: "old",
+    StartOutcome.LATE: "late",
+    StartOutcome.NO_ROOM: "room",
+}
+WireReply = Result[HttpReply, TransportError]
+LOST = Err(TransportError(message="no reply in time", unsent=False))
+BROKEN = Err(TransportError(message="connection lost", unsent=False))
+REFUSED = Err(TransportError(message="cannot connect", unsent=True))
+
+
+@dataclass(slots=True, kw_only=True)
+class _Exchange:
+    """A call that waits for its reply: whoever drives the client sends that in."""
+
+    path: str
+    body: bytes
+    headers: Mapping[str, str]
+
+    def __await__(self) -> Generator[_Exchange, WireReply, WireReply]:
+        return (yield self)
+
+
+class _Pools:
+    """Takes the place of the connections: each call is handed to the driver."""
+
+    def get(self, address: object) -> _Pools:
+        return self
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        *,
+        timeout: timedelta,
+        headers: Mapping[str, str],
+    ) -> WireReply:
+        return await _Exchange(path=path, body=body, headers=headers)
+
+
+@dataclass(slots=True, kw_only=True)
+class WireHost:
+    """Where an upstream runs: one process at a time, each with counts and a clock of its own."""
+
+    world: World
+    info: UpstreamInfo
+    run_ms: Callable[[], float]
+    rate: float
+    tells_born: bool = True
+    process: ModelUpstream = field(init=False)
+    born_ms: int = field(init=False)
+    pending: list[Callable[[], None]] = field(default_factory=list)
+    """What ends each call that a process has not answered, should it crash."""
+
+    def __post_init__(self) -> None:
+        self._begin()
+
+    @property
+    def name(self) -> str:
+        return self.info.id
+
+    def crash(self) -> None:
+        """Lose all that the process holds."""
+        self.process.crash()
+        pending, self.pending = self.pending, []
+        for end in pending:
+            end()
+
+    def start_again(self) -> None:
+        """Begin another process under the same id."""
+        if self.process.is_up:
+            self.crash()
+        self._begin()
+
+    def _begin(self) -> None:
+        self.process = ModelUpstream(
+            world=self.world,
+            info=self.info,
+            rate=self.rate,
+            run_times=lambda job: milliseconds(self.run_ms()),
+            clock_began_ms=self.world.random.randrange(10_000_000),
+        )
+        self.born_ms = EPOCH_MS + int(self.world.now / milliseconds(1))
+
+    def write_heartbeat(self, *, draining: bool = False) -> bytes:
+        """Return the body of the next heartbeat."""
+        self.process.sequence += 1
+        capacity = self.info.capacity
+        body = {
+            "service": self.info.service,
+            "address": self.info.address,
+            "zone": self.info.domain,
+            "state": "draining" if draining else "ready",
+            "seq_no": self.process.sequence,
+            "cold_left_ms": 0,
+            "capacity": {"cpu": capacity.cpu_millis, "mem_mb": capacity.memory_mb, "gpu": 0},
+            "labels": list(self.info.labels),
+            "clock_ms": self.process.clock_ms(),
+        }
+        return msgspec.json.encode(body | self._tell_born())
+
+    def _tell_born(self) -> dict[str, int]:
+        return {"born": self.born_ms} if self.tells_born else {}
+
+    def take(self, exchange: _Exchange, reply: Callable[[WireReply], None]) -> None:
+        """Carry out a call and answer it, at once or when a run ends."""
+        if not self.process.is_up:
+            reply(REFUSED)
+            return
+        if exchange.headers[LIFE_HEADER] != self.name:
+            reply(Success(HttpReply(status=421, body=b"")))
+            return
+        body = msgspec.json.decode(exchange.body)
+        if exchange.path == LOOK:
+            self._take_look(body, reply)
+            return
+        failure = self._carry_out(exchange.path, body)
+        reply(self._write(failure, {}))
+
+    def take_late(self, exchange: _Exchange) -> Callable[[], None]:
+        """Accept a call that is carried out later, by this process or by none."""
+        process = self.process
+
+        def carry_out() -> None:
+            if process.is_up and process is self.process:
+                self.take(exchange, lambda reply: None)
+
+        return carry_out
+
+    def _carry_out(self, path: str, body: dict[str, Any]) -> str:
+        """Return why an order was not carried out, empty where it was."""
+        ref = parse_task(body["task"])
+        assert ref is not None
+        run, token = RunNumber(body["run_id"]), body["fencing_token"]
+        if path == STOP:
+            stop = StopOrder(upstream=self.info, task=ref, run=run)
+            return "fence" if self.process.stop(stop, token) is not None else ""
+        assert path == START
+        order = StartOrder(
+            upstream=self.info,
+            task=ref,
+            run=run,
+            payload=body["task_spec"],
+            checkpoint="",
+            expires_ms=body["expires_ms"],
+        )
+        needs = self.world.needs.get(ref.job, Needs(cpu_millis=TASK_CPU))
+        return REASONS.get(self.process.start(order, token, needs), "")
+
+    def _take_look(self, body: dict[str, Any], reply: Callable[[WireReply], None]) -> None:
+        wait = milliseconds(body.get("wait_ms", 0))
+        order = LookOrder(
+            upstream=self.info,
+            last_seen=body["last_seen"],
+            expires_ms=body.get("expires_ms"),
+            wait=wait,
+        )
+        process = self.process
+        if process.hold(order, body["fencing_token"]) is not None:
+            reply(self._write("fence", {}))
+            return
+        is_answered = [False]
+
+        def answer() -> None:
+            if not is_answered[0] and process.is_up:
+                is_answered[0] = True
+                reply(self._write("", self._list_all()))
+
+        def end() -> None:
+            if not is_answered[0]:
+                is_answered[0] = True
+                reply(BROKEN)
+
+        if process.ended or not wait:
+            answer()
+            return
+        process.parked.append(answer)
+        self.pending.append(end)
+        self.world.at(wait, answer)
+
+    def _list_all(self) -> dict[str, Any]:
+        lists = self.process.report()
+        running = [[name_task(run.task), run.run, "", run.percent] for run in lists.running]
+        ended = [
+            [end.number, name_task(end.task), end.run, end.how.value, ""] for end in lists.ended
+        ]
+        return {"running": running, "finished": ended, **self._tell_born()}
+
+    def _write(self, reason: str, more: dict[str, Any]) -> WireReply:
+        body = {"clock_ms": self.process.clock_ms(), **more}
+        if reason:
+            body["reason"] = reason
+        status = 409 if reason else 200
+        return Success(HttpReply(status=status, body=msgspec.json.encode(body)))
+
+
+@dataclass(slots=True, kw_only=True)
+class WireLeader(Leader):
+    """A dispatch that calls its upstreams by the platform's client."""
+
+    hosts: dict[str, WireHost]
+    """By address."""
+    client: WorkerClient = field(
+        default_factory=lambda: WorkerClient(pools=cast(ConnectionPools, _Pools()))
+    )
+
+    def hear(self, host: WireHost, body: bytes) -> None:
+        """Take a heartbeat in as a control host does."""
+        path = f"/instances/{host.name}"
+        self._take_request(HttpRequest(method="PUT", path=path, headers={}, body=body))
+
+    def hear_leave(self, host: WireHost) -> None:
+        """Take in that an upstream has left."""
+        path = f"/instances/{host.name}"
+        self._take_request(HttpRequest(method="DELETE", path=path, headers={}, body=b""))
+
+    def _take_request(self, request: HttpRequest) -> None:
+        if self.is_over:
+            return
+
+        async def answer(call: Call) -> Answer:
+            if isinstance(call, Beat):
+                self.dispatch.take_heartbeat(call.heartbeat, self.world.now)
+            elif isinstance(call, Leave):
+                self.dispatch.take_leave(call.upstream)
+            return Answer(outcome=Outcome.DONE)
+
+        _run_at_once(build_control_handler(answer)(request))
+        self.act()
+
+    def _send(self, order: Order) -> None:
+        world, sent_at = self.world, self.world.now
+        host = self.hosts[order.upstream.address]
+        calling = self._call(order)
+        exchange: _Exchange = calling.send(None)
+        is_over = [False]
+
+        def finish(result: WireReply) -> None:
+            if is_over[0] or self.is_over:
+                return
+            is_over[0] = True
+            try:
+                calling.send(result)
+            except StopIteration as end:
+                self._take(order, end.value, sent_at)
+                self.act()
+
+        wait = order.wait if isinstance(order, LookOrder) else timedelta()
+        world.at(order.patience + wait, lambda: finish(LOST))
+        if host.info.id in self.cut_off:
+            return
+        fate = world.random.random()
+        there = milliseconds(world.random.uniform(0.5, 4))
+        back = milliseconds(world.random.uniform(0.5, 4))
+        loses_answer = fate < world.late_share + world.lost_share
+
+        def reply(result: WireReply) -> None:
+            if not loses_answer:
+                world.at(back, lambda: finish(result))
+
+        def arrive() -> None:
+            if fate < world.late_share and host.process.is_up:
+                late = milliseconds(world.random.uniform(2_000, 12_000))
+                world.at(late, host.take_late(exchange))
+            else:
+                host.take(exchange, reply)
+
+        world.at(there, arrive)
+
+    def _call(self, order: Order) -> Coroutine[Any, Any, object]:
+        if isinstance(order, StartOrder):
+            return self.client.start(order, self.token)
+        if isinstance(order, StopOrder):
+            return self.client.stop(order, self.token)
+        return self.client.look(order, self.token)
+
+    def _take(self, order: Order, value: Any, sent_at: timedelta) -> None:
+        now = self.world.now
+        if isinstance(order, StartOrder):
+            outcome, clock_ms = value
+            self.dispatch.take_start_answer(order, outcome, clock_ms, now)
+        elif isinstance(order, StopOrder):
+            self.dispatch.take_stop_answer(order, value, now)
+        else:
+            assert isinstance(value, CallFailure) or value is not None
+            self.dispatch.take_look(order, value, sent_at, now)
+
+
+def _run_at_once(coroutine: Coroutine[Any, Any, object]) -> None:
+    """Run a coroutine that waits for nothing."""
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+    raise AssertionError("a call waits that should not")
+
+
+def build_hosts(
+    world: World, count: int, *, run_ms: Callable[[], float], rate: float | None = None
+) -> dict[str, WireHost]:
+    """Return hosts by address, each with a process that has just started."""
+    infos = [build_info(f"u{number}") for number in range(1, count + 1)]
+    return {
+        info.address: WireHost(
+            world=world,
+            info=info,
+            run_ms=run_ms,
+            rate=world.random.uniform(0.98, 1.0) if rate is None else rate,
+        )
+        for info in infos
+    }
+
+
+def beat_forever(host: WireHost, find_leader: Callable[[], WireLeader]) -> None:
+    """Send heartbeats of whatever process is up."""
+    leader = find_leader()
+    if host.process.is_up and host.info.id not in leader.cut_off:
+        leader.hear(host, host.write_heartbeat())
+    host.world.at(BEAT_EVERY, lambda: beat_forever(host, find_leader))
