--- a/cottonlug/tests/test_upstreams_that_start_again.py
+++ b/cottonlug/tests/test_upstreams_that_start_again.py
@@ -19,7 +19,10 @@
 
 TERMS = choose_terms(timedelta(seconds=1), timedelta(milliseconds=1_300), milliseconds(300))
 """As on the users' platform: 0.92 s, where upstreams grant 1 s at the most."""
+SEEDS = 20
 JOB = "a" * 16
+OTHER = "c" * 16
+EARLIER = "b" * 16
 PATIENT = build_queue(max_attempts=50, target_ms=60_000)
 
 
@@ -34,36 +37,48 @@
     )
 
 
-def play_cut_off(*, starts_again: bool) -> JobState | None:
-    """Cut an upstream off from the leader while it runs a task, and let the task begin again."""
-    world = World(random=random.Random(1))
-    hosts = build_hosts(world, 2, run_ms=lambda: 3_000.0, rate=0.98)
+def play_job_given_up(seed: int, *, starts_again: bool) -> WireLeader:
+    """Have two jobs at work at one upstream, and give one of them up."""
+    world = World(random=random.Random(seed))
+    run_ms = [60.0]
+    hosts = build_hosts(world, 2, run_ms=lambda: run_ms[0], rate=0.98)
     first, second = hosts.values()
     first.process.clock_began_ms = 5_000_000
     leader = build_leader(world, hosts, Records())
     beat_forever(first, lambda: leader)
+    world.run_until(milliseconds(100))
+    leader.submit(EARLIER, build_spec(tasks=8), PATIENT)
     world.run_until(milliseconds(2_000))
+    run_ms[0] = 3_000.0
     if starts_again:
         first.start_again()
         first.process.clock_began_ms = 1_000_000
     world.run_until(milliseconds(4_000))
-    leader.submit(JOB, build_spec(tasks=1, run_ms=3_000), PATIENT)
+    for job in (JOB, OTHER):
+        leader.submit(job, build_spec(tasks=1, run_ms=3_000), PATIENT)
     world.run_until(milliseconds(4_300))
-    assert world.running, "nothing was started"
+    assert len(world.running) == 2
     beat_forever(second, lambda: leader)
     world.run_until(milliseconds(4_500))
-    leader.cut_off.add(first.info.id)
+    leader.dispatch.abandon(JobId(OTHER), "", world.now)
+    leader.act()
     world.run_until(milliseconds(12_000))
-    return leader.dispatch.jobs.find_ended(JobId(JOB))
+    return leader
 
 
-def test_a_lease_has_ended_when_it_is_counted_so() -> None:
-    assert play_cut_off(starts_again=False) is JobState.COMPLETED
+def test_a_job_goes_on_beside_one_that_is_given_up() -> None:
+    for seed in range(SEEDS):
+        leader = play_job_given_up(seed, starts_again=False)
+        assert leader.dispatch.jobs.find_ended(JobId(JOB)) is JobState.COMPLETED
+        assert leader.world.starts == 10
 
 
 # Guards against TWICE: the lease of an upstream that had started again outlived what was counted.
 def test_a_lease_counts_by_the_clock_of_the_upstream_that_started_again() -> None:
-    assert play_cut_off(starts_again=True) is JobState.COMPLETED
+    for seed in range(SEEDS):
+        leader = play_job_given_up(seed, starts_again=True)
+        assert leader.dispatch.jobs.find_ended(JobId(JOB)) is JobState.COMPLETED
+        assert leader.world.starts == 10
 
 
 # Guards against jobs that never end: ends were counted from 1 again, and so taken for old ones.
@@ -76,7 +91,7 @@
     leader = build_leader(world, hosts, records)
     beat_forever(host, lambda: leader)
     world.run_until(milliseconds(100))
-    leader.submit("b" * 16, build_spec(tasks=8), PATIENT)
+    leader.submit(EARLIER, build_spec(tasks=8), PATIENT)
     world.run_until(milliseconds(2_000))
     host.start_again()
     world.run_until(milliseconds(3_000))
