An introduced connection is not judged again with each reply

Cause: whose connection it is was read from each reply, a second decoding of every list. No behaviour changes; test_introductions passes before and after.

--- a/cottonlug/net/connections.py
+++ b/cottonlug/net/connections.py
@@ -325,7 +325,8 @@
 
 
 def _note_owner(connection: _Connection, introduction: Introduction, reply: HttpReply) -> None:
-    if reply.status == OK and introduction.is_owner(reply):
+    is_new = connection.owner != introduction.owner
+    if is_new and reply.status == OK and introduction.is_owner(reply):
         connection.owner = introduction.owner
 
 
