What other writers send names no upstream: heartbeats are decoded in one place, typed and checked

What callers saw: nothing yet. By reading: a heartbeat with an unknown state or an address that is none was taken in as ready, counts left out were 0, and an end whose number is a text reached the leader's decisions, where a comparison with a number would have stopped the process.

Evidence: on the commit before, {service, address: nowhere, state: sleeping} became an upstream, and ['58', task, null, 'done', ['x']] an end with those types.

--- a/cottonlug/commands/control.py
+++ b/cottonlug/commands/control.py
@@ -16,6 +16,7 @@
 from ..runtime.control_host import ControlHost
 from ..runtime.events import Event, log_event
 from ..runtime.process import Life, run_loop
+from ..runtime.refused_heartbeats import RefusedHeartbeats
 from .daemons import (
     CONNECTIONS_PER_UPSTREAM,
     PEER_BODY_BYTES,
@@ -50,16 +51,17 @@
         port=WorkerClient(pools=pools),
         on_failure=life.fail,
     )
+    refused = RefusedHeartbeats(clock=SystemClock())
     life.watch_signals(lambda: build_control_dump(host))
     life.watch_reload(lambda: None)
     control = listen(
-        build_control_handler(host.answer),
+        build_control_handler(host.answer, refused.note),
         settings.listen.control,
         CONTROL_BODY_BYTES,
         takes_all=True,
     )
     peers = listen_peers(host.handle_peer, settings, PEER_BODY_BYTES, host.answer_at_once)
-    shown = build_control_metrics(host, output, pools.idle)
+    shown = build_control_metrics(host, output, pools.idle, refused)
     metrics = listen_metrics(shown, settings.listen.metrics)
     error = await host.start() or await start_all([*peers, control, *metrics])
     if error is not None:
--- a/cottonlug/platform/control.py
+++ b/cottonlug/platform/control.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from returns.result import Failure as Err
+from returns.result import Result
 
 from ..core.cluster.calls import (
     Answer,
@@ -22,18 +23,15 @@
 )
 from ..core.cluster.checks import find_configuration_problem
 from ..core.cluster.evacuations import EvacuationRecord
-from ..core.cluster.identity import SEPARATOR, name_life
-from ..core.cluster.model import Capacity, Heartbeat, ServiceName, UpstreamInfo
-from ..core.ids import DomainName, UpstreamId
+from ..core.ids import DomainName
 from ..net.asgi import Handler, HttpRequest, HttpResponse
 from .configurations import decode_configuration
+from .heartbeats import decode_heartbeat, decode_leave
 from .jobs import name_task
-from .workers import read_lists
 
 INSTANCES = "/instances/"
 CONFIGURATION = "/config"
 EVACUATION = "/evacuation"
-DRAINING = "draining"
 
 STATUS_OF_OUTCOME = {
     Outcome.DONE: 200,
@@ -45,41 +43,17 @@
 }
 
 
-_CAPACITY_FIELDS = ("cpu", "mem_mb", "gpu")  # the first in thousandths of a core
-_MOST_OF_ANYTHING = 1_000_000_000
-"""A million cores, a petabyte: what claims to have more cannot be right."""
-_LAST_MOMENT_MS = 1 << 52
-"""Unix milliseconds; far beyond any start, and exact in every reader of JSON."""
+def build_control_handler(
+    answer: Callable[[Call], Awaitable[Answer]],
+    note_refused: Callable[[str, str], None] = lambda name, reason: None,
+) -> Handler:
+    """Return the handler of the platform's control interface.
 
-
-class _HeartbeatBody(msgspec.Struct):
-    service: str
-    address: str
-    zone: str = ""
-    state: str = "ready"
-    seq_no: int = 0
-    cold_left_ms: Any = 0  # by itself, like the capacity
-    clock_ms: int | None = None  # on the worker's own steady clock
-    born: int | msgspec.UnsetType = msgspec.UNSET  # Unix milliseconds of its start, if it tells
-    capacity: Any = None  # by itself, so that a bad one costs nothing else
-    labels: list[str] = []
-    running: list[list[Any]] = []  # where orders come with the answers: as in a look
-    finished: list[list[Any]] = []
-
-
-class _LeaveBody(msgspec.Struct):
-    born: int | msgspec.UnsetType = msgspec.UNSET
-
-
-_leave_decoder = msgspec.json.Decoder(_LeaveBody)
-_heartbeat_decoder = msgspec.json.Decoder(_HeartbeatBody)
-
-
-def build_control_handler(answer: Callable[[Call], Awaitable[Answer]]) -> Handler:
-    """Return the handler of the platform's control interface."""
+    `note_refused` is told of each heartbeat that names no upstream: under which id, and why.
+    """
 
     async def handle(request: HttpRequest) -> HttpResponse:
-        call = _decode_call(request)
+        call = _decode_call(request, note_refused)
         if isinstance(call, HttpResponse):
             return call
         return _encode_answer(call, await answer(call))
@@ -87,15 +61,15 @@
     return handle
 
 
-def _decode_call(request: HttpRequest) -> Call | HttpResponse:
+def _decode_call(
+    request: HttpRequest, note_refused: Callable[[str, str], None]
+) -> Call | HttpResponse:
     if request.path.startswith(INSTANCES):
         name = request.path[len(INSTANCES) :]
-        if not name or SEPARATOR in name:
-            return _refuse("the path names no worker")
         if request.method == "DELETE":
-            return _decode_leave(name, request.body)
+            return _take_worker(name, decode_leave(name, request.body), note_refused)
         if request.method == "PUT":
-            return _decode_heartbeat(name, request.body)
+            return _take_worker(name, decode_heartbeat(name, request.body), note_refused)
     if request.path == CONFIGURATION:
         if request.method == "GET":
             return AskConfiguration()
@@ -118,66 +92,15 @@
     return Evacuate(domain=DomainName(zone), is_evacuated=request.method == "POST")
 
 
-def _decode_leave(name: str, body: bytes) -> Call | HttpResponse:
-    try:
-        read = _leave_decoder.decode(body) if body.strip() else _LeaveBody()
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return _refuse(str(error))
-    life = _name_life(name, read.born)
-    return Leave(upstream=life) if life is not None else _refuse("born is out of range")
-
-
-def _name_life(name: str, born: int | msgspec.UnsetType) -> UpstreamId | None:
-    """Return the id of the life that speaks, or None where its start cannot be right."""
-    if isinstance(born, msgspec.UnsetType):
-        return name_life(name, None)
-    return name_life(name, born) if 0 <= born <= _LAST_MOMENT_MS else None
-
-
-def _decode_heartbeat(name: str, body: bytes) -> Call | HttpResponse:
-    try:
-        read = _heartbeat_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return _refuse(str(error))
-    life = _name_life(name, read.born)
-    if life is None:
-        return _refuse("born is out of range")
-    capacity = _read_capacity(read.capacity)
-    info = UpstreamInfo(
-        id=life,
-        service=ServiceName(read.service),
-        address=read.address,
-        domain=DomainName(read.zone),
-        capacity=capacity or Capacity(),
-        labels=tuple(read.labels),
-    )
-    draining = read.state == DRAINING
-    heartbeat = Heartbeat(
-        info=info,
-        sequence=read.seq_no,
-        draining=draining,
-        clock_ms=read.clock_ms,
-        has_no_capacity=capacity is None,
-        cold_left_ms=_read_cold_left(read.cold_left_ms),
-        held=read_lists(read.clock_ms, read.running, read.finished),
-    )
-    return Beat(heartbeat=heartbeat)
-
-
-def _read_capacity(body: Any) -> Capacity | None:
-    """Return what a worker has to give, or None where that cannot be read or cannot be."""
-    if not isinstance(body, dict):
-        return None
-    amounts = [body.get(name, 0) for name in _CAPACITY_FIELDS]
-    if not all(type(amount) is int and 0 <= amount <= _MOST_OF_ANYTHING for amount in amounts):
-        return None
-    return Capacity(cpu_millis=amounts[0], memory_mb=amounts[1], gpus=amounts[2])
-
-
-def _read_cold_left(value: Any) -> int:
-    """Return for how many milliseconds a worker is still slow; 0 where that cannot be read."""
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return int(value) if is_number and 0 < value < _MOST_OF_ANYTHING else 0
+def _take_worker(
+    name: str,
+    decoded: Result[Beat, str] | Result[Leave, str],
+    note_refused: Callable[[str, str], None],
+) -> Call | HttpResponse:
+    if isinstance(decoded, Err):
+        note_refused(name, decoded.failure())
+        return _refuse(decoded.failure())
+    return decoded.unwrap()
 
 
 def _decode_configure(body: bytes) -> Call | HttpResponse:
--- /dev/null
+++ b/cottonlug/platform/heartbeats.py
@@ -0,0 +1,144 @@
+"""What workers say of themselves, decoded once; what cannot be one names no worker to use.
+
+Another writer may send or forward a heartbeat: fields may be missing or of another type, the state
+unknown, the bytes unreadable. All that is checked here, so that nothing behind it needs to.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ..core.cluster.calls import Beat, Leave
+from ..core.cluster.identity import SEPARATOR, name_life
+from ..core.cluster.model import Capacity, Heartbeat, ServiceName, UpstreamInfo
+from ..core.ids import DomainName, UpstreamId
+from ..net.connections import parse_address
+from .workers import read_lists
+
+READY = "ready"
+DRAINING = "draining"
+
+_CAPACITY_FIELDS = ("cpu", "mem_mb", "gpu")  # the first in thousandths of a core
+_MOST_OF_ANYTHING = 1_000_000_000
+"""A million cores, a petabyte: what claims to have more cannot be right."""
+_MOST_COUNT = 1 << 52
+"""Of counts and milliseconds: far beyond any, and exact in every reader of JSON."""
+_MOST_TEXT = 256
+"""Characters of a name: what is known of an upstream goes into the log and to every gateway."""
+_MOST_LABELS = 64
+
+
+class _HeartbeatBody(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    seq_no: int
+    cold_left_ms: Any = 0  # by itself, like the capacity
+    clock_ms: int | None = None  # on the worker's own steady clock
+    born: int | msgspec.UnsetType = msgspec.UNSET  # Unix milliseconds of its start, if it tells
+    capacity: Any = None  # by itself, so that a bad one costs nothing else
+    labels: list[str] = []
+    running: list[list[Any]] = []  # where orders come with the answers: as in a look
+    finished: list[list[Any]] = []
+
+
+class _LeaveBody(msgspec.Struct):
+    born: int | msgspec.UnsetType = msgspec.UNSET
+
+
+_leave_decoder = msgspec.json.Decoder(_LeaveBody)
+_heartbeat_decoder = msgspec.json.Decoder(_HeartbeatBody)
+
+
+def decode_heartbeat(name: str, body: bytes) -> Result[Beat, str]:
+    """Decode what the worker with this id says of itself, or tell why it names none."""
+    try:
+        read = _heartbeat_decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(str(error))
+    problem = _find_problem(name, read)
+    if problem is not None:
+        return Err(problem)
+    capacity = _read_capacity(read.capacity)
+    info = UpstreamInfo(
+        id=_name_life(name, read.born),
+        service=ServiceName(read.service),
+        address=read.address,
+        domain=DomainName(read.zone),
+        capacity=capacity or Capacity(),
+        labels=tuple(read.labels),
+    )
+    heartbeat = Heartbeat(
+        info=info,
+        sequence=read.seq_no,
+        draining=read.state == DRAINING,
+        clock_ms=read.clock_ms,
+        has_no_capacity=capacity is None,
+        cold_left_ms=_read_cold_left(read.cold_left_ms),
+        held=read_lists(read.clock_ms, read.running, read.finished),
+    )
+    return Success(Beat(heartbeat=heartbeat))
+
+
+def decode_leave(name: str, body: bytes) -> Result[Leave, str]:
+    """Decode that the worker with this id leaves, or tell why it names none."""
+    try:
+        read = _leave_decoder.decode(body) if body.strip() else _LeaveBody()
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(str(error))
+    if not _is_name(name):
+        return Err("the path names no worker")
+    if not _is_birth(read.born):
+        return Err("born is out of range")
+    return Success(Leave(upstream=_name_life(name, read.born)))
+
+
+def _find_problem(name: str, read: _HeartbeatBody) -> str | None:
+    """Return why what was read cannot be said by a worker, or None."""
+    if not _is_name(name):
+        return "the path names no worker"
+    if read.state not in (READY, DRAINING):
+        return f"unknown state {read.state[:_MOST_TEXT]}"
+    if parse_address(read.address) is None:
+        return "the address is none"
+    texts = (read.service, read.zone, read.address, *read.labels)
+    if not read.service or not read.zone or max(map(len, texts)) > _MOST_TEXT:
+        return "a name is empty or too long"
+    if len(read.labels) > _MOST_LABELS:
+        return "too many labels"
+    if not (0 <= read.seq_no <= _MOST_COUNT and 0 <= (read.clock_ms or 0) <= _MOST_COUNT):
+        return "a count is out of range"
+    return None if _is_birth(read.born) else "born is out of range"
+
+
+def _is_name(name: str) -> bool:
+    return 0 < len(name) <= _MOST_TEXT and SEPARATOR not in name
+
+
+def _is_birth(born: int | msgspec.UnsetType) -> bool:
+    return isinstance(born, msgspec.UnsetType) or 0 <= born <= _MOST_COUNT
+
+
+def _name_life(name: str, born: int | msgspec.UnsetType) -> UpstreamId:
+    return name_life(name, None if isinstance(born, msgspec.UnsetType) else born)
+
+
+def _read_capacity(body: Any) -> Capacity | None:
+    """Return what a worker has to give, or None where that cannot be read or cannot be."""
+    if not isinstance(body, dict):
+        return None
+    amounts = [body.get(name, 0) for name in _CAPACITY_FIELDS]
+    if not all(type(amount) is int and 0 <= amount <= _MOST_OF_ANYTHING for amount in amounts):
+        return None
+    return Capacity(cpu_millis=amounts[0], memory_mb=amounts[1], gpus=amounts[2])
+
+
+def _read_cold_left(value: Any) -> int:
+    """Return for how many milliseconds a worker is still slow; 0 where that cannot be read."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return int(value) if is_number and 0 < value < _MOST_OF_ANYTHING else 0
--- a/cottonlug/platform/workers.py
+++ b/cottonlug/platform/workers.py
@@ -212,17 +212,23 @@
 
 
 def _read_run(row: list[Any]) -> RunReport | None:
+    """Return one run that is listed, or None where it is of no task of ours."""
     ref = parse_task(row[0])
     if ref is None:
         return None
-    return RunReport(task=ref, run=RunNumber(row[1]), checkpoint=row[2], percent=int(row[3]))
+    run, saved, percent = row[1:4]
+    if type(run) is not int or type(saved) is not str or type(percent) not in (int, float):
+        raise ValueError
+    return RunReport(task=ref, run=RunNumber(run), checkpoint=saved, percent=int(percent))
 
 
 def _read_end(row: list[Any]) -> EndReport | None:
-    ref = parse_task(row[1])
-    how = _END_WORDS.get(row[3])
+    """Return one end that is listed, or None where it is of no task of ours."""
+    number, name, run, word = row[:4]
+    saved = row[4] or ""
+    ref, how = parse_task(name), _END_WORDS.get(word)
     if ref is None or how is None:
         return None
-    return EndReport(
-        number=row[0], task=ref, run=RunNumber(row[2]), how=how, checkpoint=row[4] or ""
-    )
+    if type(number) is not int or type(run) is not int or type(saved) is not str:
+        raise ValueError
+    return EndReport(number=number, task=ref, run=RunNumber(run), how=how, checkpoint=saved)
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -12,6 +12,7 @@
 from ..net.connections import IdleConnections
 from .log_output import LogOutput
 from .metrics import Metrics
+from .refused_heartbeats import RefusedHeartbeats
 
 if TYPE_CHECKING:
     from .control_host import ControlHost
@@ -20,7 +21,9 @@
 _KB_PER_MB = 1024
 
 
-def build_control_metrics(host: ControlHost, output: LogOutput, idle: IdleConnections) -> Metrics:
+def build_control_metrics(
+    host: ControlHost, output: LogOutput, idle: IdleConnections, refused: RefusedHeartbeats
+) -> Metrics:
     """Return the metrics of a control host; `idle` are its connections to upstreams."""
 
     def count() -> dict[str, float]:
@@ -29,6 +32,7 @@
             counts.update(dataclasses.asdict(host.leading.dispatch.counts))
         counts.update(dataclasses.asdict(host.replica.counts))
         counts["heartbeats_answered_here"] = host.heartbeats.answered
+        counts["heartbeats_refused"] = refused.count
         counts["idle_connections_closed"] = idle.closed
         counts["log_lines_left_out"] = output.left_out
         return counts
--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -69,6 +69,7 @@
     EVACUATION_REFUSED = EventKind(
         4019, logging.WARNING, "an order to evacuate was not carried out"
     )
+    HEARTBEAT_REFUSED = EventKind(4020, logging.WARNING, "a heartbeat names no upstream to use")
     STORAGE_FAILED = EventKind(5001, logging.ERROR, "the data folder cannot be written")
     STORAGE_TORN = EventKind(5002, logging.WARNING, "a torn tail of a log file was cut")
     STORAGE_DAMAGED = EventKind(5003, logging.ERROR, "a file of the data folder is damaged")
--- a/cottonlug/tests/test_evacuations.py
+++ b/cottonlug/tests/test_evacuations.py
@@ -358,7 +358,14 @@
 def test_how_long_an_upstream_is_cold_is_read_and_nonsense_costs_nothing_else(
     cold_left: object, read: int
 ) -> None:
-    body = {"service": "s", "address": "10.0.0.1:80", "seq_no": 7, "cold_left_ms": cold_left}
+    body = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "state": "ready",
+        "seq_no": 7,
+        "cold_left_ms": cold_left,
+    }
     _, calls = ask("PUT", "/instances/i-1", msgspec.json.encode(body))
     assert isinstance(calls[0], Beat)
     assert (calls[0].heartbeat.cold_left_ms, calls[0].heartbeat.sequence) == (read, 7)
--- a/cottonlug/tests/test_heartbeat_orders.py
+++ b/cottonlug/tests/test_heartbeat_orders.py
@@ -236,7 +236,8 @@
 
     name = "5c0e7a21d94b36f8.0.0.1"
     body = {
-        "service": "s", "address": "10.0.0.1:80", "zone": "z", "seq_no": 4, "clock_ms": 482_113,
+        "service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready", "seq_no": 4,
+            "clock_ms": 482_113,
         "running": [[name, 2, "00000bb87a21d94b", 41]],
         "finished": [[58, name, 1, "done", ""]],
     }  # fmt: skip
