Every fault at every order of a small site, alone and in pairs

Not found in pairs: looks without an answer that renew (nothing runs twice), and overtaken lists (no answer overtakes another in the model).

--- /dev/null
+++ b/cottonlug/tests/fault_explorer.py
@@ -0,0 +1,230 @@
+"""Plays a small site with every fault at every order, alone and in pairs, instead of by chance.
+
+A play is fixed by its script: which fault strikes as the order with which number is sent. Without a
+script nothing goes wrong. The explorer plays all scripts of up to a number of faults; since a fault
+changes only what comes after it, each script is extended at later orders only, and one that changed
+nothing is not extended. The model of the wire asserts what must never happen.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from ..core.cluster.crashes import MOST_CRASHES
+from ..core.cluster.lives import choose_terms
+from ..core.cluster.model import JobId, JobState
+from ..core.cluster.records import Records
+from ..core.cluster.term import TOKENS_PER_TERM
+from .model_upstreams import World, build_queue, build_spec, milliseconds
+from .wire_site import Fate, WireHost, WireLeader, beat_forever, build_hosts
+
+TERMS = choose_terms(timedelta(seconds=1), timedelta(milliseconds=1_300), milliseconds(300))
+JOB = JobId("a" * 16)
+OTHER = JobId("b" * 16)
+RUN = milliseconds(1_600)
+"""Longer than any lease, so that one may end under a run."""
+SPEC = build_spec(tasks=1, run_ms=1_600)
+QUEUE = build_queue(max_attempts=50, target_ms=60_000)
+NEAR = milliseconds(1)
+SUBMITTED_AT = milliseconds(100)
+FAULTS_UNTIL = milliseconds(900)
+"""Faults strike until then; what they lead to is played on."""
+ENDED_BY = timedelta(seconds=12)
+CUT_FOR = milliseconds(1_500)
+"""Longer than any lease."""
+WITHOUT_LEADER = milliseconds(300)
+GATEWAY_AFTER = milliseconds(60)
+"""After a change of leader, until a gateway submits its jobs again."""
+CALLER_AFTER = milliseconds(1_300)
+"""After its gateway was lost, until a caller sends its job again."""
+
+
+class Fault(Enum):
+    """What strikes as an order is sent."""
+
+    ORDER_LOST = "the order is lost"
+    ANSWER_LOST = "its answer is lost"
+    HELD = "it is carried out 0.5 s later, unanswered"
+    STARTS_AGAIN = "its upstream starts again"
+    CUT = "its upstream is cut off"
+    LEADER_LOST = "the leader is lost"
+    GATEWAY_LOST = "the gateway is lost"
+
+
+Script = tuple[tuple[int, Fault], ...]
+"""Numbers of orders, rising, each with the fault that strikes there."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Outcome:
+    """What a play came to."""
+
+    problem: str = ""
+    """What must not happen and did, empty where nothing did."""
+    orders: int = 0
+    """Orders sent while faults could strike."""
+    timeline: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class Play:
+    """One play of a script."""
+
+    script: dict[int, Fault]
+    world: World = field(default_factory=lambda: World(random=random.Random(7)))
+    hosts: dict[str, WireHost] = field(init=False)
+    records: Records = field(default_factory=Records)
+    leaders: list[WireLeader] = field(default_factory=list)
+    outcome: Outcome = field(default_factory=Outcome)
+
+    def __post_init__(self) -> None:
+        self.hosts = build_hosts(self.world, 2, run_ms=lambda: RUN / milliseconds(1), rate=0.98)
+        for number, host in enumerate(self.hosts.values()):
+            host.process.clock_began_ms = 5_000_000 + number
+            self.world.at(NEAR * number, lambda host=host: beat_forever(host, self._find_leader))  # type: ignore[misc]
+
+    def run(self) -> Outcome:
+        """Play the script to its end."""
+        self._lead()
+        try:
+            self.world.run_until(SUBMITTED_AT)
+            self._submit(may_have_begun=False)
+            self.world.run_until(ENDED_BY)
+        except AssertionError as error:
+            self._tell(f"broken: {error}")
+            self.outcome.problem = str(error)
+            return self.outcome
+        for job in (JOB, OTHER):
+            ended = self._find_leader().dispatch.jobs.find_ended(job)
+            if ended is not JobState.COMPLETED and not self._may_have_crashed(ended):
+                self.outcome.problem = f"{job} has not ended: {ended}"
+        return self.outcome
+
+    def _may_have_crashed(self, ended: JobState | None) -> bool:
+        """Whether a job may have failed since two upstreams have crashed under one of its tasks."""
+        starts = list(self.script.values()).count(Fault.STARTS_AGAIN)
+        return ended is JobState.FAILED and starts >= MOST_CRASHES
+
+    def _find_leader(self) -> WireLeader:
+        return self.leaders[-1]
+
+    def _tell(self, what: str) -> None:
+        self.outcome.timeline.append(f"{self.world.now / milliseconds(1):8.1f} ms  {what}")
+
+    def _lead(self) -> None:
+        leader = WireLeader(
+            world=self.world,
+            upstreams={},
+            records=self.records,
+            token=(len(self.leaders) + 1) * TOKENS_PER_TERM,
+            terms=TERMS,
+            hosts=self.hosts,
+            choose_fate=self._choose_fate,
+        )
+        if self.leaders:
+            leader.cut_off = self.leaders[-1].cut_off
+        self.leaders.append(leader)
+
+    def _submit(self, *, may_have_begun: bool) -> None:
+        leader = self._find_leader()
+        if not leader.is_over:
+            for job in (JOB, OTHER):
+                leader.submit(job, SPEC, QUEUE, may_have_begun=may_have_begun)
+
+    def _choose_fate(self, host: WireHost) -> Fate:
+        """Return what becomes of the next order, and have its fault strike."""
+        usual = Fate(there=NEAR, back=NEAR)
+        if self.world.now > FAULTS_UNTIL or self.world.now < SUBMITTED_AT:
+            return usual
+        number = self.outcome.orders
+        self.outcome.orders += 1
+        fault = self.script.get(number)
+        if fault is None:
+            return usual
+        self._tell(f"order {number} to {host.name}: {fault.value}")
+        if fault is Fault.ORDER_LOST:
+            return Fate(there=None, back=None)
+        if fault is Fault.ANSWER_LOST:
+            return Fate(there=NEAR, back=None)
+        if fault is Fault.HELD:
+            return Fate(there=NEAR, back=None, held=milliseconds(500))
+        if fault is Fault.STARTS_AGAIN:
+            # Its clock begins anew, far below or above.
+            host.start_again()
+            host.process.clock_began_ms = (1_000_000, 9_000_000)[number % 2]
+        elif fault is Fault.CUT:
+            self._find_leader().cut_off.add(host.info.id)
+            self.world.at(CUT_FOR, lambda: self._find_leader().cut_off.discard(host.info.id))
+        elif fault is Fault.LEADER_LOST:
+            self._lose_leader()
+        else:
+            self._lose_gateway()
+        return usual
+
+    def _lose_leader(self) -> None:
+        self._find_leader().is_over = True
+        self.world.at(WITHOUT_LEADER, self._lead)
+        again = WITHOUT_LEADER + GATEWAY_AFTER
+        self.world.at(again, lambda: self._submit(may_have_begun=True))
+
+    def _lose_gateway(self) -> None:
+        leader = self._find_leader()
+        # Whoever decides gives its jobs up once it has not been heard for 0.3 s.
+        self.world.at(milliseconds(300), lambda: self._give_up(leader))
+        self.world.at(CALLER_AFTER, lambda: self._submit(may_have_begun=False))
+
+    def _give_up(self, leader: WireLeader) -> None:
+        if not leader.is_over:
+            leader.dispatch.abandon(JOB, "", self.world.now)
+            leader.act()
+
+
+@dataclass(slots=True, kw_only=True)
+class Explored:
+    """What an exploration found."""
+
+    plays: int = 0
+    broken: list[Script] = field(default_factory=list)
+
+
+def explore(most_faults: int, *, most_orders: int | None = None, stop_at: int = 1) -> Explored:
+    """Play all scripts of up to so many faults, those with fewer first."""
+    explored = Explored()
+    first = Play(script={}).run()
+    assert not first.problem, first
+    level: list[tuple[Script, int]] = [((), first.orders)]
+    for _ in range(most_faults):
+        extended: list[tuple[Script, int]] = []
+        for script, orders in level:
+            last = min(orders, most_orders) if most_orders is not None else orders
+            for longer in _extend(script, last):
+                outcome = Play(script=dict(longer)).run()
+                explored.plays += 1
+                if outcome.problem:
+                    explored.broken.append(longer)
+                    if len(explored.broken) >= stop_at:
+                        return explored
+                elif outcome.orders > longer[-1][0] + 1:
+                    extended.append((longer, outcome.orders))
+        level = extended
+    return explored
+
+
+def _extend(script: Script, orders: int) -> Iterator[Script]:
+    begin = script[-1][0] + 1 if script else 0
+    for number in range(begin, orders):
+        for fault in Fault:
+            yield (*script, (number, fault))
+
+
+def describe(script: Script) -> str:
+    """Return the timeline of a script, without faults that it does not need."""
+    for each in script:
+        shorter = tuple(other for other in script if other is not each)
+        if shorter and Play(script=dict(shorter)).run().problem:
+            return describe(shorter)
+    return "\n".join(Play(script=dict(script)).run().timeline)
--- a/cottonlug/tests/wire_site.py
+++ b/cottonlug/tests/wire_site.py
@@ -294,6 +294,29 @@
         return Success(HttpReply(status=status, body=msgspec.json.encode(body)))
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fate:
+    """What becomes of one call: its times on the way, None where it is lost there."""
+
+    there: timedelta | None
+    back: timedelta | None
+    held: timedelta | None = None
+    """How much later the upstream carries it out, and does not answer; None where it does."""
+
+
+def draw_fate(world: World) -> Fate:
+    """Return what chance makes of a call, by the shares of the world."""
+    chance = world.random
+    drawn = chance.random()
+    is_late = drawn < world.late_share
+    is_answered = drawn >= world.late_share + world.lost_share
+    return Fate(
+        there=milliseconds(chance.uniform(0.5, 4)),
+        back=milliseconds(chance.uniform(0.5, 4)) if is_answered else None,
+        held=milliseconds(chance.uniform(2_000, 12_000)) if is_late else None,
+    )
+
+
 @dataclass(slots=True, kw_only=True)
 class WireLeader(Leader):
     """A dispatch that calls its upstreams by the platform's client."""
@@ -303,6 +326,8 @@
     client: WorkerClient = field(
         default_factory=lambda: WorkerClient(pools=cast(ConnectionPools, _Pools()))
     )
+    choose_fate: Callable[[WireHost], Fate] = lambda host: draw_fate(host.world)
+    """What becomes of a call, chosen as it is sent."""
 
     def hear(self, host: WireHost, body: bytes) -> None:
         """Take a heartbeat in as a control host does."""
@@ -353,25 +378,21 @@
         """Bring one call to its upstream, and its reply back."""
         world = self.world
         host = self.hosts[order.upstream.address]
-        if host.info.id in self.cut_off:
+        fate = self.choose_fate(host)
+        if host.info.id in self.cut_off or fate.there is None:
             return
-        fate = world.random.random()
-        there = milliseconds(world.random.uniform(0.5, 4))
-        back = milliseconds(world.random.uniform(0.5, 4))
-        loses_answer = fate < world.late_share + world.lost_share
 
         def reply(result: WireReply) -> None:
-            if not loses_answer:
-                world.at(back, lambda: finish(result))
+            if fate.back is not None and host.info.id not in self.cut_off:
+                world.at(fate.back, lambda: finish(result))
 
         def arrive() -> None:
-            if fate < world.late_share and host.process.is_up:
-                late = milliseconds(world.random.uniform(2_000, 12_000))
-                world.at(late, host.take_late(exchange))
+            if fate.held is not None and host.process.is_up:
+                world.at(fate.held, host.take_late(exchange))
             else:
                 host.take(exchange, reply)
 
-        world.at(there, arrive)
+        world.at(fate.there, arrive)
 
     def _call(self, order: Order) -> Coroutine[Any, Any, object]:
         if isinstance(order, StartOrder):
