What an upstream costs that joins does not grow with the number of upstreams

With it an earlier life is looked at once a later one comes at another address, too; before only at its own (test_an_earlier_life_is_looked_at_once_a_later_one_comes_at_whatever_address).

--- a/cottonlug/core/cluster/life_table.py
+++ b/cottonlug/core/cluster/life_table.py
@@ -7,6 +7,7 @@
 from ..ids import DomainName, UpstreamId
 from .admission import measure_room
 from .guards import MOST_SET_ASIDE, Health
+from .identity import get_name, is_earlier
 from .lives import Life
 from .model import JobId, RunNumber, ServiceName, TaskRef, UpstreamInfo
 from .term import Term
@@ -32,6 +33,8 @@
         self._room: tuple[timedelta, float] | None = None
         self._term = term
         self._by_address: dict[str, UpstreamId] = {}
+        self._newest: dict[str, UpstreamId] = {}
+        """The newest life under each name."""
         self._health: dict[UpstreamId, Health] = {}
         for record in term.records.upstreams.values():
             life = self.add(record.info, record.noted, record.draining, term.began_at)
@@ -66,15 +69,29 @@
         )
         self.by_id[info.id] = life
         self.touch(life)
-        earlier = self.by_id.get(self._by_address.get(info.address, info.id))
+        self._check(self._by_address.get(info.address), life, now)
         self._by_address[info.address] = info.id
-        if earlier is not None and earlier.info.id != info.id:
-            # Only an answer shows which of the two lives holds the address now.
-            earlier.look_due = now
-            earlier.must_check = True
-            self.touch(earlier)
+        name = get_name(info.id)
+        newest = self._newest.get(name)
+        if newest is None or is_earlier(newest, info.id):
+            self._check(newest, life, now)
+            self._newest[name] = info.id
         return life
 
+    def _check(self, earlier: UpstreamId | None, life: Life, now: timedelta) -> None:
+        """Have an earlier life looked at: only an answer shows which of the two there is now."""
+        found = self.by_id.get(earlier) if earlier is not None else None
+        if found is None or found is life:
+            return
+        found.look_due = now
+        found.must_check = True
+        self.touch(found)
+
+    def find_later(self, id: UpstreamId) -> Life | None:
+        """Return the newest life under the same name, if it began after the one that is named."""
+        newest = self._newest.get(get_name(id))
+        return self.by_id[newest] if newest is not None and is_earlier(id, newest) else None
+
     def drop(self, upstream: UpstreamId) -> None:
         """Forget a life."""
         life = self.by_id.pop(upstream, None)
@@ -83,6 +100,8 @@
         self.unseen.discard(upstream)
         if life is not None and self._by_address.get(life.info.address) == upstream:
             del self._by_address[life.info.address]
+        if self._newest.get(get_name(upstream)) == upstream:
+            del self._newest[get_name(upstream)]
 
     def touch(self, life: Life) -> None:
         """Have a life gone through with the next decisions, since something about it changed."""
--- a/cottonlug/core/cluster/registry.py
+++ b/cottonlug/core/cluster/registry.py
@@ -6,7 +6,6 @@
 
 from ..ids import UpstreamId
 from .commands import AddUpstream, DoubtCapacities, ResizeUpstream, SetDraining
-from .identity import is_earlier
 from .life_table import LifeTable
 from .lives import Life
 from .model import Heartbeat
@@ -25,7 +24,7 @@
     def take_heartbeat(self, heartbeat: Heartbeat, now: timedelta) -> None:
         """Learn that an upstream lives, what it has to give, and whether it is leaving."""
         life = self._lives.by_id.get(heartbeat.info.id)
-        later = self._find_later(heartbeat.info.id) if life is None else None
+        later = self._lives.find_later(heartbeat.info.id) if life is None else None
         if later is not None:
             self._note_overtaken(later, heartbeat)
             return
@@ -53,11 +52,6 @@
         if not life.is_fenced and not life.look_is_out:
             life.look_due = now
 
-    def _find_later(self, id: UpstreamId) -> Life | None:
-        """Return a life that began under the same name after the one that is named, if any."""
-        lives = self._lives.by_id.values()
-        return next((each for each in lives if is_earlier(id, each.info.id)), None)
-
     def _note_overtaken(self, life: Life, heartbeat: Heartbeat) -> None:
         self._term.note(
             "heartbeat_overtaken",
--- a/cottonlug/tests/test_lives_on_every_path.py
+++ b/cottonlug/tests/test_lives_on_every_path.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
+from datetime import timedelta
 
 import msgspec
+import pytest
 
-from ..core.cluster.commands import AddUpstream, ResizeUpstream, SetDraining
-from ..core.cluster.identity import name_life
+from ..core.cluster import life_table
+from ..core.cluster.commands import AddUpstream, RemoveUpstreams, ResizeUpstream, SetDraining
+from ..core.cluster.identity import is_earlier, name_life
 from ..core.cluster.model import Capacity, Heartbeat, JobId, JobState, LookReply, UpstreamInfo
 from ..core.cluster.orders import StartOrder
 from ..core.cluster.records import Records
@@ -18,12 +22,14 @@
 from ..runtime.gateways import Gateways
 from .gateway_builders import build_clock, greet
 from .model_upstreams import World, build_info, build_queue, build_spec, milliseconds
+from .test_cluster_overtaken import build_dispatch
 from .test_cluster_spread import beat, build_desk, tell
 from .test_heartbeat_orders import REF, RUN, TOKEN, Exchange, play, settle
 from .wire_site import WireLeader, build_hosts
 
 BORN = 1_790_000_000_000
 GATEWAY = "10.0.0.2:7000"
+NOW = timedelta(seconds=1)
 
 
 def build_life(number: int, name: str = "u1") -> UpstreamInfo:
@@ -123,6 +129,42 @@
     play(scenario)
 
 
+# Guards against seconds of a leader's time when thousands of upstreams join at once.
+def test_what_an_upstream_costs_that_joins_does_not_grow_with_their_number(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    compared = itertools.count()
+
+    def count(life: UpstreamId, other: UpstreamId) -> bool:
+        next(compared)
+        return is_earlier(life, other)
+
+    monkeypatch.setattr(life_table, "is_earlier", count)
+    dispatch = build_dispatch([])
+    for number in range(2, 500):
+        dispatch.take_heartbeat(
+            msgspec.structs.replace(beat(), info=build_life(0, f"u{number}")), NOW
+        )
+        for command in dispatch.take_proposals():
+            dispatch.take_applied(command, NOW)
+    assert len(dispatch.lives) == 499
+    assert next(compared) <= 2 * 499
+
+
+def test_an_earlier_life_is_looked_at_once_a_later_one_comes_at_whatever_address() -> None:
+    dispatch = build_dispatch([])
+    moved = msgspec.structs.replace(build_life(1), address="10.9.9.9:80")
+    for info in (build_life(0), moved):
+        dispatch.take_applied(AddUpstream(info=info), NOW)
+    life = dispatch.lives[build_life(0).id]
+    assert life.must_check and life.look_due == NOW
+    assert not dispatch.lives[moved.id].must_check
+    earlier = msgspec.structs.replace(beat(sequence=90), info=build_life(0))
+    dispatch.take_applied(RemoveUpstreams(upstreams=(build_life(0).id,)), NOW)
+    dispatch.take_heartbeat(earlier, NOW)
+    assert dispatch.take_proposals() == []
+
+
 def test_lives_of_other_upstreams_are_not_taken_for_earlier_ones() -> None:
     records = build_records()
     records.apply(AddUpstream(info=build_life(0, "u11")))
