--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -9,7 +9,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -536,3 +536,19 @@
         else:
             reply = value if isinstance(value, LookReply | CallFailure) else CallFailure.NO_ANSWER
             self.dispatch.take_look(order, reply, sent_at, now)
+
+
+def lead_site(infos: Iterable[UpstreamInfo], *, seed: int, run_ms: int) -> Leader:
+    """Return a leader that has heard all these upstreams, 0.1 s after its term began."""
+    world = World(random=random.Random(seed))
+    upstreams = {
+        info.id: ModelUpstream(
+            world=world, info=info, rate=1.0, run_times=lambda job: milliseconds(run_ms)
+        )
+        for info in infos
+    }
+    leader = Leader(world=world, upstreams=upstreams, records=Records(), token=1_000_000)
+    for upstream in upstreams.values():
+        leader.beat(upstream, 1)
+    world.run_until(milliseconds(100))
+    return leader
--- a/cottonlug/tests/test_cluster_homes.py
+++ b/cottonlug/tests/test_cluster_homes.py
@@ -6,21 +6,19 @@
 
 from __future__ import annotations
 
-import random
 from collections import Counter
 
 from ..core.cluster.model import JobId, JobState
 from ..core.cluster.open_job import Submission
-from ..core.cluster.records import JobRecord, Records
+from ..core.cluster.records import JobRecord
 from ..core.ids import DomainName, UpstreamId
 from .model_upstreams import (
     SETTLE_AFTER,
     Leader,
-    ModelUpstream,
-    World,
     build_info,
     build_queue,
     build_spec,
+    lead_site,
     milliseconds,
 )
 
@@ -30,18 +28,11 @@
 
 
 def build_leader(seed: int, run_ms: int = 200) -> Leader:
-    world = World(random=random.Random(seed))
-    upstreams: dict[UpstreamId, ModelUpstream] = {}
-    for number in range(len(DOMAINS) * EACH):
-        info = build_info(f"u{number + 1}", domain=DOMAINS[number % len(DOMAINS)])
-        upstreams[info.id] = ModelUpstream(
-            world=world, info=info, rate=1.0, run_times=lambda job: milliseconds(run_ms)
-        )
-    leader = Leader(world=world, upstreams=upstreams, records=Records(), token=1_000_000)
-    for upstream in upstreams.values():
-        leader.beat(upstream, 1)
-    world.run_until(milliseconds(100))
-    return leader
+    infos = [
+        build_info(f"u{number + 1}", domain=DOMAINS[number % len(DOMAINS)])
+        for number in range(len(DOMAINS) * EACH)
+    ]
+    return lead_site(infos, seed=seed, run_ms=run_ms)
 
 
 def submit(leader: Leader, number: int, home: DomainName | None, tasks: int) -> JobId:
--- a/cottonlug/tests/test_cluster_rooms.py
+++ b/cottonlug/tests/test_cluster_rooms.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from datetime import timedelta
 
 import msgspec
@@ -14,16 +13,14 @@
 from ..core.cluster.records import Records
 from ..core.cluster.rooms import Rooms
 from ..core.cluster.term import Term
-from ..core.ids import UpstreamId
 from .model_upstreams import (
     SERVICE,
     TERMS,
     Leader,
-    ModelUpstream,
-    World,
     build_info,
     build_queue,
     build_spec,
+    lead_site,
     milliseconds,
 )
 
@@ -34,18 +31,8 @@
 
 
 def build_leader(count: int, run_ms: int = 400) -> Leader:
-    world = World(random=random.Random(1))
-    upstreams: dict[UpstreamId, ModelUpstream] = {}
-    for number in range(count):
-        info = build_info(f"u{number + 1}")
-        upstreams[info.id] = ModelUpstream(
-            world=world, info=info, rate=1.0, run_times=lambda job: milliseconds(run_ms)
-        )
-    leader = Leader(world=world, upstreams=upstreams, records=Records(), token=1_000_000)
-    for upstream in upstreams.values():
-        leader.beat(upstream, 1)
-    world.run_until(milliseconds(100))
-    return leader
+    infos = [build_info(f"u{number + 1}") for number in range(count)]
+    return lead_site(infos, seed=1, run_ms=run_ms)
 
 
 def build_wide(cpu_millis: int) -> JobSpec:
