--- a/bench/leader.py
+++ b/bench/leader.py
@@ -27,6 +27,7 @@
 
 from cottonlug.config.options import Address
 from cottonlug.core.cluster.calls import Answer, Call, Greet, Submit, call_decoder
+from cottonlug.core.cluster.identity import name_life
 from cottonlug.core.cluster.lives import choose_terms
 from cottonlug.core.cluster.model import (
     Capacity,
@@ -39,7 +40,7 @@
     UpstreamInfo,
 )
 from cottonlug.core.cluster.records import UpstreamRecord
-from cottonlug.core.ids import DomainName, UpstreamId
+from cottonlug.core.ids import DomainName
 from cottonlug.net.asgi import HttpRequest, HttpResponse, build_asgi
 from cottonlug.net.connections import ConnectionPools
 from cottonlug.net.servers import Listener
@@ -54,7 +55,7 @@
 from cottonlug.tests.test_cluster_waiting import OwnOffice
 
 from .callers import KINDS
-from .standin import build_address
+from .standin import BORN_MS, build_address
 
 UPSTREAMS = 40
 GATEWAYS = 15
@@ -94,7 +95,7 @@
     """Return what the stand-ins would say of themselves."""
     return [
         UpstreamInfo(
-            id=UpstreamId(f"u{number}"),
+            id=name_life(f"u{number}", BORN_MS),
             service=SERVICE,
             address=f"{build_address(number)}:{port}",
             domain=DomainName("domain"),
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -21,6 +21,8 @@
 
 FIRST_ADDRESS = (127, 0, 1, 1)
 READY_LINE = "ready"
+BORN_MS = 1_790_000_000_000
+"""When all of them say that they started, in Unix milliseconds; they do so once."""
 
 
 def build_address(number: int) -> str:
@@ -62,7 +64,12 @@
             [task, run, "", int(100 * (now - began) / lasts)]
             for task, (run, began, lasts) in self.runs.items()
         ]
-        return {"clock_ms": _read_clock(), "running": running, "finished": self.ended}
+        return {
+            "clock_ms": _read_clock(),
+            "running": running,
+            "finished": self.ended,
+            "born": BORN_MS,
+        }
 
     def _end(self, task: str, run: int) -> None:
         if self.runs.pop(task, None) is not None:
