--- a/cottonlug/net/connections.py
+++ b/cottonlug/net/connections.py
@@ -30,27 +30,27 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Introduction:
-    """How whoever answers on a new connection says who they are.
+class Handshake:
+    """The first call on a connection, by which the process at its other side shows its identity.
 
-    A connection ends with the process at its other side. So a call that is made where its owner has
-    answered is carried out by that process or by none, also where another one listens by now.
+    A connection ends with that process. So a call on a connection whose identity was confirmed is
+    carried out by the process that it is for or by none, even if another one listens there by now.
     """
 
-    owner: str
-    """Whom the call is for."""
-    is_owner: Callable[[HttpReply], bool]
-    """Whether a reply to an introduction, with status 200, came from the owner."""
+    identity: str
+    """Of the process that calls are for."""
+    confirms: Callable[[HttpReply], bool]
+    """Whether a reply with status 200 came from that process."""
     path: str = ""
-    """Of a call that changes nothing at the other side; empty where the call itself does not."""
+    """Of a call that changes nothing at the other side; empty where the call to be made is one."""
     body: bytes = b""
 
 
 class _Connection(asyncio.Protocol):
     """One connection; `call` sends a request and waits for its reply."""
 
-    owner = ""
-    """Who has answered an introduction on it."""
+    identity = ""
+    """Of the process at its other side, once that was confirmed."""
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
@@ -183,29 +183,29 @@
         *,
         timeout: timedelta,
         headers: Mapping[str, str] | None = None,
-        introduction: Introduction | None = None,
+        handshake: Handshake | None = None,
     ) -> Result[HttpReply, TransportError]:
         """Make one call; an idle connection that breaks before a reply leaves its fate unknown.
 
         A body that tells when it was sent is given as a function: there may be no connection free.
-        Where an introduction is refused, the call is not sent, and its reply is that of the other.
+        Where a handshake is refused, the call is not sent, and the refusal is its reply.
         """
         self.counts.calls += 1
         try:
             async with asyncio.timeout(timeout.total_seconds()), self._room:
-                connection = await self._take(introduction.owner if introduction else "")
+                connection = await self._take(handshake.identity if handshake else "")
                 if isinstance(connection, TransportError):
                     self.counts.failed += 1
                     return Err(connection)
-                if introduction is not None and introduction.path:
-                    refused = await self._introduce(connection, introduction, headers or {})
+                if handshake is not None and handshake.path:
+                    refused = await self._identify(connection, handshake, headers or {})
                     if refused is not None:
                         return refused
                 whole = body if isinstance(body, bytes) else body()
                 data = _build_request(self.address, method, path, whole, headers or {})
                 result = await self._exchange(connection, data)
-                if introduction is not None and isinstance(result, Success):
-                    _note_owner(connection, introduction, result.unwrap())
+                if handshake is not None and isinstance(result, Success):
+                    _note_identity(connection, handshake, result.unwrap())
                 self._release(connection)
                 return result
         except TimeoutError:
@@ -225,13 +225,13 @@
         for connection in self._busy:
             connection.close()
 
-    async def _introduce(
-        self, connection: _Connection, introduction: Introduction, headers: Mapping[str, str]
+    async def _identify(
+        self, connection: _Connection, handshake: Handshake, headers: Mapping[str, str]
     ) -> Result[HttpReply, TransportError] | None:
-        """Learn who answers on a connection; None where it is the owner."""
-        if connection.owner == introduction.owner:
+        """Have the identity confirmed; return what takes the place of the call's own result."""
+        if connection.identity == handshake.identity:
             return None
-        data = _build_request(self.address, "POST", introduction.path, introduction.body, headers)
+        data = _build_request(self.address, "POST", handshake.path, handshake.body, headers)
         result = await self._exchange(connection, data)
         if isinstance(result, Err):
             return Err(TransportError(message=result.failure().message, unsent=True))
@@ -239,12 +239,12 @@
         if reply.status != OK:
             self._release(connection)
             return result
-        _note_owner(connection, introduction, reply)
-        if connection.owner == introduction.owner:
+        _note_identity(connection, handshake, reply)
+        if connection.identity == handshake.identity:
             return None
         self._release(connection)
-        message = f"{introduction.owner} does not answer here any more"
-        return Err(TransportError(message=message, unsent=True, is_stranger=True))
+        message = f"{handshake.identity} does not answer here any more"
+        return Err(TransportError(message=message, unsent=True, is_identity_mismatch=True))
 
     async def _exchange(
         self, connection: _Connection, data: bytes
@@ -269,12 +269,12 @@
             self._idle.append(connection)
             self._all_idle.add(connection)
 
-    async def _take(self, owner: str) -> _Connection | TransportError:
-        """Return an idle connection, or a new one; none on which another owner has answered."""
+    async def _take(self, identity: str) -> _Connection | TransportError:
+        """Return an idle connection, or a new one; none whose identity is known to be another."""
         while self._idle:
             connection = self._idle.pop()
             self._all_idle.discard(connection)
-            if connection.is_open and connection.owner in ("", owner):
+            if connection.is_open and connection.identity in ("", identity):
                 return connection
             connection.close()
         loop = asyncio.get_running_loop()
@@ -324,10 +324,10 @@
             self.drop(address)
 
 
-def _note_owner(connection: _Connection, introduction: Introduction, reply: HttpReply) -> None:
-    is_new = connection.owner != introduction.owner
-    if is_new and reply.status == OK and introduction.is_owner(reply):
-        connection.owner = introduction.owner
+def _note_identity(connection: _Connection, handshake: Handshake, reply: HttpReply) -> None:
+    is_new = connection.identity != handshake.identity
+    if is_new and reply.status == OK and handshake.confirms(reply):
+        connection.identity = handshake.identity
 
 
 def parse_address(text: str) -> Address | None:
--- a/cottonlug/net/transport.py
+++ b/cottonlug/net/transport.py
@@ -19,5 +19,5 @@
 
     message: str
     unsent: bool
-    is_stranger: bool = False
-    """Whether somebody else answers at the address than the call is for; it was not sent then."""
+    is_identity_mismatch: bool = False
+    """Whether another process answers at the address than the call is for; it was not sent."""
--- a/cottonlug/platform/workers.py
+++ b/cottonlug/platform/workers.py
@@ -26,7 +26,7 @@
     StartOutcome,
     StopOrder,
 )
-from ..net.connections import ConnectionPools, Introduction, parse_address
+from ..net.connections import ConnectionPools, Handshake, parse_address
 from ..net.transport import HttpReply, TransportError
 from .jobs import name_task, parse_task
 
@@ -128,24 +128,24 @@
         pool = self._pools.get(address)
         headers = {LIFE_HEADER: get_name(upstream.id)}
         data = msgspec.json.encode(body)
-        introduction = None
+        handshake = None
         if find_birth(upstream.id) is not None:
             changes_nothing = path == LOOK and not body["last_seen"] and "expires_ms" not in body
-            introduction = _introduce(upstream, body["fencing_token"], changes_nothing)
+            handshake = _build_handshake(upstream, body["fencing_token"], changes_nothing)
         return await pool.call(
-            "POST", path, data, timeout=timeout, headers=headers, introduction=introduction
+            "POST", path, data, timeout=timeout, headers=headers, handshake=handshake
         )
 
 
-def _introduce(upstream: UpstreamInfo, token: int, is_call_itself: bool) -> Introduction:
-    """Return how a worker shows which of its lives answers on a connection.
+def _build_handshake(upstream: UpstreamInfo, token: int, is_call_itself: bool) -> Handshake:
+    """Return the handshake by which a worker shows which of its lives answers.
 
     The header names its id alone, and a later life may have the same.
     """
     look = msgspec.json.encode({"fencing_token": token, "last_seen": 0})
-    return Introduction(
-        owner=upstream.id,
-        is_owner=lambda reply: _is_born(upstream, _read_reply(reply)),
+    return Handshake(
+        identity=upstream.id,
+        confirms=lambda reply: _is_born(upstream, _read_reply(reply)),
         path="" if is_call_itself else LOOK,
         body=b"" if is_call_itself else look,
     )
@@ -156,13 +156,13 @@
 
 
 def _find_lost_start(error: TransportError) -> StartOutcome:
-    if error.is_stranger:
+    if error.is_identity_mismatch:
         return StartOutcome.LIFE_ENDED
     return StartOutcome.NOT_SENT if error.unsent else StartOutcome.UNKNOWN
 
 
 def _find_lost_call(error: TransportError) -> CallFailure:
-    return CallFailure.LIFE_ENDED if error.is_stranger else CallFailure.NO_ANSWER
+    return CallFailure.LIFE_ENDED if error.is_identity_mismatch else CallFailure.NO_ANSWER
 
 
 def read_lists(
--- a/cottonlug/tests/test_introductions.py
+++ b/cottonlug/tests/test_handshakes.py
@@ -13,7 +13,7 @@
 from returns.result import Success
 
 from ..config.options import Address
-from ..net.connections import ConnectionPool, Introduction
+from ..net.connections import ConnectionPool, Handshake
 from ..net.transport import HttpReply
 
 SECOND = timedelta(seconds=5)
@@ -58,9 +58,12 @@
             )
 
 
-def introduce(owner: str, *, path: str = "/who") -> Introduction:
-    return Introduction(
-        owner=owner, is_owner=lambda reply: reply.body == owner.encode(), path=path, body=b"{}"
+def build_handshake(identity: str, *, path: str = "/who") -> Handshake:
+    return Handshake(
+        identity=identity,
+        confirms=lambda reply: reply.body == identity.encode(),
+        path=path,
+        body=b"{}",
     )
 
 
@@ -76,10 +79,12 @@
     asyncio.run(run())
 
 
-def test_a_connection_is_introduced_once() -> None:
+def test_a_connection_is_identified_once() -> None:
     async def act(first: StandIn, pool: ConnectionPool) -> None:
         for _ in range(3):
-            result = await pool.call("POST", "/do", timeout=SECOND, introduction=introduce("first"))
+            result = await pool.call(
+                "POST", "/do", timeout=SECOND, handshake=build_handshake("first")
+            )
             assert result == Success(HttpReply(status=200, body=b"first"))
         assert first.paths == ["/who", "/do", "/do", "/do"]
         assert first.connections == 1
@@ -87,11 +92,11 @@
     play(act)
 
 
-def test_a_call_that_changes_nothing_introduces_itself() -> None:
+def test_a_call_that_changes_nothing_is_its_own_handshake() -> None:
     async def act(first: StandIn, pool: ConnectionPool) -> None:
-        itself = introduce("first", path="")
-        await pool.call("POST", "/who", timeout=SECOND, introduction=itself)
-        await pool.call("POST", "/do", timeout=SECOND, introduction=introduce("first"))
+        itself = build_handshake("first", path="")
+        await pool.call("POST", "/who", timeout=SECOND, handshake=itself)
+        await pool.call("POST", "/do", timeout=SECOND, handshake=build_handshake("first"))
         assert first.paths == ["/who", "/do"]
 
     play(act)
@@ -100,15 +105,15 @@
 # Guards against orders that a later process at the address carries out for the earlier one.
 def test_a_call_for_a_process_that_has_ended_is_not_sent_to_the_next_one() -> None:
     async def act(first: StandIn, pool: ConnectionPool) -> None:
-        await pool.call("POST", "/do", timeout=SECOND, introduction=introduce("first"))
+        await pool.call("POST", "/do", timeout=SECOND, handshake=build_handshake("first"))
         await first.stop()
         second = StandIn("second")
         await second.start(pool.address.port)
-        result = await pool.call("POST", "/do", timeout=SECOND, introduction=introduce("first"))
+        result = await pool.call("POST", "/do", timeout=SECOND, handshake=build_handshake("first"))
         assert isinstance(result, Err)
-        assert (result.failure().unsent, result.failure().is_stranger) == (True, True)
+        assert (result.failure().unsent, result.failure().is_identity_mismatch) == (True, True)
         assert second.paths == ["/who"]
-        result = await pool.call("POST", "/do", timeout=SECOND, introduction=introduce("second"))
+        result = await pool.call("POST", "/do", timeout=SECOND, handshake=build_handshake("second"))
         assert isinstance(result, Success)
         assert second.paths.count("/do") == 1
         await second.stop()
@@ -116,9 +121,9 @@
     play(act)
 
 
-def test_an_introduction_that_is_refused_is_the_reply() -> None:
+def test_a_handshake_that_is_refused_is_the_reply() -> None:
     async def act(first: StandIn, pool: ConnectionPool) -> None:
-        result = await pool.call("POST", "/do", timeout=SECOND, introduction=introduce("first"))
+        result = await pool.call("POST", "/do", timeout=SECOND, handshake=build_handshake("first"))
         assert result == Success(HttpReply(status=409, body=b"first"))
         assert first.paths == ["/who"]
 
--- a/cottonlug/tests/wire_site.py
+++ b/cottonlug/tests/wire_site.py
@@ -27,7 +27,7 @@
     StopOrder,
 )
 from ..net.asgi import HttpRequest
-from ..net.connections import ConnectionPools, Introduction
+from ..net.connections import ConnectionPools, Handshake
 from ..net.transport import HttpReply, TransportError
 from ..platform.control import build_control_handler
 from ..platform.jobs import name_task, parse_task
@@ -53,7 +53,7 @@
 class _Connection:
     """To the process that is up when the first call on it arrives, and to no other."""
 
-    owner: str = ""
+    identity: str = ""
     process: ModelUpstream | None = None
     is_idle: bool = False
 
@@ -85,37 +85,41 @@
         *,
         timeout: timedelta,
         headers: Mapping[str, str],
-        introduction: Introduction | None,
+        handshake: Handshake | None,
     ) -> WireReply:
-        connection = self._take(introduction.owner if introduction else "")
-        if introduction and introduction.path and connection.owner != introduction.owner:
+        connection = self._take(handshake.identity if handshake else "")
+        if handshake and handshake.path and connection.identity != handshake.identity:
             first = await _Exchange(
                 connection=connection,
-                path=introduction.path,
-                body=introduction.body,
+                path=handshake.path,
+                body=handshake.body,
                 headers=headers,
             )
             if isinstance(first, Err):
-                return Err(TransportError(message="not introduced", unsent=True))
+                return Err(TransportError(message="not identified", unsent=True))
             if first.unwrap().status != 200:
                 return first
-            if not introduction.is_owner(first.unwrap()):
-                return Err(TransportError(message="a stranger", unsent=True, is_stranger=True))
-            connection.owner = introduction.owner
+            if not handshake.confirms(first.unwrap()):
+                return Err(
+                    TransportError(
+                        message="another identity", unsent=True, is_identity_mismatch=True
+                    )
+                )
+            connection.identity = handshake.identity
         result = await _Exchange(connection=connection, path=path, body=body, headers=headers)
         if isinstance(result, Success):
             connection.is_idle = True
             reply = result.unwrap()
-            if introduction and reply.status == 200 and introduction.is_owner(reply):
-                connection.owner = introduction.owner
+            if handshake and reply.status == 200 and handshake.confirms(reply):
+                connection.identity = handshake.identity
         return result
 
-    def _take(self, owner: str) -> _Connection:
+    def _take(self, identity: str) -> _Connection:
         """Return an idle connection that is not broken, or a new one."""
         for connection in self.connections:
             process = connection.process
             is_open = process is not None and process.is_up
-            if connection.is_idle and is_open and connection.owner in ("", owner):
+            if connection.is_idle and is_open and connection.identity in ("", identity):
                 connection.is_idle = False
                 return connection
         connection = _Connection()
