--- a/cottonlug/tests/test_upstreams_that_start_again.py
+++ b/cottonlug/tests/test_upstreams_that_start_again.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
-import heapq
 import random
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 import pytest
@@ -117,58 +117,90 @@
     assert leader.world.starts >= len(jobs)
 
 
+@dataclass(slots=True, kw_only=True)
+class ChancePlay:
+    """Upstreams that start again, lost answers, late orders and leaders in turn, by chance."""
+
+    chance: random.Random
+    world: World
+    hosts: dict[str, WireHost]
+    records: Records = field(default_factory=Records)
+    leaders: list[WireLeader] = field(default_factory=list)
+    jobs: dict[JobId, bool] = field(default_factory=dict)
+    """All that were submitted, and whether each must be kept."""
+    is_calm: bool = False
+
+    @property
+    def leader(self) -> WireLeader:
+        return self.leaders[-1]
+
+    def lead(self, term: int) -> None:
+        self.leaders.append(build_leader(self.world, self.hosts, self.records, term=term))
+
+    def disturb(self) -> None:
+        """Have an upstream start again, at once or after a while, again and again."""
+        if self.is_calm:
+            return
+        host = self.chance.choice(list(self.hosts.values()))
+        if self.chance.random() < 0.5:
+            host.start_again()
+        else:
+            host.crash()
+            down = milliseconds(self.chance.uniform(10, 1_500))
+            self.world.at(down, host.start_again)
+        self.world.at(milliseconds(self.chance.expovariate(1 / 150)), self.disturb)
+
+    def submit(self) -> None:
+        """Submit jobs while somebody leads."""
+        if self.is_calm:
+            return
+        if not self.leader.is_over:
+            kept = self.chance.random() < 0.4
+            job = f"{len(self.jobs):016x}"
+            self.jobs[JobId(job)] = kept
+            spec = build_spec(tasks=self.chance.randint(1, 4), kept=kept)
+            self.leader.submit(job, spec, PATIENT)
+        self.world.at(milliseconds(self.chance.expovariate(1 / 120)), self.submit)
+
+    def change_leader(self, term: int) -> None:
+        """Lose the leader, and submit to the next what callers still wait for."""
+        old = self.leader
+        open_jobs = old.dispatch.jobs.jobs.values()
+        unfinished = [job for job in open_jobs if not self.jobs[job.record.id]]
+        old.is_over = True
+        self.world.run_until(self.world.now + milliseconds(300))
+        self.lead(term)
+        self.leader.ended, self.leader.ended_at = old.ended, old.ended_at
+        for job in unfinished:
+            self.leader.submit(job.record.id, job.record.spec, PATIENT, may_have_begun=True)
+
+    def calm_down(self) -> None:
+        """Disturb nothing more, and let all that has begun come to its end."""
+        self.is_calm = True
+        self.world.lost_share = self.world.late_share = 0.0
+        for host in self.hosts.values():
+            if not host.process.is_up:
+                host.start_again()
+        self.world.run_until(self.world.now + timedelta(seconds=15))
+
+
 def play_by_chance(seed: int) -> tuple[WireLeader, dict[JobId, bool]]:
-    """Play 8 s with upstreams that start again, lost answers, late orders and leaders in turn.
+    """Play some seconds; return the last leader, and all jobs with whether they must be kept.
 
-    Two runs of a task at once stop it, and a start after an end that was noted. Return the last
-    leader, and all jobs with whether they must be kept.
+    Two runs of a task at once stop it, and so does a start after an end that was noted.
     """
     chance = random.Random(seed)
     world = World(random=chance, lost_share=0.03, late_share=0.01)
     hosts = build_hosts(world, 6, run_ms=lambda: chance.lognormvariate(4.6, 0.8))
-    records = Records()
-    leaders = [build_leader(world, hosts, records)]
-    jobs: dict[JobId, bool] = {}
+    play = ChancePlay(chance=chance, world=world, hosts=hosts)
+    play.lead(1)
     for host in hosts.values():
-        beat_forever(host, lambda: leaders[-1])
-
-    def disturb() -> None:
-        host = chance.choice(list(hosts.values()))
-        if chance.random() < 0.5:
-            host.start_again()
-        else:
-            host.crash()
-            world.at(milliseconds(chance.uniform(10, 1_500)), host.start_again)
-        world.at(milliseconds(chance.expovariate(1 / 150)), disturb)
-
-    def submit() -> None:
-        if not leaders[-1].is_over:
-            kept = chance.random() < 0.4
-            job = f"{len(jobs):016x}"
-            jobs[JobId(job)] = kept
-            leaders[-1].submit(job, build_spec(tasks=chance.randint(1, 4), kept=kept), PATIENT)
-        world.at(milliseconds(chance.expovariate(1 / 120)), submit)
-
+        beat_forever(host, lambda: play.leader)
     world.run_until(milliseconds(100))
-    disturb()
-    submit()
+    play.disturb()
+    play.submit()
     for term in range(2, 5):
         world.run_until(world.now + milliseconds(2_000))
-        old = leaders[-1]
-        unfinished = [job for job in old.dispatch.jobs.jobs.values() if not jobs[job.record.id]]
-        old.is_over = True
-        world.run_until(world.now + milliseconds(300))
-        new = build_leader(world, hosts, records, term=term)
-        new.ended, new.ended_at = old.ended, old.ended_at
-        leaders.append(new)
-        for job in unfinished:
-            # As gateways do for callers that still wait.
-            new.submit(job.record.id, job.record.spec, PATIENT, may_have_begun=True)
-    world.events = [event for event in world.events if event[2] not in (disturb, submit)]
-    heapq.heapify(world.events)
-    world.lost_share = world.late_share = 0.0
-    for host in hosts.values():
-        if not host.process.is_up:
-            host.start_again()
-    world.run_until(world.now + timedelta(seconds=15))
-    return leaders[-1], jobs
+        play.change_leader(term)
+    play.calm_down()
+    return play.leader, play.jobs
