--- a/cottonlug/core/cluster/model.py
+++ b/cottonlug/core/cluster/model.py
@@ -208,6 +208,8 @@
     domain: DomainName
     capacity: Capacity
     labels: tuple[str, ...] = ()
+    kind: str = ""
+    """The kind of hardware, on which run times depend; empty if not known."""
 
 
 class RunEndReport(Value, frozen=True):
--- /dev/null
+++ b/cottonlug/core/cluster/speeds.py
@@ -0,0 +1,102 @@
+"""Run times by kind of upstream: one kind of hardware may take twice as long as another.
+
+A run takes the declared time of its task, times a ratio of its queue (see `forecast`), times a
+factor of the kind of upstream that it runs on. The mean upstream of a service has the factor 1.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+
+from .model import ServiceName, UpstreamInfo
+
+LEARNING_RATE = 0.02
+"""Smallest weight of the newest run: a kind of which a tenth of the upstreams turns five times
+slower for seconds moves by a few percent, a kind that changes as a whole is followed within some
+hundred runs."""
+MIN_RUNS = 30
+"""Runs of a kind from which on its mean is relied on: single ratios scatter by 0.5 on a logarithmic
+scale, so that the mean of 30 is known within a tenth."""
+MIN_DIFFERENCE = math.log(1.3)
+"""Smallest difference between two kinds that counts, on a logarithmic scale: less may be chance."""
+MAX_LOG_FACTOR = math.log(5.0)
+"""Bound of factors and of single ratios, on a logarithmic scale: a larger one is an error."""
+MAX_KINDS = 64
+"""Most kinds of one service that are told apart."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Kind:
+    """What was learned about one kind of upstream of one service."""
+
+    runs: int = 0
+    mean_log_ratio: float = 0.0
+    """Mean of the logarithms of the ratios of actual to expected run times."""
+
+    def learn(self, log_ratio: float) -> None:
+        self.runs += 1
+        rate = max(1 / self.runs, LEARNING_RATE)
+        self.mean_log_ratio += rate * (log_ratio - self.mean_log_ratio)
+
+
+class Speeds:
+    """Factors of run times by service and kind of upstream, learned from the ends of runs."""
+
+    def __init__(self) -> None:
+        self._kinds: dict[ServiceName, dict[str, _Kind]] = {}
+        self._upstreams: dict[ServiceName, Counter[str]] = {}
+        """Number of upstreams of each kind, by which the mean of a service is weighted."""
+        self._factors: dict[ServiceName, dict[str, float]] = {}
+        """Factors of services whose kinds differ."""
+        self.ignored_runs = 0
+        """Runs that were not learned from, since their service has too many kinds."""
+
+    def learn(self, info: UpstreamInfo, ratio: float) -> None:
+        """Learn from a run that succeeded at an upstream.
+
+        `ratio` is its run time over the one that its queue predicts for the mean upstream.
+        """
+        if not info.kind:
+            return
+        kinds = self._kinds.setdefault(info.service, {})
+        if info.kind not in kinds and len(kinds) >= MAX_KINDS:
+            self.ignored_runs += 1
+            return
+        log_ratio = math.log(max(ratio, math.exp(-MAX_LOG_FACTOR)))
+        kind = kinds.setdefault(info.kind, _Kind())
+        kind.learn(min(log_ratio, MAX_LOG_FACTOR))
+        self._update(info.service)
+
+    def count_upstreams(self, service: ServiceName, by_kind: Counter[str]) -> None:
+        """Record how many upstreams of each kind a service has."""
+        if self._upstreams.get(service) != by_kind:
+            self._upstreams[service] = by_kind
+            self._update(service)
+
+    def find_factor(self, info: UpstreamInfo) -> float:
+        """Return how many times as long as on the mean upstream of its service a task takes here.
+
+        1 if the kind of the upstream is not known, or if the kinds of its service do not differ.
+        """
+        factors = self._factors.get(info.service)
+        return factors.get(info.kind, 1.0) if factors is not None else 1.0
+
+    def _update(self, service: ServiceName) -> None:
+        """Compute the factors of a service anew."""
+        known = {
+            name: kind.mean_log_ratio
+            for name, kind in self._kinds.get(service, {}).items()
+            if kind.runs >= MIN_RUNS
+        }
+        if not known or max(known.values()) - min(known.values()) < MIN_DIFFERENCE:
+            self._factors.pop(service, None)
+            return
+        counts = self._upstreams.get(service, Counter())
+        weights = {name: counts[name] or 1 for name in known}
+        mean = sum(known[name] * weights[name] for name in known) / sum(weights.values())
+        self._factors[service] = {
+            name: math.exp(min(max(value - mean, -MAX_LOG_FACTOR), MAX_LOG_FACTOR))
+            for name, value in known.items()
+        }
--- a/cottonlug/platform/heartbeats.py
+++ b/cottonlug/platform/heartbeats.py
@@ -72,6 +72,7 @@
         domain=DomainName(parsed.zone),
         capacity=capacity or Capacity(),
         labels=tuple(parsed.labels),
+        kind=parsed.labels[0] if parsed.labels else "",  # the labels are the kind and the rack
     )
     heartbeat = Heartbeat(
         info=info,
