Send large configurations to gateways compressed and in parts

Cause: the failover state carried the whole configuration in the answer to a keep-alive. With 1,740 queues that is 230 KB: 0.19 s on a gateway's link of 9.5 Mbit/s, while a keep-alive is abandoned after 0.1 s. Change: more than 64 queues are compressed once for each version and sent in parts of 12 KB with keep-alives; the version that a gateway returns names the offset that it has.

--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ..ids import DomainName, UpstreamId
+from .configuration_parts import ConfigurationPart
 from .crashes import Suspect, SuspectRecord
 from .evacuations import EvacuationRecord
 from .model import (
@@ -244,6 +245,8 @@
     evacuations: tuple[EvacuationRecord, ...] = ()
     accepts_calls: bool = msgspec.field(name="takes_calls", default=True)
     """Whether upstreams accept calls; a gateway gets no heartbeats, so it can only call them."""
+    configuration_part: ConfigurationPart | None = None
+    """The next part of a configuration that is too large to be sent whole."""
 
 
 class Outcome(Enum):
--- a/cottonlug/core/cluster/failover_state.py
+++ b/cottonlug/core/cluster/failover_state.py
@@ -30,6 +30,15 @@
     SetDraining,
     SetEvacuation,
 )
+from .configuration_parts import (
+    ConfigurationEncoder,
+    ConfigurationPart,
+    append_part,
+    decode_parts,
+    is_sent_whole,
+    strip_document,
+)
+from .model import Configuration, ConfigurationVersion
 from .records import Records
 
 MAX_KEPT_CHANGES = 512
@@ -54,11 +63,14 @@
 class _Position:
     """What a gateway has of the state and its changes.
 
-    Its version encodes it as TERM.NUMBER, or TERM.NUMBER>ID while initial upstreams are missing.
+    Its version encodes it as TERM.NUMBER, with ~VERSION:OFFSET behind it while parts of the
+    configuration are missing, and with >ID behind that while initial upstreams are missing.
     """
 
     number: int
     """The gateway has all changes up to this number."""
+    configuration: tuple[ConfigurationVersion, int] | None = None
+    """It has the configuration of this version up to this offset; None if it has all of it."""
     after: UpstreamId | None = None
     """It has the initial upstreams up to this id, in the order of ids; None if it has all."""
 
@@ -75,6 +87,7 @@
         """Number of each of the last changes, and the upstream that it concerns, if any."""
         self._last_configuration_change = 0
         """Number of the last change of the configuration."""
+        self._encoder = ConfigurationEncoder()
         self._sorted_ids: tuple[int, list[UpstreamId]] = (-1, [])
         """All upstream ids in order, as of the change with this number."""
 
@@ -124,7 +137,7 @@
         """Return the next part for a gateway with version `known`, or None if that is current.
 
         It contains changed upstreams, then the next initial ones, and all of the rest; but the
-        configuration only if it has changed.
+        configuration only if it has changed, and a large one in parts.
         """
         if known == self.version:
             return None
@@ -135,17 +148,17 @@
             records, start.after, MAX_UPSTREAMS_PER_PART - len(changed)
         )
         ids = dict.fromkeys((*changed, *initial))
-        needs_configuration = position is None or position.number < self._last_configuration_change
-        configuration = records.configuration if needs_configuration else None
-        if configuration is not None:
-            # The original document is never read back from a gateway.
-            configuration = msgspec.structs.replace(configuration, document="")
+        configuration, part = self._select_configuration(records.configuration, position)
+        has_more_parts = part is not None and not part.is_last
         return FailoverState(
-            version=f"{self._term}.{number}" + (f">{after}" if after is not None else ""),
+            version=f"{self._term}.{number}"
+            + (f"~{part.version}:{part.end}" if part is not None and has_more_parts else "")
+            + (f">{after}" if after is not None else ""),
             base="" if position is None else known,
-            is_partial=after is not None or number < self._last_change,
+            is_partial=after is not None or number < self._last_change or has_more_parts,
             term=self._term,
             configuration=configuration,
+            configuration_part=part,
             upstreams=tuple(records.upstreams[id] for id in ids if id in records.upstreams),
             removed=tuple(id for id in ids if id not in records.upstreams),
             gateways=gateways,
@@ -155,9 +168,35 @@
             accepts_calls=self._accepts_calls,
         )
 
+    def _select_configuration(
+        self, configuration: Configuration | None, position: _Position | None
+    ) -> tuple[Configuration | None, ConfigurationPart | None]:
+        """Return the configuration that a gateway lacks, whole or its next part; None for neither.
+
+        A gateway that has parts of an older version begins with the first part again.
+        """
+        if configuration is None or not self._lacks_configuration(position):
+            return None, None
+        if is_sent_whole(configuration):
+            return strip_document(configuration), None
+        version, offset = (position.configuration if position is not None else None) or (None, 0)
+        is_same = version == configuration.version
+        return None, self._encoder.build_part(configuration, offset if is_same else 0)
+
+    def _lacks_configuration(self, position: _Position | None) -> bool:
+        return (
+            position is None
+            or position.configuration is not None
+            or position.number < self._last_configuration_change
+        )
+
     def is_next_part_large(self, records: Records, known: str) -> bool:
-        """Return whether the next part for a gateway contains many upstreams."""
+        """Return whether the next part contains many upstreams or a part of a configuration."""
         position = self._find_position(known)
+        configuration = records.configuration
+        is_in_parts = configuration is not None and not is_sent_whole(configuration)
+        if is_in_parts and self._lacks_configuration(position):
+            return True
         if position is None or position.after is not None:
             return len(records.upstreams) > MAX_UPSTREAMS_IN_SMALL_PART
         return self._last_change - position.number > MAX_UPSTREAMS_IN_SMALL_PART
@@ -193,13 +232,23 @@
         None if it is of another leader, or if not all changes since then are kept.
         """
         version, has_cursor, after = version.partition(">")
+        version, has_offset, place = version.partition("~")
         term, _, number = version.partition(".")
+        configuration, _, offset = place.partition(":")
         if term != str(self._term) or not number.isdecimal():
             return None
+        if has_offset and not (configuration.isdecimal() and offset.isdecimal()):
+            return None
         first_known = self._changes[0][0] if self._changes else self._last_change + 1
         if int(number) < first_known - 1:
             return None
-        return _Position(number=int(number), after=UpstreamId(after) if has_cursor else None)
+        return _Position(
+            number=int(number),
+            configuration=(
+                (ConfigurationVersion(int(configuration)), int(offset)) if has_offset else None
+            ),
+            after=UpstreamId(after) if has_cursor else None,
+        )
 
 
 def find_acting_domain(state: FailoverState, own: str) -> DomainName | None:
@@ -220,9 +269,10 @@
     None if the changes do not follow the version that is known.
     """
     if not received.base:
-        return received
+        return _add_configuration_part(None, received)
     if known is None or known.version != received.base:
         return None
+    received = _add_configuration_part(known, received)
     upstreams = {record.info.id: record for record in known.upstreams}
     for record in received.upstreams:
         upstreams[record.info.id] = record
@@ -237,6 +287,19 @@
     )
 
 
+def _add_configuration_part(known: FailoverState | None, received: FailoverState) -> FailoverState:
+    """Return a received state with the configuration parts so far, or, after the last, decoded."""
+    part = received.configuration_part
+    if part is None:
+        return received
+    parts = append_part(known.configuration_part if known is not None else None, part)
+    if not parts.is_last:
+        return msgspec.structs.replace(received, configuration_part=parts)
+    return msgspec.structs.replace(
+        received, configuration=decode_parts(parts), configuration_part=None
+    )
+
+
 def choose_queried_gateways(gateways: Sequence[GatewayInfo], own: str) -> list[str]:
     """Return the gateways that the gateway at address `own` asks for a leader if it reaches none.
 
--- a/cottonlug/runtime/failover_store.py
+++ b/cottonlug/runtime/failover_store.py
@@ -51,9 +51,11 @@
         merged = merge_failover_state(known, received)
         if merged is None:
             return False
-        if known is None or merged.configuration is not known.configuration:
-            configuration = merged.configuration
-            self.queues = QueueIndex(configuration=configuration) if configuration else None
+        configuration = merged.configuration
+        if configuration is not None and (
+            known is None or configuration is not known.configuration
+        ):
+            self.queues = QueueIndex(configuration=configuration)
         if merged.is_partial:
             self._incoming = merged
             return False
