Choose large gateways as acting leaders and relays; distinct fencing tokens

Cause: among gateways of 0.39 and 1.29 cores the lowest address became acting leader, whatever its size. Also, a gateway that joins shifted the places of others among all addresses, so that two gateways with copies of different age could use one fencing token. Change: `size` settings of gateways, rendered from the platform's limits; keep-alives report the cores, the leader marks gateways below 0.6 of the largest as small, and these come last as acting leader and relay. A level's remainder by 1,000 is the gateway's place in a list that a leader only appends to; its number counts the drops of places in the order of succession, and exceeds the tokens of acting leaders that were followed. Measured: tests of this part pass.

--- a/cottonlug/config/cluster.py
+++ b/cottonlug/config/cluster.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from ..core.cluster.capacity_reports import DEFAULT_REPORT_TERMS, ReportTerms
+from ..core.cluster.host_sizes import UNKNOWN_SIZE, HostSize
 from ..core.ids import DomainName, HostId
 from .loading import load_settings
 from .logs import LogSettings, read_log_section, read_name
@@ -25,8 +26,10 @@
     read_duration,
     read_integer,
     read_list,
+    read_number,
     read_path,
     read_section,
+    read_unless_empty,
 )
 
 
@@ -102,6 +105,8 @@
     urgent_port: int | None = None
     """Port on all hosts, including this one, for calls that must not wait behind jobs."""
     reports: ReportTerms = DEFAULT_REPORT_TERMS
+    size: HostSize = UNKNOWN_SIZE
+    """What this host may use, where that is known."""
     log: LogSettings
 
 
@@ -138,9 +143,18 @@
     "orders": Option(read_choice(OrderDelivery), OrderDelivery.CALL),
     "domains": Option(read_list(read_name), []),
 }
+_READ_SIZE = read_unless_empty(read_number(0, 1e15))
+_SIZE_OPTIONS: Options = {
+    "cores": Option(_READ_SIZE, None),
+    "share": Option(_READ_SIZE, None),
+    "memory": Option(_READ_SIZE, None),
+    "descriptors": Option(_READ_SIZE, None),
+    "link": Option(_READ_SIZE, None),
+}
 _GATEWAY_OPTIONS: Options = {
     **_COMMON_OPTIONS,
     "listen": Option(read_section(_GATEWAY_LISTENERS, GatewayListeners)),
+    "size": Option(read_section(_SIZE_OPTIONS, HostSize), UNKNOWN_SIZE),
 }
 
 
--- a/cottonlug/config/options.py
+++ b/cottonlug/config/options.py
@@ -19,6 +19,7 @@
 _LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 _SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
 _DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)\s*(ms|s|m|h|d)")
+_NULL_TAG = "tag:yaml.org,2002:null"
 _ADDRESS_PATTERN = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})")
 
 
@@ -137,6 +138,15 @@
     return read
 
 
+def read_unless_empty(read: Reader[T]) -> Reader[T]:
+    """Return a reader that takes an empty value as not given, as templates may render one."""
+
+    def read_given(node: yaml.Node, path: str, report: Report) -> T | None:
+        return None if node.tag == _NULL_TAG else read(node, path, report)
+
+    return read_given
+
+
 def read_boolean(node: yaml.Node, path: str, report: Report) -> bool | None:
     """Read true or false."""
     if isinstance(node, yaml.ScalarNode) and node.value in ("true", "false"):
--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -183,6 +183,8 @@
     abandoned: tuple[AbandonedSubmission, ...] = msgspec.field(name="given_up", default=())
     """What the gateway has abandoned lately: a keep-alive confirms that it still waits for all its
     other submissions."""
+    cores_millis: int = 0
+    """Thousandths of a core that the gateway may use; 0 if that is not known."""
     is_probe: bool = False
     """Whether a host that does not lead is to answer by itself, which shows that it is alive and
     who leads, instead of forwarding this to the leader."""
@@ -218,6 +220,8 @@
 
     address: str
     domain: DomainName = DomainName("")
+    is_small: bool = False
+    """Whether it acts as leader or relay only where no other one answers: see `host_sizes`."""
 
 
 class FailoverState(Value, frozen=True):
--- a/cottonlug/core/cluster/failover_state.py
+++ b/cottonlug/core/cluster/failover_state.py
@@ -30,6 +30,7 @@
     SetDraining,
     SetEvacuation,
 )
+from .host_sizes import sort_by_precedence
 from .records import Records
 
 MAX_KEPT_CHANGES = 512
@@ -44,7 +45,7 @@
 OWN_DOMAIN_QUERIED = 3
 OTHER_DOMAINS_QUERIED = 2
 """How many gateways of its own failure domain, and of each other one, a gateway asks for a leader
-or an acting leader: two may be down at once."""
+or an acting leader: two may be down at once. It asks as many small ones, if there are any."""
 MAX_UPSTREAMS_FOR_ONE_ACTING_LEADER = 64
 """With more upstreams, an acting leader manages only those of its own failure domain: a gateway
 has half a core, and twice as many upstreams overload it."""
@@ -240,17 +241,19 @@
 def choose_queried_gateways(gateways: Sequence[GatewayInfo], own: str) -> list[str]:
     """Return the gateways that the gateway at address `own` asks for a leader if it reaches none.
 
-    These have the lowest addresses of each domain, because the reachable gateway with the lowest
-    address acts as leader. If each gateway queried all others, the number of calls would grow with
-    the square of the number of gateways, at a time of failures.
+    These are the first of each domain in their order (`host_sizes`), because the first reachable
+    gateway acts as leader. All large gateways of a domain may be lost, so as many small ones are
+    asked. If each gateway queried all others, the number of calls would grow with the square of the
+    number of gateways, at a time of failures.
     """
     home = next((each.domain for each in gateways if each.address == own), DomainName(""))
     queried: list[str] = []
-    remaining: dict[DomainName, int] = {}
-    for gateway in sorted(gateways, key=lambda each: each.address):
+    remaining: dict[tuple[DomainName, bool], int] = {}
+    for gateway in sort_by_precedence(gateways):
         most = OWN_DOMAIN_QUERIED if gateway.domain == home else OTHER_DOMAINS_QUERIED
-        count = remaining.setdefault(gateway.domain, most)
+        group = (gateway.domain, gateway.is_small)
+        count = remaining.setdefault(group, most)
         if gateway.address != own and count:
-            remaining[gateway.domain] = count - 1
+            remaining[group] = count - 1
             queried.append(gateway.address)
     return queried
--- a/cottonlug/runtime/cluster_dump.py
+++ b/cottonlug/runtime/cluster_dump.py
@@ -42,6 +42,10 @@
         "open_jobs": dispatch.jobs.count_jobs(),
         "waiting_tasks": dispatch.jobs.backlog.count_tasks(),
         "counts": dispatch.counts,
+        "gateways": [
+            {"address": each.address, "domain": each.domain, "is_small": each.is_small}
+            for each in host.leadership.gateways.list_gateways()
+        ],
         "upstreams": [
             {
                 "id": instance.info.id,
@@ -74,4 +78,5 @@
         "via": gateway.link.via.value,
         "is_deputy": gateway.acting_leader is not None,
         "hosts": gateway.hosts,
+        "cores_millis": gateway.size.cores_millis,
     }
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -113,7 +113,7 @@
     "settled_after_ms", "open_jobs", "unsure_jobs", "waiting_tasks", "upstreams",
     "upstreams_working", "upstreams_draining", "free_cpu_millis", "capacity_cpu_millis",
     "oldest_report_ms", "suspects", "domains_evacuated", "evacuated_for_ms", "runs_evacuated",
-    "heartbeat_desks",
+    "heartbeat_desks", "small_gateways",
 )  # fmt: skip
 
 
@@ -133,6 +133,7 @@
         "upstreams_draining": sum(instance.draining for instance in instances),
         "suspects": len(host.replicated.records.suspects),
         "heartbeat_desks": host.leadership.count_responders(),
+        "small_gateways": host.leadership.gateways.count_small(),
         "domains_evacuated": len(evacuated),
         "evacuated_for_ms": max(evacuated, default=0.0),
         "runs_evacuated": sum(
--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -22,8 +22,10 @@
 from ..config.cluster import GatewaySettings
 from ..config.options import Address
 from ..core.clock import Clock, to_milliseconds
+from ..core.cluster.acting_levels import ActingLevels
 from ..core.cluster.calls import Answer, FailoverState, KeepAlive, Outcome
 from ..core.cluster.failover_state import choose_queried_gateways, find_acting_domain
+from ..core.cluster.host_sizes import list_preceding
 from ..core.ids import DomainName
 from .acting_leader import ACT_AS_LEADER_AFTER, ACT_AS_LEADER_AFTER_SILENCE, ActingLeader
 from .confirmations import Confirmations
@@ -67,9 +69,6 @@
 answered."""
 CONTROL_HOST_TIMEOUT = timedelta(milliseconds=250)
 """A control host that has not answered for this long cannot take part in an election."""
-LEVELS_PER_ACTING_PERIOD = 1_000
-"""The fencing token of an acting leader is that of the last leader plus a level. Each gateway has a
-level of its own in each period in which it acts as leader, so there may be this many gateways."""
 MAX_CHECK_DELAY = timedelta(milliseconds=400)
 """If more time than this has passed since the last failover check, this process was delayed.
 Another coordinator may have replaced this acting leader, which therefore steps down."""
@@ -133,8 +132,7 @@
         other hosts name them as leader."""
         self._answered_at: dict[str, timedelta] = {}
         """When each control host last answered."""
-        self._acting_periods = 0
-        """How often this gateway has acted as leader since its failover state was replaced."""
+        self._acting_levels = ActingLevels()
         self._was_ready = False
         self._was_silent = False
         self._checked_at = clock.monotonic()
@@ -173,7 +171,7 @@
     def receive_failover_state(self, received: FailoverState) -> None:
         """Store failover state that was received."""
         if self.failover_store.receive(received):
-            self._acting_periods = 0
+            self._acting_levels.reset_periods()
 
     async def wait_for_change(self, seconds: float) -> None:
         """Wait until the coordinator changes or answers again, at most the given seconds."""
@@ -262,6 +260,7 @@
             instance=self.confirmations.instance,
             domain=self._settings.domain,
             failover_version=version,
+            cores_millis=self._settings.size.cores_millis,
             is_probe=is_probe,
         )
 
@@ -324,7 +323,7 @@
     def _receive_failover_state_of_answer(self, answer: Answer) -> None:
         """Store the failover state that a leader's answer carries, if any."""
         if self.failover_store.receive_answer(answer):
-            self._acting_periods = 0
+            self._acting_levels.reset_periods()
 
     def has_direct_leader(self) -> bool:
         """Return whether this gateway reached the leader through a control host lately."""
@@ -425,7 +424,7 @@
             return self._handle_keepalive_answer(host, via, answer)
         if not answer.is_acting_leader or answer.outcome is not Outcome.DONE:
             return False
-        self.confirmations.record_contact(answer)
+        self._record_acting_leader(answer)
         self._reached_at = self._clock.monotonic()
         return True
 
@@ -451,11 +450,11 @@
         if any(answer.leader is not None for answer in answers.values()):
             # One of them is connected to the leader, but the leader's answer was lost: retry.
             return
-        lower_gateways = _list_lower_gateways(failover_state, self.own_address)
+        preceding = _list_preceding(failover_state, self.own_address)
         # A gateway that answers names the control hosts; without `hosts`, no answer has arrived.
-        is_lowest = not any(lower in answers and answers[lower].hosts for lower in lower_gateways)
-        if self._may_act_as_leader(failover_state) and is_lowest:
-            await self._act_as_leader_if_lowest(failover_state, lower_gateways)
+        is_first = not any(other in answers and answers[other].hosts for other in preceding)
+        if self._may_act_as_leader(failover_state) and is_first:
+            await self._act_as_leader_if_first(failover_state, preceding)
 
     async def _ask_gateways(
         self, gateways: Iterable[str], failover_state: FailoverState
@@ -485,11 +484,11 @@
             failover_state.has_durable_jobs or not failover_state.accepts_calls or self.is_stopping
         )
 
-    async def _act_as_leader_if_lowest(
-        self, failover_state: FailoverState, lower_gateways: list[str]
+    async def _act_as_leader_if_first(
+        self, failover_state: FailoverState, preceding: list[str]
     ) -> None:
-        """Act as leader, unless a gateway with a lower address answers: then that one does."""
-        answers = await self._ask_gateways(lower_gateways, failover_state)
+        """Act as leader, unless a gateway that takes precedence answers: then that one does."""
+        answers = await self._ask_gateways(preceding, failover_state)
         is_replaced = self.has_direct_leader() or self.acting_leader is not None
         if not is_replaced and not any(answer.hosts for answer in answers.values()):
             self._act_as_leader(failover_state)
@@ -500,9 +499,15 @@
             self.follow(gateway, Via.RELAY)
             self._receive_failover_state_of_answer(answer)
         elif self._clock.monotonic() - self._leader_seen_at >= ACT_AS_LEADER_AFTER_SILENCE:
-            self.confirmations.record_contact(answer)
+            self._record_acting_leader(answer)
             self.follow(gateway, Via.ACTING_LEADER)
 
+    def _record_acting_leader(self, answer: Answer) -> None:
+        """Record contact with the acting leader, and its fencing token."""
+        self.confirmations.record_contact(answer)
+        if answer.contact is not None:
+            self._acting_levels.record_token(answer.contact.token)
+
     def _get_acting_delay(self) -> timedelta:
         """Return how long no leader must be reached before a gateway acts as leader."""
         return (
@@ -522,14 +527,12 @@
         return 2 * alive <= len(self.hosts)
 
     def _act_as_leader(self, failover_state: FailoverState) -> None:
+        level = self._acting_levels.choose_level(failover_state, self.own_address)
+        if level is None:
+            return
         if self.coordinator is not None:
             # Pending calls could still have been answered there; now they are retried here.
             self.unfollow(self.coordinator)
-        self._acting_periods += 1
-        # Distinct for each gateway, and above the levels that this gateway and those with lower
-        # addresses have used before.
-        addresses = [gateway.address for gateway in failover_state.gateways]
-        level = self._acting_periods * LEVELS_PER_ACTING_PERIOD + addresses.index(self.own_address)
         self.acting_leader = ActingLeader(
             failover_state=failover_state,
             level=level,
@@ -570,11 +573,11 @@
     return not answer.is_acting_leader or answer.domain == own_domain
 
 
-def _list_lower_gateways(failover_state: FailoverState, own_address: str) -> list[str]:
+def _list_preceding(failover_state: FailoverState, own_address: str) -> list[str]:
     """Return the gateways that take precedence over this one as acting leader."""
     domain = find_acting_domain(failover_state, own_address)
     return [
         gateway.address
-        for gateway in failover_state.gateways
-        if gateway.address < own_address and domain in (None, gateway.domain)
+        for gateway in list_preceding(failover_state.gateways, own_address)
+        if domain in (None, gateway.domain)
     ]
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -92,6 +92,8 @@
         """Number of failed calls that were answered only when their callers' wait timed out."""
         self.withheld_count = 0
         """How often a job was withheld from a coordinator whose answer was overdue."""
+        self.size = settings.size
+        """What this host may use."""
         self._clock = clock
         self.calls = PeerCalls(
             own_address=str(settings.listen.peers), urgent_port=settings.urgent_port
--- a/cottonlug/runtime/gateway_registry.py
+++ b/cottonlug/runtime/gateway_registry.py
@@ -13,6 +13,7 @@
 from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.calls import Contact, FailoverState, GatewayInfo, KeepAlive
 from ..core.cluster.failover_state import FailoverStateLog
+from ..core.cluster.host_sizes import find_small_gateways
 from ..core.cluster.records import Records
 from ..core.ids import DomainName
 from .events import Event, log_event
@@ -67,6 +68,12 @@
         """The failure domain of each known gateway."""
         self._instances: dict[str, int] = {}
         """Identifies the process at the address of each gateway."""
+        self._cores_millis: dict[str, int] = {}
+        """Cores that the process at the address of each gateway has reported; 0: unknown."""
+        self._small_gateways: frozenset[str] = frozenset()
+        self._listed: list[str] = []
+        """Addresses as listed in the failover state. They only ever get more, and none changes its
+        place, by which fencing tokens are told apart (`acting_levels`)."""
         self._has_durable_jobs = False
         self._large_parts_left = float(MAX_LARGE_PARTS_PER_SECOND)
         """How many large parts may be sent at `_large_parts_updated_at`."""
@@ -88,11 +95,32 @@
             self.failover_log.record_other_change()
         if self._instances.setdefault(gateway, keepalive.instance) != keepalive.instance:
             self._instances[gateway] = keepalive.instance
+            self._cores_millis.pop(gateway, None)
             self.on_restart(gateway)
+        self._record_cores(gateway, keepalive.cores_millis)
         sent_at = self.find_send_time(gateway, keepalive.contact)
         if sent_at is not None:
             self._record_contact(gateway, sent_at)
 
+    def _record_cores(self, gateway: str, cores_millis: int) -> None:
+        """Record the cores of a gateway, and mark anew which gateways are small.
+
+        A control host of an earlier build forwards a keep-alive without the cores, so that 0 does
+        not replace what the same process has reported before.
+        """
+        known = self._cores_millis.get(gateway)
+        if known == cores_millis or (known and not cores_millis):
+            return
+        self._cores_millis[gateway] = cores_millis
+        small_gateways = find_small_gateways(self._cores_millis)
+        if small_gateways != self._small_gateways:
+            self._small_gateways = small_gateways
+            self.failover_log.record_other_change()
+
+    def count_small(self) -> int:
+        """Return the number of known gateways that are small beside the largest one."""
+        return len(self._small_gateways)
+
     def find_send_time(self, gateway: str, contact: Contact | None) -> timedelta | None:
         """Return the earliest time at which a message was sent, or None if it does not count.
 
@@ -177,14 +205,25 @@
 
         None if there is nothing new, and also if a large part has to wait: see `is_current`.
         """
-        gateways = tuple(
-            GatewayInfo(address=address, domain=domain)
-            for address, domain in sorted(self._domains.items())
-        )
+        if self.is_current(known):
+            return None
         if self.failover_log.is_next_part_large(records, known) and not self._claim_large_part():
             return None
         return self.failover_log.build(
-            records, gateways, has_durable_jobs=self._has_durable_jobs, known=known
+            records, self.list_gateways(), has_durable_jobs=self._has_durable_jobs, known=known
+        )
+
+    def list_gateways(self) -> tuple[GatewayInfo, ...]:
+        """Return the known gateways, those that are new after those that were listed before."""
+        if len(self._listed) < len(self._domains):
+            self._listed += sorted(self._domains.keys() - set(self._listed))
+        return tuple(
+            GatewayInfo(
+                address=address,
+                domain=self._domains[address],
+                is_small=address in self._small_gateways,
+            )
+            for address in self._listed
         )
 
     def is_current(self, known: str) -> bool:
--- a/cottonlug/tests/gateway_builders.py
+++ b/cottonlug/tests/gateway_builders.py
@@ -20,6 +20,7 @@
     Outcome,
     Submit,
 )
+from ..core.cluster.host_sizes import UNKNOWN_SIZE, HostSize
 from ..core.cluster.model import Configuration, ConfigurationVersion, PollReply, Service
 from ..core.cluster.orders import CallFailure, PollOrder, StartOrder, StartOutcome, StopOrder
 from ..core.cluster.records import Records, UpstreamRecord
@@ -58,7 +59,7 @@
     raise error
 
 
-def build_gateway(clock: ManualClock, number: int = 1) -> Gateway:
+def build_gateway(clock: ManualClock, number: int = 1, size: HostSize = UNKNOWN_SIZE) -> Gateway:
     peers = Address(f"10.0.0.{number}", 7_000)
     listen = GatewayListeners(
         callers=Address("10.0.0.1", 80),
@@ -74,6 +75,7 @@
         longest_lease=timedelta(seconds=1),
         caller_retry=timedelta(milliseconds=1_300),
         drain_limit=timedelta(seconds=5),
+        size=size,
         log=LogSettings(),
     )
     return Gateway(settings=settings, clock=clock, port=IdlePort(), on_failure=raise_error)
