Limit the calls that wait at a gateway by its memory and descriptors

Cause: a gateway held every call while no coordinator could be reached, however many came. Change: runtime/call_limit.py refuses what exceeds half of the descriptors or the memory above 64 MB, at once, as not run (429) and with a retry time; cancels pass. Counted (`calls_refused_at_limit`, `calls_waiting`) and logged (6003, 6002 for each call). While the limit of descriptors is reached, connections are closed after each response. No limit without `size`.

--- a/cottonlug/commands/gateway.py
+++ b/cottonlug/commands/gateway.py
@@ -59,7 +59,7 @@
     )
     lifecycle.watch_signals(lambda: build_gateway_dump(gateway))
     lifecycle.watch_reload(lambda: _reload_seeds(gateway, config))
-    handler = build_caller_handler(gateway.call, gateway.abandon, lambda: gateway.is_stopping)
+    handler = build_caller_handler(gateway.call, gateway.abandon, gateway.should_close_connections)
     callers = Listener(
         app=build_asgi(handler, lambda: gateway.max_body_bytes), address=settings.listen.callers
     )
--- a/cottonlug/platform/front.py
+++ b/cottonlug/platform/front.py
@@ -39,9 +39,12 @@
 
 
 def build_caller_handler(
-    answer: AnswerCall, abandon: Callable[[Submit], None], is_stopping: Callable[[], bool]
+    answer: AnswerCall, abandon: Callable[[Submit], None], should_close: Callable[[], bool]
 ) -> Handler:
-    """Return the handler of the platform's API for callers."""
+    """Return the handler of the platform's API for callers.
+
+    `should_close` says whether a caller's connection is to be closed after its response.
+    """
 
     async def answer_or_abandon(call: Call, timeout: timedelta) -> Answer:
         try:
@@ -58,7 +61,7 @@
             response = call
         else:
             response = _encode_answer(await answer_or_abandon(call, _read_wait_timeout(request)))
-        response.close = is_stopping()
+        response.close = should_close()
         return response
 
     return handle
--- a/cottonlug/runtime/cluster_dump.py
+++ b/cottonlug/runtime/cluster_dump.py
@@ -79,4 +79,6 @@
         "is_deputy": gateway.acting_leader is not None,
         "hosts": gateway.hosts,
         "cores_millis": gateway.size.cores_millis,
+        "waiting_calls": gateway.call_limit.waiting_calls,
+        "refused_at_limit": gateway.call_limit.refused_count,
     }
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -67,6 +67,7 @@
         counts = {f"calls_{name}": float(value) for name, value in gateway.outcomes.items()}
         counts["calls_held_to_end"] = gateway.timeout_failure_count
         counts["calls_held_back"] = gateway.withheld_count
+        counts["calls_refused_at_limit"] = gateway.call_limit.refused_count
         counts["log_lines_left_out"] = output.dropped
         return counts
 
@@ -74,6 +75,7 @@
         return {
             "ready": float(gateway.is_ready()),
             "is_deputy": float(gateway.acting_leader is not None),
+            "calls_waiting": gateway.call_limit.waiting_calls,
             "peak_memory_mb": _read_peak_memory(),
         }
 
--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -82,6 +82,9 @@
     STORAGE_REOPENED = EventKind(5004, logging.INFO, "the data folder is used again")
     DECISION = EventKind(6001, logging.INFO, "a decision about an upstream or a job")
     CALL_FAILED = EventKind(6002, logging.WARNING, "a call of a caller was not carried out")
+    CALL_LIMIT_REACHED = EventKind(
+        6003, logging.WARNING, "calls are refused, as too many wait at this gateway"
+    )
 
 
 _LEVELS = {
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -35,6 +35,7 @@
 from ..core.cluster.model import Queue
 from ..net.asgi import HttpRequest, HttpResponse
 from .acting_leader import ActingLeader
+from .call_limit import CallLimit
 from .coordinator_link import CoordinatorLink, Via
 from .events import Event, log_event
 from .job_channel import NOT_SENT
@@ -94,6 +95,7 @@
         """How often a job was withheld from a coordinator whose answer was overdue."""
         self.size = settings.size
         """What this host may use."""
+        self.call_limit = CallLimit(size=settings.size, clock=clock)
         self._clock = clock
         self.calls = PeerCalls(
             own_address=str(settings.listen.peers), urgent_port=settings.urgent_port
@@ -132,6 +134,10 @@
         """Whether this gateway is shutting down."""
         return self.link.is_stopping
 
+    def should_close_connections(self) -> bool:
+        """Return whether callers' connections are to be closed after their responses."""
+        return self.is_stopping or self.call_limit.is_out_of_connections()
+
     def is_ready(self) -> bool:
         """Return whether this gateway can serve callers' requests now."""
         return not self.is_stopping and self.link.is_connected()
@@ -181,7 +187,7 @@
                 call, gateway=self.link.own_address, number=self._last_number
             )
         try:
-            answer = await self._call(call, timeout)
+            answer = await self._call_within_limit(call, timeout)
         except asyncio.CancelledError:
             self._record_abandoned(call)
             raise
@@ -202,6 +208,14 @@
             )
         return answer
 
+    async def _call_within_limit(self, call: Call, timeout: timedelta) -> Answer:
+        """Have a call carried out, or refuse it at once if too many wait here."""
+        refusal = self.call_limit.refuse(call)
+        if refusal is not None:
+            return refusal
+        with self.call_limit.hold(call):
+            return await self._call(call, timeout)
+
     def _record_abandoned(self, call: Call) -> None:
         """Report that this gateway no longer waits for a best-effort job.
 
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -5,17 +5,25 @@
 import asyncio
 from datetime import timedelta
 
+import msgspec
 import pytest
 
 from ..core.cluster.calls import (
     Abandon,
     Answer,
     Call,
+    Cancel,
     Outcome,
     Submit,
 )
+from ..core.cluster.host_sizes import UNKNOWN_SIZE, HostSize
+from ..net.asgi import HttpRequest
+from ..platform.front import build_caller_handler
+from ..runtime import call_limit
+from ..runtime.call_limit import AT_LIMIT, BYTES_PER_CALL, MIN_MEMORY_SHARE, CallLimit
 from ..runtime.coordinator_link import CALLS_LOST_AFTER, RELAY_AFTER, Via
-from ..runtime.gateway import NO_LEADER
+from ..runtime.events import Event
+from ..runtime.gateway import NO_LEADER, Gateway
 from .gateway_builders import (
     CALL_TIMEOUT,
     LEADER,
@@ -28,7 +36,8 @@
     build_submit,
     connect_with_leader,
 )
-from .model_upstreams import milliseconds
+from .model_upstreams import build_spec, milliseconds
+from .test_cluster_events import record_events
 
 
 def test_rejection_after_an_unknown_try_is_not_reported_as_not_run() -> None:
@@ -321,3 +330,109 @@
         assert gateway.coordinator is None
 
     asyncio.run(play())
+
+
+def hold_calls(size: HostSize, calls: list[Call]) -> tuple[Gateway, list[Outcome | None]]:
+    """Return a gateway and its answers to calls that come one after the other while none ends.
+
+    None stands for a call that waits.
+    """
+
+    async def play() -> tuple[Gateway, list[Outcome | None]]:
+        gateway = build_gateway(build_clock(), size=size)
+
+        async def try_once(call: Call, timeout: timedelta) -> Answer:
+            await asyncio.sleep(3_600)
+            raise AssertionError
+
+        gateway._try_once = try_once  # type: ignore[method-assign]
+        tasks = [asyncio.create_task(gateway.call(call, CALL_TIMEOUT)) for call in calls]
+        await asyncio.sleep(0.01)
+        outcomes = [task.result().outcome if task.done() else None for task in tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return gateway, outcomes
+
+    return asyncio.run(play())
+
+
+MEMORY_FOR_FOUR_MB = 4 * BYTES_PER_CALL / MIN_MEMORY_SHARE / 1e6
+"""Less than four calls fit, as each has a payload and a step."""
+MANY_STEPS_JOB = msgspec.structs.replace(
+    build_submit(), spec=msgspec.structs.replace(build_spec(), steps=build_spec().steps * 100)
+)
+LARGE_JOB = msgspec.structs.replace(
+    build_submit(), spec=msgspec.structs.replace(build_spec(), payload="x" * BYTES_PER_CALL)
+)
+
+
+@pytest.mark.parametrize(
+    ("size", "calls", "waiting"),
+    [
+        (UNKNOWN_SIZE, [build_submit()] * 50, 50),
+        (HostSize(descriptors=20), [build_submit()] * 50, 10),
+        (HostSize(memory=MEMORY_FOR_FOUR_MB), [build_submit()] * 50, 3),
+        (HostSize(memory=MEMORY_FOR_FOUR_MB), [build_submit(), LARGE_JOB, build_submit()], 2),
+        (HostSize(memory=MEMORY_FOR_FOUR_MB), [MANY_STEPS_JOB, build_submit()], 1),
+        (HostSize(memory=0.001, descriptors=1), [LARGE_JOB] * 3, 1),
+    ],
+)
+def test_gateway_refuses_what_exceeds_its_memory_or_descriptors(
+    size: HostSize, calls: list[Call], waiting: int
+) -> None:
+    """Without a limit, callers that wait for a coordinator exhaust a gateway of 160 MB."""
+    gateway, outcomes = hold_calls(size, calls)
+    assert outcomes.count(None) == waiting
+    assert outcomes.count(Outcome.REJECTED) == len(calls) - waiting
+    assert gateway.call_limit.refused_count == gateway.outcomes["rejected"] == len(calls) - waiting
+    # Calls that have ended make room, and no longer count.
+    assert (gateway.call_limit.waiting_calls, gateway.call_limit.waiting_bytes) == (0, 0)
+
+
+def test_memory_of_a_usual_gateway_is_shared_with_the_process_itself() -> None:
+    clock = build_clock()
+    limits = [CallLimit(size=HostSize(memory=mb), clock=clock).max_bytes for mb in (160, 80)]
+    assert limits == [96e6, 20e6]
+
+
+def test_cancel_is_not_refused_at_the_limit() -> None:
+    """It ends work, for which there is no room."""
+    cancel = Cancel(host="host", path="/q/1")
+    _, outcomes = hold_calls(HostSize(descriptors=2), [build_submit(), cancel, build_submit()])
+    assert outcomes == [None, None, Outcome.REJECTED]
+
+
+def test_caller_refused_at_the_limit_is_told_so_at_once_and_when_to_retry(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The job must not reach any host, as its caller is told that it has not run.
+
+    Nor must it keep its connection, which takes one of the descriptors that are scarce.
+    """
+    logged = record_events(monkeypatch, call_limit)
+
+    async def play() -> None:
+        clock = build_clock()
+        gateway = build_gateway(clock, size=HostSize(descriptors=2))
+        tried = answer_in_turn(gateway, [])
+        handle = build_caller_handler(
+            gateway.call, gateway.abandon, gateway.should_close_connections
+        )
+        request = HttpRequest(method="POST", path="/q/1", headers={}, body=b'{"steps":[{}]}')
+        with gateway.call_limit.hold(build_submit()):
+            for _ in range(3):
+                response = await handle(request)
+                assert (response.status, response.headers["retry-after"]) == (429, "1")
+                assert AT_LIMIT.encode() in response.body
+                assert response.close
+            clock.advance(timedelta(seconds=1))
+            await handle(request)
+        assert tried == []
+        assert not gateway.should_close_connections()
+
+    asyncio.run(play())
+    assert [(event, fields["refused"]) for event, fields in logged] == [
+        (Event.CALL_LIMIT_REACHED, 1),
+        (Event.CALL_LIMIT_REACHED, 4),
+    ]
