--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -67,6 +67,7 @@
         counts = {f"calls_{name}": float(value) for name, value in gateway.outcomes.items()}
         counts["calls_held_to_end"] = gateway.timeout_failure_count
         counts["calls_held_back"] = gateway.withheld_count
+        counts["calls_refused_at_limit"] = gateway.call_limit.refused_count
         counts["log_lines_left_out"] = output.dropped
         return counts
 
@@ -74,6 +75,7 @@
         return {
             "ready": float(gateway.is_ready()),
             "is_deputy": float(gateway.acting_leader is not None),
+            "calls_waiting": gateway.call_limit.waiting_calls,
             "peak_memory_mb": _read_peak_memory(),
         }
 
@@ -113,7 +115,7 @@
     "settled_after_ms", "open_jobs", "unsure_jobs", "waiting_tasks", "upstreams",
     "upstreams_working", "upstreams_draining", "free_cpu_millis", "capacity_cpu_millis",
     "oldest_report_ms", "suspects", "domains_evacuated", "evacuated_for_ms", "runs_evacuated",
-    "heartbeat_desks",
+    "heartbeat_desks", "small_gateways",
 )  # fmt: skip
 
 
@@ -133,6 +135,7 @@
         "upstreams_draining": sum(instance.draining for instance in instances),
         "suspects": len(host.replicated.records.suspects),
         "heartbeat_desks": host.leadership.count_responders(),
+        "small_gateways": host.leadership.gateways.count_small(),
         "domains_evacuated": len(evacuated),
         "evacuated_for_ms": max(evacuated, default=0.0),
         "runs_evacuated": sum(
