Compare runs with the expected time at their kind of upstream

Upstreams of a slow kind were compared with the mean of their queue, so that healthy ones were suspended again and again.

The coordinator now learns a factor for each kind of upstream from run ends (`Term.speeds`), and the ratio of a queue net of that factor. Run ends, health, progress, progress checks and `first_end` use `Forecast.predict_at`; siblings are compared at equal factors. Usable cores are divided by the factor. Objectives stay at factor 1.

Kinds are told apart only by a difference of four standard errors, and by one run for each step of a job and kind: declared times of one step are off by the same ratio, so that 30 of its runs are not independent. They are compared from the 60th run of a queue on, since the first error of the queue's ratio would otherwise count as a difference of kinds.

--- a/cottonlug/core/cluster/admission.py
+++ b/cottonlug/core/cluster/admission.py
@@ -13,6 +13,7 @@
 from datetime import timedelta
 
 from .instances import Instance
+from .speeds import Speeds
 
 USABLE_SHARE = 0.85
 """Share of the cores that tasks can use, since wide ones fragment capacity: two tasks of 14 cores
@@ -29,9 +30,15 @@
     retry_after: timedelta
 
 
-def measure_usable_cores(instances: Iterable[Instance]) -> float:
-    """Return the cores of upstreams, used or free, less the share lost to fragmentation."""
-    total_cpu_millis = sum(instance.info.capacity.cpu_millis for instance in instances)
+def measure_usable_cores(instances: Iterable[Instance], speeds: Speeds) -> float:
+    """Return the cores of upstreams, used or free, less the share lost to fragmentation.
+
+    Those of a slow kind of upstream count for less, as tasks take longer there.
+    """
+    total_cpu_millis = sum(
+        instance.info.capacity.cpu_millis / speeds.find_factor(instance.info)
+        for instance in instances
+    )
     return total_cpu_millis / 1000 * USABLE_SHARE
 
 
--- a/cottonlug/core/cluster/forecast.py
+++ b/cottonlug/core/cluster/forecast.py
@@ -1,19 +1,25 @@
 """Predicted run times: the declared ones, which are often far off, corrected for each queue.
 
-A chain is a sequence of steps of a job, each of which depends on the one before it.
+A chain is a sequence of steps of a job, each of which depends on the one before it. Run times are
+those at the mean upstream of a service, or, where an upstream is given, at upstreams of its kind.
 """
 
 from __future__ import annotations
 
 import math
+from collections import Counter
 from datetime import timedelta
 
-from .model import JobSpec, Queue, QueueKey, StepSpec
+from .model import JobSpec, Queue, QueueKey, StepSpec, UpstreamInfo
+from .speeds import Speeds
 
 LEARNING_RATE = 0.05
 """Weight of the newest run: the mean of a queue follows a change within some twenty runs."""
 MIN_RUN_TIME_MS = 1.0
 """Lower bound of declared and actual run times, since logarithms of their ratios are taken."""
+SETTLED_AFTER = 60
+"""Runs of a queue from which on kinds of upstreams are compared by it: by then only a twentieth of
+the first error of its ratio is left, which would otherwise be taken for a difference of kinds."""
 USEFUL_FACTOR = 3
 """An answer after more than this many times the objective is worth nothing, by the rules of the
 users' platform."""
@@ -22,17 +28,38 @@
 class Forecast:
     """Mean ratio of actual to declared run times of each queue, on a logarithmic scale."""
 
-    def __init__(self) -> None:
+    def __init__(self, speeds: Speeds | None = None) -> None:
+        self.speeds = speeds or Speeds()
+        """Factors of run times by kind of upstream."""
+        self._runs: Counter[QueueKey] = Counter()
+        """Number of runs that were learned from."""
         self._log_ratios: dict[QueueKey, float] = {}
         """Logarithms of the mean ratios."""
         self._mean_ratios: dict[QueueKey, float] = {}
         """The mean ratios themselves, by which declared run times are multiplied."""
 
-    def learn(self, queue: QueueKey, step: StepSpec, run_time: timedelta) -> None:
-        """Update the ratio of a queue with a run that succeeded."""
+    def learn(
+        self,
+        queue: QueueKey,
+        step: StepSpec,
+        run_time: timedelta,
+        info: UpstreamInfo | None = None,
+        *,
+        compares_kinds: bool = False,
+    ) -> None:
+        """Learn from a run that succeeded, at the given upstream or else at the mean one.
+
+        With `compares_kinds`, learn the factor of the upstream's kind as well.
+        """
         run_time_ms = max(run_time / timedelta(milliseconds=1), MIN_RUN_TIME_MS)
         log_ratio = math.log(run_time_ms / max(step.estimate_ms, MIN_RUN_TIME_MS))
         known = self._log_ratios.get(queue, 0.0)
+        if info is not None:
+            factor = self.speeds.find_factor(info)
+            if compares_kinds and self._runs[queue] >= SETTLED_AFTER:
+                self.speeds.learn(info, math.exp(log_ratio - known))
+            log_ratio -= math.log(factor)
+        self._runs[queue] += 1
         self._log_ratios[queue] = known + LEARNING_RATE * (log_ratio - known)
         self._mean_ratios[queue] = math.exp(self._log_ratios[queue])
 
@@ -41,6 +68,16 @@
         mean_ratio = self._mean_ratios.get(queue, 1.0)
         return timedelta(milliseconds=max(step.estimate_ms, MIN_RUN_TIME_MS) * mean_ratio)
 
+    def predict_at(self, queue: QueueKey, step: StepSpec, info: UpstreamInfo) -> timedelta:
+        """Return the expected run time of a task of a step at an upstream."""
+        return self.predict(queue, step) * self.speeds.find_factor(info)
+
+    def predict_chain_at(
+        self, queue: QueueKey, steps: tuple[StepSpec, ...], first: int, info: UpstreamInfo
+    ) -> timedelta:
+        """Return the expected time of a chain, as `predict_chain`, at upstreams of one kind."""
+        return self.predict_chain(queue, steps, first) * self.speeds.find_factor(info)
+
     def predict_chain(self, queue: QueueKey, steps: tuple[StepSpec, ...], first: int) -> timedelta:
         """Return the expected time of the longest chain that begins with step number `first`."""
         longest = timedelta()
--- a/cottonlug/core/cluster/instance_table.py
+++ b/cottonlug/core/cluster/instance_table.py
@@ -87,7 +87,9 @@
             heard_at=now,
             poll_due=now,
         )
+        self._count_upstream(self.by_id.get(info.id), -1)
         self.by_id[info.id] = instance
+        self._count_upstream(instance, 1)
         self.mark_changed(instance)
         self._request_poll_of_earlier(self._by_address.get(info.address), instance, now)
         self._by_address[info.address] = info.id
@@ -119,6 +121,7 @@
     def remove(self, upstream: UpstreamId) -> None:
         """Stop tracking an instance."""
         instance = self.by_id.pop(upstream, None)
+        self._count_upstream(instance, -1)
         self._changed.pop(upstream, None)
         self._health.pop(upstream, None)
         self.unseen.discard(upstream)
@@ -127,6 +130,11 @@
         if self._newest.get(get_upstream_name(upstream)) == upstream:
             del self._newest[get_upstream_name(upstream)]
 
+    def _count_upstream(self, instance: Instance | None, change: int) -> None:
+        """Count an instance that is added or removed among the upstreams of its kind."""
+        if instance is not None:
+            self._term.speeds.count_upstream(instance.info, change)
+
     def mark_changed(self, instance: Instance) -> None:
         """Have an instance processed in the next round, because something about it changed."""
         self._changed[instance.info.id] = instance
@@ -287,11 +295,12 @@
         if self._cached_usable_cores is not None and now < self._cached_usable_cores[0]:
             return self._cached_usable_cores[1]
         is_early = self.is_in_grace_period(now)
-        cores = measure_usable_cores(
+        usable = [
             instance
             for instance in self.by_id.values()
             if instance.accepts_work(now) or (is_early and _may_accept_work(instance))
-        )
+        ]
+        cores = measure_usable_cores(usable, self._term.speeds)
         self._cached_usable_cores = (now + USABLE_CORES_CACHED_FOR, cores)
         return cores
 
--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -100,24 +100,46 @@
     """When each occurrence was due; the objective counts from there."""
     run_times: dict[tuple[int, UpstreamId], timedelta] = field(default_factory=dict)
     """Latest run time of a task, by the number of its step and its upstream: measured at the end of
-    the run, or estimated from its progress."""
+    the run, or estimated from its progress. Divided by the factor of the kind of the upstream."""
+
+    learned_kinds: set[tuple[int, str]] = field(default_factory=set)
+    """Numbers of steps, and kinds of upstreams where a run of them has succeeded."""
+
+    def is_first_end(self, step: int, kind: str) -> bool:
+        """Record that a run of a step has succeeded; return whether it is the first at a kind.
+
+        The declared run times of all tasks of a step are off by the same ratio: further runs at
+        that kind of upstream tell hardly anything new about it.
+        """
+        is_first = (step, kind) not in self.learned_kinds
+        self.learned_kinds.add((step, kind))
+        return is_first
 
     def has_unknown_tasks(self) -> bool:
         """Whether another coordinator may have started any of its tasks, unknown to this one."""
         return any(task.phase is TaskPhase.UNKNOWN for task in self.tasks.values())
 
     def record_run_time(self, step: int, upstream: UpstreamId, total: timedelta) -> None:
-        """Record how long a whole run of a task of a step takes at an upstream."""
+        """Record how long a whole run of a task of a step takes at an upstream.
+
+        `total` is divided by the factor of the upstream's kind, so that kinds can be compared.
+        """
         self.run_times[(step, upstream)] = total
 
-    def find_sibling_run_time(self, step: int, upstream: UpstreamId) -> timedelta | None:
-        """Return how long such a task takes at the fastest other upstream, or None if unknown."""
+    def find_sibling_run_time(
+        self, step: int, upstream: UpstreamId, factor: float
+    ) -> timedelta | None:
+        """Return how long such a task takes at the fastest other upstream, or None if unknown.
+
+        That is, how long it would take there if run times had the same `factor` as at `upstream`.
+        """
         others = (
             total
             for (each_step, each_upstream), total in self.run_times.items()
             if each_step == step and each_upstream != upstream
         )
-        return min(others, default=None)
+        fastest = min(others, default=None)
+        return fastest * factor if fastest is not None else None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -48,7 +48,7 @@
         self.crash_tracker = crash_tracker
         self.jobs: dict[JobId, OpenJob] = {}
         self.backlog = Backlog()
-        self.forecast = Forecast()
+        self.forecast = Forecast(term.speeds)
         self.throughput = Throughput()
         self.ended: dict[JobId, tuple[JobState, timedelta]] = {}
         """How best-effort jobs have ended lately, and when; not those rejected or abandoned."""
--- a/cottonlug/core/cluster/run_ends.py
+++ b/cottonlug/core/cluster/run_ends.py
@@ -137,7 +137,7 @@
         step = job.record.spec.steps[end.task.step]
         queue = job.record.queue.key
         taken = now - run.since
-        expected = self._jobs.forecast.predict(queue, step)
+        expected = self._jobs.forecast.predict_at(queue, step, instance.info)
         self._term.log_decision(
             "run_ended",
             {
@@ -153,8 +153,10 @@
             # How long a long-running task runs says nothing about its upstream.
             return
         if end.how is RunEndKind.DONE:
-            self._jobs.forecast.learn(queue, step, taken)
-            job.record_run_time(end.task.step, instance.info.id, taken)
+            factor = self._term.speeds.find_factor(instance.info)
+            job.record_run_time(end.task.step, instance.info.id, taken / factor)
+            is_first = job.is_first_end(end.task.step, instance.info.kind)
+            self._jobs.forecast.learn(queue, step, taken, instance.info, compares_kinds=is_first)
             if health.record_success(taken / expected, now):
                 self._term.log_decision("upstream_slow", {"upstream": instance.info.id})
         elif end.how is RunEndKind.FAILED and health.record_failure(now):
--- a/cottonlug/core/cluster/speeds.py
+++ b/cottonlug/core/cluster/speeds.py
@@ -12,15 +12,21 @@
 
 from .model import ServiceName, UpstreamInfo
 
-LEARNING_RATE = 0.02
+LEARNING_RATE = 0.01
 """Smallest weight of the newest run: a kind of which a tenth of the upstreams turns five times
 slower for seconds moves by a few percent, a kind that changes as a whole is followed within some
-hundred runs."""
+hundred runs. With 0.02, means of equal kinds would differ by `MIN_DIFFERENCE` once in days."""
 MIN_RUNS = 30
 """Runs of a kind from which on its mean is relied on: single ratios scatter by 0.5 on a logarithmic
 scale, so that the mean of 30 is known within a tenth."""
 MIN_DIFFERENCE = math.log(1.3)
 """Smallest difference between two kinds that counts, on a logarithmic scale: less may be chance."""
+LOG_SCATTER = 0.5
+"""Scatter of single ratios on a logarithmic scale: 0.42 within a kind, measured on a quiet day, and
+some more for upstreams that are slow for a while."""
+MIN_SIGNIFICANCE = 4.0
+"""Least difference between two kinds that counts, in standard errors: it is looked for after each
+run and among up to 64 kinds, so that 2.5 would find one between equal kinds within seconds."""
 MAX_LOG_FACTOR = math.log(5.0)
 """Bound of factors and of single ratios, on a logarithmic scale: a larger one is an error."""
 MAX_KINDS = 64
@@ -40,6 +46,11 @@
         rate = max(1 / self.runs, LEARNING_RATE)
         self.mean_log_ratio += rate * (log_ratio - self.mean_log_ratio)
 
+    @property
+    def variance(self) -> float:
+        """Variance of the mean, as far as it is due to the scatter of single ratios."""
+        return LOG_SCATTER**2 * max(1 / self.runs, LEARNING_RATE / 2)
+
 
 class Speeds:
     """Factors of run times by service and kind of upstream, learned from the ends of runs."""
@@ -56,7 +67,8 @@
     def learn(self, info: UpstreamInfo, ratio: float) -> None:
         """Learn from a run that succeeded at an upstream.
 
-        `ratio` is its run time over the one that its queue predicts for the mean upstream.
+        `ratio` is its run time over the one that its queue predicts for the mean upstream. The
+        runs must be independent: see `OpenJob.is_first_end`.
         """
         if not info.kind:
             return
@@ -69,11 +81,14 @@
         kind.learn(min(log_ratio, MAX_LOG_FACTOR))
         self._update(info.service)
 
-    def count_upstreams(self, service: ServiceName, by_kind: Counter[str]) -> None:
-        """Record how many upstreams of each kind a service has."""
-        if self._upstreams.get(service) != by_kind:
-            self._upstreams[service] = by_kind
-            self._update(service)
+    def count_upstream(self, info: UpstreamInfo, change: int) -> None:
+        """Record that a service has one more upstream of a kind, or one less."""
+        counts = self._upstreams.setdefault(info.service, Counter())
+        counts[info.kind] += change
+        if not counts[info.kind]:
+            del counts[info.kind]
+        if info.kind in self._kinds.get(info.service, {}):
+            self._update(info.service)
 
     def find_factor(self, info: UpstreamInfo) -> float:
         """Return how many times as long as on the mean upstream of its service a task takes here.
@@ -86,17 +101,32 @@
     def _update(self, service: ServiceName) -> None:
         """Compute the factors of a service anew."""
         known = {
-            name: kind.mean_log_ratio
+            name: kind
             for name, kind in self._kinds.get(service, {}).items()
             if kind.runs >= MIN_RUNS
         }
-        if not known or max(known.values()) - min(known.values()) < MIN_DIFFERENCE:
+        if not _do_differ(known):
             self._factors.pop(service, None)
             return
         counts = self._upstreams.get(service, Counter())
-        weights = {name: counts[name] or 1 for name in known}
-        mean = sum(known[name] * weights[name] for name in known) / sum(weights.values())
+        weights = {name: max(counts[name], 1) for name in known}
+        total = sum(known[name].mean_log_ratio * weights[name] for name in known)
+        mean = total / sum(weights.values())
         self._factors[service] = {
-            name: math.exp(min(max(value - mean, -MAX_LOG_FACTOR), MAX_LOG_FACTOR))
-            for name, value in known.items()
+            name: math.exp(_limit(kind.mean_log_ratio - mean)) for name, kind in known.items()
         }
+
+
+def _do_differ(kinds: dict[str, _Kind]) -> bool:
+    """Return whether the fastest and the slowest kind differ by more than by chance."""
+    if len(kinds) < 2:
+        return False
+    fastest = min(kinds.values(), key=lambda kind: kind.mean_log_ratio)
+    slowest = max(kinds.values(), key=lambda kind: kind.mean_log_ratio)
+    error = math.sqrt(fastest.variance + slowest.variance)
+    difference = slowest.mean_log_ratio - fastest.mean_log_ratio
+    return difference >= max(MIN_DIFFERENCE, MIN_SIGNIFICANCE * error)
+
+
+def _limit(log_factor: float) -> float:
+    return min(max(log_factor, -MAX_LOG_FACTOR), MAX_LOG_FACTOR)
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -199,7 +199,7 @@
             job = self._jobs.jobs.get(run.task.job)
             if job is None or run.stop_requested or job.record.spec.long_running:
                 continue
-            due = find_next_check(run, self._predict(job, run), now)
+            due = find_next_check(run, self._predict(job, run, instance), now)
             if due is not None:
                 wait = min(wait, due - now)
         return max(wait, MIN_LONG_POLL_WAIT)
@@ -207,15 +207,15 @@
     def _find_first_end(self, instance: Instance, now: timedelta) -> timedelta:
         """Return the time until the first run is expected to end; zero if one is overdue."""
         ends = (
-            run.since + self._predict(job, run)
+            run.since + self._predict(job, run, instance)
             for run in instance.runs.values()
             if (job := self._jobs.jobs.get(run.task.job)) is not None
         )
         return max(min(ends, default=now) - now, timedelta())
 
-    def _predict(self, job: OpenJob, run: Run) -> timedelta:
+    def _predict(self, job: OpenJob, run: Run, instance: Instance) -> timedelta:
         step = job.record.spec.steps[run.task.step]
-        return self._jobs.forecast.predict(job.record.queue.key, step)
+        return self._jobs.forecast.predict_at(job.record.queue.key, step, instance.info)
 
     def _is_straggler(self, instance: Instance) -> bool:
         """Return whether an instance is one of the last that have not answered this coordinator."""
@@ -295,6 +295,7 @@
         Called when an upstream has just listed its runs. How long a long-running task runs says
         nothing about its upstream.
         """
+        factor = self._term.speeds.find_factor(instance.info)
         for run in instance.runs.values():
             job = self._jobs.jobs.get(run.task.job)
             if job is None or run.stop_requested or run.phase is not RunPhase.RUNNING:
@@ -306,9 +307,10 @@
                 continue
             total = estimate_run_time(run)
             if total is not None:
-                job.record_run_time(run.task.step, instance.info.id, total)
-            sibling = job.find_sibling_run_time(run.task.step, instance.info.id)
-            progress_rate = classify_progress(run, self._predict(job, run), sibling)
+                job.record_run_time(run.task.step, instance.info.id, total / factor)
+            sibling = job.find_sibling_run_time(run.task.step, instance.info.id, factor)
+            expected = self._predict(job, run, instance)
+            progress_rate = classify_progress(run, expected, sibling)
             if progress_rate is ProgressRate.NORMAL:
                 continue
             task.moves += 1
@@ -328,7 +330,7 @@
             if progress_rate is ProgressRate.STALLED:
                 health.record_stall(now)
             elif total is not None:
-                health.record_run_time_ratio(total / self._predict(job, run), now)
+                health.record_run_time_ratio(total / expected, now)
 
     def abandon_lapsed_runs(self, instance: Instance, now: timedelta) -> None:
         """Abandon all runs of an instance whose lease has certainly ended without an answer."""
