Record run times by kind of upstream for later coordinators

A new leader or acting leader would have suspended healthy upstreams of a slow kind again, until it had learned the factors itself.

At most 64 kinds of a service and 256 in all are kept (below 20 KB in the failover state).

--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -28,6 +28,7 @@
     Value,
 )
 from .records import UpstreamRecord
+from .speeds import ServiceSpeeds
 
 
 class Contact(Value, frozen=True):
@@ -223,8 +224,8 @@
 class FailoverState(Value, frozen=True):
     """What a gateway must know to act as leader while none can be reached.
 
-    With `base` it holds only the changes since that version: the configuration if it has changed,
-    upstreams that are new or changed, and those that were removed.
+    With `base` it holds only the changes since that version: the configuration and the run times by
+    kind if they have changed, upstreams that are new or changed, and those that were removed.
     """
 
     version: str
@@ -242,6 +243,8 @@
     suspects: tuple[SuspectRecord, ...] = ()
     """Tasks under which upstreams have ended, so that they may have crashed these."""
     evacuations: tuple[EvacuationRecord, ...] = ()
+    speeds: tuple[ServiceSpeeds, ...] | None = None
+    """Run times by kind of upstream; None if they are not known or have not changed."""
     accepts_calls: bool = msgspec.field(name="takes_calls", default=True)
     """Whether upstreams accept calls; a gateway gets no heartbeats, so it can only call them."""
 
--- a/cottonlug/core/cluster/commands.py
+++ b/cottonlug/core/cluster/commands.py
@@ -23,6 +23,7 @@
     UpstreamInfo,
     Value,
 )
+from .speeds import ServiceSpeeds
 
 
 class AcceptJob(Value, frozen=True, tag="accept"):
@@ -156,6 +157,15 @@
     at_ms: int
 
 
+class RecordSpeeds(Value, frozen=True, tag="speeds"):
+    """Record the factors of run times by kind of upstream, of services for which they changed.
+
+    A service without kinds is one whose kinds differ no more.
+    """
+
+    services: tuple[ServiceSpeeds, ...]
+
+
 Command = (
     AcceptJob
     | CancelJob
@@ -171,6 +181,7 @@
     | UncordonUpstream
     | SetConfiguration
     | SetEvacuation
+    | RecordSpeeds
 )
 
 _decoder = msgspec.json.Decoder(tuple[Command, ...])
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -64,6 +64,8 @@
 from .registry import UpstreamRegistry
 from .run_ends import RunEndHandler
 from .scheduler import Scheduler
+from .speed_reports import SpeedReporter
+from .speeds import Speeds
 from .term import DecisionLog, DispatchCounts, Term, WallTime
 from .upstream_timers import UpstreamTimers
 from .watcher import Watcher
@@ -111,6 +113,7 @@
             keeps_log=keeps_log,
             reports=reports,
             known_until=known_until,
+            speeds=Speeds(records.speeds.recorded),
         )
         self._instances = InstanceTable(term=self._term)
         crash_tracker = CrashTracker(term=self._term, instances=self._instances)
@@ -133,6 +136,7 @@
         """Returns whether a gateway that does not reach this host may act as leader; the
         surrounding program replaces it."""
         self._registry = UpstreamRegistry(term=self._term, instances=self._instances)
+        self._speed_reporter = SpeedReporter(term=self._term)
         self._timers = UpstreamTimers()
         self._scan_due = now
 
@@ -148,6 +152,11 @@
         """Instances of upstreams by id."""
         return self._instances.by_id
 
+    @property
+    def speeds(self) -> Speeds:
+        """Factors of run times by kind of upstream."""
+        return self._term.speeds
+
     @property
     def counts(self) -> DispatchCounts:
         """Counters of this term."""
@@ -525,6 +534,7 @@
         self._watcher.cordon_idle(now)
         self._watcher.forget_silent(now, may_be_used=self.may_have_acting_leader)
         self._registry.doubt_capacities(now)
+        self._speed_reporter.report_changes(now)
         self._instances.update_orphaned_flag()
         self._jobs.forget_ended(now)
         self._run_ends.forget_orphaned_ends(now)
--- a/cottonlug/core/cluster/failover_state.py
+++ b/cottonlug/core/cluster/failover_state.py
@@ -24,6 +24,7 @@
     Command,
     DoubtCapacities,
     RecordCrash,
+    RecordSpeeds,
     RemoveUpstreams,
     ResizeUpstream,
     SetConfiguration,
@@ -75,6 +76,8 @@
         """Number of each of the last changes, and the upstream that it concerns, if any."""
         self._last_configuration_change = 0
         """Number of the last change of the configuration."""
+        self._last_speeds_change = 0
+        """Number of the last change of the run times by kind of upstream."""
         self._sorted_ids: tuple[int, list[UpstreamId]] = (-1, [])
         """All upstream ids in order, as of the change with this number."""
 
@@ -94,6 +97,11 @@
         self._changes.append((self._last_change, None))
         self._last_configuration_change = self._last_change
 
+    def record_speeds_change(self) -> None:
+        """Count that other run times by kind of upstream are recorded."""
+        self.record_other_change()
+        self._last_speeds_change = self._last_change
+
     def record_other_change(self) -> None:
         """Count a change of what every part contains in full."""
         self._last_change += 1
@@ -110,6 +118,8 @@
                 self.record_upstream_change(upstream)
         elif isinstance(command, SetConfiguration):
             self.record_configuration_change()
+        elif isinstance(command, RecordSpeeds):
+            self.record_speeds_change()
         elif isinstance(command, SetEvacuation):
             self.record_other_change()
 
@@ -124,7 +134,7 @@
         """Return the next part for a gateway with version `known`, or None if that is current.
 
         It contains changed upstreams, then the next initial ones, and all of the rest; but the
-        configuration only if it has changed.
+        configuration and the run times by kind only if they have changed.
         """
         if known == self.version:
             return None
@@ -140,6 +150,7 @@
         if configuration is not None:
             # The original document is never read back from a gateway.
             configuration = msgspec.structs.replace(configuration, document="")
+        needs_speeds = position is None or position.number < self._last_speeds_change
         return FailoverState(
             version=f"{self._term}.{number}" + (f">{after}" if after is not None else ""),
             base="" if position is None else known,
@@ -152,6 +163,7 @@
             has_durable_jobs=has_durable_jobs,
             suspects=tuple(records.suspects.values()),
             evacuations=records.evacuations.records,
+            speeds=records.speeds.recorded if needs_speeds else None,
             accepts_calls=self._accepts_calls,
         )
 
@@ -232,6 +244,7 @@
         received,
         base="",
         configuration=received.configuration or known.configuration,
+        speeds=known.speeds if received.speeds is None else received.speeds,
         upstreams=tuple(upstreams.values()),
         removed=(),
     )
--- a/cottonlug/core/cluster/records.py
+++ b/cottonlug/core/cluster/records.py
@@ -23,6 +23,7 @@
     ForgetJobs,
     RecordCrash,
     RecordRunEnds,
+    RecordSpeeds,
     RemoveUpstreams,
     ResizeUpstream,
     SetConfiguration,
@@ -57,6 +58,8 @@
     Value,
 )
 from .queues import QueueIndex
+from .speed_records import SpeedRecords
+from .speeds import ServiceSpeeds
 
 
 class TaskRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -147,6 +150,7 @@
     upstreams: tuple[UpstreamRecord, ...]
     suspects: tuple[SuspectRecord, ...] = ()
     evacuations: tuple[EvacuationRecord, ...] = ()
+    speeds: tuple[ServiceSpeeds, ...] = ()
 
 
 _decoder = msgspec.json.Decoder(RecordsSnapshot)
@@ -163,6 +167,7 @@
         self.suspects: dict[TaskRef, SuspectRecord] = {}
         """Tasks under which upstreams have ended; also those of jobs that are not replicated."""
         self.evacuations = Evacuations()
+        self.speeds = SpeedRecords()
 
     def apply(self, command: Command) -> None:
         """Apply one committed command; applying it again changes nothing."""
@@ -201,6 +206,8 @@
             self._set_cordoned(command.upstream, False)
         elif isinstance(command, SetEvacuation):
             self.evacuations.apply(command)
+        elif isinstance(command, RecordSpeeds):
+            self.speeds.apply(command)
         else:
             self._configure(command)
 
@@ -212,6 +219,7 @@
             upstreams=tuple(self.upstreams.values()),
             suspects=tuple(self.suspects.values()),
             evacuations=self.evacuations.records,
+            speeds=self.speeds.recorded,
         )
         return msgspec.json.encode(saved).decode()
 
@@ -227,6 +235,7 @@
         self.upstreams = {record.info.id: record for record in saved.upstreams}
         self.suspects = {suspect.task: suspect for suspect in saved.suspects}
         self.evacuations = Evacuations(saved.evacuations)
+        self.speeds = SpeedRecords(saved.speeds)
 
     def find_leaving(self, id: UpstreamId) -> UpstreamRecord | None:
         """Return the instance meant by a leave message; None if it is not known.
--- a/cottonlug/core/cluster/speeds.py
+++ b/cottonlug/core/cluster/speeds.py
@@ -8,9 +8,10 @@
 
 import math
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .model import ServiceName, UpstreamInfo
+from .model import ServiceName, UpstreamInfo, Value
 
 LEARNING_RATE = 0.01
 """Smallest weight of the newest run: a kind of which a tenth of the upstreams turns five times
@@ -31,6 +32,26 @@
 """Bound of factors and of single ratios, on a logarithmic scale: a larger one is an error."""
 MAX_KINDS = 64
 """Most kinds of one service that are told apart."""
+MAX_ALL_KINDS = 256
+"""Most kinds of all services together: 20 KB in the failover state, which gateways get within the
+timeout of a keep-alive, 100 ms, on a link of 9.5 Mbit/s."""
+MAX_KIND_LENGTH = 64
+"""Most characters of the name of a kind; one with a longer name counts as not known."""
+
+
+class KindSpeed(Value, frozen=True):
+    """The factor of one kind of upstream, and the number of runs from which it was learned."""
+
+    kind: str
+    factor: float
+    runs: int
+
+
+class ServiceSpeeds(Value, frozen=True):
+    """The kinds of a service, if they differ."""
+
+    service: ServiceName
+    kinds: tuple[KindSpeed, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True)
@@ -55,14 +76,20 @@
 class Speeds:
     """Factors of run times by service and kind of upstream, learned from the ends of runs."""
 
-    def __init__(self) -> None:
+    def __init__(self, recorded: Iterable[ServiceSpeeds] = ()) -> None:
+        """Begin with what an earlier coordinator recorded."""
         self._kinds: dict[ServiceName, dict[str, _Kind]] = {}
+        self._kind_count = 0
+        """Number of kinds of all services."""
         self._upstreams: dict[ServiceName, Counter[str]] = {}
         """Number of upstreams of each kind, by which the mean of a service is weighted."""
         self._factors: dict[ServiceName, dict[str, float]] = {}
         """Factors of services whose kinds differ."""
         self.ignored_runs = 0
-        """Runs that were not learned from, since their service has too many kinds."""
+        """Runs that were not learned from, since there are too many kinds, or since the name of
+        their kind is too long."""
+        for speeds in recorded:
+            self._restore(speeds)
 
     def learn(self, info: UpstreamInfo, ratio: float) -> None:
         """Learn from a run that succeeded at an upstream.
@@ -72,13 +99,11 @@
         """
         if not info.kind:
             return
-        kinds = self._kinds.setdefault(info.service, {})
-        if info.kind not in kinds and len(kinds) >= MAX_KINDS:
+        kind = self._get_or_add_kind(info.service, info.kind)
+        if kind is None:
             self.ignored_runs += 1
             return
-        log_ratio = math.log(max(ratio, math.exp(-MAX_LOG_FACTOR)))
-        kind = kinds.setdefault(info.kind, _Kind())
-        kind.learn(min(log_ratio, MAX_LOG_FACTOR))
+        kind.learn(_read_log_factor(ratio))
         self._update(info.service)
 
     def count_upstream(self, info: UpstreamInfo, change: int) -> None:
@@ -98,6 +123,38 @@
         factors = self._factors.get(info.service)
         return factors.get(info.kind, 1.0) if factors is not None else 1.0
 
+    def list_services(self) -> tuple[ServiceSpeeds, ...]:
+        """Return the services whose kinds differ, with the factors of these."""
+        return tuple(
+            ServiceSpeeds(
+                service=service,
+                kinds=tuple(
+                    KindSpeed(kind=name, factor=factor, runs=self._kinds[service][name].runs)
+                    for name, factor in factors.items()
+                ),
+            )
+            for service, factors in self._factors.items()
+        )
+
+    def _restore(self, speeds: ServiceSpeeds) -> None:
+        for recorded in speeds.kinds:
+            kind = self._get_or_add_kind(speeds.service, recorded.kind)
+            if kind is not None:
+                kind.runs = recorded.runs
+                kind.mean_log_ratio = _read_log_factor(recorded.factor)
+        self._update(speeds.service)
+
+    def _get_or_add_kind(self, service: ServiceName, name: str) -> _Kind | None:
+        """Return a kind, or None if there is no place for it."""
+        kinds = self._kinds.get(service, {})
+        if name in kinds:
+            return kinds[name]
+        is_full = len(kinds) >= MAX_KINDS or self._kind_count >= MAX_ALL_KINDS
+        if is_full or len(name) > MAX_KIND_LENGTH:
+            return None
+        self._kind_count += 1
+        return self._kinds.setdefault(service, kinds).setdefault(name, _Kind())
+
     def _update(self, service: ServiceName) -> None:
         """Compute the factors of a service anew."""
         known = {
@@ -128,5 +185,10 @@
     return difference >= max(MIN_DIFFERENCE, MIN_SIGNIFICANCE * error)
 
 
+def _read_log_factor(factor: float) -> float:
+    """Return the logarithm of a factor or ratio, within the bounds."""
+    return _limit(math.log(max(factor, math.exp(-MAX_LOG_FACTOR))))
+
+
 def _limit(log_factor: float) -> float:
     return min(max(log_factor, -MAX_LOG_FACTOR), MAX_LOG_FACTOR)
--- a/cottonlug/runtime/acting_leader.py
+++ b/cottonlug/runtime/acting_leader.py
@@ -29,6 +29,7 @@
 from ..core.cluster.commands import decode_commands
 from ..core.cluster.evacuations import Evacuations
 from ..core.cluster.instances import choose_lease_terms
+from ..core.cluster.speed_records import SpeedRecords
 from ..core.ids import DomainName
 from .gateway_registry import GATEWAY_TIMEOUT
 from .leadership import Leadership, LeadershipSettings
@@ -108,6 +109,7 @@
         records.upstreams = {record.info.id: record for record in failover_state.upstreams}
         records.suspects = {suspect.task: suspect for suspect in failover_state.suspects}
         records.evacuations = Evacuations(failover_state.evacuations)
+        records.speeds = SpeedRecords(failover_state.speeds or ())
         self.authority = ActingLeaderAuthority(term=failover_state.term, replicated=replicated)
         self.leadership = Leadership(
             authority=self.authority,
