--- a/cottonlug/runtime/cluster_dump.py
+++ b/cottonlug/runtime/cluster_dump.py
@@ -28,6 +28,7 @@
         "jobs": len(records.jobs),
         "upstreams": len(records.upstreams),
         "evacuations": records.evacuations.records,
+        "speeds": records.speeds.recorded,
     }
     if host.leadership is not None:
         dump["leading"] = _dump_dispatch(host)
@@ -42,6 +43,7 @@
         "open_jobs": dispatch.jobs.count_jobs(),
         "waiting_tasks": dispatch.jobs.backlog.count_tasks(),
         "counts": dispatch.counts,
+        "speeds": dispatch.speeds.list_services(),
         "upstreams": [
             {
                 "id": instance.info.id,
@@ -54,6 +56,8 @@
                 "reported_at_s": _read_seconds(instance.reported_at),
                 "refusals": instance.refusals,
                 "failed_looks": instance.failed_polls,
+                "kind": instance.info.kind,
+                "kind_factor": dispatch.speeds.find_factor(instance.info),
             }
             for instance in dispatch.instances.values()
         ],
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -36,7 +36,9 @@
     def read_counters() -> dict[str, float]:
         counts: dict[str, float] = dict.fromkeys(_DISPATCH_COUNTS, 0.0)
         if host.leadership is not None:
-            counts.update(dataclasses.asdict(host.leadership.dispatch.counts))
+            dispatch = host.leadership.dispatch
+            counts.update(dataclasses.asdict(dispatch.counts))
+            counts["runs_of_ignored_kinds"] = dispatch.speeds.ignored_runs
         counts.update(dataclasses.asdict(host.replica.counts))
         counts["heartbeats_answered_here"] = host.heartbeat_responder.answered
         counts["heartbeats_refused"] = refused.count
@@ -108,12 +110,13 @@
     "starts", "started", "refused_starts", "unknown_starts", "stops", "looks", "failed_looks",
     "lapsed_runs", "ends", "rejected_jobs", "given_up_jobs", "moved_runs", "resized_upstreams",
     "starts_without_room", "crashed_upstreams", "crashing_tasks", "evacuated_rejections",
+    "runs_of_ignored_kinds",
 )  # fmt: skip
 _DISPATCH_GAUGES = (
     "settled_after_ms", "open_jobs", "unsure_jobs", "waiting_tasks", "upstreams",
     "upstreams_working", "upstreams_draining", "free_cpu_millis", "capacity_cpu_millis",
     "oldest_report_ms", "suspects", "domains_evacuated", "evacuated_for_ms", "runs_evacuated",
-    "heartbeat_desks",
+    "heartbeat_desks", "kinds_with_factor", "largest_kind_factor",
 )  # fmt: skip
 
 
@@ -122,6 +125,7 @@
     dispatch = host.leadership.dispatch
     instances = list(dispatch.instances.values())
     evacuated = host.leadership.list_evacuation_ages_ms()
+    factors = [kind.factor for each in dispatch.speeds.list_services() for kind in each.kinds]
     working = [instance for instance in instances if instance.is_fenced and not instance.draining]
     return {
         "settled_after_ms": dispatch.counts.settled_after_ms,
@@ -133,6 +137,8 @@
         "upstreams_draining": sum(instance.draining for instance in instances),
         "suspects": len(host.replicated.records.suspects),
         "heartbeat_desks": host.leadership.count_responders(),
+        "kinds_with_factor": len(factors),
+        "largest_kind_factor": max(factors, default=1.0),
         "domains_evacuated": len(evacuated),
         "evacuated_for_ms": max(evacuated, default=0.0),
         "runs_evacuated": sum(
