--- a/cottonlug/core/cluster/failover_state.py
+++ b/cottonlug/core/cluster/failover_state.py
@@ -24,6 +24,7 @@
     Command,
     DoubtCapacities,
     RecordCrash,
+    RecordSpeeds,
     RemoveUpstreams,
     ResizeUpstream,
     SetConfiguration,
@@ -89,6 +90,8 @@
         self._last_configuration_change = 0
         """Number of the last change of the configuration."""
         self._encoder = ConfigurationEncoder()
+        self._last_speeds_change = 0
+        """Number of the last change of the run times by kind of upstream."""
         self._sorted_ids: tuple[int, list[UpstreamId]] = (-1, [])
         """All upstream ids in order, as of the change with this number."""
 
@@ -108,6 +111,11 @@
         self._changes.append((self._last_change, None))
         self._last_configuration_change = self._last_change
 
+    def record_speeds_change(self) -> None:
+        """Count that other run times by kind of upstream are recorded."""
+        self.record_other_change()
+        self._last_speeds_change = self._last_change
+
     def record_other_change(self) -> None:
         """Count a change of what every part contains in full."""
         self._last_change += 1
@@ -124,6 +132,8 @@
                 self.record_upstream_change(upstream)
         elif isinstance(command, SetConfiguration):
             self.record_configuration_change()
+        elif isinstance(command, RecordSpeeds):
+            self.record_speeds_change()
         elif isinstance(command, SetEvacuation):
             self.record_other_change()
 
@@ -138,7 +148,8 @@
         """Return the next part for a gateway with version `known`, or None if that is current.
 
         It contains changed upstreams, then the next initial ones, and all of the rest; but the
-        configuration only if it has changed, and a large one in parts.
+        configuration and the run times by kind only if they have changed, and a large configuration
+        in parts.
         """
         if known == self.version:
             return None
@@ -151,6 +162,7 @@
         ids = dict.fromkeys((*changed, *initial))
         configuration, part = self._select_configuration(records.configuration, position)
         has_more_parts = part is not None and not part.is_last
+        needs_speeds = position is None or position.number < self._last_speeds_change
         return FailoverState(
             version=f"{self._term}.{number}"
             + (f"~{part.version}:{part.end}" if part is not None and has_more_parts else "")
@@ -166,6 +178,7 @@
             has_durable_jobs=has_durable_jobs,
             suspects=tuple(records.suspects.values()),
             evacuations=records.evacuations.records,
+            speeds=records.speeds.recorded if needs_speeds else None,
             accepts_calls=self._accepts_calls,
         )
 
@@ -283,6 +296,7 @@
         received,
         base="",
         configuration=received.configuration or known.configuration,
+        speeds=known.speeds if received.speeds is None else received.speeds,
         upstreams=tuple(upstreams.values()),
         removed=(),
     )
