--- a/cottonlug/core/cluster/acting_levels.py
+++ b/cottonlug/core/cluster/acting_levels.py
@@ -53,9 +53,10 @@
         number = self._periods + _count_drops(state, own, places)
         level = number * LEVELS_PER_NUMBER + places[own]
         term_token = state.term * TOKENS_PER_TERM
-        excess = self._highest_token - term_token - level
-        if 0 <= excess < TOKENS_PER_TERM:
-            level += (excess // LEVELS_PER_NUMBER + 1) * LEVELS_PER_NUMBER
+        highest_level = self._highest_token - term_token
+        if level <= highest_level < TOKENS_PER_TERM:
+            # The highest token is of this term.
+            level += ((highest_level - level) // LEVELS_PER_NUMBER + 1) * LEVELS_PER_NUMBER
         if level >= TOKENS_PER_TERM:
             return None
         self.record_token(term_token + level)
