End runs of cancelled durable jobs though no stop arrives

Cause: a run of a cancelled durable job went on for as long as its stops were lost while polls were not: each poll renewed the lease of its upstream. Once the stops of such a run have failed for 1 s, its lease is not renewed and nothing is started beside it. Best-effort jobs were treated like that from the cancel on, and other stops are treated as before. No additional call.

--- a/cottonlug/core/cluster/orders.py
+++ b/cottonlug/core/cluster/orders.py
@@ -150,5 +150,7 @@
     """No stop is sent before then."""
     is_stop_pending: bool = False
     """Whether a stop awaits its answer."""
+    first_stop_at: timedelta | None = None
+    """When the first stop was sent."""
     stopped_at: timedelta | None = None
     """When the upstream acknowledged the stop."""
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -16,6 +16,7 @@
 
 from ..clock import to_milliseconds
 from ..ids import UpstreamId
+from .cancellations import is_beyond_stops
 from .commands import CordonUpstreams, RemoveUpstreams, UncordonUpstream
 from .crashes import NO_ACTIVE_TASKS, LostTasks
 from .instance_table import InstanceTable
@@ -254,13 +255,17 @@
         """Send the stops that are due."""
         if instance.is_over:
             return
-        for run in instance.runs.values():
+        for key, run in instance.runs.items():
             if run.is_orphaned and not run.stop_requested and not self._is_tolerated(run, now):
                 run.stop_requested = True
                 self._log_unclaimed(instance, run, now)
+            if is_beyond_stops(run, self._term.records, now):
+                instance.mark_disputed(key)
             wanted = run.stop_requested and run.stopped_at is None and not run.is_stop_pending
             if wanted and now >= run.stop_due and run.phase is not RunPhase.STARTING:
                 run.is_stop_pending = True
+                if run.first_stop_at is None:
+                    run.first_stop_at = now
                 self._term.counts.stops += 1
                 order = StopOrder(
                     upstream=instance.info,
--- a/cottonlug/tests/test_cluster_cancellations.py
+++ b/cottonlug/tests/test_cluster_cancellations.py
@@ -251,3 +251,14 @@
     site = play(seed, is_durable, is_busy, case, is_late=is_late)
     assert site.last_sent - site.cancelled_at < START_BOUND
     assert site.longest < RUN_BOUND
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("is_late", [False, True])
+@pytest.mark.parametrize(("case", "is_durable"), CASES)
+def test_work_of_a_cancelled_job_ends_in_time_though_no_stop_arrives(
+    case: Case, is_durable: bool, is_late: bool, seed: int
+) -> None:
+    """Guards against a lease that is renewed for as long as stops are lost and polls are not."""
+    site = play(seed, is_durable, True, case, is_late=is_late, loses_stops=True)
+    assert site.longest < RUN_BOUND
