Keep cancels of best-effort jobs in the log

Cause: the cancel of a best-effort job was known to its leader alone, for 10 to 20 s. If the leader was lost before the job's gateway had its answer, the gateway submitted the job again and the next leader started it; so it was if the job was submitted again later, and if its cancel overtook it and was answered 410. Submissions of such a best-effort job are answered as cancelled. A cancel costs one entry of the log and its commit; before, that of a best-effort or unknown job cost none.

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -309,6 +309,8 @@
         elif isinstance(command, RecordRunEnds):
             self._run_ends.handle_recorded_ends(command, now)
         elif isinstance(command, CancelJob):
+            # A best-effort job may have been submitted since the cancel was proposed.
+            self.cancel(command.job, now)
             self._jobs.close_if_ended(command.job, now)
         elif isinstance(command, AddUpstream):
             self._registry.handle_added_upstream(command, now)
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -385,9 +385,11 @@
         }
 
     def find_ended(self, id: JobId) -> JobState | None:
-        """Return how a best-effort job ended a short while ago, or None."""
+        """Return how a best-effort job ended a short while ago, here or elsewhere, or None."""
         ended = self.ended.get(id)
-        return ended[0] if ended is not None else None
+        if ended is not None:
+            return ended[0]
+        return JobState.CANCELLED if id in self._term.records.cancelled else None
 
     def is_open(self, id: JobId) -> bool:
         """Whether a job is open here."""
--- a/cottonlug/core/cluster/records.py
+++ b/cottonlug/core/cluster/records.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..ids import UpstreamId
+from .cancelled_jobs import CancelledJob, CancelledJobs
 from .commands import (
     AcceptJob,
     AddUpstream,
@@ -147,6 +148,7 @@
     upstreams: tuple[UpstreamRecord, ...]
     suspects: tuple[SuspectRecord, ...] = ()
     evacuations: tuple[EvacuationRecord, ...] = ()
+    cancelled: tuple[CancelledJob, ...] = ()
 
 
 _decoder = msgspec.json.Decoder(RecordsSnapshot)
@@ -163,6 +165,8 @@
         self.suspects: dict[TaskRef, SuspectRecord] = {}
         """Tasks under which upstreams have ended; also those of jobs that are not replicated."""
         self.evacuations = Evacuations()
+        self.cancelled = CancelledJobs()
+        """Cancelled jobs that are not in `jobs`."""
 
     def apply(self, command: Command) -> None:
         """Apply one committed command; applying it again changes nothing."""
@@ -212,6 +216,7 @@
             upstreams=tuple(self.upstreams.values()),
             suspects=tuple(self.suspects.values()),
             evacuations=self.evacuations.records,
+            cancelled=self.cancelled.records,
         )
         return msgspec.json.encode(saved).decode()
 
@@ -227,6 +232,7 @@
         self.upstreams = {record.info.id: record for record in saved.upstreams}
         self.suspects = {suspect.task: suspect for suspect in saved.suspects}
         self.evacuations = Evacuations(saved.evacuations)
+        self.cancelled = CancelledJobs(saved.cancelled)
 
     def find_leaving(self, id: UpstreamId) -> UpstreamRecord | None:
         """Return the instance meant by a leave message; None if it is not known.
@@ -266,7 +272,9 @@
 
     def _cancel(self, command: CancelJob) -> None:
         job = self.jobs.get(command.job)
-        if job is not None and job.is_open:
+        if job is None:
+            self.cancelled.add(command.job, command.at_ms)
+        elif job.is_open:
             end_job(job, JobState.CANCELLED, command.at_ms)
 
     def _record_run_ends(self, command: RecordRunEnds) -> None:
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -40,6 +40,7 @@
         counts.update(dataclasses.asdict(host.replica.counts))
         counts["heartbeats_answered_here"] = host.heartbeat_responder.answered
         counts["heartbeats_refused"] = refused.count
+        counts["cancelled_jobs_dropped"] = host.replicated.records.cancelled.dropped
         counts["idle_connections_closed"] = idle.closed_count
         counts["log_lines_left_out"] = output.dropped
         return counts
@@ -48,6 +49,7 @@
         gauges = {"term": float(host.replica.term), "is_leader": float(host.replica.is_leader)}
         gauges.update(dict.fromkeys(_DISPATCH_GAUGES, 0.0))
         gauges["jobs_kept"] = len(host.replicated.records.jobs)
+        gauges["cancelled_jobs"] = len(host.replicated.records.cancelled)
         gauges["peak_memory_mb"] = _read_peak_memory()
         gauges["descriptors_open"] = _count_descriptors()
         if host.leadership is not None:
--- a/cottonlug/runtime/job_answers.py
+++ b/cottonlug/runtime/job_answers.py
@@ -172,21 +172,32 @@
         return Answer(outcome=Outcome.DONE, state=self._dispatch.jobs.find_state(record))
 
     async def answer_cancel(self, call: Cancel) -> Answer:
-        """Cancel a job at its caller's request."""
+        """Cancel a job at its caller's request.
+
+        The cancel is answered once it is in the log, also if the job is not: the job may be
+        submitted to a later leader, or arrive here after its cancel.
+        """
         found = self._find_queue(call.host, call.path)
         if isinstance(found, Answer):
             return found
         _, job = found
         if self._dispatch.cancel(job, self._clock.monotonic()):
             self._schedule_decision()
-            return Answer(outcome=Outcome.DONE)
         record = self._records.jobs.get(job)
-        if record is None and ("job", job) not in self._waiters:
-            return Answer(outcome=Outcome.NO_JOB)
         if record is not None and not record.is_open:
             return Answer(outcome=Outcome.DONE, state=record.state)
+        if JOB_ID_PATTERN.fullmatch(job) is None:
+            return Answer(outcome=Outcome.NO_JOB)
+        is_known = (
+            record is not None
+            or ("job", job) in self._waiters
+            or self._dispatch.jobs.find_ended(job) is JobState.CANCELLED
+        )
         command = CancelJob(job=job, at_ms=self._read_wall_ms())
-        return await self._propose(command, ("cancel", job))
+        answer = await self._propose(command, ("cancel", job))
+        if answer.outcome is Outcome.DONE and not is_known:
+            return Answer(outcome=Outcome.NO_JOB)
+        return answer
 
     def _find_queue(self, host: str, path: str) -> tuple[Queue, JobId] | Answer:
         """Return the queue and the job id that a path names, or the answer if it names none."""
--- a/cottonlug/tests/test_cluster_cancellations.py
+++ b/cottonlug/tests/test_cluster_cancellations.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -14,12 +15,18 @@
 
 import pytest
 
+from ..core.clock import to_milliseconds
+from ..core.cluster.calls import Answer, Cancel, Outcome
+from ..core.cluster.cancelled_jobs import MAX_CANCELLED, RETENTION_MS, CancelledJobs
 from ..core.cluster.commands import CancelJob
-from ..core.cluster.model import JobId, Needs
+from ..core.cluster.model import JobId, JobState, Needs
+from ..core.cluster.open_jobs import ENDED_JOB_RETENTION
 from ..core.cluster.orders import Order, StartOrder, StopOrder
 from ..core.cluster.records import Records
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import UpstreamId
+from .gateway_builders import JOB as JOB_NAME
+from .gateway_builders import IdlePort, build_submit
 from .model_upstreams import (
     TASK_CPU,
     TERMS,
@@ -30,9 +37,11 @@
     build_spec,
     milliseconds,
 )
+from .test_cluster_contact import run_callbacks
 from .test_cluster_dispatch import build_world
+from .test_cluster_waiting import lead
 
-JOB = JobId("c" * 16)
+JOB = JobId(JOB_NAME)
 OTHER = JobId("d" * 16)
 QUEUE = build_queue(max_attempts=50, target_ms=60_000)
 START_BOUND = timedelta(seconds=4)
@@ -206,11 +215,53 @@
     site.cancel()
 
 
+def submit_to_next_leader(site: Site) -> None:
+    """Lose the leader after the cancel, before the job's gateway has got its answer."""
+    site.cancel()
+    site.lead(2)
+    site.run(site.chance.uniform(20, 300))
+    site.submit(again=True)
+
+
+def submit_after_cancel(site: Site) -> None:
+    """Cancel between two leaders, before the job's gateway submits it to the second one."""
+    site.lead(2)
+    site.run(site.chance.uniform(20, 200))
+    site.cancel()
+    site.run(site.chance.uniform(20, 100))
+    site.submit(again=True)
+
+
+def submit_much_later(site: Site) -> None:
+    """Submit again, as a caller without an answer, when leaders have forgotten ended jobs."""
+    site.cancel()
+    site.run(to_milliseconds(ENDED_JOB_RETENTION) * site.chance.uniform(2, 3))
+    site.submit(again=True)
+
+
+def submit_to_acting_leader(site: Site) -> None:
+    """Lose the leader as above, while no other is elected for 1 to 2 s; then one is."""
+    site.cancel()
+    site.lead(1, level=1)
+    site.run(600)
+    site.submit(again=True)
+    site.run(site.chance.uniform(500, 1_500))
+    site.lead(2)
+    site.submit(again=True)
+
+
 Case = Callable[[Site], None]
 SHARED_CASES = (cancel_only, change_leader, change_leader_without_contact, cut_upstreams_off)
+BEST_EFFORT_CASES = (
+    replace_acting_leader,
+    submit_to_next_leader,
+    submit_after_cancel,
+    submit_much_later,
+    submit_to_acting_leader,
+)
 CASES: tuple[tuple[Case, bool], ...] = (
     *((case, is_durable) for case in SHARED_CASES for is_durable in (False, True)),
-    (replace_acting_leader, False),
+    *((case, False) for case in BEST_EFFORT_CASES),
 )
 """Cases, and whether the job is durable; with durable jobs open, no gateway acts as leader."""
 
@@ -262,3 +313,51 @@
     """Guards against a lease that is renewed for as long as stops are lost and polls are not."""
     site = play(seed, is_durable, True, case, is_late=is_late, loses_stops=True)
     assert site.longest < RUN_BOUND
+
+
+@pytest.mark.parametrize("is_open", [False, True])
+def test_a_cancel_of_a_best_effort_job_is_answered_once_later_leaders_know_it(
+    is_open: bool,
+) -> None:
+    """Guards against a cancel that is lost with its leader, and one that overtakes its job."""
+    command = CancelJob(job=JOB, at_ms=0)
+
+    async def play() -> tuple[Answer, Answer]:
+        leadership, replicated = lead(IdlePort())
+        submitting = asyncio.create_task(leadership.answer(build_submit()))
+        if is_open:
+            await run_callbacks()
+        else:
+            submitting.cancel()
+        cancel = Cancel(host="host", path=f"/q/{JOB}")
+        cancelling = asyncio.create_task(leadership.answer(cancel))
+        await run_callbacks()
+        assert submitting.done() and not cancelling.done()
+        replicated.records.apply(command)
+        assert replicated.listener is not None
+        replicated.listener(command)
+        later, later_replicated = lead(IdlePort())
+        later_replicated.records.restore(replicated.records.encode())
+        answers = await cancelling, await later.answer(build_submit())
+        assert not later.dispatch.jobs.is_open(JOB)
+        leadership.stop()
+        later.stop()
+        return answers
+
+    cancelled, submitted = asyncio.run(play())
+    assert cancelled.outcome is (Outcome.DONE if is_open else Outcome.NO_JOB)
+    assert submitted == Answer(outcome=Outcome.DONE, state=JobState.CANCELLED)
+
+
+def test_the_table_of_cancelled_jobs_is_bounded_in_time_and_number() -> None:
+    """Guards against a table that grows with each cancel, or forgets one before its time."""
+    cancelled = CancelledJobs()
+    for number in range(MAX_CANCELLED + 2):
+        cancelled.add(JobId(f"{number:016x}"), 1_000)
+    assert (len(cancelled), cancelled.dropped) == (MAX_CANCELLED, 2)
+    cancelled.add(JOB, 1_000 + RETENTION_MS)
+    assert (len(cancelled), cancelled.dropped) == (MAX_CANCELLED, 3)
+    cancelled.add(OTHER, 1_001 + RETENTION_MS)
+    assert JOB in cancelled and len(cancelled) == 2
+    cancelled.add(JOB, 2_000 + 2 * RETENTION_MS)
+    assert JOB in cancelled and len(cancelled) == 1
