Keep new seeds until a leader has answered

Cause: a gateway took the list of control hosts from any answer of one of them, also of one that reaches no leader. Change: an answer with no leader's confirmation adds to the list; only one with it replaces the list.

--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -308,7 +308,9 @@
         """Follow the coordinator that the answer to a keep-alive names; False if it names none."""
         if via is Via.LEADER and answer.hosts:
             self._answered_at[host] = self._clock.monotonic()
-            self.hosts = sorted({*answer.hosts})
+            # A host that reaches no leader may have been replaced, and name only lost hosts.
+            known = () if answer.outcome is Outcome.DONE else self.hosts
+            self.hosts = sorted({*answer.hosts, *known})
         if answer.max_body_bytes is not None:
             self.max_body_bytes = answer.max_body_bytes
         if answer.outcome is not Outcome.DONE or answer.is_acting_leader:
--- a/cottonlug/tests/test_cluster_joining.py
+++ b/cottonlug/tests/test_cluster_joining.py
@@ -118,3 +118,35 @@
         assert before.link.has_direct_leader() and after.link.has_direct_leader()
 
     play_core(1, day)
+
+
+def test_new_seeds_are_kept_though_a_removed_control_host_names_the_old_ones() -> None:
+    """Guards against a gateway that forgets new seeds before it has reached one of them.
+
+    It was cut off while the control hosts were replaced. One of the old ones still runs, without
+    contact to the others, and names the old ones. The new ones can be reached only later.
+    """
+
+    async def day(world: World, machines: list[Machine]) -> None:
+        old, new = machines[:3], machines[3:6]
+        (gateway,) = start_gateways(world, range(1), old)
+        await asyncio.sleep(CONTACT_SECONDS)
+        own = world.gateways["edge-0"]
+        for machine in machines:
+            if machine is not old[0]:
+                world.cut(own, machine)
+                world.cut(old[0], machine)
+        gateway.link.hosts = [str(each.peers) for each in old]
+        get_control(old[0]).replica._membership.hosts = set(gateway.link.hosts)
+        await asyncio.sleep(CONTACT_SECONDS)
+        gateway.add_seeds([each.peers for each in new])
+        await asyncio.sleep(CONTACT_SECONDS)
+        world.heal()
+        for machine in machines[1:]:
+            world.cut(old[0], machine)
+        for machine in old[1:]:
+            world.cut(own, machine)
+        await asyncio.sleep(CONTACT_SECONDS)
+        assert gateway.link.has_direct_leader()
+
+    play_core(1, day)
