--- a/cottonlug/core/cluster/records.py
+++ b/cottonlug/core/cluster/records.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..ids import UpstreamId
+from .cancelled_jobs import CancelledJob, CancelledJobs
 from .commands import (
     AcceptJob,
     AddUpstream,
@@ -151,6 +152,7 @@
     suspects: tuple[SuspectRecord, ...] = ()
     evacuations: tuple[EvacuationRecord, ...] = ()
     speeds: tuple[ServiceSpeeds, ...] = ()
+    cancelled: tuple[CancelledJob, ...] = ()
 
 
 _decoder = msgspec.json.Decoder(RecordsSnapshot)
@@ -168,6 +170,8 @@
         """Tasks under which upstreams have ended; also those of jobs that are not replicated."""
         self.evacuations = Evacuations()
         self.speeds = SpeedRecords()
+        self.cancelled = CancelledJobs()
+        """Cancelled jobs that are not in `jobs`."""
 
     def apply(self, command: Command) -> None:
         """Apply one committed command; applying it again changes nothing."""
@@ -220,6 +224,7 @@
             suspects=tuple(self.suspects.values()),
             evacuations=self.evacuations.records,
             speeds=self.speeds.recorded,
+            cancelled=self.cancelled.records,
         )
         return msgspec.json.encode(saved).decode()
 
@@ -236,6 +241,7 @@
         self.suspects = {suspect.task: suspect for suspect in saved.suspects}
         self.evacuations = Evacuations(saved.evacuations)
         self.speeds = SpeedRecords(saved.speeds)
+        self.cancelled = CancelledJobs(saved.cancelled)
 
     def find_leaving(self, id: UpstreamId) -> UpstreamRecord | None:
         """Return the instance meant by a leave message; None if it is not known.
@@ -275,7 +281,9 @@
 
     def _cancel(self, command: CancelJob) -> None:
         job = self.jobs.get(command.job)
-        if job is not None and job.is_open:
+        if job is None:
+            self.cancelled.add(command.job, command.at_ms)
+        elif job.is_open:
             end_job(job, JobState.CANCELLED, command.at_ms)
 
     def _record_run_ends(self, command: RecordRunEnds) -> None:
