Choose the kind of upstream by the predicted end of the job

Cause: where a third of the upstreams takes more than twice as long as the others, the best fit put long tasks on slow ones, where they had to be late.

Change: the capacity index holds the factor of each kind. Kinds of equal factor share a pool, so that a service whose kinds do not differ has one pool for each domain, as before. A batch takes the fastest kind at which its job ends in time, or the slowest such one when less than a third of the fast capacity is free. It is held for the fast kinds if only they are good enough, until its latest start there. Run times outside the rack of the data can be multiplied by a factor; settings do not set it yet.

--- a/bench/variants.py
+++ b/bench/variants.py
@@ -17,6 +17,7 @@
     instance_table,
     instances,
     open_jobs,
+    placement,
     progress,
     response_timeout,
     scheduler,
@@ -62,7 +63,9 @@
     return NO_TIME
 
 
-def _choose_first_fit(batch: backlog.Batch, candidates: Any) -> instances.Instance | None:
+def _choose_first_fit(
+    batch: backlog.Batch, candidates: Any, **options: bool
+) -> instances.Instance | None:
     return next(
         (instance for instance in candidates if instance.has_free_capacity(batch.needs)), None
     )
@@ -75,7 +78,10 @@
 
 
 def _find_one_pool(self: Any, instance: instances.Instance) -> Any:
-    return self._pools.setdefault(instance.info.service, {}).setdefault("", capacity_index._Pool())
+    kinds = self._pools.setdefault(instance.info.service, {})
+    return kinds.setdefault(self.get_factor(instance.info), {}).setdefault(
+        "", capacity_index._Pool()
+    )
 
 
 upstream_health.UpstreamHealth.suspend_unchanged = upstream_health.UpstreamHealth._suspend  # type: ignore[attr-defined]
@@ -97,7 +103,7 @@
     "no_rejection_at_the_door": build_variant(
         (scheduler.Scheduler, "find_rejection", lambda self, *rest: None)
     ),
-    "first_fit": build_variant((scheduler, "choose_instance", _choose_first_fit)),
+    "first_fit": build_variant((placement, "choose_instance", _choose_first_fit)),
     "run_times_not_learnt": build_variant((forecast, "LEARNING_RATE", 0.0)),
     "no_moves": build_variant((watcher, "MAX_MOVES", 0)),
     "nobody_set_aside": build_variant((instance_table, "MAX_SUSPENDED_SHARE", -1.0)),
--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -32,6 +32,18 @@
     """It is of no more use: a best-effort job is ended if it cannot start at once."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Hold:
+    """Which upstreams a batch waits for, since its job would be late elsewhere, and until when."""
+
+    max_factor: float
+    """Only at kinds with this factor of run times or less does the job end in time."""
+    rack: str
+    """Label that the upstreams must have; empty if any will do."""
+    until: timedelta
+    """Latest start with which the job ends in time at the fastest of them."""
+
+
 @dataclass(slots=True, kw_only=True)
 class Batch:
     """Waiting tasks of one step of one job, and the latest times at which they must start.
@@ -52,6 +64,10 @@
     """If started later, the job is of no more use."""
     core_ms: float
     """Expected core-milliseconds of each task."""
+    run_time: timedelta = timedelta()
+    """Expected run time of each task on the mean upstream of its service, near its data."""
+    chain: timedelta = timedelta()
+    """Expected time there from the start of the batch to the end of the job."""
     waiting: list[int] = field(default_factory=list)
     """Indexes of its waiting tasks within the step."""
     cpu_millis: int = field(init=False)
@@ -66,6 +82,8 @@
     was_tried: bool = False
     """Whether it was tried on all upstreams, so that only those that gain capacity need be tried
     again."""
+    hold: Hold | None = None
+    """Set while it waits for some upstreams although it may fit at others."""
 
     def __post_init__(self) -> None:
         self.cpu_millis = self.step.needs.cpu_millis
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -26,6 +26,7 @@
 from .model import JobId, JobState, Queue, RunEndKind, RunEndReport, RunNumber, TaskRef
 from .open_job import OpenJob, Task, TaskPhase
 from .records import JobRecord, end_job
+from .speeds import Speeds
 from .term import Term
 from .throughput import Throughput
 
@@ -49,6 +50,7 @@
         self.jobs: dict[JobId, OpenJob] = {}
         self.backlog = Backlog()
         self.forecast = Forecast()
+        self.speeds = Speeds()
         self.throughput = Throughput()
         self.ended: dict[JobId, tuple[JobState, timedelta]] = {}
         """How best-effort jobs have ended lately, and when; not those rejected or abandoned."""
@@ -191,7 +193,7 @@
         due_at = job.due_at[occurrence]
         queue = job.record.queue
         chain = self.forecast.predict_chain(queue.key, job.record.spec.steps, number)
-        predicted_ms = self.forecast.predict(queue.key, step) / timedelta(milliseconds=1)
+        run_time = self.forecast.predict(queue.key, step)
         longest_wait = find_max_wait(queue, job.objective, chain)
         batch = Batch(
             job=job.record,
@@ -204,7 +206,9 @@
             latest_task_start=due_at + job.objective - chain,
             has_begun=job.has_begun,
             latest_useful_start=due_at + job.objective * USEFUL_FACTOR - chain,
-            core_ms=predicted_ms * step.needs.cpu_millis / 1000,
+            run_time=run_time,
+            chain=chain,
+            core_ms=run_time / timedelta(milliseconds=1) * step.needs.cpu_millis / 1000,
             restriction=restriction,
             waiting=task_indexes,
         )
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -19,11 +19,11 @@
 from .forecast import USEFUL_FACTOR
 from .instance_table import InstanceTable
 from .instances import Instance
-from .model import JobSpec, Queue, RunNumber, ServiceName, TaskRef
+from .model import JobSpec, Queue, RunNumber, ServiceName, TaskRef, UpstreamInfo
 from .open_job import TaskPhase
 from .open_jobs import OpenJobs, find_max_wait
 from .orders import Run, RunPhase, StartOrder
-from .placement import choose_instance
+from .placement import Placement
 from .records import JobRecord
 from .term import Term
 
@@ -34,6 +34,8 @@
 NO_DEMAND = 1 << 62
 """CPU need, more than any upstream has, that stands for an empty backlog: no change of an upstream
 then triggers another try."""
+NO_RELEASE = timedelta.max
+"""When held batches are released if there are none."""
 
 
 class Scheduler:
@@ -43,7 +45,10 @@
         self._term = term
         self._instances = instances
         self._jobs = jobs
-        self._capacity = CapacityIndex(instances=instances)
+        self._capacity = CapacityIndex(instances=instances, find_factor=self._find_factor)
+        self._placement = Placement(capacity=self._capacity, remote_factor=term.remote_factor)
+        self._next_release = NO_RELEASE
+        """No held batch may be placed elsewhere before then."""
         self._min_cpu_needed = 0
         """Lower bound of the CPU that a task of any waiting batch needs, in thousandths of a core;
         batches that were not tried yet may need less."""
@@ -66,6 +71,8 @@
             self._schedule_backlog(None, now)
         elif backlog.has_new or _find_max_free_cpu(changed) >= self._min_cpu_needed:
             self._schedule_backlog(changed, now)
+        if self._next_release < now:
+            self._release_held(now)
         self._shed(now)
 
     def _schedule_backlog(self, changed: list[Instance] | None, now: timedelta) -> None:
@@ -96,16 +103,38 @@
         if most < self._min_cpu_needed:
             return
         for batch in self._jobs.backlog:
-            if batch.cpu_millis > most and batch.was_tried:
+            if batch.was_tried and (
+                batch.cpu_millis > most or not self._may_fit_any(batch, changed)
+            ):
                 continue
             if self._schedule_batch(batch, now):
                 most = _find_max_free_cpu(changed)
             if most < self._min_cpu_needed:
                 return
 
+    def _may_fit_any(self, batch: Batch, changed: list[Instance]) -> bool:
+        """Return whether a batch that waits for certain upstreams need be tried on changed ones."""
+        if batch.hold is None:
+            return True
+        return any(self._placement.is_held_for(batch, instance) for instance in changed)
+
+    def _release_held(self, now: timedelta) -> None:
+        """Try the held batches whose jobs would be late also with the upstreams they wait for."""
+        backlog = self._jobs.backlog
+        self._next_release = NO_RELEASE
+        for batch in backlog:
+            if batch.hold is None:
+                continue
+            if batch.hold.until < now:
+                self._schedule_batch(batch, now)
+            else:
+                self._next_release = min(self._next_release, batch.hold.until)
+        backlog.drop_empty()
+
     def _schedule_batch(self, batch: Batch, now: timedelta) -> bool:
         """Try to place a batch if it may start now; return whether any of its tasks was started."""
         batch.was_tried = True
+        batch.hold = None
         self._min_cpu_needed = min(self._min_cpu_needed, batch.cpu_millis)
         if self._is_delayed(batch, now):
             return False
@@ -176,6 +205,10 @@
                 self._term.counts.evacuated_rejections += 1
                 self._jobs.reject(job, ALL_EVACUATED, EVACUATED_RETRY, now)
 
+    def _find_factor(self, info: UpstreamInfo) -> float:
+        """Return how many times as long as on the mean upstream a task takes at one."""
+        return self._jobs.speeds.find_factor(info)
+
     def _find_service(self, job: JobRecord) -> ServiceName:
         """Return the service of the job's queue now, or when the job came if the queue is gone."""
         queues = self._term.records.queues
@@ -212,14 +245,15 @@
         has_started = False
         job = self._jobs.jobs[batch.job.id]
         while batch.waiting:
-            instances = self._capacity.iterate_instances(service, batch.cpu_millis, now, job.home)
-            instance = choose_instance(
-                batch, instances, is_sorted=True, needs_empty=self._needs_empty(batch, now)
+            instance = self._placement.choose(
+                batch, service, job.home, now, needs_empty=self._needs_empty(batch, now)
             )
             if instance is None:
                 break
             has_started = True
             self._start(batch, batch.waiting.pop(), instance, now)
+        if batch.hold is not None:
+            self._next_release = min(self._next_release, batch.hold.until)
         self._jobs.backlog.has_empty |= not batch.waiting
         return has_started
 
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -100,6 +100,9 @@
     """How long the capacities that upstreams report can be relied on."""
     known_until: timedelta = timedelta()
     """Until then the recorded capacities can be relied on without a report to this host."""
+    remote_factor: float = 1.0
+    """How many times as long a task takes outside the rack of its data. At 1 the rack is only
+    preferred."""
     is_superseded: bool = False
     """Whether an upstream is known to have accepted a higher token, which ends this term there."""
 
--- /dev/null
+++ b/cottonlug/tests/test_cluster_placement.py
@@ -0,0 +1,234 @@
+"""Choice of the kind and the rack of upstreams by the predicted end of a job."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+import pytest
+
+from ..core.cluster.backlog import Batch
+from ..core.cluster.instances import Instance
+from ..core.cluster.model import JobId, JobSpec, Needs, StepSpec, UpstreamInfo
+from ..core.cluster.placement import Placement, choose_instance
+from ..core.cluster.scheduler import Scheduler
+from ..core.ids import DomainName, UpstreamId
+from .model_upstreams import Leader, build_info, build_queue, milliseconds, start_site_leader
+
+FACTORS = {"fast": 0.7, "slow": 1.7}
+QUEUE = build_queue()
+LONG_MS = 900
+"""Its objective is 1,500 ms: 1,530 ms at a slow upstream are too long, 630 ms at a fast one not."""
+SHORT_MS = 100
+"""Its objective is 220 ms, and it takes 170 ms at a slow upstream."""
+TASK = Needs(cpu_millis=8_000)
+
+
+def build_leader(
+    monkeypatch: pytest.MonkeyPatch, *kinds: str, racks: tuple[str, ...] = (), remote: float = 1.0
+) -> Leader:
+    """Return a leader of upstreams of these kinds, on each of which two tasks fit."""
+    monkeypatch.setattr(Scheduler, "_find_factor", lambda self, info: FACTORS.get(info.kind, 1.0))
+    infos = [
+        msgspec.structs.replace(build_info(f"u{number + 1}"), kind=kind, labels=racks[number:][:1])
+        for number, kind in enumerate(kinds)
+    ]
+    leader = start_site_leader(infos, seed=1, run_ms=0)
+    leader.dispatch._scheduler._placement._remote_factor = remote
+    for upstream in leader.upstreams.values():
+        upstream.run_times = lambda job, info=upstream.info: milliseconds(  # type: ignore[misc]
+            int(job.split("-")[0]) * FACTORS.get(info.kind, 1.0)
+        )
+    return leader
+
+
+def submit(leader: Leader, run_ms: int, *, rack: str = "", late: bool = False) -> JobId:
+    """Submit a job of one task; its name tells the run time."""
+    step = StepSpec(count=1, needs=TASK, estimate_ms=run_ms, data_rack=rack)
+    spec = JobSpec(payload="", steps=(step,), best_effort=True)
+    number = len(leader.world.needs)
+    job = JobId(f"{run_ms}-{number}")
+    leader.world.needs[job] = TASK
+    waited = milliseconds(run_ms * 1.6 + 60) if late else timedelta()
+    leader.submit(job, spec, QUEUE, waited=waited)
+    return job
+
+
+def find_upstream(leader: Leader, job: JobId) -> str | None:
+    task = next(iter(leader.dispatch.jobs.jobs[job].tasks.values()))
+    return task.instance
+
+
+def test_the_fastest_kind_is_used_while_a_third_of_it_is_free(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against short jobs that take the fast capacity which long ones need."""
+    leader = build_leader(monkeypatch, "slow", "fast", "fast", "fast")
+    used = [find_upstream(leader, submit(leader, SHORT_MS)) for _ in range(7)]
+    assert used == ["u2", "u2", "u3", "u3", "u4", "u1", "u1"]
+
+
+def test_a_job_that_would_be_late_at_a_slow_upstream_waits_for_a_fast_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    leader = build_leader(monkeypatch, "slow", "fast")
+    first = [submit(leader, LONG_MS) for _ in range(2)]
+    assert [find_upstream(leader, job) for job in first] == ["u2", "u2"]
+    job = submit(leader, LONG_MS)
+    leader.world.run_until(milliseconds(700))
+    assert find_upstream(leader, job) is None, "it does not start at a slow upstream"
+    leader.world.run_until(milliseconds(800))
+    assert find_upstream(leader, job) == "u2"
+
+
+def test_a_job_that_waits_for_a_fast_upstream_starts_elsewhere_once_that_is_too_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against jobs that wait for an upstream with which they would be late, too."""
+    leader = build_leader(monkeypatch, "slow", "fast")
+    for _ in range(2):
+        submit(leader, 3 * LONG_MS)
+    job = submit(leader, LONG_MS)
+    latest_start = leader.world.now + milliseconds(1_500 - 630)
+    leader.world.run_until(latest_start)
+    assert find_upstream(leader, job) is None
+    leader.world.run_until(latest_start + milliseconds(25))
+    assert find_upstream(leader, job) == "u1"
+
+
+def test_nothing_waits_for_a_kind_that_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    leader = build_leader(monkeypatch, "slow", "fast")
+    leader.dispatch.instances[UpstreamId("u2")].draining = True
+    assert find_upstream(leader, submit(leader, LONG_MS)) == "u1"
+
+
+def test_nothing_waits_for_an_upstream_that_is_too_small(monkeypatch: pytest.MonkeyPatch) -> None:
+    leader = build_leader(monkeypatch, "slow", "fast")
+    fast = leader.dispatch.instances[UpstreamId("u2")]
+    small = msgspec.structs.replace(fast.info.capacity, cpu_millis=TASK.cpu_millis - 1)
+    fast.info = msgspec.structs.replace(fast.info, capacity=small)
+    leader.dispatch._instances.mark_changed(fast)
+    assert find_upstream(leader, submit(leader, LONG_MS)) == "u1"
+
+
+def test_a_late_job_takes_the_fastest_kind_with_free_capacity(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    leader = build_leader(monkeypatch, "slow", "fast")
+    used = [find_upstream(leader, submit(leader, LONG_MS, late=True)) for _ in range(4)]
+    assert used == ["u2", "u2", "u1", "u1"]
+
+
+def test_a_job_waits_for_the_rack_of_its_data_while_that_is_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against runs that take three times as long, although the rack is free soon."""
+    leader = build_leader(monkeypatch, "", "", racks=("r1", "r2"), remote=3.0)
+    used = [find_upstream(leader, submit(leader, SHORT_MS, rack="r2")) for _ in range(3)]
+    assert used == ["u2", "u2", None]
+    leader.world.run_until(milliseconds(240))
+    assert find_upstream(leader, JobId(f"{SHORT_MS}-2")) == "u2"
+
+
+def test_a_job_runs_outside_the_rack_of_its_data_once_it_would_be_late_there(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    leader = build_leader(monkeypatch, "", "", racks=("r1", "r2"), remote=3.0)
+    for _ in range(2):
+        submit(leader, LONG_MS, rack="r2")
+    job = submit(leader, SHORT_MS, rack="r2")
+    latest_start = leader.world.now + milliseconds(120)
+    leader.world.run_until(latest_start)
+    assert find_upstream(leader, job) is None
+    leader.world.run_until(latest_start + milliseconds(25))
+    assert find_upstream(leader, job) == "u1"
+
+
+def test_without_a_remote_factor_the_rack_is_only_preferred(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    leader = build_leader(monkeypatch, "", "", racks=("r1", "r2"))
+    used = [find_upstream(leader, submit(leader, SHORT_MS, rack="r2")) for _ in range(3)]
+    assert used == ["u2", "u2", "u1"]
+
+
+def choose_as_before(
+    self: Placement,
+    batch: Batch,
+    service: Any,
+    home: DomainName | None,
+    now: timedelta,
+    *,
+    needs_empty: bool = False,
+) -> Instance | None:
+    """Choose as before kinds were told apart: domain by domain, the least free CPU first."""
+    table, places = self._capacity._instances, self._capacity._places.values()
+    indexed = [place.entry[2] for place in places if place.entry[2].info.service == service]
+    domains = list(next(iter(self._capacity._pools[service].values())))
+    free = {
+        domain: sum(each.free_cpu for each in indexed if each.info.domain == domain)
+        for domain in domains
+    }
+    instances = sorted(
+        (each for each in indexed if table.accepts_work(each, now)),
+        key=lambda each: (
+            each.is_cold(now),
+            each.info.domain != home,
+            -free[each.info.domain],
+            domains.index(each.info.domain),
+            each.free_cpu,
+            each.arrival_number,
+        ),
+    )
+    return choose_instance(batch, instances, is_sorted=True, needs_empty=needs_empty)
+
+
+def play_seeded_load(seed: int) -> None:
+    """Play a load with bursts, on upstreams of two kinds that do not differ."""
+    infos: list[UpstreamInfo] = [
+        msgspec.structs.replace(
+            build_info(f"u{number}", 16_000 + number % 3 * 8_000, f"domain-{number % 2}"),
+            kind="ab"[number % 5 // 3],
+            labels=(f"r{number // 4}",),
+        )
+        for number in range(1, 13)
+    ]
+    leader = start_site_leader(infos, seed=seed, run_ms=0)
+    chance = random.Random(seed)
+    for upstream in leader.upstreams.values():
+        upstream.run_times = lambda job: milliseconds(int(job.split("-")[0]) % 500 + 20)
+    for number in range(250):
+        needs = Needs(cpu_millis=chance.randint(2_000, 15_000))
+        job = JobId(f"{chance.randrange(10_000)}-{number}")
+        leader.world.needs[job] = needs
+        step = StepSpec(
+            count=chance.randint(1, 6), needs=needs, estimate_ms=chance.randint(30, 500)
+        )
+        leader.submit(job, JobSpec(payload="", steps=(step,), best_effort=True), QUEUE)
+        leader.world.run_until(leader.world.now + milliseconds(chance.choice((0, 3, 60, 90))))
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_service_whose_kinds_do_not_differ_is_served_as_before(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against other choices of upstreams where a site has no need of kinds."""
+    starts: list[tuple[Any, ...]] = []
+    start = Scheduler._start
+
+    def record(
+        self: Scheduler, batch: Batch, task_index: int, instance: Instance, now: timedelta
+    ) -> None:
+        starts.append((now, batch.job.id, task_index, instance.info.id))
+        start(self, batch, task_index, instance, now)
+
+    monkeypatch.setattr(Scheduler, "_start", record)
+    play_seeded_load(seed)
+    new = starts.copy()
+    starts.clear()
+    monkeypatch.setattr(Placement, "choose", choose_as_before)
+    play_seeded_load(seed)
+    assert len(starts) > 400
+    assert new == starts
