Setting remote_factor: run times outside the rack of the data

Cause: a deployment states how many times as long a task takes away from its data (bounds.remote_factor), but hosts only preferred the rack.

Above 1, a batch waits for its rack while its job can still end in time there.

--- a/cottonlug/config/cluster.py
+++ b/cottonlug/config/cluster.py
@@ -25,10 +25,14 @@
     read_duration,
     read_integer,
     read_list,
+    read_number,
     read_path,
     read_section,
 )
 
+MAX_REMOTE_FACTOR = 1_000.0
+"""Largest value of `remote_factor`; a larger one is an error."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ControlListeners:
@@ -82,6 +86,8 @@
     urgent_port: int | None = None
     """Port on all hosts, including this one, for calls that must not wait behind jobs."""
     reports: ReportTerms = DEFAULT_REPORT_TERMS
+    remote_factor: float = 1.0
+    """How many times as long a task takes outside the rack of its data."""
     log: LogSettings
 
 
@@ -102,6 +108,8 @@
     urgent_port: int | None = None
     """Port on all hosts, including this one, for calls that must not wait behind jobs."""
     reports: ReportTerms = DEFAULT_REPORT_TERMS
+    remote_factor: float = 1.0
+    """How many times as long a task takes outside the rack of its data."""
     log: LogSettings
 
 
@@ -127,6 +135,7 @@
     "drain_limit": Option(read_duration, timedelta(seconds=5)),
     "heartbeat_every": Option(read_duration, DEFAULT_REPORT_TERMS.interval),
     "shrink_borne": Option(read_duration, DEFAULT_REPORT_TERMS.shrink_tolerance),
+    "remote_factor": Option(read_number(1.0, MAX_REMOTE_FACTOR), 1.0),
     "log": Option(read_log_section, LogSettings()),
 }
 _CONTROL_OPTIONS: Options = {
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -98,6 +98,7 @@
         keeps_log: bool = True,
         reports: ReportTerms = DEFAULT_REPORT_TERMS,
         known_until: timedelta = timedelta(),
+        remote_factor: float = 1.0,
     ) -> None:
         self._term = Term(
             token=token,
@@ -111,6 +112,7 @@
             keeps_log=keeps_log,
             reports=reports,
             known_until=known_until,
+            remote_factor=remote_factor,
         )
         self._instances = InstanceTable(term=self._term)
         crash_tracker = CrashTracker(term=self._term, instances=self._instances)
--- a/cottonlug/runtime/acting_leader.py
+++ b/cottonlug/runtime/acting_leader.py
@@ -84,6 +84,7 @@
 
     Its fencing token is that of the last leader plus `level`. `reports` are the terms of upstreams'
     capacity reports. `confirmed_at` is when a leader last sent or confirmed the failover state.
+    `remote_factor` is how many times as long a task takes outside the rack of its data.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         caller_retry: timedelta,
         reports: ReportTerms,
         confirmed_at: timedelta,
+        remote_factor: float,
         on_failure: OnFailure,
     ) -> None:
         self.domain = domain
@@ -126,6 +128,7 @@
                 reports=reports,
                 # Upstreams send heartbeats to control hosts only, so none will confirm capacities.
                 known_until=reports.find_valid_until(confirmed_at),
+                remote_factor=remote_factor,
             ),
         )
 
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -401,6 +401,7 @@
                     control_address=str(self._settings.listen.control),
                     reports=reports,
                     known_until=self._find_known_until(reports),
+                    remote_factor=self._settings.remote_factor,
                 ),
             )
             self.leadership.gateways.record_age = self.record_message_age
--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -540,6 +540,7 @@
             caller_retry=self._settings.caller_retry,
             reports=self._settings.reports,
             confirmed_at=self.failover_store.confirmed_at,
+            remote_factor=self._settings.remote_factor,
             on_failure=self._on_failure,
         )
         self._register_itself(self.acting_leader)
--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -112,6 +112,8 @@
     known_until: timedelta = timedelta()
     """Until then (monotonic time) the recorded capacities can be relied on without a report to this
     host."""
+    remote_factor: float = 1.0
+    """How many times as long a task takes outside the rack of its data."""
 
 
 class Leadership:
@@ -173,6 +175,7 @@
             keeps_log=settings.keeps_log,
             reports=settings.reports,
             known_until=settings.known_until,
+            remote_factor=settings.remote_factor,
         )
         self._job_answers = JobAnswers(
             authority=authority,
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -383,6 +383,7 @@
     terms: LeaseTerms = TERMS
     known_until: timedelta = timedelta.max
     """Until then the capacities in the records are valid without a heartbeat to this leader."""
+    remote_factor: float = 1.0
     ended: list[JobId] = field(default_factory=list)
     ended_at: dict[JobId, timedelta] = field(default_factory=dict)
     commits: Callable[[Command], bool] = lambda command: True
@@ -401,6 +402,7 @@
             domain=self.domain,
             keeps_log=not self.is_acting,
             known_until=self.known_until,
+            remote_factor=self.remote_factor,
         )
         self._tick_forever()
 
@@ -567,7 +569,9 @@
             self.dispatch.handle_poll_answer(order, reply, sent_at, now)
 
 
-def start_site_leader(infos: Iterable[UpstreamInfo], *, seed: int, run_ms: int) -> Leader:
+def start_site_leader(
+    infos: Iterable[UpstreamInfo], *, seed: int, run_ms: int, remote_factor: float = 1.0
+) -> Leader:
     """Return a leader that has received heartbeats of all upstreams, 0.1 s into its term."""
     world = World(random=random.Random(seed))
     upstreams = {
@@ -576,7 +580,13 @@
         )
         for info in infos
     }
-    leader = Leader(world=world, upstreams=upstreams, records=Records(), token=1_000_000)
+    leader = Leader(
+        world=world,
+        upstreams=upstreams,
+        records=Records(),
+        token=1_000_000,
+        remote_factor=remote_factor,
+    )
     for upstream in upstreams.values():
         leader.deliver_heartbeat(upstream, 1)
     world.run_until(milliseconds(100))
--- a/cottonlug/tests/test_cluster_placement.py
+++ b/cottonlug/tests/test_cluster_placement.py
@@ -35,8 +35,7 @@
         msgspec.structs.replace(build_info(f"u{number + 1}"), kind=kind, labels=racks[number:][:1])
         for number, kind in enumerate(kinds)
     ]
-    leader = start_site_leader(infos, seed=1, run_ms=0)
-    leader.dispatch._scheduler._placement._remote_factor = remote
+    leader = start_site_leader(infos, seed=1, run_ms=0, remote_factor=remote)
     for upstream in leader.upstreams.values():
         upstream.run_times = lambda job, info=upstream.info: milliseconds(  # type: ignore[misc]
             int(job.split("-")[0]) * FACTORS.get(info.kind, 1.0)
--- a/cottonlug/tests/test_cluster_settings.py
+++ b/cottonlug/tests/test_cluster_settings.py
@@ -60,6 +60,14 @@
     assert settings.drain_limit == timedelta(seconds=5)
 
 
+def test_the_factor_outside_the_rack_is_at_least_one(tmp_path: Path) -> None:
+    """Guards against a typing error that makes runs away from their data look faster."""
+    assert load_control_settings(write(tmp_path, CONTROL)).remote_factor == 1.0
+    assert load_gateway_settings(write(tmp_path, GATEWAY + "remote_factor: 2")).remote_factor == 2
+    with pytest.raises(SettingsError):
+        load_control_settings(write(tmp_path, CONTROL + "remote_factor: 0.5"))
+
+
 def test_requests_are_answered_until_shortly_before_the_shutdown_limit() -> None:
     """A job was aborted 1 s before the host had to exit."""
     assert find_drain_seconds(timedelta(seconds=6), 2.5) == pytest.approx(3.1)
