Keep the factors of run times with the term

Cause: run ends, which learn the factors, and placement, which uses them, share the state of a term. Change: Term.speeds in place of OpenJobs.speeds. No decision changes; the tests of placement pass.

--- a/bench/unequal.py
+++ b/bench/unequal.py
@@ -84,7 +84,7 @@
 
     def wrap(method: Any) -> Any:
         def apply_factor(self: Any, instance: Any, *rest: Any) -> Any:
-            factor[0] = self._jobs.speeds.find_factor(instance.info)
+            factor[0] = self._term.speeds.find_factor(instance.info)
             try:
                 return method(self, instance, *rest)
             finally:
@@ -93,7 +93,7 @@
         return apply_factor
 
     def learn_and_evaluate(self: Any, instance: Any, run: Any, end: Any, now: timedelta) -> None:
-        speeds, service = self._jobs.speeds, instance.info.service
+        speeds, service = self._term.speeds, instance.info.service
         if not speeds._upstreams:
             infos = [each.info for each in self._instances.by_id.values()]
             speeds.count_upstreams(service, Counter(info.kind for info in infos))
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -26,7 +26,6 @@
 from .model import JobId, JobState, Queue, RunEndKind, RunEndReport, RunNumber, TaskRef
 from .open_job import OpenJob, Task, TaskPhase
 from .records import JobRecord, end_job
-from .speeds import Speeds
 from .term import Term
 from .throughput import Throughput
 
@@ -50,7 +49,6 @@
         self.jobs: dict[JobId, OpenJob] = {}
         self.backlog = Backlog()
         self.forecast = Forecast()
-        self.speeds = Speeds()
         self.throughput = Throughput()
         self.ended: dict[JobId, tuple[JobState, timedelta]] = {}
         """How best-effort jobs have ended lately, and when; not those rejected or abandoned."""
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -207,7 +207,7 @@
 
     def _find_factor(self, info: UpstreamInfo) -> float:
         """Return how many times as long as on the mean upstream a task takes at one."""
-        return self._jobs.speeds.find_factor(info)
+        return self._term.speeds.find_factor(info)
 
     def _find_service(self, job: JobRecord) -> ServiceName:
         """Return the service of the job's queue now, or when the job came if the queue is gone."""
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -19,6 +19,7 @@
 from .model import JobId, RunNumber
 from .orders import Order
 from .records import Records
+from .speeds import Speeds
 
 DecisionLog = Callable[[str, dict[str, str | int]], None]
 """Called for each decision that is logged, with its name and inputs."""
@@ -91,6 +92,8 @@
     """The only failure domain whose upstreams this term may send orders to; None for all."""
     keeps_log: bool = True
     """Whether proposals reach later leaders through the log; those of an acting leader do not."""
+    speeds: Speeds = field(default_factory=Speeds)
+    """Factors of run times by kind of upstream."""
     counts: DispatchCounts = field(default_factory=DispatchCounts)
     orders: list[Order] = field(default_factory=list)
     """Orders that are yet to be sent to upstreams."""
