--- a/bench/unequal.py
+++ b/bench/unequal.py
@@ -33,6 +33,7 @@
 from cottonlug.core.cluster.forecast import Forecast
 from cottonlug.core.cluster.run_ends import RunEndHandler
 from cottonlug.core.cluster.scheduler import Scheduler
+from cottonlug.core.cluster.speeds import Speeds
 from cottonlug.core.cluster.watcher import Watcher
 from cottonlug.core.ids import DomainName
 from cottonlug.tests.model_upstreams import ModelUpstream
@@ -77,7 +78,10 @@
 
 @contextmanager
 def learn_by_kind() -> Iterator[None]:
-    """Learn and compare run times by kind, as `Forecast` will do when it uses `Speeds`."""
+    """Learn and compare run times by kind, in a build whose `Forecast` does not do so itself."""
+    if hasattr(Forecast, "predict_at"):
+        yield
+        return
     factor = [1.0]
     predict, learn = Forecast.predict, Forecast.learn
     evaluate_end = RunEndHandler._evaluate_end
@@ -133,7 +137,9 @@
     """Simulate one run; return the share of jobs in their objective, by queue and in all."""
     with ExitStack() as stack:
         stack.enter_context(replacing(load, "DURATION_SECONDS", DURATION_SECONDS))
-        if key.variant != "one_kind":
+        if key.variant == "one_kind":
+            stack.enter_context(replacing(Speeds, "find_factor", lambda self, info: 1.0))
+        else:
             stack.enter_context(learn_by_kind())
         if key.variant != "by_kind":
             stack.enter_context(replacing(Scheduler, "_find_factor", lambda self, info: 1.0))
--- a/cottonlug/core/cluster/capacity_index.py
+++ b/cottonlug/core/cluster/capacity_index.py
@@ -170,15 +170,16 @@
 
     def list_kinds(self, service: ServiceName) -> list[Kind]:
         """Return the kinds of a service that have upstreams which accept work, fastest first."""
-        kinds = (
-            Kind(
-                factor,
-                sum(pool.free_cpu for pool in domains.values()),
-                sum(pool.total_cpu for pool in domains.values()),
-            )
-            for factor, domains in self._pools.get(service, {}).items()
-        )
-        return sorted(kind for kind in kinds if kind.total_cpu)
+        kinds: list[Kind] = []
+        for factor, domains in self._pools.get(service, {}).items():
+            free_cpu = total_cpu = 0
+            for pool in domains.values():
+                free_cpu += pool.free_cpu
+                total_cpu += pool.total_cpu
+            if total_cpu:
+                kinds.append(Kind(factor, free_cpu, total_cpu))
+        kinds.sort()
+        return kinds
 
     def iterate_instances(
         self,
--- a/cottonlug/tests/test_cluster_placement.py
+++ b/cottonlug/tests/test_cluster_placement.py
@@ -15,7 +15,15 @@
 from ..core.cluster.placement import Placement, choose_instance
 from ..core.cluster.scheduler import Scheduler
 from ..core.ids import DomainName, UpstreamId
-from .model_upstreams import Leader, build_info, build_queue, milliseconds, start_site_leader
+from .model_upstreams import (
+    SERVICE,
+    Leader,
+    build_info,
+    build_queue,
+    milliseconds,
+    start_site_leader,
+)
+from .test_cluster_policy import build_batch
 
 FACTORS = {"fast": 0.7, "slow": 1.7}
 QUEUE = build_queue()
@@ -43,10 +51,18 @@
     return leader
 
 
-def submit(leader: Leader, run_ms: int, *, rack: str = "", late: bool = False) -> JobId:
+def submit(
+    leader: Leader,
+    run_ms: int,
+    *,
+    rack: str = "",
+    label: str = "",
+    late: bool = False,
+    long_running: bool = False,
+) -> JobId:
     """Submit a job of one task; its name tells the run time."""
-    step = StepSpec(count=1, needs=TASK, estimate_ms=run_ms, data_rack=rack)
-    spec = JobSpec(payload="", steps=(step,), best_effort=True)
+    step = StepSpec(count=1, needs=TASK, estimate_ms=run_ms, data_rack=rack, required_label=label)
+    spec = JobSpec(payload="", steps=(step,), best_effort=True, long_running=long_running)
     number = len(leader.world.needs)
     job = JobId(f"{run_ms}-{number}")
     leader.world.needs[job] = TASK
@@ -112,6 +128,39 @@
     assert find_upstream(leader, submit(leader, LONG_MS)) == "u1"
 
 
+def test_nothing_waits_for_a_kind_that_it_may_not_use(monkeypatch: pytest.MonkeyPatch) -> None:
+    leader = build_leader(monkeypatch, "slow", "fast", racks=("r1", "r2"))
+    assert find_upstream(leader, submit(leader, LONG_MS, label="r1")) == "u1"
+
+
+def test_long_running_tasks_wait_for_no_rack(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an endless wait: such tasks are never late."""
+    leader = build_leader(monkeypatch, "", "", racks=("r1", "r2"), remote=3.0)
+    used = [
+        find_upstream(leader, submit(leader, LONG_MS, rack="r2", long_running=True))
+        for _ in range(3)
+    ]
+    assert used == ["u2", "u2", "u1"]
+
+
+def test_the_domain_is_preferred_within_a_kind_only(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against slow upstreams at home where there are fast ones in another domain."""
+    leader = build_leader(monkeypatch, "slow", "fast", "fast")
+    domains = {"u1": "home", "u2": "other", "u3": "home"}
+    for instance in leader.dispatch.instances.values():
+        domain = DomainName(domains[instance.info.id])
+        instance.info = msgspec.structs.replace(instance.info, domain=domain)
+    capacity, batch = leader.dispatch._scheduler._capacity, build_batch(
+        "a", latest_start=0, latest_useful_start=0
+    )
+    capacity.invalidate()
+    capacity.refresh_if_due(leader.world.now)
+    placement = leader.dispatch._scheduler._placement
+    for home, upstream in (("home", "u3"), ("other", "u2")):
+        chosen = placement.choose(batch, SERVICE, DomainName(home), leader.world.now)
+        assert chosen is not None and chosen.info.id == upstream
+
+
 def test_a_late_job_takes_the_fastest_kind_with_free_capacity(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
