--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -191,7 +191,7 @@
         due_at = job.due_at[occurrence]
         queue = job.record.queue
         chain = self.forecast.predict_chain(queue.key, job.record.spec.steps, number)
-        predicted_ms = self.forecast.predict(queue.key, step) / timedelta(milliseconds=1)
+        run_time = self.forecast.predict(queue.key, step)
         longest_wait = find_max_wait(queue, job.objective, chain)
         batch = Batch(
             job=job.record,
@@ -204,7 +204,9 @@
             latest_task_start=due_at + job.objective - chain,
             has_begun=job.has_begun,
             latest_useful_start=due_at + job.objective * USEFUL_FACTOR - chain,
-            core_ms=predicted_ms * step.needs.cpu_millis / 1000,
+            run_time=run_time,
+            chain=chain,
+            core_ms=run_time / timedelta(milliseconds=1) * step.needs.cpu_millis / 1000,
             restriction=restriction,
             waiting=task_indexes,
         )
--- a/cottonlug/tests/test_cluster_speeds.py
+++ b/cottonlug/tests/test_cluster_speeds.py
@@ -45,6 +45,7 @@
 EQUAL = {"a": 1.0, "b": 1.0}
 
 Decisions = list[tuple[str, dict[str, str | int]]]
+INTERVAL = milliseconds(6)
 
 
 def build_kind_info(name: str, kind: str) -> UpstreamInfo:
@@ -81,11 +82,18 @@
     return decisions
 
 
-def load(world: World, leader: Leader, span: timedelta, first: int = 0, run_ms: int = 60) -> None:
-    """Submit a job of two tasks every 6 ms for some time: about two thirds of the capacity."""
-    for number in range(int(span / milliseconds(6))):
+def load(
+    world: World,
+    leader: Leader,
+    span: timedelta,
+    first: int = 0,
+    run_ms: int = 60,
+    interval: timedelta = INTERVAL,
+) -> None:
+    """Submit a job of two tasks in each interval: in 6 ms about two thirds of the capacity."""
+    for number in range(int(span / interval)):
         leader.submit(f"{first + number:016x}", build_spec(tasks=2, run_ms=run_ms), build_queue())
-        world.run_until(world.now + milliseconds(6))
+        world.run_until(world.now + interval)
 
 
 def list_slow(decisions: Decisions) -> list[str | int]:
@@ -122,7 +130,8 @@
     before, since = speeds.find_factor(instance.info), world.now
     assert before > 1.5
     upstreams[instance.info.id].run_times = lambda job: milliseconds(66 * 1.7 * 4)
-    load(world, leader, timedelta(seconds=3), first=10_000)
+    # More than the fast kind alone can take, so that the slow kind gets work, too.
+    load(world, leader, timedelta(seconds=3), first=10_000, interval=INTERVAL / 2)
     assert leader.dispatch._instances.get_health(instance).suspended_until > since
     assert speeds.find_factor(instance.info) < before * 1.1
 
