--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -19,7 +19,7 @@
 from .forecast import USEFUL_FACTOR
 from .instance_table import InstanceTable
 from .instances import Instance
-from .model import JobSpec, Queue, RunNumber, ServiceName, TaskRef
+from .model import JobSpec, Queue, RunNumber, ServiceName, StepSpec, TaskRef
 from .open_job import TaskPhase
 from .open_jobs import OpenJobs, find_max_wait
 from .orders import Run, RunPhase, StartOrder
@@ -239,9 +239,9 @@
         run = Run(task=ref, run=task.run, needs=batch.needs, phase=RunPhase.STARTING, since=now)
         run.resumes = bool(known.checkpoint)
         run.is_exclusive = batch.restriction is not StartRestriction.NONE
-        # Tasks that resume take less time, and those at a cold upstream more, whatever its kind.
-        is_usual = not (run.resumes or instance.is_cold(now))
-        run.is_sample = is_usual and job.claim_sample(ref.step, instance.info.kind)
+        run.is_sample = _is_typical(run, batch.step, instance, now) and job.claim_sample(
+            ref.step, instance.info.kind
+        )
         instance.add_run(run)
         self._capacity.update(instance, now)
         self._instances.mark_changed(instance)
@@ -274,6 +274,15 @@
         self._term.orders.append(order)
 
 
+def _is_typical(run: Run, step: StepSpec, instance: Instance, now: timedelta) -> bool:
+    """Return whether the run time of a task that starts depends on the kind of upstream alone.
+
+    It is less for tasks that resume, and more at cold upstreams and away from the task's data.
+    """
+    is_far = bool(step.data_rack) and step.data_rack not in instance.info.labels
+    return not (run.resumes or is_far or instance.is_cold(now))
+
+
 def _find_max_free_cpu(instances: list[Instance] | None) -> int:
     """Return the most free CPU that any of some instances has, in thousandths of a core."""
     return max((instance.free_cpu for instance in instances or ()), default=0)
