Tests of held batches without scans

Change: the tests of placement scan only at the start, and cover long-running tasks, the order outside the rack, and late batches with a rack.

--- a/cottonlug/tests/test_cluster_placement.py
+++ b/cottonlug/tests/test_cluster_placement.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from ..core.cluster import dispatch
 from ..core.cluster.backlog import Batch
 from ..core.cluster.instances import Instance
 from ..core.cluster.model import JobId, JobSpec, Needs, StepSpec, UpstreamInfo
@@ -37,7 +38,11 @@
 def build_leader(
     monkeypatch: pytest.MonkeyPatch, *kinds: str, racks: tuple[str, ...] = (), remote: float = 1.0
 ) -> Leader:
-    """Return a leader of upstreams of these kinds, on each of which two tasks fit."""
+    """Return a leader of upstreams of these kinds, on each of which two tasks fit.
+
+    It does not scan its upstreams: a waiting job depends on changes and on its latest start.
+    """
+    monkeypatch.setattr(dispatch, "SCAN_INTERVAL", timedelta(minutes=1))
     monkeypatch.setattr(Scheduler, "_find_factor", lambda self, info: FACTORS.get(info.kind, 1.0))
     infos = [
         msgspec.structs.replace(build_info(f"u{number + 1}"), kind=kind, labels=racks[number:][:1])
@@ -135,12 +140,9 @@
 
 def test_long_running_tasks_wait_for_no_rack(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an endless wait: such tasks are never late."""
-    leader = build_leader(monkeypatch, "", "", racks=("r1", "r2"), remote=3.0)
-    used = [
-        find_upstream(leader, submit(leader, LONG_MS, rack="r2", long_running=True))
-        for _ in range(3)
-    ]
-    assert used == ["u2", "u2", "u1"]
+    leader = build_leader(monkeypatch, *[""] * 4, racks=("r1", "r2", "r2", "r2"), remote=3.0)
+    jobs = [submit(leader, LONG_MS, rack="r2", long_running=True) for _ in range(7)]
+    assert find_upstream(leader, jobs[-1]) == "u1"
 
 
 def test_the_domain_is_preferred_within_a_kind_only(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -174,10 +176,10 @@
 ) -> None:
     """Guards against runs that take three times as long, although the rack is free soon."""
     leader = build_leader(monkeypatch, "", "", racks=("r1", "r2"), remote=3.0)
-    used = [find_upstream(leader, submit(leader, SHORT_MS, rack="r2")) for _ in range(3)]
-    assert used == ["u2", "u2", None]
+    jobs = [submit(leader, run_ms, rack="r2") for run_ms in (SHORT_MS, SHORT_MS, LONG_MS)]
+    assert [find_upstream(leader, job) for job in jobs] == ["u2", "u2", None]
     leader.world.run_until(milliseconds(240))
-    assert find_upstream(leader, JobId(f"{SHORT_MS}-2")) == "u2"
+    assert find_upstream(leader, jobs[2]) == "u2"
 
 
 def test_a_job_runs_outside_the_rack_of_its_data_once_it_would_be_late_there(
@@ -194,6 +196,23 @@
     assert find_upstream(leader, job) == "u1"
 
 
+def test_a_job_runs_at_the_fastest_upstream_outside_the_rack_while_much_is_free(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    leader = build_leader(monkeypatch, "slow", "slow", "fast", racks=("r1", "r2", "r2"), remote=1.2)
+    used = [find_upstream(leader, submit(leader, SHORT_MS, rack="r1")) for _ in range(3)]
+    assert used == ["u1", "u1", "u3"]
+
+
+@pytest.mark.parametrize(("remote", "upstream"), [(2.0, "u2"), (3.0, "u1")])
+def test_a_late_job_takes_the_rack_of_its_data_unless_it_runs_faster_elsewhere(
+    remote: float, upstream: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    leader = build_leader(monkeypatch, "slow", "fast", racks=("r1", "r2"), remote=remote)
+    job = submit(leader, LONG_MS, rack="r1", late=True)
+    assert find_upstream(leader, job) == upstream
+
+
 def test_without_a_remote_factor_the_rack_is_only_preferred(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
