bench.unequal: the build learns kinds itself

Cause: the emulation of learning by kind did nothing any more since Forecast.predict_at exists. Change: removed.

--- a/bench/unequal.py
+++ b/bench/unequal.py
@@ -19,22 +19,16 @@
 import json
 import statistics
 import sys
-from collections import Counter
-from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
-from contextlib import ExitStack, contextmanager
-from datetime import timedelta
+from contextlib import ExitStack
 from typing import Annotated, Any, NamedTuple
 
 import msgspec
 import typer
 
 from cottonlug.core.cluster.admission import USABLE_SHARE
-from cottonlug.core.cluster.forecast import Forecast
-from cottonlug.core.cluster.run_ends import RunEndHandler
 from cottonlug.core.cluster.scheduler import Scheduler
 from cottonlug.core.cluster.speeds import Speeds
-from cottonlug.core.cluster.watcher import Watcher
 from cottonlug.core.ids import DomainName
 from cottonlug.tests.model_upstreams import ModelUpstream
 
@@ -76,55 +70,6 @@
         return upstream
 
 
-@contextmanager
-def learn_by_kind() -> Iterator[None]:
-    """Learn and compare run times by kind, in a build whose `Forecast` does not do so itself."""
-    if hasattr(Forecast, "predict_at"):
-        yield
-        return
-    factor = [1.0]
-    predict, learn = Forecast.predict, Forecast.learn
-    evaluate_end = RunEndHandler._evaluate_end
-
-    def wrap(method: Any) -> Any:
-        def apply_factor(self: Any, instance: Any, *rest: Any) -> Any:
-            factor[0] = self._term.speeds.find_factor(instance.info)
-            try:
-                return method(self, instance, *rest)
-            finally:
-                factor[0] = 1.0
-
-        return apply_factor
-
-    def learn_and_evaluate(self: Any, instance: Any, run: Any, end: Any, now: timedelta) -> None:
-        speeds, service = self._term.speeds, instance.info.service
-        if not speeds._upstreams:
-            infos = [each.info for each in self._instances.by_id.values()]
-            speeds.count_upstreams(service, Counter(info.kind for info in infos))
-        job = self._jobs.jobs.get(end.task.job)
-        if job is not None and not run.is_orphaned and end.how.value == "done":
-            step = job.record.spec.steps[end.task.step]
-            expected = predict(self._jobs.forecast, job.record.queue.key, step)
-            speeds.learn(instance.info, (now - run.since) / expected)
-        evaluate_end(self, instance, run, end, now)
-
-    with ExitStack() as stack:
-        for owner, name, value in (
-            (Forecast, "predict", lambda self, *rest: predict(self, *rest) * factor[0]),
-            (
-                Forecast,
-                "learn",
-                lambda self, queue, step, taken: learn(self, queue, step, taken / factor[0]),
-            ),
-            (RunEndHandler, "_evaluate_end", wrap(learn_and_evaluate)),
-            (Watcher, "evaluate_progress", wrap(Watcher.evaluate_progress)),
-            (Watcher, "_find_poll_wait", wrap(Watcher._find_poll_wait)),
-            (Watcher, "_find_first_end", wrap(Watcher._find_first_end)),
-        ):
-            stack.enter_context(replacing(owner, name, value))
-        yield
-
-
 def find_rate_factor(share: float) -> float:
     """Return the factor on the default rates with which the load takes a share of the capacity."""
     speed = (2 / FACTORS["a"] + 1 / FACTORS["b"]) / 3
@@ -139,8 +84,6 @@
         stack.enter_context(replacing(load, "DURATION_SECONDS", DURATION_SECONDS))
         if key.variant == "one_kind":
             stack.enter_context(replacing(Speeds, "find_factor", lambda self, info: 1.0))
-        else:
-            stack.enter_context(learn_by_kind())
         if key.variant != "by_kind":
             stack.enter_context(replacing(Scheduler, "_find_factor", lambda self, info: 1.0))
         run = UnequalRun(
