Do not send a job later that was reported as not sent

Cause: a batch of jobs is encoded once a connection is open. Jobs that were abandoned meanwhile, and reported as never sent, were encoded all the same. Change: jobs with an answer are left out of the batch.

--- a/cottonlug/runtime/job_channel.py
+++ b/cottonlug/runtime/job_channel.py
@@ -154,9 +154,15 @@
         return True
 
     def _encode(self, batch: dict[int, _PendingJob]) -> bytes:
-        """Encode a batch, with each job stamped at the time of sending."""
+        """Encode a batch, with each job stamped at the time of sending.
+
+        Jobs that were given an answer while the batch waited for a connection are left out: their
+        callers may have been told that they did not run.
+        """
         jobs: list[NumberedJob] = []
         for number, item in batch.items():
+            if item.answer.done():
+                continue
             stamped = self._stamp(item.submit)
             assert isinstance(stamped, Submit), "stamping must not change the type of a call"
             item.is_sent = True
--- a/cottonlug/tests/test_job_channels.py
+++ b/cottonlug/tests/test_job_channels.py
@@ -39,6 +39,8 @@
     lost_replies: dict[str, int] = field(default_factory=dict)
     is_closed: bool = False
     """Whether no connection can be opened, so that nothing is sent."""
+    connecting: asyncio.Event | None = None
+    """Set once a connection is open; requests wait for it before they are encoded."""
     sent: list[str] = field(default_factory=list)
 
     async def call(
@@ -53,6 +55,8 @@
         if self.is_closed:
             await asyncio.sleep(0.001)
             return Err(TransportError(message="cannot connect", unsent=True))
+        if self.connecting is not None:
+            await self.connecting.wait()
         whole = body if isinstance(body, bytes) else body()
         self.sent.append(path)
         if self._is_lost(self.lost_requests, path):
@@ -110,6 +114,38 @@
     return list(await asyncio.gather(*asking))
 
 
+def test_a_job_that_was_reported_as_not_sent_is_not_sent_later() -> None:
+    """Guards against a start of a job whose caller was told that it did not run.
+
+    A batch waited 0.1 s for a connection to a relay. Meanwhile the gateway had turned to the leader
+    and refused the job; then the batch was sent all the same, and the job ran.
+    """
+
+    async def play() -> tuple[list[Answer], list[str]]:
+        host = Host()
+        wire = Wire(server=build_server(host), connecting=asyncio.Event())
+        channel = build_channel(wire)
+        dropped = asyncio.create_task(channel.submit(build_job(1), CALL_TIMEOUT))
+        timed_out = asyncio.create_task(channel.submit(build_job(2), timedelta(milliseconds=5)))
+        await timed_out
+        channel.fail_pending()
+        kept = asyncio.create_task(channel.submit(build_job(3), CALL_TIMEOUT))
+        await asyncio.sleep(0.001)
+        assert wire.connecting is not None
+        wire.connecting.set()
+        answers = [await dropped, await timed_out, await kept]
+        channel.close()
+        return answers, host.carried_out
+
+    answers, carried_out = asyncio.run(play())
+    assert [answer.outcome for answer in answers] == [
+        Outcome.UNAVAILABLE,
+        Outcome.UNAVAILABLE,
+        Outcome.DONE,
+    ]
+    assert carried_out == [build_job(3).path]
+
+
 def play(work: Callable[[Host, Wire, JobChannel], object], host: Host | None = None) -> Host:
     """Run a coroutine with both ends of a job channel."""
     host = host or Host()
