Refuse hopeless jobs early under overload; serve by priority there

Cause: a waiting job that cannot be served was held until three times its objective and refused then. Priorities of queues were decoded but not used.

--- a/bench/load.py
+++ b/bench/load.py
@@ -31,6 +31,7 @@
 LOG_SIGMA = 0.4
 """Standard deviation of the logarithm of widths, run times and declared run times."""
 TASK_CPU_MILLIS = 14_000
+MAX_TASK_CPU_MILLIS = 20_000
 CPU_LOG_SIGMA = 0.2
 UPSTREAM_CPU_MILLIS = (32_000, 32_000, 48_000)
 """Capacities of the upstreams, assigned in turn."""
@@ -249,7 +250,7 @@
         actual_run_ms = self._draw_around(kind.run_ms, kind.run_ms * 4)
         count = max(1, round(self._draw_around(kind.tasks, kind.tasks * 4)))
         cpu_millis = int(TASK_CPU_MILLIS * self.chance.lognormvariate(0, CPU_LOG_SIGMA))
-        needs = Needs(cpu_millis=min(cpu_millis, 20_000))
+        needs = Needs(cpu_millis=min(cpu_millis, MAX_TASK_CPU_MILLIS))
         declared = max(1, int(actual_run_ms * self.chance.lognormvariate(0, LOG_SIGMA)))
         step = StepSpec(count=count, needs=needs, estimate_ms=declared)
         work = actual_run_ms * count / (kind.run_ms * kind.tasks)
--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -12,13 +12,13 @@
 from __future__ import annotations
 
 import bisect
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 
 from .crashes import StartRestriction
-from .model import JobId, Needs, StepSpec
+from .model import JobId, Needs, ServiceName, StepSpec
 from .records import JobRecord
 
 
@@ -56,6 +56,12 @@
     """Indexes of its waiting tasks within the step."""
     cpu_millis: int = field(init=False)
     """CPU need of each task; cached, since every run end reads it for every batch."""
+    service: ServiceName = field(init=False)
+    """The service at whose upstreams its tasks run, by the queue as the job came."""
+    priority: int = field(init=False)
+    """Priority of its queue; 0 is the highest."""
+    rank: int = 0
+    """Among on-time batches a lower rank is served first; 0 unless priorities matter."""
     tier: Tier = Tier.ON_TIME
     has_begun: bool = False
     """Whether a task of the job has started, so that its work is wasted if the rest comes late."""
@@ -69,6 +75,8 @@
 
     def __post_init__(self) -> None:
         self.cpu_millis = self.step.needs.cpu_millis
+        self.service = self.job.queue.service
+        self.priority = self.job.queue.priority
 
     @property
     def needs(self) -> Needs:
@@ -81,12 +89,19 @@
         return self.core_ms * len(self.waiting)
 
 
-def _by_latest_start(batch: Batch) -> timedelta:
-    return batch.latest_start
+def _by_latest_start(batch: Batch) -> tuple[int, timedelta]:
+    return batch.rank, batch.latest_start
 
 
-def _by_latest_useful_start(batch: Batch) -> timedelta:
-    return batch.latest_useful_start
+def _by_latest_useful_start(batch: Batch) -> tuple[int, timedelta]:
+    return 0, batch.latest_useful_start
+
+
+def _is_late(batch: Batch, now: timedelta) -> bool:
+    """Whether an on-time batch will probably miss the objective of its job."""
+    if batch.latest_start >= now:
+        return False
+    return not batch.has_begun or batch.latest_task_start < now
 
 
 class Backlog:
@@ -98,6 +113,10 @@
         """Whether some batch has no waiting tasks left."""
         self._new: list[Batch] = []
         """Batches that the scheduler has not tried to place yet."""
+        self.find_rank: Callable[[Batch], int] = lambda batch: 0
+        """Returns the rank of an on-time batch; set by the scheduler."""
+        self._is_ranked = False
+        """Whether some on-time batch has another rank than 0."""
 
     def __len__(self) -> int:
         return sum(map(len, self._tiers.values()))
@@ -116,28 +135,60 @@
         key = _by_latest_start if batch.tier is Tier.ON_TIME else _by_latest_useful_start
         if not batch.was_tried:
             self._new.append(batch)
+        if batch.tier is Tier.ON_TIME:
+            batch.rank = self.find_rank(batch)
+            self._is_ranked = self._is_ranked or batch.rank != 0
         bisect.insort(self._tiers[batch.tier], batch, key=key)
 
+    def update_ranks(self) -> None:
+        """Update the ranks of all on-time batches, and their order."""
+        on_time = self._tiers[Tier.ON_TIME]
+        changed = False
+        for batch in on_time:
+            rank = self.find_rank(batch)
+            changed = changed or rank != batch.rank
+            batch.rank = rank
+        if changed:
+            on_time.sort(key=_by_latest_start)
+        self._is_ranked = any(batch.rank for batch in on_time)
+
     def demote(self, now: timedelta) -> list[Batch]:
         """Move batches whose time has passed to a later tier, and return those moved."""
-        on_time, late = self._tiers[Tier.ON_TIME], self._tiers[Tier.LATE]
+        moved = self._demote_ranked(now) if self._is_ranked else self._demote_on_time(now)
+        late = self._tiers[Tier.LATE]
+        while late and late[0].latest_useful_start < now:
+            batch = late.pop(0)
+            batch.tier = Tier.HOPELESS
+            self.add(batch)
+            moved.append(batch)
+        return moved
+
+    def _demote_ranked(self, now: timedelta) -> list[Batch]:
+        """Move late batches out of the on-time tier, where it is not in order of latest start."""
+        on_time = self._tiers[Tier.ON_TIME]
+        moved = [batch for batch in on_time if _is_late(batch, now)]
+        if moved:
+            self._tiers[Tier.ON_TIME] = [batch for batch in on_time if not _is_late(batch, now)]
+        for batch in moved:
+            batch.tier = Tier.LATE
+            self.add(batch)
+        return moved
+
+    def _demote_on_time(self, now: timedelta) -> list[Batch]:
+        """Move late batches out of the on-time tier, which is in order of latest start."""
+        on_time = self._tiers[Tier.ON_TIME]
         moved: list[Batch] = []
         kept: list[Batch] = []
         while on_time and on_time[0].latest_start < now:
             batch = on_time.pop(0)
-            if batch.has_begun and batch.latest_task_start >= now:
-                # It stays on time, at its place ahead of all whose latest start is to come.
+            if not _is_late(batch, now):
+                # It has begun, and stays at its place ahead of all whose latest start is to come.
                 kept.append(batch)
                 continue
             batch.tier = Tier.LATE
             self.add(batch)
             moved.append(batch)
         on_time[:0] = kept
-        while late and late[0].latest_useful_start < now:
-            batch = late.pop(0)
-            batch.tier = Tier.HOPELESS
-            self.add(batch)
-            moved.append(batch)
         return moved
 
     @property
@@ -172,9 +223,10 @@
         """
         ahead = 0.0
         for batch in self._tiers[Tier.ON_TIME]:
-            if batch.latest_start > latest_start:
+            if batch.latest_start <= latest_start:
+                ahead += batch.total_core_ms
+            elif not self._is_ranked:
                 break
-            ahead += batch.total_core_ms
         return ahead
 
     def measure_work(self) -> float:
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -214,7 +214,9 @@
         job.home = submission.home
         job.confirmed_until = submission.confirmed_until
         job.may_be_of_acting_leader = submission.may_be_of_acting_leader
-        job.has_begun = job.has_begun or submission.may_have_begun
+        job.has_begun = (
+            job.has_begun or submission.may_have_begun or self._jobs.has_begun_before(record.id)
+        )
         if is_unsure:
             job.reconcile_at = now + submission.reconcile_after
             self._reconciliation.request_recheck()
@@ -245,6 +247,7 @@
         job = self._jobs.jobs.get(id)
         if job is None or not submission.may_have_begun or submission.gateway == job.gateway:
             return
+        job.has_begun = True
         job.may_be_of_acting_leader = (
             job.may_be_of_acting_leader or submission.may_be_of_acting_leader
         )
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -57,6 +57,9 @@
         self.closed_while_running: dict[JobId, timedelta] = {}
         """Jobs that were closed while runs of them were still active, and when: if one is submitted
         again, it adopts the runs that go on."""
+        self._closed_after_begin: dict[JobId, timedelta] = {}
+        """Best-effort jobs that were ended lately after they had begun, and when: if one is
+        submitted again, it cannot be reported as not run."""
         self.abandoned: set[JobId] = set()
         """Jobs that were ended lately as of no more use, although some tasks may have run."""
         self.may_have_unknown_tasks = True
@@ -324,6 +327,8 @@
         if job.record.spec.best_effort and job.record.state is not JobState.CANCELLED:
             # A job whose gateway no longer waits may be submitted again, and must then run again.
             self.ended[id] = (job.record.state, now)
+        elif job.record.spec.best_effort and job.has_begun:
+            self._closed_after_begin[id] = now
         if any(task.phase is TaskPhase.QUEUED for task in job.tasks.values()):
             self.backlog.drop_job(id)
         for ref, task in job.tasks.items():
@@ -353,10 +358,23 @@
         )
         self._term.on_job_end(id)
 
-    def reject(self, job: OpenJob, reason: str, wait: timedelta, now: timedelta) -> None:
-        """End a job of which nothing has run; its caller is told to retry after `wait`."""
+    def reject(
+        self,
+        job: OpenJob,
+        reason: str,
+        wait: timedelta,
+        now: timedelta,
+        *,
+        is_spread: bool = False,
+    ) -> None:
+        """End a job of which nothing has run; its caller is told to retry after `wait`.
+
+        `is_spread` is as in `Rejection`.
+        """
         self._term.counts.rejected_jobs += 1
-        self.rejections[job.record.id] = Rejection(reason=reason, retry_after=wait)
+        self.rejections[job.record.id] = Rejection(
+            reason=reason, retry_after=wait, is_spread=is_spread
+        )
         self._term.log_decision(
             "job_rejected", {"job": job.record.id, "wait_ms": to_milliseconds(wait)}
         )
@@ -383,12 +401,19 @@
         self.closed_while_running = {
             id: at for id, at in self.closed_while_running.items() if at >= limit
         }
+        self._closed_after_begin = {
+            id: at for id, at in self._closed_after_begin.items() if at >= limit
+        }
 
     def find_ended(self, id: JobId) -> JobState | None:
         """Return how a best-effort job ended a short while ago, or None."""
         ended = self.ended.get(id)
         return ended[0] if ended is not None else None
 
+    def has_begun_before(self, id: JobId) -> bool:
+        """Whether a best-effort job was begun here lately, and ended before it was complete."""
+        return id in self._closed_after_begin
+
     def is_open(self, id: JobId) -> bool:
         """Whether a job is open here."""
         return id in self.jobs
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -16,6 +16,7 @@
 from .backlog import Batch, Tier
 from .capacity_index import CapacityIndex
 from .crashes import EXCLUSIVE_WAIT, THIRD_START_DELAY, StartRestriction
+from .early_refusal import EarlyRefusal
 from .forecast import USEFUL_FACTOR
 from .instance_table import InstanceTable
 from .instances import Instance
@@ -23,7 +24,9 @@
 from .open_job import TaskPhase
 from .open_jobs import OpenJobs, find_max_wait
 from .orders import Run, RunPhase, StartOrder
+from .overload import Overload
 from .placement import choose_instance
+from .priority_order import PriorityOrder
 from .records import JobRecord
 from .term import Term
 
@@ -31,6 +34,8 @@
 EVACUATED_RETRY = timedelta(seconds=2)
 """When callers retry a job that was rejected because of evacuations. These last from seconds to
 hours: this is frequent enough for the former, and rare enough for the latter."""
+OBSERVATION_INTERVAL = timedelta(milliseconds=20)
+"""Time between two passes over all waiting jobs, which bounds their cost under a backlog."""
 NO_DEMAND = 1 << 62
 """CPU need, more than any upstream has, that stands for an empty backlog: no change of an upstream
 then triggers another try."""
@@ -44,6 +49,14 @@
         self._instances = instances
         self._jobs = jobs
         self._capacity = CapacityIndex(instances=instances)
+        self._overload = Overload()
+        self._priorities = PriorityOrder(overload=self._overload)
+        jobs.backlog.find_rank = self._priorities.find_rank
+        self._early_refusal = EarlyRefusal(
+            term=term, instances=instances, jobs=jobs, overload=self._overload
+        )
+        self._observe_at = timedelta()
+        """When the waiting tasks are observed again, to detect overload."""
         self._min_cpu_needed = 0
         """Lower bound of the CPU that a task of any waiting batch needs, in thousandths of a core;
         batches that were not tried yet may need less."""
@@ -60,6 +73,7 @@
             self._capacity.invalidate()
         backlog = self._jobs.backlog
         if not len(backlog):
+            self._handle_overload(now)
             return
         backlog.demote(now)
         if self._capacity.refresh_if_due(now):
@@ -67,6 +81,17 @@
         elif backlog.has_new or _find_max_free_cpu(changed) >= self._min_cpu_needed:
             self._schedule_backlog(changed, now)
         self._shed(now)
+        self._handle_overload(now)
+
+    def _handle_overload(self, now: timedelta) -> None:
+        """Observe which services are overloaded; refuse jobs early and serve by priority there."""
+        if now < self._observe_at and len(self._jobs.backlog):
+            return
+        self._observe_at = now + OBSERVATION_INTERVAL
+        self._overload.observe(self._jobs.backlog, now)
+        self._early_refusal.refuse(now)
+        self._priorities.update(self._jobs.backlog, now)
+        self._jobs.backlog.update_ranks()
 
     def _schedule_backlog(self, changed: list[Instance] | None, now: timedelta) -> None:
         """Try all batches, except those that did not fit before and fit no changed instance either.
@@ -130,7 +155,7 @@
             if job.has_begun:
                 self._jobs.abandon(job, now)
             else:
-                self._jobs.reject(job, "cannot be served in time", wait, now)
+                self._jobs.reject(job, "cannot be served in time", wait, now, is_spread=True)
 
     def find_rejection(
         self, queue: Queue, spec: JobSpec, waited: timedelta, now: timedelta
@@ -156,7 +181,8 @@
         wait = estimate_wait(core_ms, cores)
         if waited + wait <= objective * USEFUL_FACTOR:
             return None
-        return Rejection(reason="the work before it takes too long", retry_after=wait)
+        reason = "the work before it takes too long"
+        return Rejection(reason=reason, retry_after=wait, is_spread=True)
 
     def reject_evacuated(self, now: timedelta) -> None:
         """Reject at once the waiting jobs of services whose upstreams are all evacuated.
@@ -241,6 +267,7 @@
         run.is_exclusive = batch.restriction is not StartRestriction.NONE
         instance.add_run(run)
         self._capacity.update(instance, now)
+        self._overload.record_start(batch, now)
         self._instances.mark_changed(instance)
         instance.poll_due = min(instance.poll_due, now)
         self._term.counts.starts += 1
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -53,6 +53,8 @@
     ends: int = 0
     """Run ends that upstreams have listed."""
     rejected_jobs: int = 0
+    refused_early: int = 0
+    """Rejected jobs that were refused by an estimate of their wait, under overload."""
     given_up_jobs: int = 0
     """Jobs abandoned after they may have begun, since going on would be of no use."""
     moved_runs: int = 0
--- a/cottonlug/runtime/job_answers.py
+++ b/cottonlug/runtime/job_answers.py
@@ -119,7 +119,8 @@
         now = self._clock.monotonic()
         rejection = self._dispatch.find_rejection(queue, call.spec, waited, now)
         # A job that may have begun cannot be rejected, since that says that it has not run.
-        if rejection is not None and not call.may_have_begun:
+        may_have_begun = call.may_have_begun or self._dispatch.jobs.has_begun_before(job)
+        if rejection is not None and not may_have_begun:
             return _reject(job, rejection)
         if call.spec.best_effort:
             return await self._run_to_end(job, queue, call, sent_at or timedelta())
@@ -245,7 +246,7 @@
 
 def _reject(job: JobId, rejection: Rejection) -> Answer:
     """Log that a job was rejected, and return its answer."""
-    retry_after_ms = to_milliseconds(rejection.retry_after)
+    retry_after_ms = to_milliseconds(rejection.find_retry_time(job))
     log_event(
         Event.SUBMISSION_REFUSED, job=job, reason=rejection.reason, retry_after_ms=retry_after_ms
     )
