--- a/bench/shedding.py
+++ b/bench/shedding.py
@@ -181,12 +181,11 @@
 
 
 def run_all(
-    variants: Sequence[str], loads: Sequence[float], seeds: int, processes: int
+    variants: Sequence[str], loads: Sequence[float], seeds: Sequence[int], processes: int
 ) -> dict[str, Any]:
     """Return the means of each load and variant, and the differences to the baseline by seed."""
     names = list(dict.fromkeys([BASELINE, *variants]))
-    numbers = range(1, seeds + 1)
-    keys = [RunKey(name, each, seed) for each in loads for name in names for seed in numbers]
+    keys = [RunKey(name, each, seed) for each in loads for name in names for seed in seeds]
     with ProcessPoolExecutor(processes) as pool:
         measured = dict(zip(keys, pool.map(run_one, keys), strict=True))
     results: dict[str, Any] = {}
@@ -196,7 +195,7 @@
                 summarise(
                     measured[RunKey(name, each, seed)], measured[RunKey(BASELINE, each, seed)]
                 )
-                for seed in numbers
+                for seed in seeds
             ]
             for name in names
         }
@@ -220,10 +219,12 @@
 def main(
     variant: Annotated[list[str] | None, typer.Option(help="Variants; default: all.")] = None,
     seeds: Annotated[int, typer.Option(min=1, help="Number of seeds.")] = 6,
+    first_seed: Annotated[int, typer.Option(help="The first of the seeds.")] = 1,
     processes: Annotated[int, typer.Option(min=1, help="Number of parallel runs.")] = 2,
 ) -> None:
     """Print the results of the variants as JSON."""
-    json.dump(run_all(variant or list(VARIANTS), LOADS, seeds, processes), sys.stdout, indent=1)
+    numbers = range(first_seed, first_seed + seeds)
+    json.dump(run_all(variant or list(VARIANTS), LOADS, numbers, processes), sys.stdout, indent=1)
     print()
 
 
