--- a/cottonlug/runtime/acting_leader.py
+++ b/cottonlug/runtime/acting_leader.py
@@ -10,11 +10,11 @@
   gateway moves its jobs to another coordinator only after the longer `ACT_AS_LEADER_AFTER_SILENCE`;
 - a job that may have started waits until every upstream was polled or its leases have expired.
 
-Among the gateways that reach no leader, the one with the lowest address acts as leader. It knows
+Among the gateways that reach no leader, the first one (`host_sizes`) acts as leader. It knows
 the upstreams and the configuration from the failover state, which the last leader has sent to all
 gateways. It accepts no new configuration and stores nothing.
 
-A gateway is a small host: with many upstreams, the lowest gateway of each failure domain acts as
+A gateway is a small host: with many upstreams, the first gateway of each failure domain acts as
 leader for that domain only. Upstreams of other domains then count as unreachable: jobs that may
 have started there wait until the leases of these upstreams have expired.
 """
--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -50,7 +50,7 @@
 leader that is elected between two keep-alives only with the next one, so this pause is short."""
 FAILOVER_CHECK_SECONDS_PER_GATEWAY = 0.003
 """The interval of the failover check grows with the number of gateways: without a leader, nearly
-all of them call the gateways with the lowest addresses in each check."""
+all of them call the first gateways of each failure domain in each check."""
 MAX_FAILOVER_CHECK_SECONDS = 0.15
 KEEPALIVE_RETRY_SECONDS = 0.01
 """Pause before a keep-alive that a relay or an acting leader has not answered is repeated: two
