Search ranked batches for late ones at most every 20 ms

Cause: while priorities count, the on-time tier is not in order of latest start, and each event of an overloaded leader searched all of it. Change: one search in 20 ms.

--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -21,6 +21,10 @@
 from .model import JobId, Needs, ServiceName, StepSpec
 from .records import JobRecord
 
+RANKED_SCAN_INTERVAL = timedelta(milliseconds=20)
+"""Least time between two searches of all ranked batches for late ones. Jobs have objectives of 100
+ms and more, and each of some thousand run ends a second would cause a search otherwise."""
+
 
 class Tier(Enum):
     """Whether a batch can still meet its job's objective; served in the order of the members."""
@@ -135,6 +139,8 @@
         """Returns the rank of an on-time batch; set by the scheduler."""
         self._is_ranked = False
         """Whether some on-time batch has another rank than 0."""
+        self._ranked_scan_due = timedelta()
+        """When ranked batches are searched for late ones again."""
 
     def __len__(self) -> int:
         return sum(map(len, self._tiers.values()))
@@ -182,7 +188,13 @@
         return moved
 
     def _demote_ranked(self, now: timedelta) -> list[Batch]:
-        """Move late batches out of the on-time tier, where it is not in order of latest start."""
+        """Move late batches out of the on-time tier, where it is not in order of latest start.
+
+        All batches are searched, so this is done only once in each `RANKED_SCAN_INTERVAL`.
+        """
+        if now < self._ranked_scan_due:
+            return []
+        self._ranked_scan_due = now + RANKED_SCAN_INTERVAL
         on_time = self._tiers[Tier.ON_TIME]
         moved = [batch for batch in on_time if _is_late(batch, now)]
         if moved:
