--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -377,4 +377,9 @@
         print(verdict)
         return 1 if problems else 0
 
-    sys.exit(asyncio.run(main()))
+    try:
+        status = asyncio.run(main())
+    except BaseException as error:
+        print(f"could not run: {type(error).__name__}: {error}")
+        status = 2
+    sys.exit(status)
