Leave the ends of durable jobs to a leader while a gateway acts as leader

Cause: a gateway that acts as leader took the listed ends of a job that it had never heard of for those of a best-effort job and confirmed them, so that the upstreams forgot them and the next leader found neither run nor end. That no gateway acts as leader while durable jobs are open does not help: a gateway learns of them only with its next keep-alive.

Change: the number of a run tells whether its job is durable (even) or best-effort (odd). An acting leader leaves the runs and ends of durable jobs to a leader: it does not stop or confirm them, and neither starts anything nor renews a lease at upstreams that list them. This depends on no copy being up to date and makes no acceptance wait. The model of a site now plays durable jobs that no gateway has heard of.

--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -32,8 +32,8 @@
         """Record that an upstream lists a run as active.
 
         A run that this coordinator did not start is adopted if its job is open. If its job is
-        unknown, it is tolerated for a short while at the beginning of the term. Otherwise it is
-        stopped.
+        unknown, it is tolerated for a short while at the beginning of the term, or if it is left to
+        a leader. Otherwise it is stopped.
         """
         key = (report.task, report.run)
         run = instance.runs.get(key)
@@ -66,9 +66,16 @@
         instance.lapse_at = max(instance.lapse_at, now + self._term.lease.lapse_after)
         if job is not None:
             self._adopt(job, instance, run)
-        elif not run.is_orphaned or not self._instances.is_in_grace_period(now):
+        elif not self._is_tolerated(run, now):
             run.stop_requested = True
 
+    def _is_tolerated(self, run: Run, now: timedelta) -> bool:
+        """Return whether a run without an open job may go on for now."""
+        if not run.is_orphaned:
+            return False
+        is_left_to_leader = self._term.is_left_to_leader(run.run)
+        return is_left_to_leader or self._instances.is_in_grace_period(now)
+
     def adopt_orphaned_run(self, job: OpenJob, instance: Instance, run: Run) -> None:
         """Adopt a run whose job has just become known."""
         instance.remove_run((run.task, run.run))
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -465,7 +465,6 @@
             return
         instance.failed_polls = 0
         instance.contact_at = now
-        instance.poll_due = now
         instance.confirmed_through = max(instance.confirmed_through, order.last_seen)
         instance.record_clock(reply.clock_ms, now)
         if not instance.is_fenced:
@@ -475,6 +474,7 @@
         self._jobs.update_restrictions(self._jobs.crash_tracker.record_answer(instance))
         self._watcher.request_uncordon(instance)
         self._run_ends.handle_listed_ends(instance, reply.ended, now)
+        self._watcher.schedule_next_poll(instance, now)
         if reply.clock_ms <= instance.listed_ms:
             # A later answer has overtaken it on another connection, so what it lists as active may
             # have ended.
--- a/cottonlug/core/cluster/instances.py
+++ b/cottonlug/core/cluster/instances.py
@@ -91,6 +91,9 @@
     """Number of the last run end that was proposed to the log or recorded without it."""
     confirmed_through: int = 0
     """Number of the last run end whose recording was confirmed to the upstream."""
+    first_withheld_end: int | None = None
+    """Number of the first listed run end that only a leader may confirm, while this host acts as
+    leader: see `Term.is_left_to_leader`. Later ends cannot be confirmed without it."""
     sequence: int = 0
     """Sequence number of its newest heartbeat: an older one that arrives later is ignored."""
     reported_at: timedelta | None = None
@@ -208,6 +211,20 @@
             run.is_disputed = True
             self._disputed_runs += 1
 
+    @property
+    def has_withheld_ends(self) -> bool:
+        """Whether it lists an end that only a leader may confirm.
+
+        Nothing is started there then and no lease renewed: a leader that does not reach it starts
+        the task again when the lease has run out.
+        """
+        return self.first_withheld_end is not None
+
+    def withhold_end(self, number: int) -> None:
+        """Confirm no end from this number on."""
+        if self.first_withheld_end is None:
+            self.first_withheld_end = number
+
     @property
     def free_cpu(self) -> int:
         """Free processor capacity, in thousandths of a core."""
@@ -244,6 +261,7 @@
             and not self.draining
             and not self.is_evacuated
             and not self.has_disputed_runs
+            and not self.has_withheld_ends
             and not self._exclusive_runs
             and not self.is_over
             and self.failed_polls == 0
--- a/cottonlug/core/cluster/run_ends.py
+++ b/cottonlug/core/cluster/run_ends.py
@@ -72,8 +72,14 @@
             # The replicated records hold only durable jobs.
             if end.task.job in self._term.records.jobs:
                 durable_ends.append(end)
+            elif self._must_withhold(end):
+                self._withhold(instance, end)
             else:
                 self._record_locally(end, instance.info.id, now)
+        if instance.first_withheld_end is not None:
+            confirmable = instance.first_withheld_end - 1
+            instance.recorded_through = max(instance.recorded_through, confirmable)
+            return
         # Ends are confirmed in the order of their numbers, so these must wait for a proposal that
         # is not committed yet, even if none of them needs the log.
         if not durable_ends and not awaits_record:
@@ -97,6 +103,24 @@
         for end in command.ends:
             self._apply_recorded_end(end, command.upstream, now)
 
+    def _must_withhold(self, end: RunEndReport) -> bool:
+        """Return whether an end of a job that is not in the log here is left to a leader."""
+        return not self._jobs.is_open(end.task.job) and self._term.is_left_to_leader(end.run)
+
+    def _withhold(self, instance: Instance, end: RunEndReport) -> None:
+        """Leave an end to a leader, to which the upstream then lists it again."""
+        instance.withhold_end(end.number)
+        self._term.log_decision(
+            "end_withheld",
+            {
+                "upstream": instance.info.id,
+                "job": end.task.job,
+                "run": end.run,
+                "how": end.how.value,
+                "number": end.number,
+            },
+        )
+
     def claim_orphaned_ends(self, record: JobRecord, now: timedelta) -> None:
         """Record ends that were listed before their job was submitted here, and act on them.
 
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -20,7 +20,7 @@
 from .forecast import USEFUL_FACTOR
 from .instance_table import InstanceTable
 from .instances import Instance
-from .model import JobSpec, Queue, RunNumber, ServiceName, StepSpec, TaskRef, UpstreamInfo
+from .model import JobSpec, Queue, ServiceName, StepSpec, TaskRef, UpstreamInfo
 from .open_job import TaskPhase
 from .open_jobs import OpenJobs, find_max_wait
 from .orders import Run, RunPhase, StartOrder
@@ -28,6 +28,7 @@
 from .placement import Placement
 from .priority_order import PriorityOrder
 from .records import JobRecord
+from .run_numbers import choose_run_number
 from .term import Term
 
 ALL_EVACUATED = "all upstreams of the service are in evacuated failure domains"
@@ -291,7 +292,9 @@
         assert expires_ms is not None, "only a fenced instance accepts work, and its clock is known"
         known = batch.job.get_task(ref)
         last_run = max(task.run, known.last_run)
-        task.run = RunNumber(max(last_run + 1, self._term.first_run))
+        task.run = choose_run_number(
+            token=self._term.token, last=last_run, is_durable=not job.record.spec.best_effort
+        )
         task.phase = TaskPhase.RUNNING
         task.instance = instance.info.id
         job.has_begun = batch.has_begun = True
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -19,6 +19,7 @@
 from .model import JobId, RunNumber
 from .orders import Order
 from .records import Records
+from .run_numbers import find_token, is_durable_run
 from .speeds import Speeds
 
 DecisionLog = Callable[[str, dict[str, str | int]], None]
@@ -29,9 +30,6 @@
 TOKENS_PER_TERM = 1_000_000
 """The token of a leader is its term in the replicated log times this; acting leaders use the tokens
 in between."""
-RUN_NUMBERS_PER_TOKEN = 4_096
-"""The runs of a task are numbered from the token times this, so that those under a higher token are
-all higher."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -128,14 +126,17 @@
         acting leader may, in a failure domain that is cut off, and so may the leader that an acting
         leader does not reach. The run number contains the token of the host that started the run.
         """
-        return not self.keeps_log or (run // RUN_NUMBERS_PER_TOKEN) % TOKENS_PER_TERM != 0
+        return not self.keeps_log or find_token(run) % TOKENS_PER_TERM != 0
+
+    def is_left_to_leader(self, run: RunNumber) -> bool:
+        """Return whether only a leader may stop a run that is listed, or confirm its end.
+
+        An acting leader knows no durable job: its failover state contains none, and may be older
+        than the job. Only the log tells whether the task has to run again.
+        """
+        return not self.keeps_log and is_durable_run(run)
 
     @property
     def earlier_leases_lapsed_at(self) -> timedelta:
         """When all leases of earlier terms have certainly ended that this one has not renewed."""
         return self.began_at + self.lease.lapse_after
-
-    @property
-    def first_run(self) -> RunNumber:
-        """The lowest run number under this token."""
-        return RunNumber(self.token * RUN_NUMBERS_PER_TOKEN)
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -45,6 +45,8 @@
 """Whether an upstream is a straggler depends on all others, so it is checked again this often."""
 MAX_STRAGGLER_POLLS = 8
 """After this many failed polls a straggler counts as unreachable, and is polled like any other."""
+WITHHELD_POLL_INTERVAL = timedelta(milliseconds=20)
+"""Interval of polls of an upstream with a withheld end: it answers each of them at once."""
 MAX_RETRY_STEPS = 10
 """The delay before a failed poll is repeated stops growing after this many failures."""
 ORPHAN_TOLERATED_FOR = timedelta(milliseconds=300)
@@ -99,11 +101,10 @@
             self._send_poll(instance, timedelta(), now)
             return
         # Once the proposed run ends are recorded, a poll is due at once, and confirms them.
-        if (
-            instance.is_poll_pending
-            or now < instance.poll_due
-            or instance.proposed_through > instance.recorded_through
-        ):
+        awaits_record = (
+            instance.proposed_through > instance.recorded_through and not instance.has_withheld_ends
+        )
+        if instance.is_poll_pending or now < instance.poll_due or awaits_record:
             return
         has_unconfirmed_ends = instance.recorded_through > instance.confirmed_through
         if (
@@ -115,7 +116,8 @@
             return
         instance.must_poll = False
         is_calm = instance.is_fenced and instance.failed_polls == 0 and not is_unsure
-        wait = self._find_poll_wait(instance, now) if instance.runs and is_calm else timedelta()
+        can_wait = bool(instance.runs) and is_calm and not instance.has_withheld_ends
+        wait = self._find_poll_wait(instance, now) if can_wait else timedelta()
         self._send_poll(instance, wait, now)
 
     def has_nothing_due(self, instance: Instance, now: timedelta) -> bool:
@@ -147,6 +149,11 @@
         ]
         return min((each for each in times if each is not None and each > now), default=None)
 
+    def schedule_next_poll(self, instance: Instance, now: timedelta) -> None:
+        """Set when an upstream that has just answered may be polled again."""
+        pause = WITHHELD_POLL_INTERVAL if instance.has_withheld_ends else timedelta()
+        instance.poll_due = now + pause
+
     def _find_poll_due(self, instance: Instance, now: timedelta) -> timedelta | None:
         if instance.is_managed_elsewhere:
             return None
@@ -160,13 +167,18 @@
     def _find_stop_due(self, run: Run) -> timedelta | None:
         if run.stop_requested:
             return run.stop_due
-        return self._find_tolerated_until(run) if run.is_orphaned else None
+        if not run.is_orphaned or self._term.is_left_to_leader(run.run):
+            return None
+        return self._find_tolerated_until(run)
 
     def _send_poll(self, instance: Instance, wait: timedelta, now: timedelta) -> None:
         # A poll whose answer is lost may still renew the lease. Repeated polls would then keep it
         # from ever ending, so leases are renewed only at upstreams that answer.
         renews = (
-            bool(instance.runs) and instance.failed_polls == 0 and not instance.has_disputed_runs
+            bool(instance.runs)
+            and instance.failed_polls == 0
+            and not instance.has_disputed_runs
+            and not instance.has_withheld_ends
         )
         expires_ms = instance.grant_lease(now) if renews else None
         is_probe = instance.is_poll_pending
@@ -287,8 +299,8 @@
         )
 
     def _is_tolerated(self, run: Run, now: timedelta) -> bool:
-        """Return whether the job of an orphaned run may still be submitted here."""
-        return now < self._find_tolerated_until(run)
+        """Return whether an orphaned run may go on: its job may yet be submitted, or is durable."""
+        return self._term.is_left_to_leader(run.run) or now < self._find_tolerated_until(run)
 
     def _find_tolerated_until(self, run: Run) -> timedelta:
         is_elsewhere = self._term.may_be_coordinated_elsewhere(run.run)
--- a/cottonlug/tests/model_site.py
+++ b/cottonlug/tests/model_site.py
@@ -374,6 +374,8 @@
             return None
         records = Records()
         records.restore(self.records.encode())
+        # The failover state contains no jobs, and an acting leader may never have heard of them.
+        records.jobs = {}
         self.level += 1
         token = self.term * TOKENS_PER_TERM + self.level
         acting_leader = self._start(gateway.domain, records, token, gateway.domain)
@@ -405,6 +407,12 @@
         give_up_at = self.world.now + CALL_TIMEOUT
         gateway.calls.append(ModelCall(job=JobId(job), spec=spec, give_up_at=give_up_at))
 
+    def submit_durable(self, job: str, run_ms: int = 900, tasks: int = 1) -> None:
+        """Have the leader store a job, if there is one, without telling any gateway of it."""
+        if self.leader is not None:
+            spec = build_spec(tasks=tasks, run_ms=run_ms, durable=True)
+            self.leader.submit(job, spec, self.queue)
+
     def send_again(self, call: ModelCall, domain: DomainName) -> None:
         """Let a caller submit its job again, mostly to a gateway of its domain, or to any."""
         elsewhere = self.world.random.random() < 0.25
--- a/cottonlug/tests/test_cluster_site.py
+++ b/cottonlug/tests/test_cluster_site.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from ..core.cluster.model import JobState
 from .model_site import EAST, NORTH, SOUTH, Site, build_site
 from .model_upstreams import milliseconds
 
@@ -83,7 +84,10 @@
 FAULTS: tuple[Fault, ...] = (cut_domain, change_leader, kill_gateway, lose_stops)
 
 
-def play(seed: int, faults: tuple[Fault, ...], late_share: float) -> None:
+def play(
+    seed: int, faults: tuple[Fault, ...], late_share: float, durable_share: float = 0.0
+) -> Site:
+    """Play faults on a site; `durable_share` is the chance of a durable job at each submission."""
     site = build_site(seed, upstreams_each=3, late_share=late_share)
     chance = random.Random(seed)
     for upstream in site.upstreams.values():
@@ -96,10 +100,15 @@
             if gateway.is_up:
                 number += 1
                 run_ms = chance.choice((900, 2_500))
-                site.submit(f"{number:016x}", gateway, run_ms, tasks=chance.choice((1, 2)))
+                tasks = chance.choice((1, 2))
+                if durable_share and chance.random() < durable_share:
+                    site.submit_durable(f"{number:016x}", run_ms, tasks)
+                else:
+                    site.submit(f"{number:016x}", gateway, run_ms, tasks)
         if chance.random() < 0.06 * len(faults):
             chance.choice(faults)(site, chance)
     assert site.world.starts > 30
+    return site
 
 
 @pytest.mark.parametrize("seed", range(12))
@@ -110,3 +119,17 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_no_task_runs_twice_at_once_while_coordinators_are_delayed(seed: int) -> None:
     play(seed, (cut_domain, *[delay_coordinator] * 5), late_share=0.0)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_durable_task_is_lost_or_runs_twice_while_gateways_act_as_leader(seed: int) -> None:
+    """Durable jobs are accepted and started while no gateway has heard of them."""
+    site = play(seed, (cut_domain, change_leader, kill_gateway), late_share=0.0, durable_share=0.5)
+    site.cut_off.clear()
+    site.world.run_until(site.world.now + milliseconds(2_000))
+    if site.leader is None:
+        site.lead_from(NORTH)
+    site.world.run_until(site.world.now + milliseconds(60_000))
+    durable = [site.records.jobs[job] for job in site.world.durable_jobs]
+    assert len(durable) > 10
+    assert {record.state for record in durable} == {JobState.COMPLETED}
