Start a task only when no other run of it may be active

Cause: a new leader finds a task with two runs. Once the end of the older one was listed, the task awaited its record; the newer run, listed just after, was then neither the current run nor awaited: it was stopped, and when the end of the older one was committed, a third run started beside it. A stop takes up to 50 ms, a commit less.

The class is a start that looks at the current run only. It was also possible when the current run of two listed ones ended, and when a start was refused while another run had been listed.

Change: an index of all runs that may be active, by task (active_runs). A task with such a run is not queued; the run becomes its current run, and its end queues the task. A run that is listed while the end of another one is being recorded goes on if the task needs it, so that sound work is not lost; once the task is done, or its job has ended, all of its runs are stopped, not only the current one.

--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -90,6 +90,11 @@
         """Let a run continue that another host started, or stop it if its task awaits no run."""
         self._jobs.open_through(job, run.task.occurrence, run.since)
         task = job.tasks.get(run.task)
+        if task is not None and task.phase is TaskPhase.RECORDING:
+            # Whether the task needs this run depends on the end that is being recorded.
+            return
+        if task is not None and task.is_current_run(run.run, instance.info.id):
+            return
         unassigned_phases = (TaskPhase.UNKNOWN, TaskPhase.QUEUED)
         if task is None or task.phase not in unassigned_phases:
             run.stop_requested = True
@@ -101,9 +106,7 @@
         # Once this run has ended, the host that started it may start the task again, at an upstream
         # that has not answered here yet.
         task.may_run_elsewhere = task.may_run_elsewhere or task.phase is TaskPhase.UNKNOWN
-        task.phase = TaskPhase.RUNNING
-        task.instance = instance.info.id
-        task.run = run.run
+        task.follow_run(run.run, instance.info.id)
         job.has_begun = True
 
 
--- a/cottonlug/core/cluster/instance_table.py
+++ b/cottonlug/core/cluster/instance_table.py
@@ -13,6 +13,7 @@
 from datetime import timedelta
 
 from ..ids import DomainName, UpstreamId
+from .active_runs import ActiveRuns
 from .admission import measure_usable_cores
 from .instance_ids import get_upstream_name, is_earlier_instance
 from .instances import Instance
@@ -32,6 +33,8 @@
 
     def __init__(self, *, term: Term) -> None:
         self.by_id: dict[UpstreamId, Instance] = {}
+        self.active_runs = ActiveRuns()
+        """The runs of all instances by task."""
         self.unseen: set[UpstreamId] = set()
         """Instances from earlier terms that have not answered in this one and are not cordoned."""
         self._changed: dict[UpstreamId, Instance] = {}
@@ -86,8 +89,9 @@
             is_managed_elsewhere=self._term.domain not in (None, info.domain),
             heard_at=now,
             poll_due=now,
+            active_runs=self.active_runs,
         )
-        self._count_upstream(self.by_id.get(info.id), -1)
+        self._drop(self.by_id.get(info.id))
         self.by_id[info.id] = instance
         self._count_upstream(instance, 1)
         self.mark_changed(instance)
@@ -121,7 +125,7 @@
     def remove(self, upstream: UpstreamId) -> None:
         """Stop tracking an instance."""
         instance = self.by_id.pop(upstream, None)
-        self._count_upstream(instance, -1)
+        self._drop(instance)
         self._changed.pop(upstream, None)
         self._health.pop(upstream, None)
         self.unseen.discard(upstream)
@@ -130,10 +134,17 @@
         if self._newest.get(get_upstream_name(upstream)) == upstream:
             del self._newest[get_upstream_name(upstream)]
 
-    def _count_upstream(self, instance: Instance | None, change: int) -> None:
+    def _drop(self, instance: Instance | None) -> None:
+        """Forget the runs of an instance that is removed or replaced, and its kind."""
+        if instance is None:
+            return
+        for key in list(instance.runs):
+            instance.remove_run(key)
+        self._count_upstream(instance, -1)
+
+    def _count_upstream(self, instance: Instance, change: int) -> None:
         """Count an instance that is added or removed among the upstreams of its kind."""
-        if instance is not None:
-            self._term.speeds.count_upstream(instance.info, change)
+        self._term.speeds.count_upstream(instance.info, change)
 
     def mark_changed(self, instance: Instance) -> None:
         """Have an instance processed in the next round, because something about it changed."""
@@ -322,6 +333,13 @@
             found.stop_requested = True
             self.mark_changed(instance)
 
+    def request_stop_of_all(self, ref: TaskRef) -> bool:
+        """Have all active runs of a task stopped as soon as possible; return whether any is."""
+        active = self.active_runs.find_all(ref)
+        for each in active:
+            self.request_stop(each.upstream, ref, each.run)
+        return bool(active)
+
 
 def _may_accept_work(instance: Instance) -> bool:
     """Return whether an upstream that has not answered yet can be expected to accept work."""
--- a/cottonlug/core/cluster/instances.py
+++ b/cottonlug/core/cluster/instances.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ..clock import to_milliseconds
+from .active_runs import ActiveRun, ActiveRuns
 from .crashes import NO_ACTIVE_TASKS, ActiveTasks
 from .model import Capacity, Needs, RunNumber, TaskRef, UpstreamInfo
 from .orders import Run
@@ -140,6 +141,8 @@
     lapse_at: timedelta = timedelta()
     """When every lease that it may hold has certainly ended: from then on nothing can run there."""
     response_timeout: ResponseTimeout = field(default_factory=ResponseTimeout)
+    active_runs: ActiveRuns = field(default_factory=ActiveRuns)
+    """Index that all instances share; it contains `runs`."""
     runs: dict[RunKey, Run] = field(default_factory=dict)
     _used_cpu: int = 0
     _used_memory: int = 0
@@ -195,12 +198,14 @@
     def add_run(self, run: Run) -> None:
         """Add a run and count its needs as used."""
         self.runs[(run.task, run.run)] = run
+        self.active_runs.add(run.task, ActiveRun(run.run, self.info.id))
         self._adjust_usage(run, 1)
 
     def remove_run(self, key: RunKey) -> Run | None:
         """Remove a run and free what it used."""
         run = self.runs.pop(key, None)
         if run is not None:
+            self.active_runs.remove(run.task, ActiveRun(run.run, self.info.id))
             self._adjust_usage(run, -1)
         return run
 
--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -60,6 +60,12 @@
     unrecorded_end: tuple[UpstreamId, RunNumber] | None = None
     """Upstream and number of the run whose end has yet to be recorded, while it is `RECORDING`."""
 
+    def follow_run(self, run: RunNumber, upstream: UpstreamId) -> None:
+        """Make an active run the current one."""
+        self.phase = TaskPhase.RUNNING
+        self.instance = upstream
+        self.run = run
+
     def is_current_run(self, run: RunNumber, upstream: UpstreamId) -> bool:
         """Whether the task is running, and this run at this upstream is its current one.
 
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -163,8 +163,11 @@
     def queue(self, job: OpenJob, occurrence: int, number: int, task_indexes: list[int]) -> None:
         """Queue tasks of step `number` of an occurrence; those that may crash upstreams separately.
 
-        `task_indexes` are their indexes within the step.
+        `task_indexes` are their indexes within the step. Tasks of which a run may still be active
+        are queued when that has ended.
         """
+        refs = (TaskRef(job.record.id, occurrence, number, each) for each in task_indexes)
+        task_indexes = [ref.task_index for ref in refs if not self.await_active_run(job, ref)]
         if not task_indexes:
             return
         if not self.crash_tracker.may_suspect_any():
@@ -179,6 +182,18 @@
         for restriction, alike in by_restriction.items():
             self._add_batch(job, occurrence, number, alike, restriction)
 
+    def await_active_run(self, job: OpenJob, ref: TaskRef) -> bool:
+        """Make a run of a task that may be active its current run; False if there is none.
+
+        No other run of the task begins before that one has ended, even if it is being stopped.
+        """
+        active = self._instances.active_runs.find_latest(ref)
+        if active is None:
+            return False
+        job.tasks[ref].follow_run(active.run, active.upstream)
+        job.has_begun = True
+        return True
+
     def _add_batch(
         self,
         job: OpenJob,
@@ -333,9 +348,8 @@
             self._closed_after_begin[id] = now
         if any(task.phase is TaskPhase.QUEUED for task in job.tasks.values()):
             self.backlog.drop_job(id)
-        for ref, task in job.tasks.items():
-            if task.phase is TaskPhase.RUNNING and task.instance is not None:
-                self._instances.request_stop(task.instance, ref, task.run)
+        for ref in job.tasks:
+            if self._instances.request_stop_of_all(ref):
                 self.closed_while_running[id] = now
         if job.record.spec.best_effort and job.record.state is not JobState.COMPLETED:
             # Its caller may send it again, to another coordinator, which waits until the leases of
--- a/cottonlug/core/cluster/run_ends.py
+++ b/cottonlug/core/cluster/run_ends.py
@@ -216,18 +216,18 @@
         if job.record.get_task(end.task).is_done:
             # A run that was abandoned, as its upstream did not answer until its lease had ended,
             # may have completed before that. Its task may have been queued or started again since.
-            if task.phase is TaskPhase.RUNNING and task.instance is not None:
-                self._instances.request_stop(task.instance, end.task, task.run)
-            elif task.phase is TaskPhase.QUEUED:
+            self._instances.request_stop_of_all(end.task)
+            if task.phase is TaskPhase.QUEUED:
                 self._jobs.unqueue(end.task)
             del job.tasks[end.task]
             if job.record.is_step_done(end.task.occurrence, end.task.step):
                 self._jobs.unblock(job, end.task.occurrence)
         elif task.phase is TaskPhase.RECORDING and task.may_run_elsewhere:
-            # Another coordinator may have started a further run, at an upstream that has not
-            # answered this one yet.
-            task.phase = TaskPhase.UNKNOWN
-            self._reconciliation.request_recheck()
+            # Another coordinator may have started a further run: one that is listed by now, or one
+            # at an upstream that has not answered this one yet.
+            if not self._jobs.await_active_run(job, end.task):
+                task.phase = TaskPhase.UNKNOWN
+                self._reconciliation.request_recheck()
         elif task.phase is TaskPhase.RECORDING and task.unrecorded_end == (upstream, end.run):
             # The run ended without success, so the task is queued again. But this must be the end
             # that the task waits for: after an older one, a later run may have succeeded whose end
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -51,6 +51,8 @@
 """CPU that every task takes, of 16,000: two tasks fit an upstream."""
 COMMIT_DELAY = timedelta(milliseconds=15)
 """Time from the proposal of a command until the log has committed it."""
+MAX_STOP_TIME = timedelta(milliseconds=50)
+"""Longest time from the acceptance of a stop until the run has ended."""
 CRASHES_AFTER = timedelta(milliseconds=5)
 """Time from the start of a task that crashes its upstream to the crash."""
 
@@ -116,6 +118,8 @@
     """Share of orders that have no answer and are carried out 2 to 12 s late."""
     failed_share: float = 0.0
     """Share of runs that fail."""
+    stop_time: timedelta = timedelta()
+    """Time from the acceptance of a stop until the run has ended."""
     events: list[tuple[timedelta, int, Callable[[], None]]] = field(default_factory=list)
     """Actions to come, by time; those of one time in the order in which they were scheduled."""
     counter: itertools.count[int] = field(default_factory=itertools.count)
@@ -252,7 +256,7 @@
         self.refused_through[order.task] = max(self.refused_through.get(order.task, 0), order.run)
         run = self.runs.get(order.task)
         if run is not None and run.run == order.run:
-            self._end(run, RunEndKind.STOPPED)
+            self._stop(run)
         return None
 
     def accept_poll(self, order: PollOrder, token: int) -> CallFailure | None:
@@ -329,6 +333,13 @@
         if self.is_up and self.runs.get(run.ref) is run:
             self._end(run, run.how)
 
+    def _stop(self, run: ModelRun) -> None:
+        if not self.world.stop_time:
+            self._end(run, RunEndKind.STOPPED)
+            return
+        run.how = RunEndKind.STOPPED
+        self.world.at(self.world.stop_time, lambda: self._finish(run))
+
     def _end(self, run: ModelRun, how: RunEndKind) -> None:
         del self.runs[run.ref]
         self.world.running.pop(run.ref, None)
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -26,6 +26,7 @@
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName, UpstreamId
 from .model_upstreams import (
+    MAX_STOP_TIME,
     TERMS,
     Leader,
     ModelUpstream,
@@ -368,9 +369,10 @@
     assert tokens == {"north": TOKENS_PER_TERM + 1, "south": TOKENS_PER_TERM}
 
 
-def run_campaign(seed: int, *, durable: bool) -> None:
+def run_campaign(seed: int, *, durable: bool, stop_time: timedelta = timedelta()) -> None:
     """Play faults for 8 s with up to four leaders, then let everything end."""
     world, upstreams = build_world(seed, lost_share=0.06, late_share=0.03, failed_share=0.02)
+    world.stop_time = stop_time
     chance = random.Random(seed + 1_000_000)
     for upstream in upstreams.values():
         # Long runs are still there when an answer is lost, a leader changes or a lease lapses.
@@ -424,3 +426,10 @@
 def test_campaign_of_durable_jobs(seed: int) -> None:
     """The same, and against jobs that are lost, or tasks that run again after their success."""
     run_campaign(seed, durable=True)
+
+
+@pytest.mark.parametrize("durable", [False, True])
+@pytest.mark.parametrize("seed", range(12))
+def test_campaign_of_runs_that_go_on_for_a_while_after_a_stop(seed: int, durable: bool) -> None:
+    """Guards against tasks that start again beside a run that is being stopped."""
+    run_campaign(seed, durable=durable, stop_time=MAX_STOP_TIME)
--- a/cottonlug/tests/test_cluster_site.py
+++ b/cottonlug/tests/test_cluster_site.py
@@ -8,12 +8,13 @@
 
 import random
 from collections.abc import Callable
+from datetime import timedelta
 
 import pytest
 
 from ..core.cluster.model import JobState
 from .model_site import EAST, NORTH, SOUTH, Site, build_site
-from .model_upstreams import milliseconds
+from .model_upstreams import MAX_STOP_TIME, milliseconds
 
 LENGTH_MS = 12_000
 Fault = Callable[[Site, random.Random], None]
@@ -85,10 +86,15 @@
 
 
 def play(
-    seed: int, faults: tuple[Fault, ...], late_share: float, durable_share: float = 0.0
+    seed: int,
+    faults: tuple[Fault, ...],
+    late_share: float,
+    durable_share: float = 0.0,
+    stop_time: timedelta = timedelta(),
 ) -> Site:
     """Play faults on a site; `durable_share` is the chance of a durable job at each submission."""
     site = build_site(seed, upstreams_each=3, late_share=late_share)
+    site.world.stop_time = stop_time
     chance = random.Random(seed)
     for upstream in site.upstreams.values():
         upstream.run_times = lambda job: milliseconds(chance.choice((60, 700, 2_500, 4_000)))
@@ -124,7 +130,18 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_no_durable_task_is_lost_or_runs_twice_while_gateways_act_as_leader(seed: int) -> None:
     """Durable jobs are accepted and started while no gateway has heard of them."""
-    site = play(seed, (cut_domain, change_leader, kill_gateway), late_share=0.0, durable_share=0.5)
+    play_durable(seed)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_durable_task_runs_beside_a_run_that_is_being_stopped(seed: int) -> None:
+    play_durable(seed, stop_time=MAX_STOP_TIME)
+
+
+def play_durable(seed: int, stop_time: timedelta = timedelta()) -> None:
+    """Play changes of leader with durable jobs among others, all of which have to complete."""
+    faults = (cut_domain, change_leader, kill_gateway)
+    site = play(seed, faults, late_share=0.0, durable_share=0.5, stop_time=stop_time)
     site.cut_off.clear()
     site.world.run_until(site.world.now + milliseconds(2_000))
     if site.leader is None:
--- a/cottonlug/tests/test_every_fault.py
+++ b/cottonlug/tests/test_every_fault.py
@@ -12,6 +12,7 @@
 
 from ..core.cluster import instances
 from ..core.cluster.open_job import Task
+from ..core.cluster.open_jobs import OpenJobs
 from ..core.cluster.reconciliation import Reconciliation
 from ..platform import heartbeats, workers
 from .fault_explorer import Fault, Play, Script, describe, explore
@@ -58,8 +59,12 @@
 
 
 def reintroduce_ends_of_any_upstream(patch: pytest.MonkeyPatch) -> None:
-    """Match a run end by task and run number alone, at whatever upstream the run was."""
+    """Match a run end by task and run number alone, at whatever upstream the run was.
+
+    And start a task again without asking whether another run of it is active.
+    """
     patch.setattr(Task, "is_current_run", lambda self, run, upstream: self.run == run)
+    patch.setattr(OpenJobs, "await_active_run", lambda self, job, ref: False)
 
 
 def reintroduce_leaders_that_do_not_wait(patch: pytest.MonkeyPatch) -> None:
