Start a task again only when all listed ends of its runs are recorded

Callers could see a task of a durable job run again although a run of it had succeeded, after a change of leader.

Cause: a task remembered one end that was yet to be recorded. When a new leader was listed the end of an older run and just after it, at another upstream, that of a newer one, the task started again as soon as the first was committed, while the second, a success, was still being committed.

Change: a task keeps all listed ends that are yet to be recorded, and is queued when there is none left, on every path that queues it. An end of an abandoned run that tells of a failed attempt now takes a waiting task out of the queue, too, as a success did: the attempt may be the last one.

A task waits for commits only while ends of its own are being recorded, as before.

--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -33,8 +33,8 @@
     """Waits to be started."""
     RUNNING = "running"
     RECORDING = "noting"
-    """Its run has ended, which the replicated log or, for a best-effort job, this host has yet to
-    record."""
+    """Runs of it have ended, which the replicated log or, for a best-effort job, this host has yet
+    to record."""
     UNKNOWN = "unknown"
     """Another coordinator may have started it, at an upstream that has not answered this one."""
 
@@ -57,8 +57,9 @@
     It stays set when an upstream lists a run of an unknown task, active or ended: that run need not
     be the last one. (An active one is adopted: it goes on as if this coordinator had started it.)
     """
-    unrecorded_end: tuple[UpstreamId, RunNumber] | None = None
-    """Upstream and number of the run whose end has yet to be recorded, while it is `RECORDING`."""
+    unrecorded_ends: set[tuple[UpstreamId, int]] = field(default_factory=set)
+    """Listed ends of its runs that have yet to be recorded, by upstream and number of the end. Any
+    of them may tell that the task is done, so that it is not queued before all are recorded."""
 
     def follow_run(self, run: RunNumber, upstream: UpstreamId) -> None:
         """Make an active run the current one."""
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -35,6 +35,8 @@
 """Share of the wait allowed by the objective, beyond the queue's target latency, that is reserved
 for longer runs than expected: run times scatter by 0.4 on a logarithmic scale (its benefit is in
 docs/design/platform.md)."""
+_COUNTED_ENDS = (RunEndKind.DONE, RunEndKind.FAILED)
+"""Ends after which a task may not start again; after any other end it simply does."""
 NEVER_LATE = timedelta.max
 """Latest start of long-running tasks: they go before all others and are never abandoned."""
 
@@ -163,11 +165,15 @@
     def queue(self, job: OpenJob, occurrence: int, number: int, task_indexes: list[int]) -> None:
         """Queue tasks of step `number` of an occurrence; those that may crash upstreams separately.
 
-        `task_indexes` are their indexes within the step. Tasks of which a run may still be active
-        are queued when that has ended.
+        `task_indexes` are their indexes within the step. Tasks of which a run may still be active,
+        or has an end that is yet to be recorded, are queued after that.
         """
         refs = (TaskRef(job.record.id, occurrence, number, each) for each in task_indexes)
-        task_indexes = [ref.task_index for ref in refs if not self.await_active_run(job, ref)]
+        task_indexes = [
+            ref.task_index
+            for ref in refs
+            if not (self.await_active_run(job, ref) or _await_record(job.tasks[ref]))
+        ]
         if not task_indexes:
             return
         if not self.crash_tracker.may_suspect_any():
@@ -302,16 +308,16 @@
         task = job.tasks.get(end.task) if job is not None else None
         if task is None:
             return
+        task.unrecorded_ends.add((upstream, end.number))
         is_current = task.is_current_run(end.run, upstream)
-        # A run that was abandoned with its lease may have succeeded before that.
-        is_done_after_all = task.phase is TaskPhase.QUEUED and end.how is RunEndKind.DONE
-        if is_done_after_all:
+        # A run that was abandoned with its lease may have succeeded, or used up an attempt.
+        matters_though_abandoned = task.phase is TaskPhase.QUEUED and end.how in _COUNTED_ENDS
+        if matters_though_abandoned:
             self.unqueue(end.task)
-        if is_current or is_done_after_all or task.phase is TaskPhase.UNKNOWN:
+        if is_current or matters_though_abandoned or task.phase is TaskPhase.UNKNOWN:
             task.may_run_elsewhere = task.may_run_elsewhere or task.phase is TaskPhase.UNKNOWN
             task.phase = TaskPhase.RECORDING
             task.run = RunNumber(max(task.run, end.run))
-            task.unrecorded_end = (upstream, end.run)
 
     def mark_unknown(self, job: OpenJob) -> None:
         """Mark the tasks of a job as unknown: another coordinator may have begun them.
@@ -469,6 +475,14 @@
         return len(self.jobs)
 
 
+def _await_record(task: Task) -> bool:
+    """Have a task wait until all listed ends of its runs are recorded; False if they are."""
+    if not task.unrecorded_ends:
+        return False
+    task.phase = TaskPhase.RECORDING
+    return True
+
+
 def find_max_wait(queue: Queue, objective: timedelta, chain: timedelta) -> timedelta:
     """Return how long after a job arrived or was due a step may start, less a margin for run times.
 
--- a/cottonlug/core/cluster/run_ends.py
+++ b/cottonlug/core/cluster/run_ends.py
@@ -213,6 +213,8 @@
         task = job.tasks.get(end.task)
         if task is None:
             return
+        if upstream is not None:
+            task.unrecorded_ends.discard((upstream, end.number))
         if job.record.get_task(end.task).is_done:
             # A run that was abandoned, as its upstream did not answer until its lease had ended,
             # may have completed before that. Its task may have been queued or started again since.
@@ -222,14 +224,15 @@
             del job.tasks[end.task]
             if job.record.is_step_done(end.task.occurrence, end.task.step):
                 self._jobs.unblock(job, end.task.occurrence)
-        elif task.phase is TaskPhase.RECORDING and task.may_run_elsewhere:
+        elif task.phase is not TaskPhase.RECORDING or task.unrecorded_ends:
+            # Of a run that is not awaited, or with a further end to be recorded.
+            return
+        elif task.may_run_elsewhere:
             # Another coordinator may have started a further run: one that is listed by now, or one
             # at an upstream that has not answered this one yet.
             if not self._jobs.await_active_run(job, end.task):
                 task.phase = TaskPhase.UNKNOWN
                 self._reconciliation.request_recheck()
-        elif task.phase is TaskPhase.RECORDING and task.unrecorded_end == (upstream, end.run):
-            # The run ended without success, so the task is queued again. But this must be the end
-            # that the task waits for: after an older one, a later run may have succeeded whose end
-            # is not recorded yet.
+        else:
+            # All runs have ended without success, so the task is queued again.
             self._jobs.queue(job, end.task.occurrence, end.task.step, [end.task.task_index])
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -146,6 +146,8 @@
     """From then on the control hosts have been without faults for long enough to be connected."""
     starts: int = 0
     """Starts carried out by all upstreams together."""
+    started_at: dict[TaskRef, timedelta] = field(default_factory=dict)
+    """When each task was started last."""
     started_jobs: set[JobId] = field(default_factory=set)
 
     def at(self, delay: timedelta, act: Callable[[], None]) -> None:
@@ -189,6 +191,8 @@
     expires_ms: float = 0.0
     """End of its lease, on its own clock."""
     last_end_number: int = 0
+    done_at: dict[TaskRef, timedelta] = field(default_factory=dict)
+    """When durable tasks ended successfully here; cleared when the lease runs out."""
     ended: list[RunEndReport] = field(default_factory=list)
     """Ended runs that no poll has confirmed as recorded, so that they are still listed."""
     runs: dict[TaskRef, ModelRun] = field(default_factory=dict)
@@ -268,11 +272,18 @@
         for end in self.ended:
             if end.number <= order.last_seen and end.how is RunEndKind.DONE:
                 self.world.recorded_done.add(end.task)
+                self._check_not_started_since_done(end.task)
         self.ended = [end for end in self.ended if end.number > order.last_seen]
         if order.expires_ms is not None:
             self._extend(order.expires_ms)
         return None
 
+    def _check_not_started_since_done(self, ref: TaskRef) -> None:
+        """Fail if a task was started again since it was done here under a lease that holds on."""
+        done_at = self.done_at.get(ref)
+        if done_at is not None and ref.job not in self.world.long_running_jobs:
+            assert self.world.started_at[ref] <= done_at, f"{ref} was started again after its end"
+
     def build_reply(self) -> PollReply:
         """Return the lists of active and ended runs."""
         self._advance()
@@ -310,6 +321,7 @@
         world.running[ref] = self.info.id
         world.starts += 1
         world.begun.append((ref, world.now))
+        world.started_at[ref] = world.now
         world.started_jobs.add(ref.job)
         fails = world.random.random() < world.failed_share or self.fails_all
         how = RunEndKind.FAILED if fails else RunEndKind.DONE
@@ -343,6 +355,8 @@
     def _end(self, run: ModelRun, how: RunEndKind) -> None:
         del self.runs[run.ref]
         self.world.running.pop(run.ref, None)
+        if how is RunEndKind.DONE and run.ref.job in self.world.durable_jobs:
+            self.done_at[run.ref] = self.world.now
         self.refused_through[run.ref] = max(self.refused_through.get(run.ref, 0), run.run)
         self.last_end_number += 1
         self.ended.append(
@@ -360,6 +374,8 @@
 
     def _advance(self) -> None:
         """End all runs if the lease has ended."""
+        if self.clock_ms() >= self.expires_ms:
+            self.done_at.clear()
         if self.is_up and self.runs and self.clock_ms() >= self.expires_ms:
             for run in list(self.runs.values()):
                 # The first end answers a long poll; handling it returns here and ends the other
--- a/cottonlug/tests/test_cluster_single_run.py
+++ b/cottonlug/tests/test_cluster_single_run.py
@@ -25,7 +25,7 @@
     TaskRef,
 )
 from ..core.cluster.orders import PollOrder, StartOrder, StartOutcome, StopOrder
-from ..core.cluster.records import Records
+from ..core.cluster.records import Records, TaskRecord
 from ..core.cluster.run_numbers import RUN_NUMBERS_PER_TOKEN
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import UpstreamId
@@ -118,11 +118,6 @@
     leader.receive_list(SOUND.id, running=(RunReport(task=REF, run=SECOND_RUN, percent=10),))
 
 
-def list_nothing(leader: NewLeader) -> None:
-    """Receive an answer of the first upstream after its end was confirmed."""
-    leader.receive_list(CUT_OFF.id)
-
-
 def list_orders(how: RunEndKind) -> list[tuple[Event, ...]]:
     events = (list_first_run(how), list_second_run, NewLeader.commit, list_second_run)
     return list(itertools.permutations(events))
@@ -218,3 +213,41 @@
     leader.dispatch.handle_start_answer(order, StartOutcome.NO_ROOM, None, leader.now)
     leader.act()
     assert leader.starts == [order]
+
+
+@pytest.mark.parametrize("how", [RunEndKind.LAPSED, RunEndKind.STOPPED, RunEndKind.FAILED])
+def test_a_task_waits_for_the_record_of_every_listed_end(how: RunEndKind) -> None:
+    """Guards against a start between the records of two ends, the second of which is a success.
+
+    Two upstreams list an end each; each is recorded by a commit of its own.
+    """
+
+    def list_done(leader: NewLeader) -> None:
+        done = build_end(SECOND_RUN, RunEndKind.DONE)
+        leader.receive_list(SOUND.id, ended=(done,))
+
+    for events in itertools.permutations((list_first_run(how), list_done)):
+        leader = NewLeader()
+        for event in events:
+            event(leader)
+        assert len(leader.proposals) == 2
+        first, second = leader.proposals
+        for command in (first, second):
+            leader.proposals = [command]
+            leader.commit()
+            assert not leader.starts
+        assert leader.records.jobs[REF.job].state is JobState.COMPLETED
+
+
+def test_a_failed_attempt_that_is_listed_late_is_recorded_before_the_next_start() -> None:
+    """Guards against a start beyond the attempts of the queue, after a run that was abandoned."""
+    leader = NewLeader()
+    leader.records.jobs[REF.job].tasks = {"0.0.0": TaskRecord(failed_runs=2)}
+    leader.now = TERMS.lapse_after * 2
+    leader.dispatch.tick(leader.now)
+    leader.receive_list(CUT_OFF.id, ended=(build_end(FIRST_RUN, RunEndKind.FAILED),))
+    leader.receive_list(SOUND.id)
+    assert not leader.starts
+    leader.commit()
+    assert leader.records.jobs[REF.job].state is JobState.FAILED
+    assert not leader.starts
