Count an upstream as polled only when it has listed all of its ends

Callers could see a task run again although a run of it had succeeded, where an upstream lists more ends than one answer holds (500) to a new leader.

Cause: the first answer of an upstream counted as complete, so that a task of which it listed neither a run nor an end was taken not to have run there. That a full list may go on was taken into account only for runs that are being stopped.

Change: an upstream with a full list stays unpolled (neither fenced nor seen) until its rest is listed, which follows the record of the first part. The wait stays bounded by the end of earlier leases.

Measured: the new test fails before (a start beside an unlisted success) and passes now.

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -80,7 +80,8 @@
 capacity."""
 MAX_LISTED_ENDS = 500
 """Most ended runs that the answer to a poll lists. Behind a full list there may be more, so a run
-that is listed neither as active nor as ended may have succeeded."""
+that is listed neither as active nor as ended may have succeeded. The rest is listed once these ends
+are recorded and confirmed."""
 
 
 class Dispatch:
@@ -467,10 +468,9 @@
         instance.contact_at = now
         instance.confirmed_through = max(instance.confirmed_through, order.last_seen)
         instance.record_clock(reply.clock_ms, now)
-        if not instance.is_fenced:
-            instance.is_fenced = True
-            self._term.log_decision("upstream_adopted", {"upstream": instance.info.id})
-        self._instances.unseen.discard(instance.info.id)
+        lists_all_ends = len(reply.ended) < MAX_LISTED_ENDS
+        if lists_all_ends:
+            self._adopt_instance(instance)
         self._jobs.update_restrictions(self._jobs.crash_tracker.record_answer(instance))
         self._watcher.request_uncordon(instance)
         self._run_ends.handle_listed_ends(instance, reply.ended, now)
@@ -493,9 +493,16 @@
         for report in reply.running:
             self._adopter.handle_listed_run(instance, report, now)
         self._watcher.evaluate_progress(instance, now)
-        if len(reply.ended) < MAX_LISTED_ENDS:
+        if lists_all_ends:
             self._drop_vanished(instance, reply, sent_at, now)
 
+    def _adopt_instance(self, instance: Instance) -> None:
+        """Count an upstream as polled: what runs and has ended there is known."""
+        self._instances.unseen.discard(instance.info.id)
+        if not instance.is_fenced:
+            instance.is_fenced = True
+            self._term.log_decision("upstream_adopted", {"upstream": instance.info.id})
+
     def tick(self, now: timedelta) -> None:
         """Do everything that is due, and start tasks.
 
--- a/cottonlug/tests/test_cluster_single_run.py
+++ b/cottonlug/tests/test_cluster_single_run.py
@@ -13,7 +13,7 @@
 import pytest
 
 from ..core.cluster.commands import AcceptJob, AddUpstream, Command
-from ..core.cluster.dispatch import Dispatch
+from ..core.cluster.dispatch import MAX_LISTED_ENDS, Dispatch
 from ..core.cluster.model import (
     JobId,
     JobState,
@@ -251,3 +251,25 @@
     leader.commit()
     assert leader.records.jobs[REF.job].state is JobState.FAILED
     assert not leader.starts
+
+
+def test_an_upstream_counts_as_polled_only_when_it_has_listed_all_ends() -> None:
+    """Guards against a start of a task whose success is behind the first 500 listed ends."""
+    others = [
+        RunEndReport(
+            number=number,
+            task=TaskRef(JobId(f"{number:016x}"), 0, 0, 0),
+            run=RunNumber(FIRST_RUN + 1),
+            how=RunEndKind.DONE,
+        )
+        for number in range(1, MAX_LISTED_ENDS + 1)
+    ]
+    done = build_end(FIRST_RUN, RunEndKind.DONE, number=MAX_LISTED_ENDS + 1)
+    leader = NewLeader()
+    leader.receive_list(SOUND.id)
+    leader.receive_list(CUT_OFF.id, ended=tuple(others))
+    assert not leader.starts
+    leader.receive_list(CUT_OFF.id, ended=(done,))
+    leader.commit()
+    assert leader.records.jobs[REF.job].state is JobState.COMPLETED
+    assert not leader.starts
