Begin a gateway's jobs only by a configuration that the gateway has heard of

Cause: a gateway gets the configuration with the answers to its keep-alives, every 80 ms. The leader began its jobs by a version that the gateway had not heard of; without control hosts the gateway acted as leader by the version of before.

Change: each contact tells the version by which the coordinator handles calls. The leader refuses a submission whose contact is older than the active version, as not begun; the gateway sends one keep-alive for all jobs that wait, and submits them again. A gateway does not act as leader by an older version than it has heard of, nor follows one that does, and an acting leader steps down for a gateway with a newer one. The acknowledgement of a configuration waits for nobody.

--- a/cottonlug/core/cluster/calls.py
+++ b/cottonlug/core/cluster/calls.py
@@ -20,6 +20,7 @@
 from .evacuations import EvacuationRecord
 from .model import (
     Configuration,
+    ConfigurationVersion,
     Heartbeat,
     JobSpec,
     JobState,
@@ -46,6 +47,8 @@
     """When the last answer that has arrived was given, on the clock of that coordinator."""
     since_ms: int = 0
     """Time from the arrival of that answer at the gateway until it sent this."""
+    configuration_version: ConfigurationVersion | None = None
+    """Version by which that coordinator handled calls when it answered; None if it had none."""
 
 
 class AbandonedSubmission(Value, frozen=True):
@@ -190,6 +193,9 @@
     is_probe: bool = False
     """Whether a host that does not lead is to answer by itself, which shows that it is alive and
     who leads, instead of forwarding this to the leader."""
+    configuration_version: ConfigurationVersion | None = None
+    """Version of the configuration by which this gateway would act as leader; None if it has none.
+    """
 
 
 NO_CONFIGURATION = "no configuration yet"
@@ -201,6 +207,9 @@
 """Detail of the answer to a submission without a recent `contact`: it was delayed on its way, or
 its gateway has sent this coordinator no keep-alive before."""
 
+NEWER_CONFIGURATION = "the gateway has not heard of the active configuration"
+"""Detail of the answer to a submission whose `contact` is older than the active configuration."""
+
 Call = (
     Submit
     | Abandon
--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -142,6 +142,8 @@
         self._changed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._keepalive_tasks: set[asyncio.Task[bool]] = set()
+        self._refreshing: asyncio.Task[bool] | None = None
+        """The last extra keep-alive."""
 
     def start(self) -> None:
         """Start the background tasks that find and follow the coordinator."""
@@ -153,6 +155,8 @@
         self.step_down()
         for task in (*self._tasks, *self._keepalive_tasks):
             task.cancel()
+        if self._refreshing is not None:
+            self._refreshing.cancel()
 
     def is_connected(self) -> bool:
         """Return whether the last contact with the coordinator is within the timeout."""
@@ -262,6 +266,7 @@
             failover_version=version,
             cores_millis=self._settings.size.cores_millis,
             is_probe=is_probe,
+            configuration_version=self.failover_store.configuration_version,
         )
 
     def _start_keepalive(self, host: str, *, is_probe: bool = False) -> asyncio.Task[bool]:
@@ -317,11 +322,27 @@
         if via is Via.RELAY and self.has_direct_leader():
             # A control host has named the leader in the meantime: a relay is not needed.
             return True
-        self.confirmations.record_contact(answer)
+        self._record_contact(answer)
         self.follow(host if via is Via.RELAY else answer.leader or host, via)
         self._receive_failover_state_of_answer(answer)
         return True
 
+    def _record_contact(self, answer: Answer) -> None:
+        """Record the contact in an answer, and the version by which calls are handled now."""
+        self.confirmations.record_contact(answer)
+        if answer.contact is not None:
+            self.failover_store.record_version(answer.contact.configuration_version)
+
+    def lacks_configuration(self) -> bool:
+        """Return whether this gateway's configuration is older than what its callers may know."""
+        return self.failover_store.is_older(self.failover_store.configuration_version)
+
+    def yield_to_newer_configuration(self, keepalive: KeepAlive) -> None:
+        """Leave it to another gateway to act as leader, if that has a newer configuration."""
+        self.failover_store.record_version(keepalive.configuration_version)
+        if self.acting_leader is not None and self.lacks_configuration():
+            self.step_down()
+
     def _receive_failover_state_of_answer(self, answer: Answer) -> None:
         """Store the failover state that a leader's answer carries, if any."""
         if self.failover_store.receive_answer(answer):
@@ -332,6 +353,26 @@
         is_direct = self.coordinator is not None and self.via is Via.LEADER
         return is_direct and self._clock.monotonic() - self._leader_seen_at < RELAY_AFTER
 
+    async def refresh_contact(self) -> bool:
+        """Send the coordinator a keep-alive at once; return whether it was answered.
+
+        All calls that wait for it share one keep-alive.
+        """
+        if self._refreshing is None or self._refreshing.done():
+            self._refreshing = asyncio.create_task(self._exchange_extra_keepalive())
+        return await asyncio.shield(self._refreshing)
+
+    async def _exchange_extra_keepalive(self) -> bool:
+        host, via = self.coordinator, self.via
+        if host is None:
+            return False
+        answer = await self._exchange_keepalive(host)
+        if (self.coordinator, self.via) != (host, via):
+            return False
+        if via is Via.LEADER:
+            return self._handle_keepalive_answer(host, via, answer)
+        return self._handle_gateway_answer(host, via, answer)
+
     async def _send_keepalives_forever(self) -> None:
         while True:
             began_at = self._clock.monotonic()
@@ -426,10 +467,19 @@
             return self._handle_keepalive_answer(host, via, answer)
         if not answer.is_acting_leader or answer.outcome is not Outcome.DONE:
             return False
+        if self._has_older_configuration(answer):
+            return False
         self._record_acting_leader(answer)
         self._reached_at = self._clock.monotonic()
         return True
 
+    def _has_older_configuration(self, answer: Answer) -> bool:
+        """Return whether an acting leader's configuration is older than what callers may know."""
+        if not answer.is_acting_leader or answer.contact is None:
+            return False
+        version = answer.contact.configuration_version
+        return version is not None and self.failover_store.is_older(version)
+
     def _is_silent_for(self, span: timedelta) -> bool:
         """Return whether the coordinator has not answered for this long."""
         return self._reached_at is None or self._clock.monotonic() - self._reached_at >= span
@@ -446,7 +496,7 @@
             return
         own_domain = find_acting_domain(failover_state, self.own_address)
         for gateway, answer in answers.items():
-            if _can_be_followed(answer, own_domain):
+            if _can_be_followed(answer, own_domain) and not self._has_older_configuration(answer):
                 self._follow_gateway(gateway, answer)
                 return
         if any(answer.leader is not None for answer in answers.values()):
@@ -483,7 +533,10 @@
             return False
         is_due = now - self._leader_seen_at >= self._get_acting_delay()
         return is_due and not (
-            failover_state.has_durable_jobs or not failover_state.accepts_calls or self.is_stopping
+            failover_state.has_durable_jobs
+            or not failover_state.accepts_calls
+            or self.is_stopping
+            or self.lacks_configuration()
         )
 
     async def _act_as_leader_if_first(
@@ -497,7 +550,7 @@
 
     def _follow_gateway(self, gateway: str, answer: Answer) -> None:
         if not answer.is_acting_leader:
-            self.confirmations.record_contact(answer)
+            self._record_contact(answer)
             self.follow(gateway, Via.RELAY)
             self._receive_failover_state_of_answer(answer)
         elif self._clock.monotonic() - self._leader_seen_at >= ACT_AS_LEADER_AFTER_SILENCE:
@@ -506,7 +559,7 @@
 
     def _record_acting_leader(self, answer: Answer) -> None:
         """Record contact with the acting leader, and its fencing token."""
-        self.confirmations.record_contact(answer)
+        self._record_contact(answer)
         if answer.contact is not None:
             self._acting_levels.record_token(answer.contact.token)
 
--- a/cottonlug/runtime/failover_store.py
+++ b/cottonlug/runtime/failover_store.py
@@ -8,6 +8,7 @@
 from ..core.clock import Clock
 from ..core.cluster.calls import Answer, FailoverState
 from ..core.cluster.failover_state import merge_failover_state
+from ..core.cluster.model import ConfigurationVersion
 from ..core.cluster.queues import QueueIndex
 
 
@@ -18,6 +19,8 @@
         self.current: FailoverState | None = None
         self.confirmed_at = clock.monotonic()
         """When a leader last sent or confirmed the complete failover state."""
+        self.newest_version: ConfigurationVersion | None = None
+        """Newest version by which callers of this gateway may have been served."""
         self.queues: QueueIndex | None = None
         """The queues of the newest configuration received."""
         self._clock = clock
@@ -29,6 +32,22 @@
         known = self._incoming or self.current
         return known.version if known is not None else ""
 
+    @property
+    def configuration_version(self) -> ConfigurationVersion | None:
+        """Version of the configuration by which this gateway would act as leader."""
+        configuration = self.current.configuration if self.current is not None else None
+        return configuration.version if configuration is not None else None
+
+    def record_version(self, version: ConfigurationVersion | None) -> None:
+        """Record a version by which callers may be served from now on; None is ignored."""
+        if version is not None:
+            self.newest_version = max(version, self.newest_version or version)
+
+    def is_older(self, version: ConfigurationVersion | None) -> bool:
+        """Return whether a version is older than one by which callers may have been served."""
+        newest = self.newest_version
+        return newest is not None and (version is None or version < newest)
+
     def count_gateways(self) -> int:
         """Return how many gateways are known."""
         return len(self.current.gateways) if self.current is not None else 0
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -19,6 +19,7 @@
 from ..config.options import Address
 from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.calls import (
+    NEWER_CONFIGURATION,
     NO_CONFIGURATION,
     NO_LOG,
     NO_RECENT_CONTACT,
@@ -271,6 +272,8 @@
                 waited_ms = to_milliseconds(now - began_at)
                 call = msgspec.structs.replace(call, waited_ms=waited_ms)
             answer = await self._try_once(call, left)
+            if answer.detail == NEWER_CONFIGURATION and await self.link.refresh_contact():
+                continue
             is_undecided = answer.outcome in (Outcome.UNKNOWN, Outcome.UNAVAILABLE)
             if answer.outcome is Outcome.UNKNOWN:
                 may_have_run = True
@@ -330,6 +333,7 @@
         answer = await self.calls.ask(host, sent_call, timeout)
         # With these details the host is still the coordinator, or was not even asked.
         is_still_coordinator = answer.detail in (
+            NEWER_CONFIGURATION,
             NO_CONFIGURATION,
             NO_LOG,
             NO_RECENT_CONTACT,
@@ -346,9 +350,12 @@
         response = self._job_channels.handle_at_once(request)
         if response is not None:
             return response
+        keepalive = decode_keepalive(request) if self.acting_leader is not None else None
+        if keepalive is None:
+            return None
+        self.link.yield_to_newer_configuration(keepalive)
         acting_leader = self.acting_leader
-        keepalive = decode_keepalive(request) if acting_leader is not None else None
-        if acting_leader is None or keepalive is None:
+        if acting_leader is None:
             return None
         answer = acting_leader.leadership.answer_keepalive(keepalive)
         answer = msgspec.structs.replace(answer, is_acting_leader=True, domain=acting_leader.domain)
@@ -369,6 +376,8 @@
 
     async def answer_peer(self, call: Call) -> Answer:
         """Answer a call of another gateway."""
+        if isinstance(call, KeepAlive):
+            self.link.yield_to_newer_configuration(call)
         acting_leader = self.acting_leader
         if acting_leader is not None:
             # It may have stepped down by the time a job has ended: mark its answers all the same.
@@ -378,7 +387,9 @@
             )
         leader = self.link.coordinator if self.link.has_direct_leader() else None
         if leader is None:
-            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LEADER, hosts=tuple(self.hosts))
+            # Without hosts the answer keeps no other gateway from acting as leader.
+            hosts = () if self.link.lacks_configuration() else tuple(self.hosts)
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LEADER, hosts=hosts)
         answer = await self.calls.ask(leader, call, _get_relay_timeout(call))
         if isinstance(call, KeepAlive) and answer.outcome is not Outcome.DONE:
             return msgspec.structs.replace(answer, leader=leader, hosts=tuple(self.hosts))
--- a/cottonlug/runtime/gateway_registry.py
+++ b/cottonlug/runtime/gateway_registry.py
@@ -14,6 +14,7 @@
 from ..core.cluster.calls import Contact, FailoverState, GatewayInfo, KeepAlive
 from ..core.cluster.failover_state import FailoverStateLog
 from ..core.cluster.host_sizes import find_small_gateways
+from ..core.cluster.model import ConfigurationVersion
 from ..core.cluster.records import Records
 from ..core.ids import DomainName
 from .events import Event, log_event
@@ -151,9 +152,13 @@
             self.on_reconnect(gateway)
         self._sent_at[gateway] = max(sent_at, known or sent_at)
 
-    def build_contact(self) -> Contact:
-        """Return the contact that a gateway sends back after an answer that is sent now."""
-        return Contact(token=self._token, answered_ms=to_milliseconds(self._clock.monotonic()))
+    def build_contact(self, version: ConfigurationVersion | None = None) -> Contact:
+        """Return the contact that a gateway sends back after an answer that is sent now.
+
+        `version` is that of the active configuration.
+        """
+        answered_ms = to_milliseconds(self._clock.monotonic())
+        return Contact(token=self._token, answered_ms=answered_ms, configuration_version=version)
 
     def _record_message_age(self, gateway: str, age: timedelta, now: timedelta) -> None:
         self.record_age(age / timedelta(milliseconds=1))
--- a/cottonlug/runtime/job_answers.py
+++ b/cottonlug/runtime/job_answers.py
@@ -13,6 +13,7 @@
 from ..core.clock import Clock, to_milliseconds
 from ..core.cluster.admission import Rejection
 from ..core.cluster.calls import (
+    NEWER_CONFIGURATION,
     NO_CONFIGURATION,
     NO_RECENT_CONTACT,
     Abandon,
@@ -80,6 +81,8 @@
 
     async def answer_submit(self, call: Submit) -> Answer:
         """Accept a job; answer when a best-effort job has ended, or a durable one is committed."""
+        if not self._has_heard_of_configuration(call):
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=NEWER_CONFIGURATION)
         found = self._find_queue(call.host, call.path)
         if isinstance(found, Answer):
             return found
@@ -208,6 +211,19 @@
         found = queues.find_queue(host, path)
         return found if found is not None else Answer(outcome=Outcome.NO_QUEUE)
 
+    def _has_heard_of_configuration(self, call: Submit) -> bool:
+        """Return whether the gateway of a submission has heard of the active configuration.
+
+        It then never acts as leader by an older one, nor follows a gateway that does. If it had
+        not heard of it, its callers could see the effect of a configuration, and of an older one
+        after that. A contact without a version is of a coordinator that had no configuration.
+        """
+        configuration = self._records.configuration
+        if configuration is None or not call.gateway or call.contact is None:
+            return True
+        known = call.contact.configuration_version
+        return known is None or known >= configuration.version
+
     async def _run_to_end(
         self, job: JobId, queue: Queue, call: Submit, sent_at: timedelta
     ) -> Answer:
--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -29,6 +29,7 @@
     Call,
     Cancel,
     Configure,
+    Contact,
     Evacuate,
     ForwardHeartbeat,
     ForwardLeave,
@@ -301,10 +302,10 @@
         self.gateways.handle_keepalive(call)
         if not self._settings.keeps_log:
             # An acting leader knows nothing beyond the failover state that the gateway has, too.
-            return Answer(outcome=Outcome.DONE, contact=self.gateways.build_contact())
+            return Answer(outcome=Outcome.DONE, contact=self._build_contact())
         self.gateways.record_durable_jobs(self.dispatch.jobs.has_durable_jobs())
         failover_state = self.gateways.build_failover_state(self._records, call.failover_version)
-        contact = self.gateways.build_contact()
+        contact = self._build_contact()
         has_more = failover_state is None and not self.gateways.is_current(call.failover_version)
         return Answer(
             outcome=Outcome.DONE,
@@ -313,6 +314,10 @@
             contact=contact,
         )
 
+    def _build_contact(self) -> Contact:
+        configuration = self._records.configuration
+        return self.gateways.build_contact(configuration.version if configuration else None)
+
     def _handle_abandoned(self, keepalive: KeepAlive) -> None:
         """Abandon the jobs that a gateway no longer waits for, before all others are confirmed.
 
