Do not answer 404 for a job that an earlier try may have begun

A caller could get 404 for a job that runs: when a try had an unknown outcome and the queue was removed before the next try, or was unknown to the coordinator of the next try, the gateway passed the second answer on as final. A caller takes 404 as not run.

Cause: only a rejection was held back after a try with an unknown outcome, an unknown queue was not. The other outcomes that say not run, invalid and unsupported, depend on the job alone, so that no earlier try can have begun it.

Change: both outcomes end the tries at once with an unknown outcome (504), as rejections did.

Measured: the new test fails before and passes now.

--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -68,6 +68,8 @@
 caller is told at once."""
 DEFAULT_MAX_BODY_BYTES = 262_144
 """Limit of request bodies until the configuration is known."""
+_NOT_RUN_OUTCOMES = (Outcome.REJECTED, Outcome.NO_QUEUE)
+"""Outcomes by which the caller of a job is told that the job has not run."""
 _EXPECTED_OUTCOMES = (Outcome.DONE, Outcome.NO_QUEUE, Outcome.NO_JOB)
 """Outcomes that are no failures of the service, such as that a caller names an unknown queue."""
 
@@ -283,7 +285,7 @@
                     call = _add_suspects(call, answer)
             elif answer.outcome is Outcome.UNAVAILABLE:
                 unavailable_since = now if unavailable_since is None else unavailable_since
-            elif answer.outcome is Outcome.REJECTED and may_have_run:
+            elif answer.outcome in _NOT_RUN_OUTCOMES and isinstance(call, Submit) and may_have_run:
                 # An earlier try may have run, so the job can no longer be reported as not run.
                 break
             else:
--- a/cottonlug/tests/test_cluster_configuration_versions.py
+++ b/cottonlug/tests/test_cluster_configuration_versions.py
@@ -25,14 +25,18 @@
 from ..core.cluster.commands import SetConfiguration
 from ..core.cluster.model import Configuration, ConfigurationVersion
 from ..runtime.acting_leader import ACT_AS_LEADER_AFTER_SILENCE
+from ..runtime.coordinator_link import Via
 from ..runtime.gateway import Gateway
 from ..runtime.leadership import Leadership
 from .gateway_builders import (
     CALL_TIMEOUT,
     JOB,
+    answer_in_turn,
     build_clock,
     build_failover_state,
+    build_gateway,
     build_gateways,
+    build_submit,
     connect,
 )
 from .model_upstreams import build_queue, build_spec
@@ -210,3 +214,21 @@
         stop_all(gateways)
 
     asyncio.run(script())
+
+
+def test_a_job_that_may_have_begun_is_not_answered_as_one_for_an_unknown_queue() -> None:
+    """Guards against a 404 for a job that runs: its queue was removed after an unanswered try."""
+    gateway = build_gateway(build_clock())
+    gateway.link.follow("10.0.1.1:7000", Via.LEADER)
+    tried = answer_in_turn(
+        gateway, [Answer(outcome=Outcome.UNKNOWN), Answer(outcome=Outcome.NO_QUEUE)]
+    )
+    assert asyncio.run(gateway.call(build_submit(), CALL_TIMEOUT)).outcome is Outcome.UNKNOWN
+    assert len(tried) >= 2
+
+
+def test_a_job_for_an_unknown_queue_is_answered_at_once() -> None:
+    gateway = build_gateway(build_clock())
+    tried = answer_in_turn(gateway, [Answer(outcome=Outcome.NO_QUEUE)])
+    assert asyncio.run(gateway.call(build_submit(), CALL_TIMEOUT)).outcome is Outcome.NO_QUEUE
+    assert len(tried) == 1
