--- a/cottonlug/core/cluster/active_runs.py
+++ b/cottonlug/core/cluster/active_runs.py
@@ -13,7 +13,7 @@
 from .model import RunNumber, TaskRef
 
 
-@dataclass(frozen=True, slots=True, order=True)
+@dataclass(frozen=True, slots=True, order=True, kw_only=True)
 class ActiveRun:
     """A run that may be active, and its upstream; those with higher run numbers are greater."""
 
--- a/cottonlug/core/cluster/instances.py
+++ b/cottonlug/core/cluster/instances.py
@@ -198,17 +198,20 @@
     def add_run(self, run: Run) -> None:
         """Add a run and count its needs as used."""
         self.runs[(run.task, run.run)] = run
-        self.active_runs.add(run.task, ActiveRun(run.run, self.info.id))
+        self.active_runs.add(run.task, self._build_active_run(run))
         self._adjust_usage(run, 1)
 
     def remove_run(self, key: RunKey) -> Run | None:
         """Remove a run and free what it used."""
         run = self.runs.pop(key, None)
         if run is not None:
-            self.active_runs.remove(run.task, ActiveRun(run.run, self.info.id))
+            self.active_runs.remove(run.task, self._build_active_run(run))
             self._adjust_usage(run, -1)
         return run
 
+    def _build_active_run(self, run: Run) -> ActiveRun:
+        return ActiveRun(run=run.run, upstream=self.info.id)
+
     def mark_disputed(self, key: RunKey) -> None:
         """Renew no lease until a run is gone, because another host relies on the lease ending."""
         run = self.runs.get(key)
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -36,7 +36,7 @@
 for longer runs than expected: run times scatter by 0.4 on a logarithmic scale (its benefit is in
 docs/design/platform.md)."""
 _COUNTED_ENDS = (RunEndKind.DONE, RunEndKind.FAILED)
-"""Ends after which a task may not start again; after any other end it simply does."""
+"""Ends that the record of a task counts, so that it may not start again after them."""
 NEVER_LATE = timedelta.max
 """Latest start of long-running tasks: they go before all others and are never abandoned."""
 
@@ -311,10 +311,10 @@
         task.unrecorded_ends.add((upstream, end.number))
         is_current = task.is_current_run(end.run, upstream)
         # A run that was abandoned with its lease may have succeeded, or used up an attempt.
-        matters_though_abandoned = task.phase is TaskPhase.QUEUED and end.how in _COUNTED_ENDS
-        if matters_though_abandoned:
+        is_counted_after_all = task.phase is TaskPhase.QUEUED and end.how in _COUNTED_ENDS
+        if is_counted_after_all:
             self.unqueue(end.task)
-        if is_current or matters_though_abandoned or task.phase is TaskPhase.UNKNOWN:
+        if is_current or is_counted_after_all or task.phase is TaskPhase.UNKNOWN:
             task.may_run_elsewhere = task.may_run_elsewhere or task.phase is TaskPhase.UNKNOWN
             task.phase = TaskPhase.RECORDING
             task.run = RunNumber(max(task.run, end.run))
--- a/cottonlug/core/cluster/run_ends.py
+++ b/cottonlug/core/cluster/run_ends.py
@@ -103,6 +103,23 @@
         for end in command.ends:
             self._apply_recorded_end(end, command.upstream, now)
 
+    def claim_orphaned_ends(self, record: JobRecord, now: timedelta) -> None:
+        """Record ends that were listed before their job was submitted here, and act on them.
+
+        This concerns best-effort jobs only: all others are known from the log.
+
+        Which upstream listed them no longer matters: the job is new here, so none of its tasks
+        waits for an end to be recorded.
+        """
+        for end in self._orphaned_ends.pop(record.id, []):
+            record_run_end(record, end, self._term.wall_ms())
+            self._apply_recorded_end(end, None, now)
+
+    def forget_orphaned_ends(self, now: timedelta) -> None:
+        """Drop the ends of unknown jobs after the grace period, which begins with the term."""
+        if self._orphaned_ends and not self._instances.is_in_grace_period(now):
+            self._orphaned_ends.clear()
+
     def _must_withhold(self, end: RunEndReport) -> bool:
         """Return whether an end of a job that is not in the log here is left to a leader."""
         return not self._jobs.is_open(end.task.job) and self._term.is_left_to_leader(end.run)
@@ -121,23 +138,6 @@
             },
         )
 
-    def claim_orphaned_ends(self, record: JobRecord, now: timedelta) -> None:
-        """Record ends that were listed before their job was submitted here, and act on them.
-
-        This concerns best-effort jobs only: all others are known from the log.
-
-        Which upstream listed them no longer matters: the job is new here, so none of its tasks
-        waits for an end to be recorded.
-        """
-        for end in self._orphaned_ends.pop(record.id, []):
-            record_run_end(record, end, self._term.wall_ms())
-            self._apply_recorded_end(end, None, now)
-
-    def forget_orphaned_ends(self, now: timedelta) -> None:
-        """Drop the ends of unknown jobs after the grace period, which begins with the term."""
-        if self._orphaned_ends and not self._instances.is_in_grace_period(now):
-            self._orphaned_ends.clear()
-
     def _detect_other_coordinator(self, instance: Instance, run: Run, end: RunEndReport) -> None:
         """Detect that a host with a higher fencing token has become coordinator.
 
