Refuse one job of a gateway for a new configuration, and let the others wait for it

Under overload callers failed more often after changes of the configuration than before: the leader refused all jobs of each gateway that had not heard of the active version, and got all of them again, while it was late already.

A new process at the gateway's address counts as not having heard.

--- a/cottonlug/runtime/gateway_registry.py
+++ b/cottonlug/runtime/gateway_registry.py
@@ -60,6 +60,8 @@
         """Called with the address of a gateway that is connected again after a timeout."""
         self.on_restart: Callable[[str], object] = lambda gateway: None
         """Called with the address of a gateway when a new process there has sent a keep-alive."""
+        self.on_configuration_heard: Callable[[str], object] = lambda gateway: None
+        """Called with the address of a gateway that has heard of a newer configuration."""
         self._token = token
         self._clock = clock
         self._late_log_due = timedelta()
@@ -75,6 +77,8 @@
         self._listed: list[str] = []
         """Addresses as listed in the failover state. They only ever get more, and none changes its
         place, by which fencing tokens are told apart (`acting_levels`)."""
+        self._heard_versions: dict[str, ConfigurationVersion] = {}
+        """Newest configuration that the process at the address of each gateway has heard of."""
         self._has_durable_jobs = False
         self._large_parts_left = float(MAX_LARGE_PARTS_PER_SECOND)
         """How many large parts may be sent at `_large_parts_updated_at`."""
@@ -97,6 +101,7 @@
         if self._instances.setdefault(gateway, keepalive.instance) != keepalive.instance:
             self._instances[gateway] = keepalive.instance
             self._cores_millis.pop(gateway, None)
+            self._heard_versions.pop(gateway, None)
             self.on_restart(gateway)
         self._record_cores(gateway, keepalive.cores_millis)
         sent_at = self.find_send_time(gateway, keepalive.contact)
@@ -133,6 +138,7 @@
         """
         if contact is None or contact.token != self._token:
             return None
+        self._record_heard_version(gateway, contact.configuration_version)
         now = self._clock.monotonic()
         sent_at = timedelta(milliseconds=contact.answered_ms + contact.since_ms)
         self._record_message_age(gateway, now - sent_at, now)
@@ -142,6 +148,16 @@
         self._check_at = min(self._check_at, sent_at + GATEWAY_TIMEOUT)
         return sent_at
 
+    def has_heard_of(self, gateway: str, version: ConfigurationVersion) -> bool:
+        """Return whether a gateway has heard of this configuration or a newer one."""
+        known = self._heard_versions.get(gateway)
+        return known is not None and known >= version
+
+    def _record_heard_version(self, gateway: str, version: ConfigurationVersion | None) -> None:
+        if version is not None and not self.has_heard_of(gateway, version):
+            self._heard_versions[gateway] = version
+            self.on_configuration_heard(gateway)
+
     def _record_contact(self, gateway: str, sent_at: timedelta) -> None:
         """Record contact with a gateway; call `on_reconnect` if it had timed out.
 
--- a/cottonlug/runtime/job_answers.py
+++ b/cottonlug/runtime/job_answers.py
@@ -27,7 +27,7 @@
 from ..core.cluster.commands import AcceptJob, CancelJob, Command
 from ..core.cluster.dispatch import Dispatch
 from ..core.cluster.instances import LeaseTerms
-from ..core.cluster.model import JobId, JobState, Queue
+from ..core.cluster.model import ConfigurationVersion, JobId, JobState, Queue
 from ..core.cluster.open_job import Submission
 from ..core.cluster.records import JobRecord, Records
 from ..core.cluster.validation import JOB_ID_PATTERN, find_job_problem, find_unsupported_feature
@@ -78,10 +78,13 @@
         self._abandoned: dict[tuple[str, int], timedelta] = {}
         """Abandoned submissions, by gateway and number, with the time when they were abandoned."""
         self._schedule_decision = schedule_decision
+        self._told_versions: dict[str, ConfigurationVersion | None] = {}
+        """Newest configuration that each gateway was told of by a refusal."""
+        gateways.on_configuration_heard = lambda gateway: waiters.resolve(("heard", gateway))
 
     async def answer_submit(self, call: Submit) -> Answer:
         """Accept a job; answer when a best-effort job has ended, or a durable one is committed."""
-        if not self._has_heard_of_configuration(call):
+        if not await self._wait_until_heard(call):
             return Answer(outcome=Outcome.UNAVAILABLE, detail=NEWER_CONFIGURATION)
         found = self._find_queue(call.host, call.path)
         if isinstance(found, Answer):
@@ -211,6 +214,23 @@
         found = queues.find_queue(host, path)
         return found if found is not None else Answer(outcome=Outcome.NO_QUEUE)
 
+    async def _wait_until_heard(self, call: Submit) -> bool:
+        """Return whether the gateway of a submission has heard of the active configuration.
+
+        The first submission of a gateway that has not is refused at once, which makes the gateway
+        ask; others wait for that, for `GATEWAY_TIMEOUT` at most, so that not all of them are sent
+        again to a coordinator that may be overloaded.
+        """
+        if self._has_heard_of_configuration(call):
+            return True
+        version = self._records.configuration.version if self._records.configuration else None
+        if self._told_versions.get(call.gateway) != version:
+            self._told_versions[call.gateway] = version
+            return False
+        waiting = self._waiters.wait_for(("heard", call.gateway))
+        await asyncio.wait([waiting], timeout=GATEWAY_TIMEOUT.total_seconds())
+        return self._has_heard_of_configuration(call)
+
     def _has_heard_of_configuration(self, call: Submit) -> bool:
         """Return whether the gateway of a submission has heard of the active configuration.
 
@@ -222,7 +242,9 @@
         if configuration is None or not call.gateway or call.contact is None:
             return True
         known = call.contact.configuration_version
-        return known is None or known >= configuration.version
+        if known is None or known >= configuration.version:
+            return True
+        return self._gateways.has_heard_of(call.gateway, configuration.version)
 
     async def _run_to_end(
         self, job: JobId, queue: Queue, call: Submit, sent_at: timedelta
