Log on what grounds a task is started again, and when two runs of it are active

Change: tasks_released tells how many tasks were queued after how long a wait, with how many upstreams unpolled; run_started_again has the same number; job_taken has what the gateway knew and the wait; run_ended has the number of the run; run_doubled names both runs. Counters released_tasks and doubled_runs.

--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -11,6 +11,7 @@
 
 from datetime import timedelta
 
+from ..clock import to_milliseconds
 from .instance_table import InstanceTable
 from .instances import Instance
 from .model import Needs, RunReport
@@ -98,6 +99,7 @@
         unassigned_phases = (TaskPhase.UNKNOWN, TaskPhase.QUEUED)
         if task is None or task.phase not in unassigned_phases:
             run.stop_requested = True
+            self._log_doubled(instance, run)
             return
         # Even a run that is being stopped is adopted: no other run of the task may begin until this
         # one has ended.
@@ -109,6 +111,29 @@
         task.follow_run(run.run, instance.info.id)
         job.has_begun = True
 
+    def _log_doubled(self, instance: Instance, run: Run) -> None:
+        """Log that an upstream lists a run of a task beside which another one is active."""
+        others = [
+            each
+            for each in self._instances.active_runs.find_all(run.task)
+            if (each.run, each.upstream) != (run.run, instance.info.id)
+        ]
+        if not others:
+            return
+        self._term.counts.doubled_runs += 1
+        self._term.log_decision(
+            "run_doubled",
+            {
+                "job": run.task.job,
+                "task": f"{run.task.step}.{run.task.task_index}",
+                "run": run.run,
+                "upstream": instance.info.id,
+                "other_run": others[-1].run,
+                "other_upstream": others[-1].upstream,
+                "term_ms": to_milliseconds(run.since - self._term.began_at),
+            },
+        )
+
 
 def _update_progress(run: Run, report: RunReport, now: timedelta) -> None:
     """Update a known run that its upstream lists as active."""
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -220,7 +220,14 @@
         self._jobs.rejections.pop(record.id, None)
         self._jobs.abandoned.discard(record.id)
         phase = TaskPhase.UNKNOWN if is_unsure else TaskPhase.QUEUED
-        self._jobs.open(record, phase, now, submission.waited)
+        self._jobs.open(
+            record,
+            phase,
+            now,
+            submission.waited,
+            may_have_begun=submission.may_have_begun,
+            reconcile_at=now + submission.reconcile_after if is_unsure else timedelta(),
+        )
         job = self._jobs.jobs[record.id]
         job.gateway = submission.gateway
         job.home = submission.home
@@ -230,7 +237,6 @@
             job.has_begun or submission.may_have_begun or self._jobs.has_begun_before(record.id)
         )
         if is_unsure:
-            job.reconcile_at = now + submission.reconcile_after
             self._reconciliation.request_recheck()
         self._run_ends.claim_orphaned_ends(record, now)
         if (
--- a/cottonlug/core/cluster/instance_table.py
+++ b/cottonlug/core/cluster/instance_table.py
@@ -161,9 +161,13 @@
         With `of_acting_leaders`, cordoned instances count as well: acting leaders ignore cordons.
         """
         return any(
-            not (instance.is_fenced or instance.is_over)
-            and (of_acting_leaders or not instance.is_cordoned)
-            for instance in self.by_id.values()
+            _may_have_unknown_runs(instance, of_acting_leaders) for instance in self.by_id.values()
+        )
+
+    def count_unpolled(self, *, of_acting_leaders: bool) -> int:
+        """Return the number of instances for which `may_have_unknown_runs` holds."""
+        return sum(
+            _may_have_unknown_runs(instance, of_acting_leaders) for instance in self.by_id.values()
         )
 
     def update_orphaned_flag(self) -> None:
@@ -341,6 +345,13 @@
         return bool(active)
 
 
+def _may_have_unknown_runs(instance: Instance, of_acting_leaders: bool) -> bool:
+    """Return whether an instance has not been polled and may have runs of another coordinator."""
+    if instance.is_fenced or instance.is_over:
+        return False
+    return of_acting_leaders or not instance.is_cordoned
+
+
 def _may_accept_work(instance: Instance) -> bool:
     """Return whether an upstream that has not answered yet can be expected to accept work."""
     return not (
--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -83,6 +83,8 @@
     record: JobRecord
     opened_at: timedelta
     """When its caller submitted it at a gateway or control host, before it arrived here."""
+    taken_at: timedelta = timedelta()
+    """When it arrived here."""
     objective: timedelta
     """How long the job should take from `opened_at`; if it takes longer, it counts as late."""
     tasks: dict[TaskRef, Task] = field(default_factory=dict)
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -75,21 +75,43 @@
         self._forget_at = term.began_at + ENDED_JOB_RETENTION
         for record in term.records.jobs.values():
             if record.is_open:
-                self.open(record, TaskPhase.UNKNOWN, term.began_at, self.find_age(record))
-                self.jobs[record.id].reconcile_at = term.earlier_leases_lapsed_at
+                self.open(
+                    record,
+                    TaskPhase.UNKNOWN,
+                    term.began_at,
+                    self.find_age(record),
+                    reconcile_at=term.earlier_leases_lapsed_at,
+                )
 
     def find_age(self, record: JobRecord) -> timedelta:
         """Return how long ago a durable job arrived, 0 at the least: clocks of hosts may differ."""
         age_ms = max(0, self._term.wall_ms() - record.accepted_ms)
         return timedelta(milliseconds=age_ms)
 
-    def open(self, record: JobRecord, phase: TaskPhase, now: timedelta, age: timedelta) -> None:
+    def open(
+        self,
+        record: JobRecord,
+        phase: TaskPhase,
+        now: timedelta,
+        age: timedelta,
+        *,
+        may_have_begun: bool = False,
+        reconcile_at: timedelta = timedelta(),
+    ) -> None:
         """Open a job that arrived `age` ago.
 
         `phase` is UNKNOWN where another coordinator may have begun its tasks, otherwise QUEUED.
+        `may_have_begun` tells whether its gateway knows of an earlier try. For `reconcile_at`, see
+        `OpenJob`.
         """
         objective = self.forecast.find_objective(record.queue, record.spec.steps)
-        job = OpenJob(record=record, opened_at=now - age, objective=objective)
+        job = OpenJob(
+            record=record,
+            opened_at=now - age,
+            taken_at=now,
+            objective=objective,
+            reconcile_at=reconcile_at,
+        )
         self.jobs[record.id] = job
         if not record.spec.best_effort:
             self._durable.add(record.id)
@@ -101,6 +123,8 @@
                 "tasks": record.task_count,
                 "objective_ms": to_milliseconds(objective),
                 "phase": phase.value,
+                "has_begun": int(may_have_begun),
+                "reconcile_ms": to_milliseconds(max(reconcile_at - now, timedelta())),
                 "waited_ms": to_milliseconds(age),
                 "waiting": len(self.backlog),
             },
--- a/cottonlug/core/cluster/reconciliation.py
+++ b/cottonlug/core/cluster/reconciliation.py
@@ -13,7 +13,7 @@
 
 from ..clock import to_milliseconds
 from .instance_table import InstanceTable
-from .open_job import TaskPhase
+from .open_job import OpenJob, TaskPhase
 from .open_jobs import OpenJobs
 from .term import Term
 
@@ -66,7 +66,29 @@
         self._jobs.may_have_unknown_tasks = False
         may_miss = {each: self.may_miss_runs(of_acting_leaders=each) for each in (False, True)}
         for job in self._jobs.jobs.values():
-            if now >= job.reconcile_at or not may_miss[job.may_be_of_acting_leader]:
+            if not may_miss[job.may_be_of_acting_leader]:
+                self._jobs.queue_unknown(job)
+            elif now >= job.reconcile_at:
+                self._log_released(job, now)
                 self._jobs.queue_unknown(job)
             elif job.has_unknown_tasks():
                 self._jobs.may_have_unknown_tasks = True
+
+    def _log_released(self, job: OpenJob, now: timedelta) -> None:
+        """Log that unknown tasks are queued since their wait is over, not since all was polled."""
+        released = sum(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values())
+        if not released:
+            return
+        self._term.counts.released_tasks += released
+        self._term.log_decision(
+            "tasks_released",
+            {
+                "job": job.record.id,
+                "tasks": released,
+                "unpolled": self._instances.count_unpolled(
+                    of_acting_leaders=job.may_be_of_acting_leader
+                ),
+                "waited_ms": to_milliseconds(now - job.taken_at),
+                "term_ms": to_milliseconds(now - self._term.began_at),
+            },
+        )
--- a/cottonlug/core/cluster/run_ends.py
+++ b/cottonlug/core/cluster/run_ends.py
@@ -167,6 +167,7 @@
             {
                 "job": end.task.job,
                 "task": f"{end.task.step}.{end.task.task_index}",
+                "run": end.run,
                 "upstream": instance.info.id,
                 "how": end.how.value,
                 "took_ms": to_milliseconds(taken),
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -314,18 +314,20 @@
         # First starts are routine. A start beside which an earlier run of the task might still be
         # active has a name of its own, which is always logged.
         is_again = last_run > 0 or job.reconcile_at > timedelta()
-        self._term.log_decision(
-            "run_started_again" if is_again else "run_started",
-            {
-                "job": ref.job,
-                "task": f"{ref.step}.{ref.task_index}",
-                "run": task.run,
-                "upstream": instance.info.id,
-                "tier": batch.tier.value,
-                "free_cpu": instance.free_cpu,
-                "waiting": len(self._jobs.backlog),
-            },
-        )
+        inputs: dict[str, str | int] = {
+            "job": ref.job,
+            "task": f"{ref.step}.{ref.task_index}",
+            "run": task.run,
+            "upstream": instance.info.id,
+            "tier": batch.tier.value,
+            "free_cpu": instance.free_cpu,
+            "waiting": len(self._jobs.backlog),
+        }
+        if is_again:
+            inputs["unpolled"] = self._instances.count_unpolled(
+                of_acting_leaders=job.may_be_of_acting_leader
+            )
+        self._term.log_decision("run_started_again" if is_again else "run_started", inputs)
         order = StartOrder(
             upstream=instance.info,
             task=ref,
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -51,6 +51,10 @@
     """Runs abandoned because the lease of their upstream, or the upstream itself, has ended."""
     ends: int = 0
     """Run ends that upstreams have listed."""
+    released_tasks: int = 0
+    """Tasks queued as their wait was over, though an upstream that may run them was not polled."""
+    doubled_runs: int = 0
+    """Runs that an upstream listed while another run of their task was active."""
     rejected_jobs: int = 0
     refused_early: int = 0
     """Rejected jobs that were refused by an estimate of their wait, under overload."""
--- a/cottonlug/tests/test_cluster_measures.py
+++ b/cottonlug/tests/test_cluster_measures.py
@@ -10,6 +10,7 @@
 import pytest
 
 from ..core.cluster.calls import Answer, Contact, Outcome
+from ..core.cluster.model import RunReport
 from ..core.cluster.records import Records
 from ..runtime import gateway_registry as gateways_module
 from ..runtime import leadership as leading_module
@@ -30,6 +31,7 @@
 )
 from .model_upstreams import Leader, build_queue, build_spec, milliseconds
 from .test_cluster_dispatch import build_world, start_leader
+from .test_cluster_single_run import CUT_OFF, FIRST_RUN, REF, SECOND_RUN, SOUND, NewLeader
 
 
 @pytest.fixture
@@ -163,3 +165,47 @@
 
     asyncio.run(play())
     assert (Event.DECISION_DELAYED, {"term": 5, "held_up_ms": 400}) in capture
+
+
+def test_tasks_that_start_though_an_upstream_is_not_polled_are_logged(
+    second_leader: Leader,
+) -> None:
+    """An operator can then tell on what grounds a task has been started a second time."""
+    decisions: list[tuple[str, dict[str, str | int]]] = []
+    second_leader.dispatch._term.log_decision = lambda name, fields: decisions.append(
+        (name, fields)
+    )
+    job = "a" * 16
+    second_leader.submit(
+        job,
+        build_spec(tasks=2),
+        build_queue(),
+        may_have_begun=True,
+        reconcile_after=milliseconds(340),
+    )
+    second_leader.world.run_until(milliseconds(600))
+    by_name = dict(decisions)
+    assert by_name["job_taken"]["has_begun"] == 1
+    assert by_name["job_taken"]["reconcile_ms"] == 340
+    assert by_name["tasks_released"] == {
+        "job": job,
+        "tasks": 2,
+        "unpolled": 1,
+        "waited_ms": 340,
+        "term_ms": 340,
+    }
+    assert by_name["run_started_again"]["unpolled"] == 1
+    assert second_leader.dispatch.counts.released_tasks == 2
+
+
+def test_a_run_beside_another_one_of_its_task_is_logged_and_counted() -> None:
+    """An operator sees that a task ran twice at once, and which coordinators started it."""
+    leader = NewLeader()
+    decisions: list[tuple[str, dict[str, str | int]]] = []
+    leader.dispatch._term.log_decision = lambda name, fields: decisions.append((name, fields))
+    for upstream, run in ((SOUND.id, SECOND_RUN), (CUT_OFF.id, FIRST_RUN)):
+        leader.receive_list(upstream, running=(RunReport(task=REF, run=run, percent=10),))
+    assert leader.dispatch.counts.doubled_runs == 1
+    doubled = dict(decisions)["run_doubled"]
+    assert (doubled["upstream"], doubled["run"]) == (CUT_OFF.id, FIRST_RUN)
+    assert (doubled["other_upstream"], doubled["other_run"]) == (SOUND.id, SECOND_RUN)
