Do not start a job beside runs of the last leader that are not known yet

Cause: a gateway that knows of no try submits the job as new. A new leader let such a job wait for lease - caller's delay, which is zero: it relied on the caller sending it again no sooner than 1.3 s after its first gateway had given it up or was lost. Callers may be quicker, and one that keeps to 1.3 s counts from what it sees: its gateway may have read the request late, or still wait for the job since the connection broke on the caller's side only.

Fix: a leader reports the best-effort jobs that it begins to the other control hosts, with the messages of the log. The next one treats a reported job, or any job if no complete report of the last leader has arrived, like one that its gateway knows to have begun: it waits until all upstreams have answered, or the leases of earlier leaders have ended. What is not reported starts at once, as before.

One existing test runs until the leases that the second leader waits for have ended instead of to 1.5 s (test_a_new_leader_does_not_prolong_a_run_whose_job_it_does_not_know): its check, no two runs at once and a second start, is the same. One that demands that a new job does not wait now says that the last leader has reported what it had begun.

A report of up to 16 bytes a job goes with messages that are sent anyway.

--- a/cottonlug/core/cluster/active_runs.py
+++ b/cottonlug/core/cluster/active_runs.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..ids import UpstreamId
-from .model import RunNumber, TaskRef
+from .model import JobId, RunNumber, TaskRef
+from .run_numbers import is_durable_run
 
 
 @dataclass(frozen=True, slots=True, order=True, kw_only=True)
@@ -26,10 +28,14 @@
 
     def __init__(self) -> None:
         self._by_task: dict[TaskRef, set[ActiveRun]] = {}
+        self.on_best_effort_run: Callable[[JobId], object] = lambda job: None
+        """Called with the job of each run that is added, unless the job is durable."""
 
     def add(self, ref: TaskRef, active: ActiveRun) -> None:
         """Add a run of a task."""
         self._by_task.setdefault(ref, set()).add(active)
+        if not is_durable_run(active.run):
+            self.on_best_effort_run(ref.job)
 
     def remove(self, ref: TaskRef, active: ActiveRun) -> None:
         """Remove a run of a task, if it is known."""
@@ -40,6 +46,14 @@
         if not runs:
             del self._by_task[ref]
 
+    def list_best_effort_jobs(self) -> set[JobId]:
+        """Return the best-effort jobs that have active runs."""
+        return {
+            ref.job
+            for ref, runs in self._by_task.items()
+            if not all(is_durable_run(each.run) for each in runs)
+        }
+
     def find_all(self, ref: TaskRef) -> list[ActiveRun]:
         """Return all active runs of a task, in the order of their numbers."""
         return sorted(self._by_task.get(ref, ()))
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -22,6 +22,7 @@
 
 from ..clock import to_milliseconds
 from ..ids import DomainName, UpstreamId
+from .active_runs import ActiveRuns
 from .admission import Rejection
 from .adoption import RunAdopter
 from .capacity_reports import DEFAULT_REPORT_TERMS, ReportTerms, find_refusal_backoff
@@ -102,6 +103,7 @@
         reports: ReportTerms = DEFAULT_REPORT_TERMS,
         known_until: timedelta = timedelta(),
         remote_factor: float = 1.0,
+        begun_earlier: frozenset[JobId] | None = None,
     ) -> None:
         self._term = Term(
             token=token,
@@ -117,6 +119,7 @@
             known_until=known_until,
             speeds=Speeds(records.speeds.recorded),
             remote_factor=remote_factor,
+            begun_earlier=begun_earlier,
         )
         self._instances = InstanceTable(term=self._term)
         crash_tracker = CrashTracker(term=self._term, instances=self._instances)
@@ -155,6 +158,15 @@
         """Instances of upstreams by id."""
         return self._instances.by_id
 
+    @property
+    def active_runs(self) -> ActiveRuns:
+        """The runs that may be active, by task."""
+        return self._instances.active_runs
+
+    def find_begun_earlier(self) -> frozenset[JobId] | None:
+        """Return the best-effort jobs of which the last leader may have active runs, if known."""
+        return self._term.begun_earlier
+
     @property
     def speeds(self) -> Speeds:
         """Factors of run times by kind of upstream."""
@@ -226,7 +238,9 @@
             now,
             submission.waited,
             may_have_begun=submission.may_have_begun,
-            reconcile_at=now + submission.reconcile_after if is_unsure else timedelta(),
+            reconcile_at=(
+                self._find_reconcile_time(record.id, submission, now) if is_unsure else timedelta()
+            ),
         )
         job = self._jobs.jobs[record.id]
         job.gateway = submission.gateway
@@ -250,6 +264,19 @@
                 self._adopter.adopt_orphaned_run(job, instance, run)
                 self._instances.mark_changed(instance)
 
+    def _find_reconcile_time(self, job: JobId, submission: Submission, now: timedelta) -> timedelta:
+        """Return when no run of a job by another coordinator can be active any more.
+
+        A gateway that knows of no earlier try does not know whether another one still waits for
+        it. So a leader waits for all leases of earlier leaders, unless it knows that the last one
+        had not begun the job. An acting leader relies on the caller's delay alone: beyond a
+        partition a leader goes on to renew leases.
+        """
+        lapsed_at = now + submission.reconcile_after
+        if submission.may_have_begun or not self._term.may_have_begun_earlier(job):
+            return lapsed_at
+        return max(lapsed_at, self._term.earlier_leases_lapsed_at)
+
     def has_quarantined_task(self, id: JobId) -> bool:
         """Whether a task of a job is not to be started again, since upstreams crashed under it."""
         return any(
--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -168,6 +168,7 @@
     """Whether that coordinator may have been an acting leader."""
     reconcile_after: timedelta
     """How long runs that another coordinator started may go on at an upstream that cannot be
-    reached: until the lease there has ended."""
+    reached: until the lease there has ended. If `may_have_begun` is false, that supposes that the
+    caller sends its job again only some time after it has lost the gateway of its first try."""
     waited: timedelta = timedelta()
     """How long the job had been at its gateway by now: this counts towards its objective."""
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -110,6 +110,8 @@
     remote_factor: float = 1.0
     """How many times as long a task takes outside the rack of its data. At 1 the rack is only
     preferred."""
+    begun_earlier: frozenset[JobId] | None = None
+    """Best-effort jobs of which the last leader may have active runs; None if that is unknown."""
     is_superseded: bool = False
     """Whether an upstream is known to have accepted a higher token, which ends this term there."""
 
@@ -140,6 +142,12 @@
         """
         return not self.keeps_log and is_durable_run(run)
 
+    def may_have_begun_earlier(self, job: JobId) -> bool:
+        """Return whether an earlier leader may have active runs of a best-effort job."""
+        if not self.keeps_log:
+            return False
+        return self.begun_earlier is None or job in self.begun_earlier
+
     @property
     def earlier_leases_lapsed_at(self) -> timedelta:
         """When all leases of earlier terms have certainly ended that this one has not renewed."""
--- a/cottonlug/core/control_messages.py
+++ b/cottonlug/core/control_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .cluster.begun_jobs import BegunReport
 from .consensus import types
 from .ids import HostId
 from .messages import Message
@@ -28,6 +29,8 @@
 
     sender: types.MemberId
     messages: list[types.ConsensusMessage]
+    begun: BegunReport | None = None
+    """What the sender, as leader, reports of best-effort jobs."""
 
 
 class ConfigurationView(Message, omit_defaults=False):
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -17,6 +17,7 @@
 
 from ..config.cluster import ControlSettings, OrderDelivery
 from ..core.clock import Clock
+from ..core.cluster.begun_jobs import BegunReport, BegunReporter
 from ..core.cluster.calls import (
     Answer,
     Call,
@@ -381,6 +382,7 @@
             and self.replicated.ready_term == replica.term
         )
         if self.leadership is not None and (not leads or self.leadership.term != replica.term):
+            self._record_own_begun_jobs(self.leadership)
             self.leadership.stop()
             self.leadership = None
         if leads and self.leadership is None:
@@ -402,11 +404,36 @@
                     reports=reports,
                     known_until=self._find_known_until(reports),
                     remote_factor=self._settings.remote_factor,
+                    begun_earlier=replica.begun_jobs.find_begun(replica.find_last_leader_term()),
                 ),
             )
+            self._report_begun_jobs(self.leadership)
             self.leadership.gateways.record_age = self.record_message_age
             self.leadership.record_decision_gap = self.record_decision_gap
 
+    def _report_begun_jobs(self, leadership: Leadership) -> None:
+        """Report the best-effort jobs that begin in a term to the other control hosts."""
+        active_runs = leadership.dispatch.active_runs
+        reporter = BegunReporter(
+            term=leadership.term, list_active=active_runs.list_best_effort_jobs
+        )
+        active_runs.on_best_effort_run = reporter.record_begun
+        messenger = self.replica.messenger
+        messenger.on_lost_report = lambda host, is_refused: reporter.handle_lost_report(
+            host, is_refused=is_refused
+        )
+        messenger.build_report = lambda host: (
+            reporter.build_report(host, self._clock.monotonic())
+            if self.leadership is leadership
+            else None
+        )
+
+    def _record_own_begun_jobs(self, leadership: Leadership) -> None:
+        """Remember the jobs of a term of this host, which may lead again next."""
+        jobs = leadership.dispatch.active_runs.list_best_effort_jobs()
+        report = BegunReport(term=leadership.term, jobs=tuple(jobs), is_complete=True)
+        self.replica.begun_jobs.receive(report, self._clock.monotonic())
+
     def _log_lease_change(self) -> None:
         """Log when the lease, and with it the right to schedule, is lost or regained."""
         if self.leadership is None:
--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -115,6 +115,8 @@
     host."""
     remote_factor: float = 1.0
     """How many times as long a task takes outside the rack of its data."""
+    begun_earlier: frozenset[JobId] | None = None
+    """Best-effort jobs of which the last leader may have active runs; None if that is unknown."""
 
 
 class Leadership:
@@ -177,6 +179,7 @@
             reports=settings.reports,
             known_until=settings.known_until,
             remote_factor=settings.remote_factor,
+            begun_earlier=settings.begun_earlier,
         )
         self._job_answers = JobAnswers(
             authority=authority,
--- a/cottonlug/runtime/messenger.py
+++ b/cottonlug/runtime/messenger.py
@@ -9,9 +9,11 @@
 
 import msgspec
 from returns.result import Failure as Err
+from returns.result import Success
 
 from ..config.options import Address
 from ..core.clock import Clock
+from ..core.cluster.begun_jobs import BegunReport
 from ..core.consensus.replacement import get_host
 from ..core.consensus.types import (
     AppendReply,
@@ -32,6 +34,8 @@
 SNAPSHOT_TIMEOUT = timedelta(seconds=5)
 """The same for a batch with a snapshot, which is large."""
 
+BAD_REQUEST = 400
+
 GetSender = Callable[[], tuple[MemberId, Term]]
 """Returns this host's member id and its current term."""
 
@@ -44,6 +48,8 @@
     has_messages: asyncio.Event
     outbox: list[ConsensusMessage]
     task: asyncio.Task[None] | None = None
+    host: str
+    """The address that names it."""
     acked_at: timedelta | None = None
     """When the last batch was sent that it has answered in the current term."""
 
@@ -65,6 +71,11 @@
         self._get_sender = get_sender
         self._on_reply = on_reply
         self._on_failure = on_failure
+        self.build_report: Callable[[str], BegunReport | None] = lambda host: None
+        """Returns what is sent to a host with the messages of the log, if anything."""
+        self.on_lost_report: Callable[[str, bool], object] = lambda host, is_refused: None
+        """Called with the host that may not have received the last report, and whether it has
+        refused it."""
         self._peers: dict[str, Peer] = {}
 
     async def stop(self) -> None:
@@ -114,7 +125,7 @@
         address = parse_address(host)
         if address is None:
             return None
-        peer = Peer(address=address, has_messages=asyncio.Event(), outbox=[])
+        peer = Peer(address=address, has_messages=asyncio.Event(), outbox=[], host=host)
         self._peers[host] = peer
         peer.task = asyncio.create_task(self._send_forever(peer))
         return peer
@@ -133,7 +144,8 @@
 
     async def _send(self, peer: Peer, messages: list[ConsensusMessage]) -> None:
         sender, term = self._get_sender()
-        batch = ConsensusBatch(sender=sender, messages=messages)
+        report = self.build_report(peer.host)
+        batch = ConsensusBatch(sender=sender, messages=messages, begun=report)
         sent_at = self._clock.monotonic()
         is_large = any(isinstance(message, SnapshotRequest) for message in messages)
         timeout = SNAPSHOT_TIMEOUT if is_large else CALL_TIMEOUT
@@ -142,6 +154,9 @@
         if isinstance(sent, Err) or sent.unwrap().status != 200:
             # The leader's next heartbeat makes up for lost messages.
             peer.outbox = []
+            if report is not None:
+                is_refused = isinstance(sent, Success) and sent.unwrap().status == BAD_REQUEST
+                self.on_lost_report(peer.host, is_refused)
             return
         reply = _decoder.decode(sent.unwrap().body)
         if any(isinstance(each, AppendReply) and each.term == term for each in reply.messages):
--- a/cottonlug/runtime/replica.py
+++ b/cottonlug/runtime/replica.py
@@ -25,6 +25,7 @@
 
 from ..config.options import Address
 from ..core.clock import Clock
+from ..core.cluster.begun_jobs import BegunJobs
 from ..core.consensus.member import Member
 from ..core.consensus.progress import is_quorum
 from ..core.consensus.replacement import get_host
@@ -149,7 +150,9 @@
         self._on_failure = on_failure
         self._journal: Journal | None = None
         self._pools = ConnectionPools(port=settings.urgent_port)
-        self._messenger = Messenger(
+        self.begun_jobs = BegunJobs()
+        """Best-effort jobs that earlier leaders have begun, as they have reported them."""
+        self.messenger = Messenger(
             clock=clock,
             pools=self._pools,
             get_sender=self._get_sender,
@@ -204,7 +207,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._messenger.stop()
+        await self.messenger.stop()
         self._pools.close()
 
     # State
@@ -226,6 +229,17 @@
         """The current term, or 0 while the host takes no part in the log (see `member`)."""
         return self.member.term if self.member is not None else Term(0)
 
+    def find_last_leader_term(self) -> Term:
+        """Return the term of the last host that led the log before this one, as the leader.
+
+        A host leads only after an entry of its own term is committed, which every later leader has
+        in its log.
+        """
+        assert self.member is not None, "only a member leads"
+        log = self.member.log
+        first = log.find_first_of_term(log.last_index)
+        return log.find_term(Index(first - 1)) or Term(0)
+
     @property
     def hosts(self) -> tuple[str, ...]:
         """Peer addresses of all known control hosts."""
@@ -250,7 +264,7 @@
             return []
         limit = self._clock.monotonic() - LEADER_LEASE
         hosts = [get_host(voter) for voter in member.members.voters if voter != member.id]
-        acked_at = {host: self._messenger.find_acked_at(host) for host in hosts}
+        acked_at = {host: self.messenger.find_acked_at(host) for host in hosts}
         return [host for host, at in acked_at.items() if at is None or at <= limit]
 
     def propose(self, data: str) -> bool:
@@ -282,8 +296,10 @@
 
     def receive(self, batch: ConsensusBatch) -> ConsensusBatch:
         """Process another member's messages and return the messages waiting for it."""
+        if batch.begun is not None:
+            self.begun_jobs.receive(batch.begun, self._clock.monotonic())
         self._receive_messages(batch)
-        messages = self._messenger.pop_messages(get_host(batch.sender))
+        messages = self.messenger.pop_messages(get_host(batch.sender))
         return ConsensusBatch(sender=self._get_sender()[0], messages=messages)
 
     def _get_sender(self) -> tuple[MemberId, Term]:
@@ -350,7 +366,7 @@
             if not self._save_or_defer(output):
                 return
             for envelope in output.messages:
-                self._messenger.post(envelope)
+                self.messenger.post(envelope)
             if output.restore and output.snapshot is not None:
                 self._state_machine.restore(output.snapshot.data)
                 self._log_bytes = 0
@@ -446,7 +462,7 @@
         if seen != self._seen_leader:
             self._seen_leader = seen
             self.counts.elections += 1
-            self._messenger.forget_acks()
+            self.messenger.forget_acks()
             log_event(Event.LEADER_CHANGED, leader=self.member.leader, term=self.member.term)
 
     def _record_members(self) -> None:
--- a/cottonlug/tests/model_site.py
+++ b/cottonlug/tests/model_site.py
@@ -326,6 +326,8 @@
     acting_leaders: dict[DomainName, ModelCoordinator] = field(default_factory=dict)
     term: int = 0
     level: int = 0
+    begun_earlier: frozenset[JobId] | None = None
+    """What the last leader has reported of the jobs that it has begun."""
     queue = build_queue(max_attempts=50)
 
     def can_reach(self, one: DomainName, other: DomainName) -> bool:
@@ -348,7 +350,11 @@
         """Make a host of a domain the leader of the next term."""
         self.lose_leader()
         self.term += 1
-        self.leader = self._start(home, self.records, self.term * TOKENS_PER_TERM)
+        # One new leader in four has missed the reports of the last one.
+        begun_earlier = self.begun_earlier if self.term % 4 else None
+        self.leader = self._start(
+            home, self.records, self.term * TOKENS_PER_TERM, begun_earlier=begun_earlier
+        )
         for upstream in self.upstreams.values():
             if upstream.is_up and self.can_reach(home, upstream.info.domain):
                 self.leader.deliver_heartbeat(upstream, sequence=self.term)
@@ -356,6 +362,8 @@
     def lose_leader(self) -> None:
         if self.leader is not None:
             self.leader.is_over = True
+            active_runs = self.leader.dispatch.active_runs
+            self.begun_earlier = frozenset(active_runs.list_best_effort_jobs())
         self.leader = None
 
     def find_acting_leader_delay(self, domain: DomainName) -> timedelta:
@@ -429,7 +437,12 @@
         self.world.at(CALLER_RETRY, send)
 
     def _start(
-        self, home: DomainName, records: Records, token: int, domain: DomainName | None = None
+        self,
+        home: DomainName,
+        records: Records,
+        token: int,
+        domain: DomainName | None = None,
+        begun_earlier: frozenset[JobId] | None = None,
     ) -> ModelCoordinator:
         return ModelCoordinator(
             world=self.world,
@@ -441,6 +454,7 @@
             home=home,
             domain=domain,
             is_acting=domain is not None,
+            begun_earlier=begun_earlier,
             decided_at=self.world.now,
         )
 
--- a/cottonlug/tests/model_upstreams.py
+++ b/cottonlug/tests/model_upstreams.py
@@ -411,6 +411,8 @@
     known_until: timedelta = timedelta.max
     """Until then the capacities in the records are valid without a heartbeat to this leader."""
     remote_factor: float = 1.0
+    begun_earlier: frozenset[JobId] | None = None
+    """What the last leader has reported of the jobs that it has begun."""
     ended: list[JobId] = field(default_factory=list)
     ended_at: dict[JobId, timedelta] = field(default_factory=dict)
     commits: Callable[[Command], bool] = lambda command: True
@@ -430,6 +432,7 @@
             keeps_log=not self.is_acting,
             known_until=self.known_until,
             remote_factor=self.remote_factor,
+            begun_earlier=self.begun_earlier,
         )
         self._tick_forever()
 
--- a/cottonlug/tests/test_cluster_dispatch.py
+++ b/cottonlug/tests/test_cluster_dispatch.py
@@ -190,10 +190,13 @@
     assert all(record.draining for record in leader.records.upstreams.values())
 
 
-def start_beside_a_dead_upstream() -> tuple[World, Leader]:
+def start_beside_a_dead_upstream(
+    begun_earlier: frozenset[JobId] | None = frozenset(),
+) -> tuple[World, Leader]:
     """Return a world and its new leader, 30 ms into its term; one of four upstreams has crashed.
 
-    The new leader cannot know yet whether that one is unreachable and still runs something.
+    The new leader cannot know yet whether that one is unreachable and still runs something. The
+    last leader has reported which jobs it had begun.
     """
     world, upstreams = build_world(7)
     records = Records()
@@ -201,7 +204,13 @@
     world.run_until(milliseconds(100))
     first.is_over = True
     upstreams[UpstreamId("u4")].crash()
-    second = Leader(world=world, upstreams=upstreams, records=records, token=2 * TOKENS_PER_TERM)
+    second = Leader(
+        world=world,
+        upstreams=upstreams,
+        records=records,
+        token=2 * TOKENS_PER_TERM,
+        begun_earlier=begun_earlier,
+    )
     world.run_until(milliseconds(130))
     return world, second
 
@@ -209,8 +218,9 @@
 def test_a_new_job_does_not_wait_for_the_leases_of_a_dead_upstream() -> None:
     """Otherwise every job waits 1.1 s after a change of leader.
 
-    No gateway has submitted it before. It waits just long enough for runs that its caller may have
-    had started through another gateway.
+    No gateway has submitted it before, and the last leader has not reported that it had begun. It
+    waits just long enough for runs that its caller may have had started by an acting leader through
+    another gateway.
     """
     world, leader = start_beside_a_dead_upstream()
     leader.submit("a" * 16, build_spec(tasks=2), build_queue(), reconcile_after=milliseconds(340))
@@ -218,6 +228,22 @@
     assert leader.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
 
 
+@pytest.mark.parametrize("begun_earlier", [None, frozenset({JobId("a" * 16)})])
+def test_a_job_that_the_last_leader_may_have_begun_waits_for_the_leases_of_a_dead_upstream(
+    begun_earlier: frozenset[JobId] | None,
+) -> None:
+    """Guards against a second run of a task whose caller has sent its job to another gateway.
+
+    The last leader has reported the job as begun, or none of its reports has arrived.
+    """
+    world, leader = start_beside_a_dead_upstream(begun_earlier)
+    leader.submit("a" * 16, build_spec(tasks=2), build_queue(), reconcile_after=timedelta())
+    world.run_until(milliseconds(100) + TERMS.lapse_after)
+    assert world.starts == 0
+    world.run_until(milliseconds(100) + TERMS.lapse_after + milliseconds(400))
+    assert leader.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
+
+
 def test_a_job_that_may_have_begun_waits_for_the_leases_of_a_dead_upstream() -> None:
     """Guards against a second run of a task that still runs at an unreachable upstream."""
     world, leader = start_beside_a_dead_upstream()
--- a/cottonlug/tests/test_cluster_orphaned_runs.py
+++ b/cottonlug/tests/test_cluster_orphaned_runs.py
@@ -20,7 +20,7 @@
 from ..core.ids import UpstreamId
 from ..runtime.gateway_registry import GATEWAY_TIMEOUT
 from .gateway_builders import JOB
-from .model_site import NORTH, SOUTH, TERMS, Site, build_site
+from .model_site import NORTH, SOUTH, TERMS, TURN_INTERVAL, Site, build_site
 from .model_upstreams import Leader, build_queue, build_spec, milliseconds
 from .test_cluster_dispatch import build_world, start_leader
 
@@ -83,7 +83,8 @@
     the job's gateway is cut off; the gateway is killed, or answers 504 after 50 ms. The next
     leader, outside, finds the run just before its lease ends, does not know its job and renews the
     lease for 0.8 s. The caller submits its job 1.3 s after the first time to another gateway of its
-    domain, where an acting leader starts it at once. Two starts are correct if the lease of any
+    domain, where an acting leader starts it at once, or outside, where the next leader starts it
+    once all leases of the earlier one have ended. Two starts are correct if the lease of any
     orphaned run is left to end, not only that of a run that an acting leader started.
     """
     site = start_in_the_south(1)
@@ -95,7 +96,7 @@
         site.kill(site.gateways[0])
     else:
         site.gateways[0].calls[0].give_up_at = cut_at + milliseconds(50)
-    world.run_until(cut_at + milliseconds(1_500))
+    world.run_until(cut_at + milliseconds(elected_ms) + TERMS.lapse_after + TURN_INTERVAL)
     assert world.starts == 2
 
 
