Failing test: an acting leader starts tasks after a suspension, before it steps down

Cause: the authority of an acting leader has no lease. That it steps down after a delay of 0.4 s is checked by the failover check alone, every 50 to 150 ms, while decisions are made every 20 ms. After a delay only one decision is skipped.

Order: a gateway acts as leader and runs a job of its own caller, for which no keep-alive has to be heard; its host is suspended for 5 s; timers go on where they were, so that two decisions come before the next failover check; the second one finds the lease lapsed and starts the task again at an upstream where nothing ran, with a new lease. The caller has sent the job again meanwhile, to a coordinator that does not reach this upstream. Callers see two runs of one task.

--- a/cottonlug/tests/test_cluster_pauses.py
+++ b/cottonlug/tests/test_cluster_pauses.py
@@ -8,15 +8,27 @@
 
 from __future__ import annotations
 
+import asyncio
 from datetime import timedelta
 
+import msgspec
+
 from ..core.cluster.model import JobId
-from ..core.cluster.records import Records
+from ..core.cluster.orders import StartOrder, StartOutcome
+from ..core.cluster.records import Records, UpstreamRecord
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import UpstreamId
 from ..runtime.acting_leader import ACT_AS_LEADER_AFTER_SILENCE
-from .gateway_builders import JOB
-from .model_upstreams import Leader, build_queue, build_spec, milliseconds
+from .gateway_builders import (
+    CALL_TIMEOUT,
+    JOB,
+    IdlePort,
+    build_acting_gateway,
+    build_failover_state,
+    build_submit,
+)
+from .model_upstreams import Leader, build_info, build_queue, build_spec, milliseconds
+from .test_cluster_contact import run_callbacks
 from .test_cluster_dispatch import build_world
 
 LONG_RUN_MS = 5_000
@@ -64,3 +76,56 @@
     world.run_until(world.now + timedelta(seconds=2))
     assert acting_leader.dispatch.jobs.is_open(JobId(JOB))
     assert world.starts == 2, "the second run begins once the lease of the first has ended"
+
+
+class RecordingPort(IdlePort):
+    """Upstreams that accept every start, never end a run, and count the starts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.starts: list[StartOrder] = []
+
+    async def start(self, order: StartOrder, token: int) -> tuple[StartOutcome, int | None]:
+        self.starts.append(order)
+        return await super().start(order, token)
+
+
+def test_an_acting_leader_that_was_suspended_starts_nothing_before_it_steps_down() -> None:
+    """Guards against a start by an acting leader that another coordinator has replaced.
+
+    An acting leader that was delayed for over 0.4 s steps down, but only with its next failover
+    check, 50 to 150 ms after a suspended host goes on. Decisions follow every 20 ms: the second one
+    takes the leases of before for lapsed, and starts their tasks again with a new lease wherever
+    nothing ran. The callers have sent these jobs again meanwhile, to a coordinator that relies on
+    this one having stopped.
+    """
+
+    async def play() -> None:
+        gateway, clock = build_acting_gateway()
+        port = RecordingPort()
+        gateway.link._port = port
+        state = build_failover_state(1)
+        records = tuple(UpstreamRecord(info=build_info(each)) for each in ("u1", "u2"))
+        gateway.link.receive_failover_state(
+            msgspec.structs.replace(state, version="1.2", upstreams=records)
+        )
+        await gateway.link.check_failover()
+        assert gateway.acting_leader is not None
+        leadership = gateway.acting_leader.leadership
+        await run_callbacks()
+        submit = msgspec.structs.replace(build_submit(), spec=build_spec(tasks=1, run_ms=900))
+        waiting = asyncio.create_task(gateway.call(submit, CALL_TIMEOUT))
+        await run_callbacks()
+        assert len(port.starts) == 1
+        clock.advance(timedelta(seconds=5))
+        for _ in range(2):
+            leadership._decide()
+            await run_callbacks()
+        starts_after = len(port.starts) - 1
+        await gateway.link.check_failover()
+        assert gateway.acting_leader is None
+        waiting.cancel()
+        gateway.stop()
+        assert starts_after == 0
+
+    asyncio.run(play())
