Failing test: a gateway names too low a term for an acting leader that it follows

Cause: CoordinatorLink.follow marks jobs with the term of the gateway's own failover state. The acting leader's state may be of a later leader, and its token then belongs to that term.

Order: leader 5 is lost; leader 6 answers the keep-alives of one gateway, but not of another, which was paused (or has only a part of the new state); leader 6 is out of their reach for 0.52 s; the first gateway acts as leader with a token of term 6 and starts a job of the second; the cut heals; the second submits the job to leader 6, marked with term 5. Leader 6 has polled all upstreams before, takes nothing for unknown and starts the task at an upstream that the acting leader has not fenced. Callers see two runs of one task, for up to 1.3 s.

Measured: the test fails on this code: the job is open at leader 6, which begins no later term.

--- a/cottonlug/tests/test_cluster_pauses.py
+++ b/cottonlug/tests/test_cluster_pauses.py
@@ -24,11 +24,14 @@
     JOB,
     IdlePort,
     build_acting_gateway,
+    build_clock,
     build_failover_state,
+    build_gateways,
     build_submit,
+    connect,
 )
 from .model_upstreams import Leader, build_info, build_queue, build_spec, milliseconds
-from .test_cluster_contact import run_callbacks
+from .test_cluster_contact import build_leadership, run_callbacks
 from .test_cluster_dispatch import build_world
 
 LONG_RUN_MS = 5_000
@@ -129,3 +132,44 @@
         assert starts_after == 0
 
     asyncio.run(play())
+
+
+def test_a_leader_takes_no_job_that_an_acting_leader_of_its_term_may_have_begun() -> None:
+    """Guards against two runs, by an acting leader and the leader of its term.
+
+    A gateway that was paused has the failover state of an earlier leader, and follows an acting
+    leader that has heard the newest one. It marks its jobs with the term of its own state. Once it
+    reaches the newest leader, that takes them for begun under a lower token than its own, so that
+    it begins no later term. Its polls were answered before the acting leader ordered anything: it
+    starts the jobs again while the acting leader's runs go on.
+    """
+
+    async def play() -> None:
+        clock = build_clock()
+        acting, paused = build_gateways(2, clock)
+        connect([acting, paused], lambda asking, host: False)
+        newest = msgspec.structs.replace(build_failover_state(2), version="6.1", term=6)
+        acting.link.receive_failover_state(newest)
+        clock.advance(ACT_AS_LEADER_AFTER_SILENCE)
+        await acting.link.check_failover()
+        await paused.link.check_failover()
+        leadership = build_leadership(clock)
+        await run_callbacks()
+        submission = msgspec.structs.replace(
+            build_submit(),
+            gateway=paused.link.own_address,
+            contact=leadership.gateways.build_contact(),
+            may_have_begun=True,
+            may_be_of_acting_leader=True,
+            acting_leader_term=paused.link.acting_leader_term,
+        )
+        waiting = asyncio.create_task(leadership.answer(submission))
+        await run_callbacks()
+        is_open = leadership.dispatch.jobs.is_open(JobId(JOB))
+        waiting.cancel()
+        leadership.stop()
+        acting.stop()
+        paused.stop()
+        assert not is_open
+
+    asyncio.run(play())
