Failing test: coordinators that have reconciled rely on the caller's delay as well

Cause: Dispatch.submit queues a job at once where the coordinator has reconciled and the gateway knows of no earlier try. Reconciliation covers runs of earlier coordinators only: an acting leader beside a leader, or a leader beside an acting leader, may run the job for another gateway. That this one has given the job up rests on the caller's delay (1.3 s) and on the gateway noticing when its caller has gone.

Order: a failure domain is cut off and has an acting leader; 1 s later both coordinators have reconciled; a job is started on one side; its caller's connection breaks without a word to the gateway, which goes on to confirm the job; the caller sends it again 1.3 s later to the other side, where it starts at once. Callers see two runs of one task, until the first gateway's time is up and the lease has ended.

--- a/cottonlug/tests/test_cluster_pauses.py
+++ b/cottonlug/tests/test_cluster_pauses.py
@@ -12,12 +12,13 @@
 from datetime import timedelta
 
 import msgspec
+import pytest
 
 from ..core.cluster.model import JobId
 from ..core.cluster.orders import StartOrder, StartOutcome
 from ..core.cluster.records import Records, UpstreamRecord
 from ..core.cluster.term import TOKENS_PER_TERM
-from ..core.ids import UpstreamId
+from ..core.ids import DomainName, UpstreamId
 from ..runtime.acting_leader import ACT_AS_LEADER_AFTER_SILENCE
 from .gateway_builders import (
     CALL_TIMEOUT,
@@ -30,6 +31,7 @@
     build_submit,
     connect,
 )
+from .model_site import CALLER_RETRY, NORTH, SOUTH, build_site
 from .model_upstreams import Leader, build_info, build_queue, build_spec, milliseconds
 from .test_cluster_contact import build_leadership, run_callbacks
 from .test_cluster_dispatch import build_world
@@ -173,3 +175,28 @@
         assert not is_open
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize(("first", "second"), [(SOUTH, NORTH), (NORTH, SOUTH)])
+def test_a_job_may_go_on_at_a_gateway_whose_caller_has_sent_it_again(
+    first: DomainName, second: DomainName
+) -> None:
+    """Guards against two runs, by a leader and an acting leader, after their first second.
+
+    The connection of a caller breaks without a word to the gateway, which goes on to confirm the
+    job. The caller sends it again 1.3 s later, to the other side of a network partition. The
+    coordinator there has reconciled: it takes a job that its gateway has not tried before for new,
+    as if the first try had ended by then.
+    """
+    site = build_site(3)
+    world = site.world
+    site.cut_off = {SOUTH}
+    world.run_until(world.now + timedelta(seconds=2))
+    assert site.acting_leaders[SOUTH].dispatch.jobs.count_jobs() == 0
+    site.submit(JOB, next(iter(site.list_up(first))))
+    world.run_until(world.now + milliseconds(100))
+    assert len(world.running) == 1, "it has been started, and its caller is cut off now"
+    world.run_until(world.now + CALLER_RETRY)
+    site.submit(JOB, next(iter(site.list_up(second))))
+    world.run_until(world.now + timedelta(seconds=2))
+    assert world.starts >= 2, "the second try begins once the first has ended"
