Failing test: a request whose caller has gone before it is read starts its job

Cause: the ASGI application begins to handle a request before it looks for the end of the connection, which lies behind the request in the socket's buffer after a pause. The gateway counts the caller's timeout from when it has read the request.

Order: a gateway is paused; a caller sends a job, times out, closes its connection and sends the job to another gateway; the first one goes on, reads the request, submits the job and has it started, then reads the end of the connection and abandons the job. Where the coordinator of the first gateway is another one than that of the second (an acting leader, a leader in its first second), callers see two runs of one task, for as long as the stop takes (up to 50 ms, or the lease where stops are lost).

--- a/cottonlug/tests/test_cluster_pauses.py
+++ b/cottonlug/tests/test_cluster_pauses.py
@@ -9,16 +9,22 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from datetime import timedelta
 
 import msgspec
 import pytest
+import uvloop
 
+from ..config.options import Address
 from ..core.cluster.model import JobId
 from ..core.cluster.orders import StartOrder, StartOutcome
 from ..core.cluster.records import Records, UpstreamRecord
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName, UpstreamId
+from ..net.asgi import build_asgi
+from ..net.servers import Listener
+from ..platform.front import build_caller_handler
 from ..runtime.acting_leader import ACT_AS_LEADER_AFTER_SILENCE
 from .gateway_builders import (
     CALL_TIMEOUT,
@@ -33,9 +39,13 @@
 )
 from .model_site import CALLER_RETRY, NORTH, SOUTH, build_site
 from .model_upstreams import Leader, build_info, build_queue, build_spec, milliseconds
+from .processes import find_base_port
 from .test_cluster_contact import build_leadership, run_callbacks
 from .test_cluster_dispatch import build_world
 
+JOB_BODY = b'{"steps": [{"count": 1, "cpu": 7000, "est_runtime_ms": 900}], "best_effort": true}'
+LOOP_TURNS = 200
+"""Iterations of an event loop in which a request that waits is read and carried out."""
 LONG_RUN_MS = 5_000
 """Run time of tasks that outlast every lease."""
 
@@ -200,3 +210,43 @@
     site.submit(JOB, next(iter(site.list_up(second))))
     world.run_until(world.now + timedelta(seconds=2))
     assert world.starts >= 2, "the second try begins once the first has ended"
+
+
+@pytest.mark.parametrize("is_accepted", [False, True])
+def test_a_request_whose_caller_has_gone_before_it_is_read_starts_nothing(
+    is_accepted: bool,
+) -> None:
+    """Guards against a start for a caller that has sent its job again elsewhere.
+
+    A process that was paused reads the request after the pause, and the end of the connection
+    behind it. The caller has timed out and sent its job to another gateway, whose coordinator does
+    not know of the run that begins here.
+    """
+
+    async def play() -> int:
+        gateway, _ = build_acting_gateway()
+        port = RecordingPort()
+        gateway.link._port = port
+        await gateway.link.check_failover()
+        handle = build_caller_handler(gateway.call, gateway.abandon, lambda: False)
+        address = Address("127.0.0.1", find_base_port())
+        listener = Listener(app=build_asgi(handle, lambda: 10_000), address=address)
+        assert await listener.start() is None
+        caller = socket.create_connection((address.host, address.port))
+        if is_accepted:
+            for _ in range(LOOP_TURNS):
+                await asyncio.sleep(0)
+        # Nothing runs in between, as in a process that is paused: the kernel takes in both.
+        caller.sendall(
+            b"POST /q/%b HTTP/1.1\r\nHost: host\r\nContent-Length: %d\r\n\r\n%b"
+            % (JOB.encode(), len(JOB_BODY), JOB_BODY)
+        )
+        caller.close()
+        for _ in range(LOOP_TURNS):
+            await asyncio.sleep(0)
+        gateway.stop()
+        await listener.stop()
+        return len(port.starts)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(play()) == 0
