Test: a start that is sent after a pause ends with the lease of its decision

A leader checks its lease, decides, and sends the start with tasks, a connection pool and a handshake in between. The order carries an absolute end on the upstream's clock, so that a pause anywhere there shortens its lease. The test holds on this code (seven pauses from 50 ms to 1.5 s, next leader 90 ms after the decision, with and without a path to the upstream).

--- a/cottonlug/tests/test_cluster_pauses.py
+++ b/cottonlug/tests/test_cluster_pauses.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import socket
+from dataclasses import dataclass
 from datetime import timedelta
 
 import msgspec
@@ -18,7 +19,7 @@
 
 from ..config.options import Address
 from ..core.cluster.model import JobId
-from ..core.cluster.orders import StartOrder, StartOutcome
+from ..core.cluster.orders import Order, StartOrder, StartOutcome
 from ..core.cluster.records import Records, UpstreamRecord
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName, UpstreamId
@@ -38,7 +39,7 @@
     connect,
 )
 from .model_site import CALLER_RETRY, NORTH, SOUTH, build_site
-from .model_upstreams import Leader, build_info, build_queue, build_spec, milliseconds
+from .model_upstreams import TERMS, Leader, build_info, build_queue, build_spec, milliseconds
 from .processes import find_base_port
 from .test_cluster_contact import build_leadership, run_callbacks
 from .test_cluster_dispatch import build_world
@@ -46,6 +47,11 @@
 JOB_BODY = b'{"steps": [{"count": 1, "cpu": 7000, "est_runtime_ms": 900}], "best_effort": true}'
 LOOP_TURNS = 200
 """Iterations of an event loop in which a request that waits is read and carried out."""
+NEXT_LEADER_AFTER = milliseconds(90)
+"""Shortest time from the last decision of a leader that still has its lease to the next leader: the
+lease ends 70 ms before an election is possible, which takes another 20 ms."""
+LATEST_START_MS = TERMS.lapse_after / milliseconds(1)
+"""A start is refused when it arrives this long after its decision, on any clock of an upstream."""
 LONG_RUN_MS = 5_000
 """Run time of tasks that outlast every lease."""
 
@@ -250,3 +256,66 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert runner.run(play()) == 0
+
+
+@dataclass(slots=True, kw_only=True)
+class PausedLeader(Leader):
+    """A leader that may be paused between a decision and the sending of its starts."""
+
+    paused_for: timedelta = timedelta()
+
+    def _send(self, order: Order) -> None:
+        if not isinstance(order, StartOrder):
+            Leader._send(self, order)
+            return
+        upstream = self.upstreams[order.upstream.id]
+        self.world.at(self.paused_for, lambda: self._deliver(order, upstream, lambda value: None))
+
+
+@pytest.mark.parametrize("reaches_upstream", [False, True])
+@pytest.mark.parametrize("paused_ms", [50, 95, 300, 600, 900, 1_010, 1_500])
+def test_a_start_that_is_sent_after_a_pause_ends_with_the_lease_of_its_decision(
+    paused_ms: float, reaches_upstream: bool
+) -> None:
+    """Guards against a run that outlasts the leases for which the next leader waits.
+
+    A leader is paused after it has found its own lease valid, and sends a start when it goes on.
+    The next leader has been elected 90 ms after that decision. If a start carried the duration of
+    its lease instead of an absolute end, the run would go on after the next leader has started the
+    task again at another upstream.
+    """
+    world, upstreams = build_world(31)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda job: milliseconds(LONG_RUN_MS)
+    records = Records()
+    first = PausedLeader(
+        world=world,
+        upstreams=upstreams,
+        records=records,
+        token=TOKENS_PER_TERM,
+        paused_for=milliseconds(paused_ms),
+    )
+    for upstream in upstreams.values():
+        first.deliver_heartbeat(upstream, sequence=1)
+    world.run_until(milliseconds(100))
+    spec = build_spec(tasks=1, run_ms=LONG_RUN_MS, durable=True)
+    first.submit(JOB, spec, build_queue())
+    ((where, run),) = (
+        (id, run)
+        for id, instance in first.dispatch.instances.items()
+        for run in instance.runs.values()
+    )
+    assert run.since == world.now
+    first.is_over = True
+    world.run_until(world.now + NEXT_LEADER_AFTER)
+    second = Leader(
+        world=world,
+        upstreams=upstreams,
+        records=records,
+        token=2 * TOKENS_PER_TERM,
+        cut_off=set() if reaches_upstream else {where},
+    )
+    world.run_until(world.now + timedelta(seconds=3))
+    assert second.dispatch.jobs.is_open(JobId(JOB))
+    assert len(world.running) == 1
+    assert world.starts == 1 or paused_ms < LATEST_START_MS
