Failing test: a leader forgets upstreams that a gateway unknown to it may use

Cause: GatewayRegistry.may_act_as_leader takes an acting leader for impossible when every failure domain has a known gateway and all known ones are connected. A leader knows the gateways that have sent it a keep-alive in its own term, so that one beyond a partition since before the term is not among them. Upstreams beyond it are then forgotten after 10 s of silence.

Order: a gateway and an upstream are cut off together; a leader is elected; the other gateways of the domain are connected to it; it forgets the upstream; the gateway acts as leader there; the cut heals and the gateway submits its job, marked as begun, before the upstream's next heartbeat (1.5 s apart); no upstream that the leader knows is unpolled, and it starts the task again. Callers see two runs of one task, until the lease of the first has ended.

--- a/cottonlug/tests/test_cluster_pauses.py
+++ b/cottonlug/tests/test_cluster_pauses.py
@@ -27,6 +27,7 @@
 from ..net.servers import Listener
 from ..platform.front import build_caller_handler
 from ..runtime.acting_leader import ACT_AS_LEADER_AFTER_SILENCE
+from ..runtime.gateway_registry import GatewayRegistry
 from .gateway_builders import (
     CALL_TIMEOUT,
     JOB,
@@ -35,6 +36,7 @@
     build_clock,
     build_failover_state,
     build_gateways,
+    build_keepalive,
     build_submit,
     connect,
 )
@@ -43,6 +45,7 @@
 from .processes import find_base_port
 from .test_cluster_contact import build_leadership, run_callbacks
 from .test_cluster_dispatch import build_world
+from .test_cluster_orphaned_runs import deliver_heartbeats
 
 JOB_BODY = b'{"steps": [{"count": 1, "cpu": 7000, "est_runtime_ms": 900}], "best_effort": true}'
 LOOP_TURNS = 200
@@ -319,3 +322,62 @@
     assert second.dispatch.jobs.is_open(JobId(JOB))
     assert len(world.running) == 1
     assert world.starts == 1 or paused_ms < LATEST_START_MS
+
+
+def test_a_leader_keeps_upstreams_that_a_gateway_unknown_to_it_may_use() -> None:
+    """Guards against two runs, right after a long network partition has healed.
+
+    A gateway that has been beyond a partition for the whole term of a leader is not known to it.
+    The others of its failure domain are connected, so that the leader takes an acting leader for
+    impossible and forgets an upstream after 10 s of silence. The unknown gateway goes on to use
+    it. When the partition heals, the leader gets the job, marked as begun, before it hears of the
+    upstream, and starts the task again.
+    """
+    world, upstreams = build_world(13)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda job: milliseconds(LONG_RUN_MS)
+    far = UpstreamId("u1")
+    near = set(upstreams) - {far}
+    first = Leader(world=world, upstreams=upstreams, records=Records(), token=TOKENS_PER_TERM)
+    deliver_heartbeats(first, set(upstreams))
+    world.run_until(milliseconds(100))
+    failover_state = Records()
+    failover_state.restore(first.records.encode())
+    first.is_over = True
+    clock = build_clock()
+    gateways = GatewayRegistry(term=2, token=2 * TOKENS_PER_TERM, clock=clock)
+    for each in ("known-1", "known-2"):
+        keepalive = build_keepalive(each, domain="domain")
+        gateways.handle_keepalive(
+            msgspec.structs.replace(keepalive, contact=gateways.build_contact())
+        )
+    domains = {each.info.domain for each in upstreams.values()}
+    second = Leader(
+        world=world,
+        upstreams=upstreams,
+        records=first.records,
+        token=2 * TOKENS_PER_TERM,
+        cut_off={far},
+    )
+    second.dispatch.may_have_acting_leader = lambda: gateways.may_act_as_leader(domains)
+    for step in range(120):
+        world.run_until(milliseconds(200 + step * 100))
+        deliver_heartbeats(second, near)
+    acting_leader = Leader(
+        world=world,
+        upstreams=upstreams,
+        records=failover_state,
+        token=TOKENS_PER_TERM + 1_000,
+        cut_off=near,
+        is_acting=True,
+    )
+    world.run_until(world.now + milliseconds(50))
+    spec = build_spec(tasks=1, run_ms=LONG_RUN_MS)
+    acting_leader.submit(JOB, spec, build_queue(), reconcile_after=timedelta())
+    world.run_until(world.now + milliseconds(50))
+    assert list(world.running.values()) == [far]
+    acting_leader.is_over = True
+    second.cut_off = set()
+    second.submit(JOB, spec, build_queue(), may_have_begun=True, may_be_of_acting_leader=True)
+    world.run_until(world.now + milliseconds(300))
+    assert list(world.running.values()) == [far]
