Failing test: random pauses of gateways, with callers that keep to their delay

The gateway marks no earlier try, so that a coordinator that has not reconciled starts it at once, while the caller's second try runs elsewhere.

Callers see two runs of one task, for as long as the stop takes.

--- a/cottonlug/tests/test_cluster_pauses.py
+++ b/cottonlug/tests/test_cluster_pauses.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 import msgspec
@@ -25,9 +26,10 @@
 from ..core.ids import DomainName, UpstreamId
 from ..net.asgi import build_asgi
 from ..net.servers import Listener
-from ..platform.front import build_caller_handler
+from ..platform.front import ANSWER_MARGIN, build_caller_handler
 from ..runtime.acting_leader import ACT_AS_LEADER_AFTER_SILENCE
 from ..runtime.gateway_registry import GatewayRegistry
+from . import model_site
 from .gateway_builders import (
     CALL_TIMEOUT,
     JOB,
@@ -40,12 +42,21 @@
     build_submit,
     connect,
 )
-from .model_site import CALLER_RETRY, NORTH, SOUTH, build_site
+from .model_site import (
+    CALLER_RETRY,
+    NORTH,
+    SOUTH,
+    ModelCall,
+    ModelGateway,
+    Site,
+    build_site,
+)
 from .model_upstreams import TERMS, Leader, build_info, build_queue, build_spec, milliseconds
 from .processes import find_base_port
 from .test_cluster_contact import build_leadership, run_callbacks
 from .test_cluster_dispatch import build_world
 from .test_cluster_orphaned_runs import deliver_heartbeats
+from .test_cluster_site import change_leader, cut_domain, play
 
 JOB_BODY = b'{"steps": [{"count": 1, "cpu": 7000, "est_runtime_ms": 900}], "best_effort": true}'
 LOOP_TURNS = 200
@@ -381,3 +392,98 @@
     second.submit(JOB, spec, build_queue(), may_have_begun=True, may_be_of_acting_leader=True)
     world.run_until(world.now + milliseconds(300))
     assert list(world.running.values()) == [far]
+
+
+@dataclass(slots=True, kw_only=True)
+class PausableGateway(ModelGateway):
+    """A gateway that may be paused, and callers that leave it at their own time.
+
+    A caller waits as long as the platform lets it, counted from when it sent its job, and has one
+    try at a time. A gateway counts from when it has read the job.
+    """
+
+    paused_until: timedelta = timedelta()
+    watched: set[int] = field(default_factory=set)
+    """Numbers of the calls whose callers will leave."""
+    left: set[int] = field(default_factory=set)
+    """Those whose callers have closed their connections."""
+    unread: set[int] = field(default_factory=set)
+    """Those of which this gateway has not read that yet."""
+
+    def run_turn(self) -> None:
+        for call in self.calls:
+            if call.number not in self.watched:
+                self.watched.add(call.number)
+                self._await_leaving(call)
+        if self.site.world.now >= self.paused_until:
+            ModelGateway.run_turn(self)
+
+    def _await_leaving(self, call: ModelCall) -> None:
+        left = call.give_up_at + ANSWER_MARGIN - self.site.world.now
+        self.site.world.at(max(left, timedelta()), lambda: self._close(call))
+
+    def _forward(self, call: ModelCall) -> None:
+        if call.number not in self.left or call.number in self.unread:
+            ModelGateway._forward(self, call)
+        else:
+            self.calls.remove(call)
+            self._abandon(call)
+
+    def _close(self, call: ModelCall) -> None:
+        """Have the caller of a job leave, if it has no answer, and send its job again."""
+        if call.number in self.left or not any(each is call for each in self.calls):
+            return
+        self.left.add(call.number)
+        self.site.send_again(call, self.domain)
+        if self.site.world.now < self.paused_until:
+            self.unread.add(call.number)
+        else:
+            self._forward(call)
+
+    def pause(self, span: timedelta) -> None:
+        """Pause; what has arrived in the meantime is read afterwards, job by job."""
+        began_at = self.site.world.now
+        self.paused_until = max(self.paused_until, began_at + span)
+        self.site.world.at(span, self._resume)
+
+    def _resume(self) -> None:
+        now = self.site.world.now
+        if now < self.paused_until:
+            return
+        for call in self.calls:
+            if call.number in self.unread or call.at is None:
+                call.give_up_at = now + model_site.CALL_TIMEOUT
+        self.run_turn()
+        self.site.world.at(milliseconds(4), self._read_closed)
+
+    def _read_closed(self) -> None:
+        self.unread.clear()
+        for call in list(self.calls):
+            if call.number in self.left:
+                self._forward(call)
+
+
+def pause_gateways(site: Site, chance: random.Random) -> None:
+    """Pause a gateway, or a whole failure domain with its coordinators."""
+    span = milliseconds(chance.choice((250, 600, 1_200, 2_000, 3_500)))
+    gateways = [chance.choice(site.gateways)]
+    if chance.random() < 0.4:
+        domain = gateways[0].domain
+        gateways = [each for each in site.gateways if each.domain == domain]
+        for coordinator in (site.leader, *site.acting_leaders.values()):
+            if coordinator is not None and coordinator.home == domain:
+                coordinator.busy_until = site.world.now + span
+                # It steps down after such a delay, see `CoordinatorLink.check_failover`.
+                coordinator.is_over = coordinator.is_over or coordinator.is_acting
+    for gateway in gateways:
+        assert isinstance(gateway, PausableGateway)
+        gateway.pause(span + milliseconds(chance.uniform(0, 20)))
+
+
+@pytest.mark.parametrize("seed", [*range(10), 13, 44, 146])
+def test_no_task_runs_twice_at_once_while_gateways_are_paused(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against jobs that a paused gateway reads after their callers have sent them again."""
+    monkeypatch.setattr(model_site, "ModelGateway", PausableGateway)
+    play(seed, (cut_domain, change_leader, *[pause_gateways] * 3), late_share=0.0)
