Do not carry out a request whose client has left before it was read

What callers saw (model, callers that keep to 1.3 s): two runs of a task at once. A gateway is paused with a job in its socket buffer; the caller times out, closes its connection and sends the job to another gateway, whose coordinator starts it; the first gateway goes on, reads the job and starts it as acting leader, or has it started by a leader that does not know of the other run; a few iterations of its event loop later it reads the end of the connection, and stops the run, up to 50 ms after the start.

Cause: the end of a connection is read some iterations after the request before it, also where both have arrived long ago.

Fix: the server asks the kernel whether the client has closed its side (POLLRDHUP) before a request is carried out, drops it if so, and logs that (6004).

--- a/cottonlug/net/asgi.py
+++ b/cottonlug/net/asgi.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from ..runtime.events import Event, log_event
+
 if TYPE_CHECKING:
     # For annotations only: importing litestar takes a third of a daemon's start-up time.
     from litestar.types import Receive, Send
@@ -38,6 +40,11 @@
     """Whether the connection is closed after this response."""
 
 
+CLIENT_LEFT_EXTENSION = "cottonlug.client_left"
+"""Extension of the ASGI scope: its `has_left` returns whether the client has closed its side of the
+connection, although the end may not have been read yet."""
+
+
 class _RequestAborted(Exception):  # noqa: N818 - not an error of this server
     """The client disconnected before it had sent the complete request."""
 
@@ -56,7 +63,8 @@
     """Return an ASGI application that calls a handler, with a limit on request bodies.
 
     A request that `handle_immediately` answers is not passed to `handle`, whose task takes two more
-    iterations of the event loop; on a busy host these are long.
+    iterations of the event loop; on a busy host these are long. Nor is a request whose client has
+    left: after a pause of this process, its end of the connection lies behind the request.
     """
 
     async def app(scope: Any, receive: Receive, send: Send) -> None:
@@ -74,6 +82,12 @@
                 method=scope["method"], path=scope["path"], headers=headers, body=body
             )
             answer = handle_immediately(request) if handle_immediately is not None else None
+            if answer is None and _has_client_left(scope):
+                log_event(Event.REQUEST_DROPPED, method=request.method, path=request.path)
+                # The server takes it for an error if the application returns before it has read
+                # the end of the connection.
+                await receive()
+                return
             if answer is None:
                 answer = await _handle_while_connected(handle(request), receive)
             if answer is None:
@@ -84,6 +98,11 @@
     return app
 
 
+def _has_client_left(scope: Any) -> bool:
+    extension = scope.get("extensions", {}).get(CLIENT_LEFT_EXTENSION)
+    return extension is not None and extension["has_left"]()
+
+
 async def _handle_while_connected(
     handling: Coroutine[Any, Any, HttpResponse], receive: Receive
 ) -> HttpResponse | None:
--- a/cottonlug/net/servers.py
+++ b/cottonlug/net/servers.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ..config.options import Address
+from .asgi import CLIENT_LEFT_EXTENSION
 
 if TYPE_CHECKING:
     from litestar import Litestar
@@ -124,6 +127,25 @@
         yield
 
 
+class _Protocol(HttpToolsProtocol):
+    """HTTP/1.1 that lets the application ask whether the client has closed its connection.
+
+    The event loop reads the end of a connection some iterations after the request before it, also
+    if both have arrived long ago.
+    """
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.scope["extensions"] = {CLIENT_LEFT_EXTENSION: {"has_left": self._has_client_left}}
+
+    def _has_client_left(self) -> bool:
+        if self.transport.is_closing():
+            return True
+        closings = select.poll()
+        closings.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(closings.poll(0))
+
+
 class Listener:
     """One application on one address.
 
@@ -139,7 +161,7 @@
             app,
             host=address.host,
             port=address.port,
-            http="httptools",
+            http=_Protocol,
             ws="none",
             lifespan="off",
             loop="none",
--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -85,6 +85,9 @@
     CALL_LIMIT_REACHED = EventKind(
         6003, logging.WARNING, "calls are refused, as too many wait at this gateway"
     )
+    REQUEST_DROPPED = EventKind(
+        6004, logging.INFO, "a request was not carried out, as its client had left"
+    )
 
 
 _LEVELS = {
