Mark jobs with the term of the acting leader that has them, not of the own failover state

What callers could see: two runs of a task for up to 1.3 s. A gateway that was paused follows an acting leader whose failover state is of a later leader; it marked its jobs with the term of its own state. That later leader, reached again, took them for begun under a lower token than its own, began no later term, and relied on polls that were answered before the acting leader ordered anything.

Fix: the term is that in the acting leader's token, which each of its answers carries.

Evidence: test_a_leader_takes_no_job_that_an_acting_leader_of_its_term_may_have_begun failed before and passes now. Found by reading; no run has shown it.

--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -26,6 +26,7 @@
 from ..core.cluster.calls import Answer, FailoverState, KeepAlive, Outcome
 from ..core.cluster.failover_state import choose_queried_gateways, find_acting_domain
 from ..core.cluster.host_sizes import list_preceding
+from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName
 from .acting_leader import ACT_AS_LEADER_AFTER, ACT_AS_LEADER_AFTER_SILENCE, ActingLeader
 from .confirmations import Confirmations
@@ -111,8 +112,8 @@
         self.via = Via.LEADER
         self.acting_leader: ActingLeader | None = None
         self.acting_leader_term = 0
-        """The last leader's term, as known when this gateway last followed an acting leader or
-        began to act as leader; an acting leader has no term of its own."""
+        """The last leader's term, as known to the acting leader that this gateway last followed or
+        was; an acting leader has no term of its own."""
         self.failover_store = FailoverStore(clock=clock)
         self.max_body_bytes: int | None = None
         self.is_stopping = False
@@ -188,7 +189,7 @@
     def follow(self, host: str, via: Via) -> None:
         """Send calls to a host from now on; calls pending at another host are retried there."""
         if via is Via.ACTING_LEADER and self.failover_store.current is not None:
-            self.acting_leader_term = self.failover_store.current.term
+            self._raise_acting_leader_term(self.failover_store.current.term)
         if host != self.coordinator or via is not self.via:
             if self._reached_at is not None:
                 silence = self._clock.monotonic() - self._reached_at
@@ -558,10 +559,17 @@
             self.follow(gateway, Via.ACTING_LEADER)
 
     def _record_acting_leader(self, answer: Answer) -> None:
-        """Record contact with the acting leader, and its fencing token."""
+        """Record contact with the acting leader, its fencing token, and the term in that token.
+
+        Its failover state may be of a later term than the state here.
+        """
         self._record_contact(answer)
         if answer.contact is not None:
             self._acting_levels.record_token(answer.contact.token)
+            self._raise_acting_leader_term(answer.contact.token // TOKENS_PER_TERM)
+
+    def _raise_acting_leader_term(self, term: int) -> None:
+        self.acting_leader_term = max(self.acting_leader_term, term)
 
     def _get_acting_delay(self) -> timedelta:
         """Return how long no leader must be reached before a gateway acts as leader."""
@@ -603,7 +611,7 @@
         )
         self._register_itself(self.acting_leader)
         self.coordinator = self.own_address
-        self.acting_leader_term = failover_state.term
+        self._raise_acting_leader_term(failover_state.term)
         self.via = Via.ACTING_LEADER
         self._checked_at = self._clock.monotonic()
         self._notify_change()
