An acting leader that was delayed decides nothing before it steps down

What callers could see: two runs of a task. A gateway acts as leader and its host is suspended for seconds; two decisions come before the next failover check, by which it steps down; the second one took the leases of before for lapsed and started their tasks again, with new leases, wherever no other coordinator had fenced it off.

Cause: its authority had no lease. Fix: it has none while the failover check is overdue by more than 0.4 s, the delay after which that check makes it step down.

--- a/cottonlug/runtime/acting_leader.py
+++ b/cottonlug/runtime/acting_leader.py
@@ -21,6 +21,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from ..core.clock import Clock
@@ -49,11 +50,22 @@
 
 
 class ActingLeaderAuthority:
-    """The authority of an acting leader, which ends when an upstream reports a higher token."""
+    """The authority of an acting leader, which ends when an upstream reports a higher token.
 
-    def __init__(self, *, term: int, replicated: ReplicatedRecords) -> None:
+    `is_check_overdue` returns whether this process was delayed since its last failover check, so
+    that another coordinator may have replaced it.
+    """
+
+    def __init__(
+        self,
+        *,
+        term: int,
+        replicated: ReplicatedRecords,
+        is_check_overdue: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._term = term
         self._replicated = replicated
+        self._is_check_overdue = is_check_overdue
         self.is_over = False
 
     @property
@@ -63,7 +75,7 @@
 
     def has_lease(self) -> bool:
         """Return whether orders may be sent: no other coordinator is known to have taken over."""
-        return not self.is_over
+        return not self.is_over and not self._is_check_overdue()
 
     def propose(self, data: str) -> bool:
         """Apply commands at once, in memory only; False if the authority has ended."""
@@ -85,7 +97,8 @@
 
     Its fencing token is that of the last leader plus `level`. `reports` are the terms of upstreams'
     capacity reports. `confirmed_at` is when a leader last sent or confirmed the failover state.
-    `remote_factor` is how many times as long a task takes outside the rack of its data.
+    `remote_factor` is how many times as long a task takes outside the rack of its data. For
+    `is_check_overdue`, see `ActingLeaderAuthority`.
     """
 
     def __init__(
@@ -101,6 +114,7 @@
         reports: ReportTerms,
         confirmed_at: timedelta,
         remote_factor: float,
+        is_check_overdue: Callable[[], bool],
         on_failure: OnFailure,
     ) -> None:
         self.domain = domain
@@ -112,7 +126,9 @@
         records.suspects = {suspect.task: suspect for suspect in failover_state.suspects}
         records.evacuations = Evacuations(failover_state.evacuations)
         records.speeds = SpeedRecords(failover_state.speeds or ())
-        self.authority = ActingLeaderAuthority(term=failover_state.term, replicated=replicated)
+        self.authority = ActingLeaderAuthority(
+            term=failover_state.term, replicated=replicated, is_check_overdue=is_check_overdue
+        )
         self.leadership = Leadership(
             authority=self.authority,
             replicated=replicated,
--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -417,8 +417,8 @@
         Otherwise check the acting leader or relay in use. If there is none, find one or, where none
         is found, act as leader here. Return whether the next check is due at once.
         """
+        was_delayed = self._is_check_overdue()
         now = self._clock.monotonic()
-        was_delayed = now - self._checked_at > MAX_CHECK_DELAY
         self._checked_at = now
         if self.acting_leader is not None:
             if was_delayed or self.acting_leader.authority.is_over:
@@ -438,6 +438,14 @@
         await self._find_replacement(self.failover_store.current)
         return False
 
+    def _is_check_overdue(self) -> bool:
+        """Return whether so much time has passed since the last failover check.
+
+        An acting leader decides nothing then. Its decisions may be due before the check: timers do
+        not count a suspension, and the clock does.
+        """
+        return self._clock.monotonic() - self._checked_at > MAX_CHECK_DELAY
+
     def _log_silence(self, silence: timedelta) -> None:
         if not self._was_silent:
             self._was_silent = True
@@ -596,6 +604,7 @@
         if self.coordinator is not None:
             # Pending calls could still have been answered there; now they are retried here.
             self.unfollow(self.coordinator)
+        self._checked_at = self._clock.monotonic()
         self.acting_leader = ActingLeader(
             failover_state=failover_state,
             level=level,
@@ -607,13 +616,13 @@
             reports=self._settings.reports,
             confirmed_at=self.failover_store.confirmed_at,
             remote_factor=self._settings.remote_factor,
+            is_check_overdue=self._is_check_overdue,
             on_failure=self._on_failure,
         )
         self._register_itself(self.acting_leader)
         self.coordinator = self.own_address
         self._raise_acting_leader_term(failover_state.term)
         self.via = Via.ACTING_LEADER
-        self._checked_at = self._clock.monotonic()
         self._notify_change()
         log_event(Event.ACTING_AS_LEADER, term=failover_state.term, at_level=level)
 
--- a/cottonlug/tests/test_cluster_measures.py
+++ b/cottonlug/tests/test_cluster_measures.py
@@ -158,6 +158,7 @@
         leadership._decide()
         clock.advance(milliseconds(20))
         leadership._decide()
+        await gateway.link.check_failover()
         clock.advance(milliseconds(400))
         leadership._decide()
         assert spans == [400.0]
