Count a caller's timeout from when its request arrived, not from when it was read

What callers saw: tasks of best-effort jobs ran twice at once, for 136 to 447 ms.

Cause: leases are so short that they have ended when a caller sends its job again, 1.3 s after its timeout. But the gateway counted that timeout from when it read the request, which may be seconds after it arrived.

Fix: the kernel tells how long ago the last bytes of a connection arrived (TCP_INFO). The gateway subtracts that from the time that its caller still waits, and refuses a job as not run if none is left.

Evidence: test_a_request_that_is_read_after_a_pause_has_the_age_of_its_arrival (real sockets) and test_a_job_whose_caller_has_timed_out_before_it_was_read_starts_nothing, of which the latter's cases of 1.45 and 3 s fail without the subtraction. Whether a platform's own sockets tell the age is up to it; without it the age is 0, as before.

--- a/cottonlug/net/asgi.py
+++ b/cottonlug/net/asgi.py
@@ -9,9 +9,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 from ..runtime.events import Event, log_event
+from .client_connections import ClientConnection
 
 if TYPE_CHECKING:
     # For annotations only: importing litestar takes a third of a daemon's start-up time.
@@ -26,6 +28,8 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    age: timedelta = timedelta()
+    """How long ago it had arrived when it was read, if the server can tell."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -40,9 +44,8 @@
     """Whether the connection is closed after this response."""
 
 
-CLIENT_LEFT_EXTENSION = "cottonlug.client_left"
-"""Extension of the ASGI scope: its `has_left` returns whether the client has closed its side of the
-connection, although the end may not have been read yet."""
+CONNECTION_EXTENSION = "cottonlug.connection"
+"""Name of an extension of the ASGI scope that contains the `ClientConnection`, by the same name."""
 
 
 class _RequestAborted(Exception):  # noqa: N818 - not an error of this server
@@ -82,13 +85,15 @@
                 method=scope["method"], path=scope["path"], headers=headers, body=body
             )
             answer = handle_immediately(request) if handle_immediately is not None else None
-            if answer is None and _has_client_left(scope):
+            connection = _find_connection(scope)
+            if answer is None and connection is not None and connection.has_client_left():
                 log_event(Event.REQUEST_DROPPED, method=request.method, path=request.path)
                 # The server takes it for an error if the application returns before it has read
                 # the end of the connection.
                 await receive()
                 return
             if answer is None:
+                request.age = connection.measure_age() if connection is not None else timedelta()
                 answer = await _handle_while_connected(handle(request), receive)
             if answer is None:
                 return
@@ -98,9 +103,10 @@
     return app
 
 
-def _has_client_left(scope: Any) -> bool:
-    extension = scope.get("extensions", {}).get(CLIENT_LEFT_EXTENSION)
-    return extension is not None and extension["has_left"]()
+def _find_connection(scope: Any) -> ClientConnection | None:
+    extension = scope.get("extensions", {}).get(CONNECTION_EXTENSION, {})
+    connection: ClientConnection | None = extension.get(CONNECTION_EXTENSION)
+    return connection
 
 
 async def _handle_while_connected(
--- a/cottonlug/net/servers.py
+++ b/cottonlug/net/servers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import select
 import socket
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, Any
@@ -13,7 +12,8 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ..config.options import Address
-from .asgi import CLIENT_LEFT_EXTENSION
+from .asgi import CONNECTION_EXTENSION
+from .client_connections import ClientConnection
 
 if TYPE_CHECKING:
     from litestar import Litestar
@@ -128,22 +128,12 @@
 
 
 class _Protocol(HttpToolsProtocol):
-    """HTTP/1.1 that lets the application ask whether the client has closed its connection.
-
-    The event loop reads the end of a connection some iterations after the request before it, also
-    if both have arrived long ago.
-    """
+    """HTTP/1.1 that lets the application ask the kernel about the client's connection."""
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
-        self.scope["extensions"] = {CLIENT_LEFT_EXTENSION: {"has_left": self._has_client_left}}
-
-    def _has_client_left(self) -> bool:
-        if self.transport.is_closing():
-            return True
-        closings = select.poll()
-        closings.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(closings.poll(0))
+        connection = ClientConnection(transport=self.transport)
+        self.scope["extensions"] = {CONNECTION_EXTENSION: {CONNECTION_EXTENSION: connection}}
 
 
 class Listener:
--- a/cottonlug/platform/front.py
+++ b/cottonlug/platform/front.py
@@ -97,10 +97,13 @@
 
 
 def _read_wait_timeout(request: HttpRequest) -> timedelta:
-    """Return within which time an answer must be ready so that the caller still gets it."""
+    """Return within which time an answer must be ready so that the caller still gets it.
+
+    The caller has waited since the request arrived, which may be long before it was read here.
+    """
     text = request.headers.get(TIMEOUT_HEADER, "")
     given = timedelta(milliseconds=int(text)) if text.isdecimal() else DEFAULT_WAIT_TIMEOUT
-    return given - ANSWER_MARGIN
+    return max(given - ANSWER_MARGIN - request.age, timedelta())
 
 
 def _encode_answer(answer: Answer) -> HttpResponse:
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -54,6 +54,7 @@
 """Pause before a call is tried again, unless the coordinator changes or answers earlier."""
 ABANDON_TIMEOUT = timedelta(milliseconds=500)
 """How long this gateway tries to tell the coordinator that a caller has disconnected."""
+READ_TOO_LATE = "the request was read too late for an answer in time"
 MIN_TRY_TIME = timedelta(milliseconds=20)
 """A call is not tried again with less time left than this."""
 COORDINATOR_WAIT = timedelta(milliseconds=2_000)
@@ -213,6 +214,8 @@
 
     async def _call_within_limit(self, call: Call, timeout: timedelta) -> Answer:
         """Have a call carried out, or refuse it at once if too many wait here."""
+        if timeout <= timedelta():
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=READ_TOO_LATE)
         refusal = self.call_limit.refuse(call)
         if refusal is not None:
             return refusal
@@ -238,7 +241,9 @@
         if answer.outcome in _EXPECTED_OUTCOMES:
             return
         # Tries end `MIN_TRY_TIME` before the timeout.
-        self.timeout_failure_count += took >= timeout - MIN_TRY_TIME
+        self.timeout_failure_count += answer.detail != READ_TOO_LATE and (
+            took >= timeout - MIN_TRY_TIME
+        )
         queue = self._find_queue(call) if isinstance(call, Submit) else None
         if isinstance(call, Submit) and queue is not None:
             self.record_refusal(took / find_declared_objective(queue, call.spec))
--- a/cottonlug/tests/test_cluster_pauses.py
+++ b/cottonlug/tests/test_cluster_pauses.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 import socket
+import time
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -24,7 +25,7 @@
 from ..core.cluster.records import Records, UpstreamRecord
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName, UpstreamId
-from ..net.asgi import build_asgi
+from ..net.asgi import HttpRequest, HttpResponse, build_asgi
 from ..net.servers import Listener
 from ..platform.front import ANSWER_MARGIN, build_caller_handler
 from ..runtime.acting_leader import ACT_AS_LEADER_AFTER_SILENCE
@@ -59,6 +60,9 @@
 from .test_cluster_site import change_leader, cut_domain, play
 
 JOB_BODY = b'{"steps": [{"count": 1, "cpu": 7000, "est_runtime_ms": 900}], "best_effort": true}'
+PAUSE_SECONDS = 0.3
+CLOCK_TICK = milliseconds(10)
+"""Resolution in which the kernel tells when bytes arrived."""
 LOOP_TURNS = 200
 """Iterations of an event loop in which a request that waits is read and carried out."""
 NEXT_LEADER_AFTER = milliseconds(90)
@@ -272,6 +276,82 @@
         assert runner.run(play()) == 0
 
 
+class PausedListener:
+    """A listener whose event loop is blocked while a caller's request arrives."""
+
+    def __init__(self) -> None:
+        self.requests: list[HttpRequest] = []
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        self.requests.append(request)
+        return HttpResponse(status=200)
+
+    async def measure_ages(self) -> list[timedelta]:
+        """Return the ages of a request that is read after a pause, and of one read at once."""
+        address = Address("127.0.0.1", find_base_port())
+        listener = Listener(app=build_asgi(self.handle, lambda: 10_000), address=address)
+        assert await listener.start() is None
+        for pause in (PAUSE_SECONDS, 0.0):
+            with socket.create_connection((address.host, address.port)) as caller:
+                caller.sendall(b"GET /q/ HTTP/1.1\r\nHost: host\r\n\r\n")
+                # Nothing else runs meanwhile, as in a process that is paused.
+                time.sleep(pause)
+                seen = len(self.requests)
+                while len(self.requests) == seen:
+                    await asyncio.sleep(0)
+        await listener.stop()
+        return [each.age for each in self.requests]
+
+
+def test_a_request_that_is_read_after_a_pause_has_the_age_of_its_arrival() -> None:
+    """Guards against a gateway that counts its caller's timeout from when it read the request.
+
+    It would keep a job alive long after its caller has timed out and sent it to another gateway.
+    """
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        late, prompt = runner.run(PausedListener().measure_ages())
+    assert late >= timedelta(seconds=PAUSE_SECONDS) - CLOCK_TICK
+    assert prompt < late
+
+
+@pytest.mark.parametrize(("age_ms", "starts"), [(0, 1), (1_000, 1), (1_450, 0), (3_000, 0)])
+def test_a_job_whose_caller_has_timed_out_before_it_was_read_starts_nothing(
+    age_ms: float, starts: int
+) -> None:
+    """Guards against two runs of a job that its caller sends again 1.3 s after its own timeout.
+
+    Its connection is open, but nobody waits for the answer any more. If the leader that starts it
+    is lost soon, the next one starts the second try while the lease of the first run lasts.
+    """
+
+    async def play() -> tuple[int, HttpResponse]:
+        gateway, _ = build_acting_gateway()
+        port = RecordingPort()
+        gateway.link._port = port
+        await gateway.link.check_failover()
+        handle = build_caller_handler(gateway.call, gateway.abandon, lambda: False)
+        request = HttpRequest(
+            method="POST",
+            path=f"/q/{JOB}",
+            headers={"host": "host", "x-timeout-ms": "1500"},
+            body=JOB_BODY,
+            age=milliseconds(age_ms),
+        )
+        handling = asyncio.ensure_future(handle(request))
+        await run_callbacks()
+        await run_callbacks()
+        response = await handling if handling.done() else HttpResponse(status=0)
+        handling.cancel()
+        gateway.stop()
+        return len(port.starts), response
+
+    started, response = asyncio.run(play())
+    assert started == starts
+    if not starts:
+        assert response.status == 503, "it has not run"
+        assert "retry-after" in response.headers
+
+
 @dataclass(slots=True, kw_only=True)
 class PausedLeader(Leader):
     """A leader that may be paused between a decision and the sending of its starts."""
