--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of the real programs: separate processes, seeded faults, checks."""
