Soak: callers that submit, send again, poll, cancel and leave

The sender of an order is named by the owner of its socket, found by both ends of the connection: by one end alone a test failed once, since closed connections share the port.

--- a/cottonlug/tests/test_soak_checks.py
+++ b/cottonlug/tests/test_soak_checks.py
@@ -14,9 +14,11 @@
 
 import pytest
 
+from soak.callers import Callers, CallerSettings
+from soak.jobs import Plan, Step, read_plan
 from soak.record import Event, EventKind, Phase, Record, build_detail, read_detail, read_record
 from soak.upstreams import MAX_LISTED, StandInUpstream, Work
-from soak.wire import ProcessFinder, Request, build_client, send
+from soak.wire import ProcessFinder, Request, Response, Server, build_client, encode_json, send
 
 HOST = "127.9.3.1"
 RATE = 0.98
@@ -70,7 +72,12 @@
         headers = {"x-expect-instance": instance} if instance else {}
         body = json.dumps(fields).encode()
         request = Request(
-            method="POST", path=path, headers=headers, body=body, peer=("127.0.0.1", 9)
+            method="POST",
+            path=path,
+            headers=headers,
+            body=body,
+            peer=("127.0.0.1", 9),
+            local=("127.0.0.1", 1),
         )
         response = await self.upstream.carry_out(request, is_late=is_late)
         content = response.read_json()
@@ -549,11 +556,11 @@
 def test_the_process_behind_a_connection_is_found() -> None:
     """All processes share the loopback address, so a sender is known by its socket alone."""
     with socket.create_server((HOST, 0)) as server:
-        port = server.getsockname()[1]
-        with socket.create_connection((HOST, port)) as client:
+        local = server.getsockname()
+        with socket.create_connection(local) as client:
             finder = ProcessFinder(pids=lambda: {"none": 2**22 + 1, "self": os.getpid()})
-            assert finder.find(client.getsockname()) == "self"
-        assert finder.find(("127.0.0.1", 1)) == ""
+            assert finder.find(client.getsockname(), local) == "self"
+            assert finder.find(client.getsockname(), ("127.0.0.1", 1)) == "", "another connection"
 
 
 def test_a_record_is_written_in_the_order_of_time_and_read_back(tmp_path: Path) -> None:
@@ -566,3 +573,168 @@
     events = read_record(tmp_path / "record.txt").events
     assert events == record.events
     assert events[-1] == late
+
+
+# Callers
+
+
+class Gateway:
+    """A gateway that answers as a test says, and keeps what it was sent."""
+
+    def __init__(self, answer: Callable[[Request], Response | None]) -> None:
+        self.requests: list[tuple[float, Request]] = []
+        self._answer = answer
+
+    async def handle(self, request: Request) -> Response | None:
+        self.requests.append((asyncio.get_running_loop().time(), request))
+        return self._answer(request)
+
+    def list_times(self, method: str) -> dict[str, list[float]]:
+        """Return when each job was sent with a method."""
+        times: dict[str, list[float]] = {}
+        for at, request in self.requests:
+            if request.method == method:
+                times.setdefault(request.path, []).append(at)
+        return times
+
+
+def play_callers(
+    answer: Callable[[Request], Response | None], *, seed: int = 1, **options: Any
+) -> tuple[Gateway, Record]:
+    """Let callers submit jobs to a gateway for 0.5 s, at ten times the usual speed."""
+    gateway = Gateway(answer)
+    settings = {
+        "rate_per_s": 40.0,
+        "timeout": milliseconds(150),
+        "retry_delay": milliseconds(130),
+        "durable_retry_delay": milliseconds(30),
+        "best_effort_tries": 3,
+        "durable_tries": 3,
+        "cancel_share": 0.0,
+        "give_up_share": 0.0,
+        "resend_share": 0.0,
+        "unknown_share": 0.0,
+        "resend_within": milliseconds(500),
+        "poll_within": milliseconds(100),
+        **options,
+    }
+    record = Record(now=lambda: timedelta(seconds=asyncio.get_running_loop().time()))
+
+    async def play() -> None:
+        server, port = Server(handle=gateway.handle), find_port()
+        await server.listen(HOST, port)
+        callers = Callers(
+            record=record,
+            gateways={"e1": (HOST, port)},
+            random=Random(seed),
+            settings=CallerSettings(**settings),
+        )
+        await callers.run(asyncio.get_running_loop().time() + 0.5)
+        server.close()
+
+    run_async(play)
+    return gateway, record
+
+
+def answer_with(status: int, **fields: object) -> Response:
+    return Response(status=status, body=encode_json(fields))
+
+
+@pytest.mark.parametrize("status", [0, 502, 504])
+def test_a_best_effort_job_is_sent_again_after_the_retry_delay(status: int) -> None:
+    """A caller that is quicker than the page allows would blame the system for its own doing."""
+    _, record = play_callers(
+        lambda request: answer_with(status) if status else None, durable_share=0.0
+    )
+    by_job: dict[str, list[Event]] = {}
+    for event in record.events:
+        by_job.setdefault(event.job, []).append(event)
+    assert len(by_job) > 5
+    for events in by_job.values():
+        assert [event.kind for event in events] == [EventKind.SUBMIT, EventKind.ANSWER] * 3
+        delays = [events[at + 1].at - events[at].at for at in (1, 3)]
+        assert all(delay >= milliseconds(129) for delay in delays), "counts from the answer"
+
+
+@pytest.mark.parametrize("status", [429, 503, 404])
+def test_a_job_that_was_refused_is_not_sent_again(status: int) -> None:
+    gateway, record = play_callers(lambda request: answer_with(status))
+    assert {len(times) for times in gateway.list_times("POST").values()} == {1}
+    assert len(gateway.requests) == len(gateway.list_times("POST")) > 5
+    statuses = {
+        read_detail(event)["status"] for event in record.events if event.kind is EventKind.ANSWER
+    }
+    assert statuses == {status}
+
+
+def test_accepted_durable_jobs_are_watched_until_they_have_ended() -> None:
+    asked: dict[str, int] = {}
+
+    def answer(request: Request) -> Response:
+        if request.method == "POST":
+            return answer_with(200)
+        asked[request.path] = asked.get(request.path, 0) + 1
+        return answer_with(200, state="completed" if asked[request.path] > 1 else "running")
+
+    gateway, record = play_callers(answer, durable_share=1.0)
+    assert set(asked) == set(gateway.list_times("POST"))
+    assert set(asked.values()) == {3}, "once more after the end"
+    answers = [read_detail(event) for event in record.events if event.kind is EventKind.ANSWER]
+    assert [fields["state"] for fields in answers if fields["method"] == "GET"].count("running")
+
+
+def test_cancelled_best_effort_jobs_are_not_sent_again() -> None:
+    """Such a job may start again, and the check of cancels would blame the system."""
+    gateway, _ = play_callers(
+        lambda request: answer_with(200) if request.method == "DELETE" else None,
+        durable_share=0.0,
+        cancel_share=1.0,
+    )
+    cancels, posts = gateway.list_times("DELETE"), gateway.list_times("POST")
+    assert len(cancels) > 5
+    assert all(max(posts[path]) < cancels[path][0] for path in cancels if path in posts)
+
+
+def test_callers_that_leave_record_the_end_of_their_request() -> None:
+    """A request without an end would count as one that may still be accepted."""
+    _, record = play_callers(lambda request: None, give_up_share=1.0, timeout=milliseconds(5_000))
+    submitted = [event for event in record.events if event.kind is EventKind.SUBMIT]
+    answers = [read_detail(event) for event in record.events if event.kind is EventKind.ANSWER]
+    assert len(submitted) == len(answers) > 5
+    assert {fields["status"] for fields in answers} == {0}
+
+
+def test_some_durable_jobs_are_sent_again_after_their_acceptance() -> None:
+    gateway, _ = play_callers(
+        lambda request: answer_with(200, state="completed"), durable_share=1.0, resend_share=1.0
+    )
+    all_times = gateway.list_times("POST").values()
+    assert len(all_times) > 5
+    assert all(len(times) == 2 and times[1] - times[0] >= 0.09 for times in all_times)
+
+
+def test_jobs_are_the_same_for_a_seed_and_as_wide_as_asked() -> None:
+    plans = []
+    for seed in (1, 1, 2):
+        _, record = play_callers(lambda request: answer_with(503), seed=seed)
+        submissions = [event for event in record.events if event.kind is EventKind.SUBMIT]
+        plans.append([read_plan(event) for event in submissions])
+    shortest = min(len(plans[0]), len(plans[1]))
+    assert plans[0][:shortest] == plans[1][:shortest] and shortest > 5
+    assert plans[2][0] not in plans[0]
+    for plan in (each for some in plans for each in some):
+        assert 1 <= len(plan.list_tasks()) <= 12
+        assert all(60 <= step.run_ms <= 5_000 for step in plan.steps)
+
+
+def test_the_longest_chain_follows_the_dependencies() -> None:
+    steps = (
+        Step(count=1, run_ms=100),
+        Step(count=2, run_ms=400),
+        Step(count=1, run_ms=50, depends_on=(0,)),
+    )
+    plan = Plan(id="a", steps=steps, is_durable=True, max_attempts=2)
+    assert plan.find_longest_chain() == milliseconds(400)
+    assert plan.find_longest_time(milliseconds(1_000)) == milliseconds(1_800)
+    assert plan.list_tasks() == ["a.0.0.0", "a.0.1.0", "a.0.1.1", "a.0.2.0"]
+    assert [plan.find_step(task) for task in ("a.0.1.1", "a.0.1.2", "a.1.0.0")] == [1, None, None]
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -118,14 +118,14 @@
         control_addresses: list[tuple[str, int]],
         random: Random,
         work: Callable[[str], Work],
-        identify: Callable[[Peer], str] = lambda peer: "",
+        identify: Callable[[Peer, Peer], str] = lambda peer, local: "",
         cpu_millis: int = 16_000,
         memory_mb: int = 32_768,
         rejects_overload: bool = True,
         reports_start_time: bool = False,
         clock_rate: float | None = None,
     ) -> None:
-        """`identify` names the sender of an order by its end of the connection.
+        """`identify` names the sender of an order by both ends of its connection, its own first.
 
         `work` is called for each run that starts. `reports_start_time` tells the instances under
         one id apart, so `restart` under the same id needs it.
@@ -350,7 +350,7 @@
         if token < self._token:
             return self._refuse(request, token, Refusal.FENCED)
         self._token = token
-        sender = self._identify(request.peer)
+        sender = self._identify(request.peer, request.local)
         if sender and (token, sender) not in self._holders:
             self._holders.add((token, sender))
             self._add(EventKind.HOLDER, self._record.now(), token=token, sender=sender)
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -21,7 +21,7 @@
 _READ_BYTES = 65_536
 
 Peer = tuple[str, int]
-"""Host and port of the other end of a connection."""
+"""Host and port of one end of a connection."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,6 +33,9 @@
     headers: Mapping[str, str]
     body: bytes
     peer: Peer
+    """The sender's end of the connection."""
+    local: Peer
+    """This end of the connection."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -63,8 +66,8 @@
 class _RequestReader:
     """Assembles the requests of one connection; httptools calls the methods named `on_...`."""
 
-    def __init__(self, peer: Peer) -> None:
-        self._peer = peer
+    def __init__(self, peer: Peer, local: Peer) -> None:
+        self._peer, self._local = peer, local
         self._parser = httptools.HttpRequestParser(self)
         self._url, self._body = b"", b""
         self._headers: dict[str, str] = {}
@@ -92,6 +95,7 @@
             headers=self._headers,
             body=self._body,
             peer=self._peer,
+            local=self._local,
         )
         self._complete.append(request)
         self._url, self._headers, self._body = b"", {}, b""
@@ -122,7 +126,8 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        requests = _RequestReader(writer.get_extra_info("peername")[:2])
+        ends = (writer.get_extra_info(name)[:2] for name in ("peername", "sockname"))
+        requests = _RequestReader(*ends)
         is_answering = True
         try:
             # Without an answer the connection stays open, and what arrives on it is ignored.
@@ -185,12 +190,10 @@
     """Returns the processes that may have opened the connection, by name."""
     _last: str = field(default="", init=False)
 
-    def find(self, peer: Peer) -> str:
+    def find(self, peer: Peer, local: Peer) -> str:
         """Return the name of the process that holds the socket, or an empty name."""
-        inode = _find_inode(peer)
-        if not inode:
-            return ""
-        pids = self.pids()
+        inode = _find_inode(peer, local)
+        pids = self.pids() if inode else {}
         # Most new connections come from the process that opened the last one.
         for name in sorted(pids, key=lambda name: name != self._last):
             if _holds_socket(pids[name], inode):
@@ -199,17 +202,24 @@
         return ""
 
 
-def _find_inode(peer: Peer) -> str:
-    """Return the inode of the socket that is bound to an address, or an empty text."""
-    packed = bytes(int(part) for part in reversed(peer[0].split("."))).hex().upper()
-    local = f"{packed}:{peer[1]:04X}"
+def _find_inode(local: Peer, remote: Peer) -> str:
+    """Return the inode of the socket between two addresses, or an empty text.
+
+    Connections to several addresses may share a local port, so one address does not suffice.
+    """
+    ends = [_encode_address(local), _encode_address(remote)]
     for row in Path("/proc/net/tcp").read_text().splitlines():
         columns = row.split()
-        if columns[1] == local:
+        if columns[1:3] == ends:
             return columns[9]
     return ""
 
 
+def _encode_address(address: Peer) -> str:
+    host = bytes(int(part) for part in reversed(address[0].split(".")))
+    return f"{host.hex().upper()}:{address[1]:04X}"
+
+
 def _holds_socket(pid: int, inode: str) -> bool:
     # The process may end meanwhile.
     with suppress(OSError):
