Soak: checks of every promise that callers and upstreams can judge

Each check has a record that breaks it and one that just does not. `find_gaps` names what a record cannot tell (a disruption without an end, a run that ends before jobs are due, unknown senders), so that a check which has nothing to judge is not taken for one that passed.

--- a/cottonlug/tests/test_soak_checks.py
+++ b/cottonlug/tests/test_soak_checks.py
@@ -12,12 +12,14 @@
 from random import Random
 from typing import Any
 
+import msgspec
 import pytest
 
 from soak.callers import Callers, CallerSettings
+from soak.checks import Rule, find_gaps, find_violations
 from soak.jobs import Plan, Step, read_plan
 from soak.record import Event, EventKind, Phase, Record, build_detail, read_detail, read_record
-from soak.upstreams import MAX_LISTED, StandInUpstream, Work
+from soak.upstreams import MAX_LISTED, StandInUpstream, Work, hash_spec
 from soak.wire import ProcessFinder, Request, Response, Server, build_client, encode_json, send
 
 HOST = "127.9.3.1"
@@ -738,3 +740,463 @@
     assert plan.find_longest_time(milliseconds(1_000)) == milliseconds(1_800)
     assert plan.list_tasks() == ["a.0.0.0", "a.0.1.0", "a.0.1.1", "a.0.2.0"]
     assert [plan.find_step(task) for task in ("a.0.1.1", "a.0.1.2", "a.1.0.0")] == [1, None, None]
+
+
+# Checks: for each promise a record that breaks it, and one that just does not
+
+JOB = "00000000000000aa"
+FIRST, SECOND, LAST = (f"{JOB}.0.{step}" for step in ("0.0", "0.1", "1.0"))
+"""Two tasks of the first step, and that of the second one, which depends on both."""
+PLAN = Plan(
+    id=JOB,
+    steps=(
+        Step(count=2, run_ms=100, cpu_millis=6_000, memory_mb=100),
+        Step(count=1, run_ms=100, cpu_millis=6_000, memory_mb=100, depends_on=(0,)),
+    ),
+    is_durable=True,
+    max_attempts=2,
+)
+BEST_EFFORT = msgspec.structs.replace(PLAN, is_durable=False)
+
+
+class Story:
+    """A record written by hand; times are in milliseconds."""
+
+    def __init__(self) -> None:
+        self.record = Record(now=timedelta)
+        self._calls = 0
+
+    def add(
+        self, at: float, kind: EventKind, source: str, task: str, run: int = 0, **fields: object
+    ) -> Story:
+        detail = build_detail(**fields)
+        job = task.partition(".")[0]
+        named = task if "." in task else ""
+        self.record.add(Event(milliseconds(at), kind, source, job, named, run, detail))
+        return self
+
+    def ask(
+        self,
+        at: float,
+        method: str = "POST",
+        status: int | None = 200,
+        *,
+        plan: Plan | None = None,
+        job: str = JOB,
+        state: str = "",
+        took: float = 10,
+    ) -> Story:
+        """Add a caller's request, and its answer unless the status is None."""
+        self._calls += 1
+        fields: dict[str, Any] = {"call": self._calls, "method": method}
+        if method == "POST":
+            sent: dict[str, Any] = {**fields, "plan": msgspec.to_builtins(plan or PLAN)}
+            self.add(at, EventKind.SUBMIT, "e1", job, **sent)
+        else:
+            self.add(at, EventKind.CALL, "e1", job, **fields)
+        if status is not None:
+            self.add(at + took, EventKind.ANSWER, "e1", job, status=status, state=state, **fields)
+        return self
+
+    def start(
+        self,
+        at: float,
+        task: str = FIRST,
+        run: int = 1,
+        *,
+        source: str = "i-1/0",
+        spec: str = "spec",
+        checkpoint: str = "",
+        is_late: bool = False,
+    ) -> Story:
+        return self.add(
+            at,
+            EventKind.START,
+            source,
+            task,
+            run,
+            token=1,
+            sender="c1",
+            spec=hash_spec(spec),
+            checkpoint=checkpoint,
+            cpu=16_000,
+            mem_mb=32_768,
+            is_late=is_late,
+        )
+
+    def end(
+        self, at: float, task: str = FIRST, run: int = 1, how: str = "done", source: str = "i-1/0"
+    ) -> Story:
+        return self.add(at, EventKind.END, source, task, run, how=how, number=run)
+
+    def confirm(self, at: float, task: str = FIRST, run: int = 1, source: str = "i-1/0") -> Story:
+        return self.add(at, EventKind.CONFIRM, source, task, run, how="done", number=run)
+
+    def run(self, at: float, task: str, run: int = 1, how: str = "done") -> Story:
+        """Add a run of 100 ms whose end is confirmed."""
+        return self.start(at, task, run).end(at + 100, task, run, how).confirm(at + 110, task, run)
+
+    def run_all(self, at: float = 20) -> Story:
+        """Add successful runs of all tasks of the job."""
+        return self.run(at, FIRST).run(at, SECOND).run(at + 200, LAST)
+
+    def disrupt(self, at: float, phase: Phase = Phase.MOMENT, source: str = "c1") -> Story:
+        return self.add(at, EventKind.DISRUPTION, source, "", what="kill", phase=phase.value)
+
+    def list_broken(self) -> list[Rule]:
+        return [violation.rule for violation in find_violations(self.record)]
+
+
+def test_a_record_of_a_job_without_faults_breaks_no_promise() -> None:
+    story = Story().ask(0).run_all().ask(500, "GET", state="completed")
+    assert story.list_broken() == []
+
+
+@pytest.mark.parametrize("plan", [PLAN, BEST_EFFORT])
+@pytest.mark.parametrize(("ended_at", "broken"), [(120, []), (120.001, [Rule.TWICE])])
+def test_two_runs_of_a_task_at_a_time_break_twice(
+    ended_at: float, broken: list[Rule], plan: Plan
+) -> None:
+    story = Story().ask(0, plan=plan).start(20).start(120, run=2, source="i-2/0")
+    story.end(ended_at, how="lapsed").end(200, run=2, source="i-2/0")
+    assert story.list_broken() == broken
+
+
+def test_a_run_that_never_ends_overlaps_a_later_one() -> None:
+    story = Story().ask(0).start(20).start(9_000, run=2, source="i-2/0")
+    violation = find_violations(story.record)[0]
+    assert violation.rule is Rule.TWICE
+    assert [(event.source, event.run) for event in violation.events] == [("i-1/0", 1), ("i-2/0", 2)]
+
+
+def test_the_runs_of_a_crashed_upstream_end_with_it() -> None:
+    story = Story().ask(0).start(20).end(50, how="lost").start(50, run=2, source="i-2/0")
+    assert story.list_broken() == []
+
+
+@pytest.mark.parametrize(
+    ("plan", "confirmed_at", "lapsed_at", "broken"),
+    [
+        (PLAN, 130, None, [Rule.TWICE]),
+        (PLAN, 500, None, [Rule.TWICE]),  # confirmed after the second start
+        (PLAN, None, None, []),
+        (PLAN, 500, 300, []),  # the lease lapsed between the end and its confirmation
+        (PLAN, 500, 600, [Rule.TWICE]),
+        (PLAN, 500, 110, [Rule.TWICE]),
+        (BEST_EFFORT, 130, None, []),
+    ],
+)
+def test_a_start_after_a_success_that_was_taken_note_of_breaks_twice(
+    plan: Plan, confirmed_at: float | None, lapsed_at: float | None, broken: list[Rule]
+) -> None:
+    story = Story().ask(0, plan=plan).start(20).end(120)
+    story.start(200, run=2, source="i-2/0").end(300, run=2, source="i-2/0")
+    if confirmed_at is not None:
+        story.confirm(confirmed_at)
+    if lapsed_at is not None:
+        story.add(lapsed_at, EventKind.LAPSE, "i-1/0", "")
+        story.add(200, EventKind.LAPSE, "i-2/0", "")
+    assert story.list_broken() == broken
+
+
+@pytest.mark.parametrize(
+    ("started_at", "is_late", "is_disrupted", "broken"),
+    [
+        (1_511, False, False, [Rule.TWICE]),
+        (1_510, False, False, []),
+        (1_511, True, False, []),
+        (1_511, False, True, []),
+    ],
+)
+def test_a_start_after_the_job_was_shown_as_completed_breaks_twice(
+    started_at: float, is_late: bool, is_disrupted: bool, broken: list[Rule]
+) -> None:
+    """Ends that nobody has confirmed, so that only what callers were shown counts."""
+    story = Story().ask(0)
+    for task, at in ((FIRST, 20), (SECOND, 20), (LAST, 220)):
+        story.start(at, task).end(at + 100, task)
+    story.ask(500, "GET", state="completed")
+    story.start(started_at, run=2, source="i-2/0", is_late=is_late)
+    if is_disrupted:
+        story.disrupt(400)
+    assert story.list_broken() == broken
+
+
+@pytest.mark.parametrize(
+    ("statuses", "broken"),
+    [
+        ((503,), [Rule.REFUSED]),
+        ((429, 503), [Rule.REFUSED]),
+        ((404,), [Rule.REFUSED]),
+        ((503, 200), []),
+        ((0, 503), []),  # the first one may have been accepted
+        ((503, 504), []),
+        ((503, None), []),
+    ],
+)
+def test_a_start_of_a_refused_job_breaks_refused(
+    statuses: tuple[int | None, ...], broken: list[Rule]
+) -> None:
+    story = Story()
+    for at, status in enumerate(statuses):
+        story.ask(at * 20, status=status)
+    story.start(100).end(200)
+    assert story.list_broken() == broken
+
+
+@pytest.mark.parametrize(
+    ("how", "ended_at", "broken"),
+    [
+        ("done", 150, []),
+        ("done", 151, [Rule.ORDER]),
+        ("failed", 140, [Rule.ORDER]),
+        ("lapsed", 140, [Rule.ORDER]),
+    ],
+)
+def test_a_start_before_the_steps_that_it_depends_on_breaks_order(
+    how: str, ended_at: float, broken: list[Rule]
+) -> None:
+    story = Story().ask(0).start(20, FIRST).end(120, FIRST)
+    story.start(20, SECOND).end(ended_at, SECOND, how=how)
+    story.start(150, LAST).end(300, LAST)
+    assert story.list_broken() == broken
+
+
+@pytest.mark.parametrize(("ended_at", "broken"), [(100, []), (101, [Rule.LIMIT])])
+@pytest.mark.parametrize(("cpu", "memory"), [(6_000, 100), (100, 12_000)])
+def test_a_start_over_the_capacity_breaks_limit(
+    cpu: int, memory: int, ended_at: float, broken: list[Rule]
+) -> None:
+    """What is being stopped counts until its end."""
+    step = Step(count=3, run_ms=100, cpu_millis=cpu, memory_mb=memory)
+    story = Story().ask(0, plan=msgspec.structs.replace(PLAN, steps=(step,)))
+    tasks = [f"{JOB}.0.0.{index}" for index in range(3)]
+    story.start(20, tasks[0]).start(20, tasks[1])
+    story.add(60, EventKind.STOP, "i-1/0", tasks[1], 1, token=1, sender="c1")
+    story.start(100, tasks[2])
+    story.end(ended_at, tasks[1], how="stopped").end(150, tasks[0]).end(200, tasks[2])
+    assert story.list_broken() == broken
+
+
+def test_other_upstreams_do_not_count_against_a_capacity() -> None:
+    story = Story().ask(0).start(20, FIRST).start(20, SECOND, source="i-1/1").end(120, FIRST)
+    story.end(120, SECOND, source="i-1/1").start(150, LAST).end(250, LAST)
+    assert story.list_broken() == []
+
+
+@pytest.mark.parametrize(
+    "story",
+    [
+        Story().start(20).end(120),
+        Story().ask(21).start(20).end(120),
+        Story().ask(0).start(20, f"{JOB}.0.0.2").end(120, f"{JOB}.0.0.2"),
+        Story().ask(0).start(20, spec="other").end(120),
+        Story().ask(0).start(20, checkpoint="00").end(120),
+    ],
+    ids=["no job", "before its submission", "no such task", "other specification", "checkpoint"],
+)
+def test_a_start_that_nobody_asked_for_breaks_unasked(story: Story) -> None:
+    assert story.list_broken() == [Rule.UNASKED]
+
+
+def test_a_start_before_the_answer_of_its_submission_is_asked_for() -> None:
+    assert Story().ask(0, status=None).start(0).end(120).list_broken() == []
+
+
+@pytest.mark.parametrize(
+    ("started_at", "is_late", "status", "disrupted_at", "broken"),
+    [
+        (3_111, False, 200, None, [Rule.UNASKED]),
+        (3_110, False, 200, None, []),
+        (3_111, True, 200, None, []),
+        (3_111, False, 410, None, []),
+        (3_111, False, 200, 2_000, []),
+        (6_000, False, 200, 2_000, [Rule.UNASKED]),
+    ],
+)
+def test_a_start_long_after_an_acknowledged_cancel_breaks_unasked(
+    started_at: float,
+    is_late: bool,
+    status: int,
+    disrupted_at: float | None,
+    broken: list[Rule],
+) -> None:
+    story = Story().ask(0).ask(100, "DELETE", status)
+    story.start(started_at, is_late=is_late).end(started_at + 100)
+    if disrupted_at is not None:
+        story.disrupt(disrupted_at)
+    assert story.list_broken() == broken
+
+
+@pytest.mark.parametrize(
+    ("ended_at", "disruptions", "broken"),
+    [
+        (3_160, [], []),
+        (3_161, [], [Rule.UNASKED]),
+        (3_161, [("i-1/0", 500, Phase.MOMENT)], []),
+        (6_560, [("i-1/0", 500, Phase.MOMENT)], [Rule.UNASKED]),
+        (20_000, [("i-1/0", 500, Phase.BEGIN)], []),
+        (20_000, [("i-1/0", 500, Phase.BEGIN), ("i-1/0", 9_000, Phase.END)], [Rule.UNASKED]),
+    ],
+)
+def test_a_run_that_goes_on_after_a_cancel_breaks_unasked(
+    ended_at: float, disruptions: list[tuple[str, float, Phase]], broken: list[Rule]
+) -> None:
+    story = Story().ask(0).start(20).ask(100, "DELETE").end(ended_at)
+    for source, at, phase in disruptions:
+        story.disrupt(at, phase, source)
+    story.ask(30_000, "GET", state="cancelled")
+    assert story.list_broken() == broken
+
+
+FINISH_MS = 14_000 + 2 * 200
+"""Time allowed for the job: two attempts of its two steps beyond `finish`."""
+
+
+@pytest.mark.parametrize(
+    ("shown_at", "state", "disrupted_at", "broken"),
+    [
+        (10 + FINISH_MS, "completed", None, []),
+        (10 + FINISH_MS + 1, "completed", None, [Rule.LOST]),
+        (10 + FINISH_MS + 1, "running", None, [Rule.LOST]),
+        (5_000 + 3_000 + FINISH_MS, "completed", 5_000, []),
+        (5_000 + 3_000 + FINISH_MS + 1, "completed", 5_000, [Rule.LOST]),
+    ],
+)
+def test_a_durable_job_that_does_not_end_in_time_breaks_lost(
+    shown_at: float, state: str, disrupted_at: float | None, broken: list[Rule]
+) -> None:
+    story = Story().ask(0).run_all().ask(shown_at, "GET", state=state, took=0)
+    if disrupted_at is not None:
+        story.disrupt(disrupted_at)
+    assert story.list_broken() == broken
+
+
+def test_jobs_that_were_not_accepted_or_need_not_be_kept_are_not_lost() -> None:
+    """Neither are those whose cancelling was sent, acknowledged or not."""
+    late = 10 + FINISH_MS + 1
+    assert Story().ask(0, status=504).ask(late, "GET", 410).list_broken() == []
+    assert Story().ask(0, plan=BEST_EFFORT).ask(late, "GET", 410).list_broken() == []
+    assert Story().ask(0).ask(50, "DELETE", 0).ask(late, "GET", 410).list_broken() == []
+
+
+@pytest.mark.parametrize(
+    ("asked_at", "disrupted_at", "broken"),
+    [
+        (3_011, None, [Rule.LOST]),
+        (3_010, None, []),
+        (4_000, 1_000, []),
+        (4_001, 1_000, [Rule.LOST]),
+    ],
+)
+def test_an_accepted_job_that_is_not_known_breaks_lost(
+    asked_at: float, disrupted_at: float | None, broken: list[Rule]
+) -> None:
+    story = Story().ask(0).run_all().ask(asked_at, "GET", 410)
+    story.ask(asked_at + 20, "GET", state="completed")
+    if disrupted_at is not None:
+        story.disrupt(disrupted_at)
+    assert story.list_broken() == broken
+
+
+@pytest.mark.parametrize(("asked_at", "broken"), [(120_509, []), (120_400, [Rule.LOST])])
+def test_an_ended_job_may_be_forgotten_after_a_while(asked_at: float, broken: list[Rule]) -> None:
+    story = Story().ask(0).run_all().ask(500, "GET", state="completed")
+    assert story.ask(asked_at, "GET", 410).list_broken() == broken
+
+
+@pytest.mark.parametrize(("failures", "broken"), [(2, []), (1, [Rule.LOST])])
+def test_a_job_that_is_shown_as_failed_without_cause_breaks_lost(
+    failures: int, broken: list[Rule]
+) -> None:
+    story = Story().ask(0)
+    for run in range(failures):
+        story.run(20 + run * 200, FIRST, run + 1, "failed")
+    story.start(900, run=5).end(950, run=5, how="lapsed") if failures == 1 else None
+    assert story.ask(1_000, "GET", state="failed").list_broken() == broken
+
+
+@pytest.mark.parametrize(("cancels", "broken"), [(True, []), (False, [Rule.LOST])])
+def test_a_job_that_is_shown_as_cancelled_without_cause_breaks_lost(
+    cancels: bool, broken: list[Rule]
+) -> None:
+    story = Story().ask(0)
+    if cancels:
+        story.ask(50, "DELETE", 0)
+    assert story.ask(100, "GET", state="cancelled").list_broken() == broken
+
+
+@pytest.mark.parametrize(("ended_at", "broken"), [(510, []), (511, [Rule.MIXED])])
+@pytest.mark.parametrize("plan", [PLAN, BEST_EFFORT])
+def test_a_job_that_is_shown_as_completed_too_early_breaks_mixed(
+    plan: Plan, ended_at: float, broken: list[Rule]
+) -> None:
+    story = Story().run(20, FIRST).run(20, SECOND).start(220, LAST).end(ended_at, LAST)
+    if plan.is_durable:
+        story.ask(0).ask(500, "GET", state="completed")
+    else:
+        story.ask(0, plan=plan, state="completed", took=510)
+    assert story.list_broken() == broken
+
+
+def test_a_completed_job_with_a_task_that_failed_breaks_mixed() -> None:
+    story = Story().ask(0).run(20, FIRST).run(20, SECOND, how="failed")
+    assert story.ask(500, "GET", state="completed").list_broken() == [Rule.MIXED]
+
+
+@pytest.mark.parametrize(("status", "broken"), [(410, []), (200, [Rule.MIXED])])
+def test_a_job_that_nobody_submitted_must_not_be_shown(status: int, broken: list[Rule]) -> None:
+    assert Story().ask(0, "GET", status, state="queued").list_broken() == broken
+
+
+@pytest.mark.parametrize(
+    ("how", "is_confirmed", "plan", "broken"),
+    [
+        ("failed", True, PLAN, [Rule.BUDGET]),
+        ("failed", False, PLAN, []),
+        ("lapsed", True, PLAN, []),
+        ("failed", True, BEST_EFFORT, []),
+        ("failed", True, msgspec.structs.replace(PLAN, max_attempts=3), []),
+    ],
+)
+def test_a_start_after_the_last_attempt_breaks_budget(
+    how: str, is_confirmed: bool, plan: Plan, broken: list[Rule]
+) -> None:
+    story = Story().ask(0, plan=plan).run(20, FIRST, 1, "failed").start(200, run=2)
+    story.end(300, run=2, how=how).start(400, run=3).end(500, run=3)
+    if is_confirmed:
+        story.confirm(600, run=2)
+    assert story.list_broken() == broken
+
+
+@pytest.mark.parametrize(("token", "broken"), [(7, [Rule.ONE]), (8, [])])
+def test_two_senders_under_one_token_break_one(token: int, broken: list[Rule]) -> None:
+    story = Story().add(10, EventKind.HOLDER, "i-1/0", "", token=7, sender="c1")
+    story.add(20, EventKind.HOLDER, "i-2/0", "", token=7, sender="c1")
+    story.add(30, EventKind.HOLDER, "i-2/0", "", token=token, sender="c2")
+    assert story.list_broken() == broken
+
+
+# What a record cannot tell
+
+
+def test_a_record_without_gaps_says_so() -> None:
+    story = Story().ask(0).run_all().ask(500, "GET", state="completed")
+    story.add(20, EventKind.HOLDER, "i-1/0", "", token=7, sender="c1")
+    assert find_gaps(story.record) == []
+
+
+def test_a_record_that_ends_too_early_is_reported() -> None:
+    """A soak that ends before jobs are due would find none lost."""
+    story = Story().ask(0).add(20, EventKind.HOLDER, "i-1/0", "", token=7, sender="c1")
+    assert len(find_gaps(story.record)) == 1
+    assert JOB in find_gaps(story.record)[0]
+    story.ask(10 + FINISH_MS, "GET", state="running")
+    assert find_gaps(story.record) == []
+
+
+def test_a_disruption_without_an_end_and_unknown_senders_are_reported() -> None:
+    story = Story().disrupt(0, Phase.BEGIN)
+    assert len(find_gaps(story.record)) == 2
+    story.disrupt(10, Phase.END).add(20, EventKind.HOLDER, "i-1/0", "", token=7, sender="c1")
+    assert find_gaps(story.record) == []
