Soak: disruptions of an upstream count for all of its instances; runs end at the crash itself

A cut that heals after a crash had no end, so no job could count as lost from then on. The runs of a crashed upstream seemed to go on while its connections were closed.

--- a/cottonlug/tests/test_soak_checks.py
+++ b/cottonlug/tests/test_soak_checks.py
@@ -516,6 +516,21 @@
     run_live(test)
 
 
+def test_a_disruption_may_end_under_a_later_instance() -> None:
+    """Otherwise it would count as one without an end, and no job as lost from then on."""
+
+    async def test(rig: LiveRig) -> None:
+        rig.upstream.cut()
+        await rig.upstream.crash()
+        await rig.upstream.restart()
+        rig.upstream.heal()
+        assert find_gaps(rig.record) == [
+            "no sender of an order is known, so holders of a token cannot be compared"
+        ]
+
+    run_live(test)
+
+
 def test_heartbeats_go_to_another_control_host_until_one_acknowledges() -> None:
     """An upstream that stays with a host that is gone would seem to be lost."""
 
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -145,6 +145,8 @@
         self._is_silent = False
         self._late_share = 0.0
         self._life = 0
+        self._disrupted_source = f"{name}/*"
+        """Source of its disruptions, which may begin and end under different instances."""
         self._is_up = False
         self.instance_id = name
         """Id that the instance announces."""
@@ -202,13 +204,13 @@
     def cut(self) -> None:
         """Cut the upstream off: nothing arrives, nothing leaves, what runs here goes on."""
         self.is_cut = True
-        self._record.add_disruption(self.source, "cut", Phase.BEGIN)
+        self._record.add_disruption(self._disrupted_source, "cut", Phase.BEGIN)
 
     def heal(self) -> None:
         """End the cut; connections, with what was on its way in them, are lost."""
         self.is_cut = False
         self._server.abort_connections()
-        self._record.add_disruption(self.source, "cut", Phase.END)
+        self._record.add_disruption(self._disrupted_source, "cut", Phase.END)
 
     @property
     def is_silent(self) -> bool:
@@ -220,7 +222,7 @@
         if value != self._is_silent:
             self._is_silent = value
             phase = Phase.BEGIN if value else Phase.END
-            self._record.add_disruption(self.source, "silent", phase)
+            self._record.add_disruption(self._disrupted_source, "silent", phase)
 
     @property
     def late_share(self) -> float:
@@ -231,7 +233,7 @@
     def late_share(self, value: float) -> None:
         if bool(value) != bool(self._late_share):
             phase = Phase.BEGIN if value else Phase.END
-            self._record.add_disruption(self.source, "late", phase)
+            self._record.add_disruption(self._disrupted_source, "late", phase)
         self._late_share = value
 
     async def crash(self) -> None:
@@ -239,12 +241,12 @@
         if not self._is_up:
             return
         self._advance()
-        await self.stop()
         now = self._record.now()
         for run in self._runs.values():
             self._add(EventKind.END, now, run.task, run.run, how=RunEnd.LOST.value, number=0)
         self._runs.clear()
-        self._record.add_disruption(self.source, "crash")
+        self._record.add_disruption(self._disrupted_source, "crash")
+        await self.stop()
 
     async def restart(self, *, same_id: bool = False) -> None:
         """Begin a new instance at the same address after a crash, under a new id or the same."""
@@ -255,7 +257,7 @@
             self.instance_id = f"{self.name}.{self._life}"
         self._begin_life(clock_ms=0.0)
         await self.start()
-        self._record.add_disruption(self.source, "restart")
+        self._record.add_disruption(self._disrupted_source, "restart")
 
     # Clock, lease and ends
 
