--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -19,6 +19,8 @@
 from typing import Any
 from zlib import crc32
 
+import msgspec
+
 from .record import Event, EventKind, Phase, Record, build_detail
 from .wire import Identify, Peer, Request, Response, Server, build_client, encode_json, send
 
@@ -79,6 +81,19 @@
     """How it ends at `ends_at`, unless the lease expires before."""
 
 
+class _Order(msgspec.Struct, kw_only=True):
+    """The fields of all orders."""
+
+    fencing_token: int = 0
+    task: str = ""
+    run_id: int = 0
+    task_spec: str = ""
+    checkpoint: str = ""
+    expires_ms: int = 0
+    last_seen: int = 0
+    wait_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _End:
     number: int
@@ -275,6 +290,7 @@
         self._expires_ms = expires_ms
         left = timedelta(milliseconds=(expires_ms - clock_ms) / self._clock_rate)
         self._lease_ends_at = self._record.now() + left
+        self._advance()
 
     def _advance(self) -> None:
         """Carry out all ends that are due, in the order of their times, and wait for the next."""
@@ -343,66 +359,61 @@
             return self._build_answer(421)
         if request.method == "GET":
             return self._build_answer(200)
-        order = _read_order(request.body)
-        if order is None:
+        try:
+            order = msgspec.json.decode(request.body, type=_Order)
+        except msgspec.MsgspecError:
             return self._build_answer(400)
         if request.path == "/run-start" and self.is_unhealthy:
             return self._build_answer(503)
-        token = order.get("fencing_token", 0)
-        if token < self._token:
-            return self._refuse(request, token, Refusal.FENCED)
-        self._token = token
-        sender = request.sender
-        if sender and (token, sender) not in self._holders:
-            self._holders.add((token, sender))
-            self._add(EventKind.HOLDER, self._record.now(), token=token, sender=sender)
-        try:
-            if request.path == "/run-start":
-                refusal = self._start(order, sender, is_late)
-                if refusal is not None:
-                    return self._refuse(request, token, refusal)
-            elif request.path == "/run-stop":
-                self._stop_run(order, sender)
-            elif request.path == "/hold":
-                return await self._poll(order, sender)
-            else:
-                return self._build_answer(404)
-        except (KeyError, TypeError):
-            return self._build_answer(400)
+        if order.fencing_token < self._token:
+            return self._refuse(request.path, order, Refusal.FENCED)
+        self._token = order.fencing_token
+        holder = (self._token, request.sender)
+        if request.sender and holder not in self._holders:
+            self._holders.add(holder)
+            self._add(EventKind.HOLDER, token=self._token, sender=request.sender)
+        if request.path == "/hold":
+            return await self._poll(order, request.sender)
+        if request.path == "/run-start":
+            refusal = self._start(order, request.sender, is_late)
+            if refusal is not None:
+                return self._refuse(request.path, order, refusal)
+        elif request.path == "/run-stop":
+            self._stop_run(order, request.sender)
         return self._build_answer(200)
 
-    def _start(self, order: dict[str, Any], sender: str, is_late: bool) -> Refusal | None:
-        task, number, spec = str(order["task"]), int(order["run_id"]), str(order["task_spec"])
-        expires_ms = int(order["expires_ms"])
-        present = self._runs.get(task)
-        if present is not None and present.run == number:
-            self._extend(expires_ms)
-            self._advance()
+    def _start(self, order: _Order, sender: str, is_late: bool) -> Refusal | None:
+        present = self._runs.get(order.task)
+        if present is not None and present.run == order.run_id:
+            self._extend(order.expires_ms)
             return None
-        if expires_ms <= self.clock_ms():
+        if order.expires_ms <= self.clock_ms():
             return Refusal.LATE
-        self._extend(expires_ms)
-        self._advance()
-        if number <= self._refused_through.get(task, 0) or (present and number < present.run):
+        self._extend(order.expires_ms)
+        is_lower = present is not None and order.run_id < present.run
+        if is_lower or order.run_id <= self._refused_through.get(order.task, 0):
             return Refusal.OUTDATED
-        work = self._work(task)
+        work = self._work(order.task)
         if present is not None or not self._fits(work):
             return Refusal.NO_ROOM
         now = self._record.now()
-        end = RunEnd.FAILED if work.fails else RunEnd.DONE
-        ends_at = now + work.run_time
-        self._runs[task] = _Run(
-            task=task, run=number, work=work, began_at=now, ends_at=ends_at, end=end
+        self._runs[order.task] = _Run(
+            task=order.task,
+            run=order.run_id,
+            work=work,
+            began_at=now,
+            ends_at=now + work.run_time,
+            end=RunEnd.FAILED if work.fails else RunEnd.DONE,
         )
         self._add(
             EventKind.START,
             now,
-            task,
-            number,
+            order.task,
+            order.run_id,
             token=self._token,
             sender=sender,
-            spec=hash_spec(spec),
-            checkpoint=str(order.get("checkpoint", "")),
+            spec=hash_spec(order.task_spec),
+            checkpoint=order.checkpoint,
             cpu=self._cpu_millis,
             mem_mb=self._memory_mb,
             is_late=is_late,
@@ -416,35 +427,31 @@
         fits_memory = sum(each.memory_mb for each in works) <= self._memory_mb
         return not self._rejects_overload or (fits_cpu and fits_memory)
 
-    def _stop_run(self, order: dict[str, Any], sender: str) -> None:
-        task, number = str(order["task"]), int(order["run_id"])
-        self._refuse_through(task, number)
+    def _stop_run(self, order: _Order, sender: str) -> None:
+        self._refuse_through(order.task, order.run_id)
         now = self._record.now()
-        self._add(EventKind.STOP, now, task, number, token=self._token, sender=sender)
-        run = self._runs.get(task)
-        if run is None or run.run != number or run.end is RunEnd.STOPPED:
-            return
-        run.end = RunEnd.STOPPED
-        run.ends_at = now + MAX_STOP_TIME * self._random.random()
-        self._advance()
+        fields = {"token": self._token, "sender": sender}
+        self._add(EventKind.STOP, now, order.task, order.run_id, **fields)
+        run = self._runs.get(order.task)
+        if run is not None and run.run == order.run_id and run.end is not RunEnd.STOPPED:
+            run.end = RunEnd.STOPPED
+            run.ends_at = now + MAX_STOP_TIME * self._random.random()
+            self._advance()
 
-    async def _poll(self, order: dict[str, Any], sender: str) -> Response:
-        last_seen, wait_ms = int(order.get("last_seen", 0)), order.get("wait_ms", 0)
-        if type(wait_ms) is not int or not 0 <= wait_ms <= to_ms(MAX_WAIT):
+    async def _poll(self, order: _Order, sender: str) -> Response:
+        if not 0 <= order.wait_ms <= to_ms(MAX_WAIT):
             return self._build_answer(400)
+        now = self._record.now()
         for end in self._ends:
-            if end.number <= last_seen:
+            if end.number <= order.last_seen:
                 fields = {"how": end.end.value, "number": end.number, "sender": sender}
-                self._add(EventKind.CONFIRM, self._record.now(), end.task, end.run, **fields)
-        self._ends = [end for end in self._ends if end.number > last_seen]
-        if "expires_ms" in order:
-            self._extend(int(order["expires_ms"]))
-            self._advance()
-        if not self._ends and wait_ms:
-            try:
-                await asyncio.wait_for(self._has_ended.wait(), wait_ms / 1_000)
-            except TimeoutError:
-                self._advance()
+                self._add(EventKind.CONFIRM, now, end.task, end.run, **fields)
+        self._ends = [end for end in self._ends if end.number > order.last_seen]
+        self._extend(order.expires_ms)
+        if not self._ends and order.wait_ms:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._has_ended.wait(), order.wait_ms / 1_000)
+        self._advance()
         return self._build_lists()
 
     def _build_lists(self) -> Response:
@@ -459,11 +466,10 @@
             fields["born"] = self._born_ms
         return self._build_answer(200, **fields)
 
-    def _refuse(self, request: Request, token: int, refusal: Refusal) -> Response:
-        fields: dict[str, object] = {"path": request.path, "token": token, "reason": refusal.value}
-        order = _read_order(request.body) or {}
-        task, run = str(order.get("task", "")), int(order.get("run_id", 0))
-        self._add(EventKind.ORDER_REFUSED, self._record.now(), task, run, **fields)
+    def _refuse(self, path: str, order: _Order, refusal: Refusal) -> Response:
+        fields = {"path": path, "token": order.fencing_token, "reason": refusal.value}
+        now = self._record.now()
+        self._add(EventKind.ORDER_REFUSED, now, order.task, order.run_id, **fields)
         return self._build_answer(409, reason=refusal.value)
 
     def _build_answer(self, status: int, **fields: object) -> Response:
@@ -517,9 +523,14 @@
     # Helpers
 
     def _add(
-        self, kind: EventKind, at: timedelta, task: str = "", run: int = 0, **fields: object
+        self,
+        kind: EventKind,
+        at: timedelta | None = None,
+        task: str = "",
+        run: int = 0,
+        **fields: object,
     ) -> None:
-        detail = build_detail(**fields)
+        at, detail = self._record.now() if at is None else at, build_detail(**fields)
         self._record.add(Event(at, kind, self.source, find_job(task), task, run, detail))
 
     def _spawn(self, work: Any) -> None:
@@ -528,13 +539,5 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _read_order(body: bytes) -> dict[str, Any] | None:
-    try:
-        order = json.loads(body)
-    except ValueError:
-        return None
-    return order if isinstance(order, dict) else None
-
-
 def _find_percent(run: _Run, now: timedelta) -> int:
     return min(99, int(100 * ((now - run.began_at) / run.work.run_time)))
