--- a/cottonlug/tests/test_soak_checks.py
+++ b/cottonlug/tests/test_soak_checks.py
@@ -148,6 +148,18 @@
     run_async(test)
 
 
+def test_the_clock_runs_at_a_rate_of_its_own() -> None:
+    """Leases are given in its time, so a clock without drift would hide an error of 2 %."""
+
+    async def test() -> None:
+        rig = Rig()
+        before = rig.upstream.clock_ms()
+        rig.pass_ms(10_000)
+        assert rig.upstream.clock_ms() - before == pytest.approx(10_000 * RATE)
+
+    run_async(test)
+
+
 def test_a_lease_that_is_too_long_is_shortened_to_the_longest() -> None:
     """Otherwise runs outlast what coordinators may rely on after they were lost."""
 
@@ -719,6 +731,7 @@
     submitted = [event for event in record.events if event.kind is EventKind.SUBMIT]
     answers = [read_detail(event) for event in record.events if event.kind is EventKind.ANSWER]
     assert len(submitted) == len(answers) > 5
+    assert len({event.job for event in submitted}) == len(submitted), "they have left for good"
     assert {fields["status"] for fields in answers} == {0}
 
 
@@ -1044,6 +1057,12 @@
     assert story.list_broken() == broken
 
 
+def test_a_disrupted_upstream_does_not_excuse_the_hosts() -> None:
+    """With some upstream disrupted most of the time, nothing would be judged."""
+    story = Story().ask(0).ask(100, "DELETE").disrupt(2_000, source="i-2/*")
+    assert story.start(3_111).end(3_211).list_broken() == [Rule.UNASKED]
+
+
 @pytest.mark.parametrize(
     ("ended_at", "disruptions", "broken"),
     [
