Let the listeners of a cluster host bind to another address than the advertised one

Behind address translation, hosts advertise an address that they cannot bind to. The new setting bind_host names the address to bind. Without it nothing changes.

--- a/cottonlug/commands/control.py
+++ b/cottonlug/commands/control.py
@@ -23,6 +23,7 @@
     build_listener,
     build_metrics_listeners,
     build_peer_listeners,
+    find_bind_address,
     find_drain_seconds,
     start_listeners,
     start_logging,
@@ -58,7 +59,7 @@
     lifecycle.watch_reload(lambda: None)
     control = build_listener(
         build_control_handler(host.answer, refused.record),
-        settings.listen.control,
+        find_bind_address(settings.listen.control, settings),
         MAX_CONTROL_BODY_BYTES,
         accepts_all=True,
     )
--- a/cottonlug/commands/daemons.py
+++ b/cottonlug/commands/daemons.py
@@ -58,6 +58,11 @@
     return Listener(app=app, address=address, accepts_all=accepts_all)
 
 
+def find_bind_address(advertised: Address, settings: ControlSettings | GatewaySettings) -> Address:
+    """Return the address to bind for a listener whose advertised address others connect to."""
+    return Address(settings.bind_host or advertised.host, advertised.port)
+
+
 def build_peer_listeners(
     handler: Handler,
     settings: ControlSettings | GatewaySettings,
@@ -69,7 +74,7 @@
     The first one serves all calls; where the settings have an urgent port, a second one serves
     calls that must not queue behind jobs.
     """
-    address = settings.listen.peers
+    address = find_bind_address(settings.listen.peers, settings)
     listeners = [build_listener(handler, address, max_body_bytes, handle_immediately)]
     if settings.urgent_port is not None:
         urgent = Address(address.host, settings.urgent_port)
--- a/cottonlug/config/cluster.py
+++ b/cottonlug/config/cluster.py
@@ -29,12 +29,15 @@
     read_number,
     read_path,
     read_section,
+    read_text,
     read_unless_empty,
 )
 
 MAX_REMOTE_FACTOR = 1_000.0
 """Largest value of `remote_factor`; a larger one is an error."""
 
+_IP_PATTERN = r"\d{1,3}(\.\d{1,3}){3}"
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ControlListeners:
@@ -87,6 +90,8 @@
     """Time allowed for the whole shutdown."""
     urgent_port: int | None = None
     """Port on all hosts, including this one, for calls that must not wait behind jobs."""
+    bind_host: str | None = None
+    """IP number that the advertised listeners bind to, if it differs from the advertised one."""
     reports: ReportTerms = DEFAULT_REPORT_TERMS
     remote_factor: float = 1.0
     """How many times as long a task takes outside the rack of its data."""
@@ -109,6 +114,8 @@
     """Time allowed for the whole shutdown."""
     urgent_port: int | None = None
     """Port on all hosts, including this one, for calls that must not wait behind jobs."""
+    bind_host: str | None = None
+    """IP number that the advertised listeners bind to, if it differs from the advertised one."""
     reports: ReportTerms = DEFAULT_REPORT_TERMS
     size: HostSize = UNKNOWN_SIZE
     """What this host may use, where that is known."""
@@ -134,6 +141,7 @@
     "seeds": Option(read_list(read_address)),
     "peer_port": Option(read_integer(1, 65_535), None),
     "urgent_port": Option(read_integer(1, 65_535), None),
+    "bind_host": Option(read_text(_IP_PATTERN, "expected an IP number"), None),
     "longest_lease": Option(read_duration, timedelta(seconds=1)),
     "caller_retry": Option(read_duration, timedelta(milliseconds=1_300)),
     "drain_limit": Option(read_duration, timedelta(seconds=5)),
--- a/cottonlug/tests/test_cluster_settings.py
+++ b/cottonlug/tests/test_cluster_settings.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ..commands.daemons import find_drain_seconds
+from ..commands.daemons import find_bind_address, find_drain_seconds
 from ..config.cluster import load_control_settings, load_gateway_settings
 from ..config.options import Address
 from ..exceptions import SettingsError
@@ -88,3 +88,14 @@
         load_gateway_settings(write(tmp_path, "host: edge-1\n"))
     for name in ("domain", "listen", "seeds"):
         assert f"{name}: error: required" in str(caught.value)
+
+
+def test_listeners_bind_to_another_address_than_the_advertised_one(tmp_path: Path) -> None:
+    """Guards against a host behind address translation that advertises its private address."""
+    plain = load_control_settings(write(tmp_path, CONTROL))
+    assert find_bind_address(plain.listen.peers, plain) == Address("10.0.0.1", 7720)
+    translated = load_control_settings(write(tmp_path, CONTROL + "bind_host: 192.168.0.7\n"))
+    assert translated.listen.peers == Address("10.0.0.1", 7720)
+    assert find_bind_address(translated.listen.peers, translated) == Address("192.168.0.7", 7720)
+    with pytest.raises(SettingsError, match="expected an IP number"):
+        load_gateway_settings(write(tmp_path, GATEWAY + "bind_host: host-7\n"))
