Soak: processes, proxy, seeded plan and its disruptions

Hosts run from the deploy templates on loopback addresses of their own, each behind a proxy at the address that it advertises. A fault of one link finds the client of a connection by the owner of its socket.

--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,8 @@
 	$(BIN)/python -m cottonlug demo
 
 test: .venv/made
-	$(BIN)/black --check cottonlug bench
-	$(BIN)/ruff check cottonlug bench
+	$(BIN)/black --check cottonlug bench soak
+	$(BIN)/ruff check cottonlug bench soak
 	$(BIN)/mypy
 	$(MAKE) --jobs 3 --output-sync=target test-hosts test-voters test-rest
 
@@ -27,8 +27,8 @@
 	$(BIN)/python -m pytest --ignore $(HOST_TESTS) --ignore $(VOTER_TESTS)
 
 format: .venv/made
-	$(BIN)/ruff check --fix cottonlug bench
-	$(BIN)/black cottonlug bench
+	$(BIN)/ruff check --fix cottonlug bench soak
+	$(BIN)/black cottonlug bench soak
 
 .venv/made: requirements.lock requirements-dev.lock pyproject.toml
 	$(PYTHON) -m venv .venv
--- /dev/null
+++ b/cottonlug/tests/test_soak.py
@@ -0,0 +1,285 @@
+"""The fault soak: its plan, its proxy, and one short run of real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from soak.plan import LEADER, Disruption, DisruptionKind, Targets, build_plan
+from soak.proxy import FaultKind, Link, LinkFault, Proxy
+from soak.settings import ROOT, HostSettings, Ports, render_settings
+
+from ..config.cluster import load_control_settings, load_gateway_settings
+from ..config.options import Address
+
+TARGETS = Targets(
+    control_hosts=["c1", "c2", "c3"],
+    gateways=[f"e{number}" for number in range(1, 10)],
+    upstreams=[f"u{number}" for number in range(24)],
+)
+
+
+def build(seed: int, series: int = 2, seconds: float = 120.0) -> list[Disruption]:
+    return build_plan(
+        seed=seed, duration=timedelta(seconds=seconds), series=series, targets=TARGETS
+    )
+
+
+# Plan
+
+
+def test_same_seed_gives_the_same_plan() -> None:
+    """Guards against a failed seed that cannot be played again."""
+    assert build(43) == build(43)
+    assert build(43) != build(44)
+
+
+def test_plan_contains_every_kind_within_its_duration() -> None:
+    """Guards against a kind that is declared and never drawn."""
+    plan = build(1, series=3, seconds=600.0)
+    assert {disruption.kind for disruption in plan} == set(DisruptionKind)
+    assert all(disruption.start < timedelta(seconds=600) for disruption in plan)
+    names = {*TARGETS.control_hosts, *TARGETS.gateways, *TARGETS.upstreams, LEADER}
+    assert all(disruption.targets and names.issuperset(disruption.targets) for disruption in plan)
+
+
+def test_disruptions_overlap_only_between_series() -> None:
+    """Guards against series that wait for each other, and against overlaps within one."""
+    plan = build(5, series=2)
+    for number in (0, 1):
+        own = [disruption for disruption in plan if disruption.series == number]
+        pairs = itertools.pairwise(own)
+        assert all(earlier.start + earlier.length < later.start for earlier, later in pairs)
+    ends = [(each.start, each.start + each.length, each.series) for each in plan]
+    assert any(
+        first[0] < second[0] < first[1] and first[2] != second[2]
+        for first in ends
+        for second in ends
+    )
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_only_one_disk_of_three_is_wiped_at_a_time(seed: int) -> None:
+    """Guards against a plan that loses two disks together, which no promise covers."""
+    wipes = [each for each in build(seed, series=3) if each.kind is DisruptionKind.WIPE_DISK]
+    pairs = itertools.pairwise(wipes)
+    assert all(later.start - first.start >= timedelta(seconds=12) for first, later in pairs)
+
+
+# Settings
+
+
+def test_settings_of_the_templates_are_valid(tmp_path: Path) -> None:
+    """Guards against a template with a placeholder that the soak does not fill in."""
+    host = HostSettings(
+        name="c2",
+        domain="domain-2",
+        domains=["domain-1", "domain-2"],
+        advertised="127.30.1.2",
+        bound="127.30.11.2",
+        ports=Ports(),
+        seeds=["127.30.1.1", "127.30.1.2"],
+        data_folder=tmp_path / "data",
+        may_begin=True,
+    )
+    deploy = ROOT / "deploy"
+    file = tmp_path / "settings.yaml"
+    file.write_text(render_settings(deploy / "control.yaml.template", host))
+    control = load_control_settings(file)
+    assert control.seeds == [Address(seed, Ports().peers) for seed in host.seeds]
+    assert control.listen.peers == Address("127.30.1.2", Ports().peers)
+    assert control.listen.metrics == Address("127.30.11.2", Ports().metrics)
+    assert control.bind_host == "127.30.11.2"
+    assert control.domains == ["domain-1", "domain-2"]
+    assert control.may_begin
+    file.write_text(render_settings(deploy / "gateway.yaml.template", replace(host, name="e1")))
+    assert load_gateway_settings(file).size.memory == 300
+
+
+# Proxy
+
+SETTLE_SECONDS = 0.05
+
+
+class Ends:
+    """A proxied server that collects what arrives, and connections to it by client name."""
+
+    def __init__(self) -> None:
+        self.received = b""
+        self.owners: dict[int, str] = {}
+        self.accepted: list[asyncio.StreamWriter] = []
+        self.proxy = Proxy(find_owners=self._find_owners)
+        self.port = 0
+
+    def _find_owners(self, links: Iterable[Link]) -> dict[Link, str]:
+        return {link: self.owners[link.port] for link in links if link.port in self.owners}
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted.append(writer)
+        while data := await reader.read(1_000):
+            self.received += data
+            writer.write(data.upper())
+        writer.close()
+
+    async def connect(self, name: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.owners[writer.get_extra_info("sockname")[1]] = name
+        return reader, writer
+
+
+@asynccontextmanager
+async def open_ends() -> AsyncIterator[Ends]:
+    ends = Ends()
+    server = await asyncio.start_server(ends.serve, "127.0.0.1", 0)
+    target = server.sockets[0].getsockname()
+    await ends.proxy.listen("server", ("127.0.0.1", 0), target)
+    ends.port = ends.proxy.get_ports()[0]
+    try:
+        yield ends
+    finally:
+        await ends.proxy.close()
+        server.close()
+
+
+async def exchange(connection: tuple[asyncio.StreamReader, asyncio.StreamWriter]) -> bytes:
+    reader, writer = connection
+    writer.write(b"a")
+    return await asyncio.wait_for(reader.read(1), 10)
+
+
+async def is_quiet(connection: tuple[asyncio.StreamReader, asyncio.StreamWriter]) -> bool:
+    try:
+        await asyncio.wait_for(connection[0].read(1), SETTLE_SECONDS)
+    except TimeoutError:
+        return True
+    return False
+
+
+def fault_of(kind: FaultKind, source: str = "a", peer: str | None = "server") -> LinkFault:
+    return LinkFault(kind=kind, source=source, peer=peer, delay=0.2)
+
+
+def test_proxy_passes_bytes_and_the_end_of_a_connection_on() -> None:
+    """Guards against a connection that stays open when its other side is gone."""
+
+    async def run() -> None:
+        async with open_ends() as ends:
+            first = await ends.connect("a")
+            assert await exchange(first) == b"A"
+            first[1].write_eof()
+            assert await asyncio.wait_for(first[0].read(), 10) == b""
+
+    asyncio.run(run())
+
+
+def test_delay_holds_bytes_of_one_link_only() -> None:
+    """Guards against a fault of a pair that harms other hosts."""
+
+    async def run() -> None:
+        async with open_ends() as ends:
+            first, second = await ends.connect("a"), await ends.connect("b")
+            await exchange(first)
+            ends.proxy.add_fault(fault_of(FaultKind.DELAY))
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+            assert await exchange(second) == b"A"
+            assert await exchange(first) == b"A"
+            # Request and answer are both late.
+            assert loop.time() - began_at >= 0.4
+
+    asyncio.run(run())
+
+
+def test_reset_ends_open_and_new_connections() -> None:
+    """Guards against a reset that arrives as an orderly end."""
+
+    async def run() -> None:
+        async with open_ends() as ends:
+            first = await ends.connect("a")
+            await exchange(first)
+            fault = fault_of(FaultKind.RESET, source="server", peer=None)
+            ends.proxy.add_fault(fault)
+            with pytest.raises(ConnectionResetError):
+                await asyncio.wait_for(first[0].read(1), 10)
+            second = await ends.connect("b")
+            with pytest.raises(ConnectionResetError):
+                await asyncio.wait_for(second[0].read(1), 10)
+            ends.proxy.remove_fault(fault)
+            assert await exchange(await ends.connect("b")) == b"A"
+
+    asyncio.run(run())
+
+
+def test_one_way_cut_holds_answers_until_it_heals() -> None:
+    """Guards against held bytes that are lost, and against a cut that also holds requests."""
+
+    async def run() -> None:
+        async with open_ends() as ends:
+            first = await ends.connect("a")
+            await exchange(first)
+            fault = fault_of(FaultKind.CUT_ONE_WAY, source="server", peer="a")
+            ends.proxy.add_fault(fault)
+            first[1].write(b"b")
+            while ends.received != b"ab":
+                await asyncio.sleep(0.01)
+            assert await is_quiet(first)
+            ends.proxy.remove_fault(fault)
+            assert await asyncio.wait_for(first[0].read(1), 10) == b"B"
+
+    asyncio.run(run())
+
+
+def test_cut_holds_requests_of_a_new_connection_too() -> None:
+    """Guards against a cut that a host escapes by a new connection."""
+
+    async def run() -> None:
+        async with open_ends() as ends:
+            fault = fault_of(FaultKind.CUT, source="server", peer=None)
+            ends.proxy.add_fault(fault)
+            first = await ends.connect("a")
+            first[1].write(b"b")
+            assert await is_quiet(first)
+            assert ends.received == b""
+            ends.proxy.remove_fault(fault)
+            assert await asyncio.wait_for(first[0].read(1), 10) == b"B"
+
+    asyncio.run(run())
+
+
+def test_silence_lasts_for_open_connections_only() -> None:
+    """Guards against a silent connection that recovers, or that its host can notice."""
+
+    async def run() -> None:
+        async with open_ends() as ends:
+            first = await ends.connect("a")
+            await exchange(first)
+            fault = fault_of(FaultKind.SILENCE)
+            ends.proxy.add_fault(fault)
+            first[1].write(b"b")
+            assert await exchange(await ends.connect("a")) == b"A"
+            ends.proxy.remove_fault(fault)
+            assert await is_quiet(first)
+            assert ends.received == b"aa"
+
+    asyncio.run(run())
+
+
+def test_connection_to_a_host_that_is_down_is_reset() -> None:
+    """Guards against connections that hang where the host refuses them."""
+
+    async def run() -> None:
+        proxy = Proxy(find_owners=lambda links: {})
+        await proxy.listen("server", ("127.0.0.1", 0), ("127.0.0.1", 1))
+        reader, _ = await asyncio.open_connection("127.0.0.1", proxy.get_ports()[0])
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(1), 10)
+        await proxy.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,197 @@
+"""The disruptions of a run, drawn from a seed: the same arguments give the same plan.
+
+A seed sets the plan and not the timing of the processes, so a run may hold where another one with
+the same seed failed.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+LEADER = "leader"
+"""Target that stands for the control host that leads when the disruption begins."""
+
+PAUSES = (0.15, 0.35, 0.7, 1.1, 2.0)
+"""Seconds: below and above the leader's lease (0.28 s) and an upstream's lease (0.92 s)."""
+GAPS = (0.05, 0.4, 1.5, 3.0)
+"""Seconds between two disruptions of one series."""
+WIPE_INTERVAL = 12.0
+"""Seconds between two wiped disks: a replaced member must have caught up before the next loss, as
+a majority of the disks holds each entry."""
+LEADER_KILL_LEAD = 0.1
+"""Seconds by which a leader is killed before the cut of upstreams heals."""
+
+
+class DisruptionKind(Enum):
+    """What is done to a run."""
+
+    PAUSE = "pause"
+    KILL = "kill"
+    """All targets at the same moment, and all start again at the end."""
+    WIPE_DISK = "wipe_disk"
+    """All targets are killed, the first one loses its disk, and all start again."""
+    TERMINATE = "terminate"
+    """One target after the other stops gracefully and starts again."""
+    RELOAD = "reload"
+    CHANGE_CONFIGURATION = "change_configuration"
+    CUT_UPSTREAMS = "cut_upstreams"
+    CUT_UPSTREAMS_KILL_LEADER = "cut_upstreams_kill_leader"
+    """The leader is killed shortly before the cut heals."""
+    CRASH_UPSTREAMS = "crash_upstreams"
+    RESTART_UPSTREAMS = "restart_upstreams"
+    """They start again at once, under the id and the address that they had."""
+    SILENCE_UPSTREAMS = "silence_upstreams"
+    DELAY_ORDERS = "delay_orders"
+    """Upstreams carry out some orders seconds late, without an answer."""
+    DELAY_LINK = "delay_link"
+    RESET_LINK = "reset_link"
+    CUT_LINK_ONE_WAY = "cut_link_one_way"
+    CUT_HOST = "cut_host"
+    SILENCE_LINK = "silence_link"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Disruption:
+    """One disruption; a series begins the next one only when this one has ended."""
+
+    series: int
+    start: timedelta
+    """Since the beginning of the run."""
+    length: timedelta
+    kind: DisruptionKind
+    targets: tuple[str, ...]
+    """Names of hosts or upstreams, or `LEADER`. The two ends of a link, from sender to receiver."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Targets:
+    """The hosts and upstreams that a plan may disrupt."""
+
+    control_hosts: Sequence[str]
+    gateways: Sequence[str]
+    upstreams: Sequence[str]
+
+
+def build_plan(
+    *, seed: int, duration: timedelta, series: int, targets: Targets
+) -> list[Disruption]:
+    """Return disruptions in the order of their start; those of different series overlap."""
+    chance = random.Random(seed)
+    seconds = duration.total_seconds()
+    free_at = [chance.choice(GAPS) for _ in range(series)]
+    next_wipe_at = 0.0
+    plan: list[Disruption] = []
+    while min(free_at) < seconds:
+        number = free_at.index(min(free_at))
+        start = free_at[number]
+        kind = chance.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        if kind is DisruptionKind.WIPE_DISK:
+            if start < next_wipe_at:
+                continue
+            next_wipe_at = start + WIPE_INTERVAL
+        length = _choose_length(chance, kind)
+        plan.append(
+            Disruption(
+                series=number,
+                start=timedelta(seconds=round(start, 3)),
+                length=timedelta(seconds=round(length, 3)),
+                kind=kind,
+                targets=_choose_targets(chance, kind, targets),
+            )
+        )
+        free_at[number] = start + length + chance.choice(GAPS)
+    return plan
+
+
+WEIGHTS = {
+    DisruptionKind.PAUSE: 5,
+    DisruptionKind.KILL: 5,
+    DisruptionKind.WIPE_DISK: 2,
+    DisruptionKind.TERMINATE: 2,
+    DisruptionKind.RELOAD: 1,
+    DisruptionKind.CHANGE_CONFIGURATION: 2,
+    DisruptionKind.CUT_UPSTREAMS: 2,
+    DisruptionKind.CUT_UPSTREAMS_KILL_LEADER: 2,
+    DisruptionKind.CRASH_UPSTREAMS: 1,
+    DisruptionKind.RESTART_UPSTREAMS: 2,
+    DisruptionKind.SILENCE_UPSTREAMS: 1,
+    DisruptionKind.DELAY_ORDERS: 1,
+    DisruptionKind.DELAY_LINK: 1,
+    DisruptionKind.RESET_LINK: 1,
+    DisruptionKind.CUT_LINK_ONE_WAY: 2,
+    DisruptionKind.CUT_HOST: 2,
+    DisruptionKind.SILENCE_LINK: 1,
+}
+"""How often each kind is drawn: changes of leader have found most faults so far."""
+
+_MOMENTS = (
+    DisruptionKind.RELOAD,
+    DisruptionKind.CHANGE_CONFIGURATION,
+    DisruptionKind.TERMINATE,
+)
+_LONGER = (
+    DisruptionKind.CUT_UPSTREAMS,
+    DisruptionKind.CUT_UPSTREAMS_KILL_LEADER,
+    DisruptionKind.SILENCE_UPSTREAMS,
+    DisruptionKind.DELAY_ORDERS,
+    DisruptionKind.CUT_HOST,
+)
+
+
+def _choose_length(chance: random.Random, kind: DisruptionKind) -> float:
+    if kind in _MOMENTS:
+        return 0.0
+    # Upstreams must be away for longer than a lease, or the cut changes nothing.
+    return chance.choice(PAUSES) + (1.0 if kind in _LONGER else 0.0)
+
+
+def _choose_targets(
+    chance: random.Random, kind: DisruptionKind, targets: Targets
+) -> tuple[str, ...]:
+    control_hosts, gateways, upstreams = (
+        list(targets.control_hosts),
+        list(targets.gateways),
+        list(targets.upstreams),
+    )
+    hosts = control_hosts + gateways
+
+    def draw(pool: list[str], *counts: int) -> tuple[str, ...]:
+        return tuple(chance.sample(pool, min(chance.choice(counts), len(pool))))
+
+    match kind:
+        case DisruptionKind.PAUSE | DisruptionKind.KILL:
+            groups = [
+                (LEADER,),
+                draw(gateways, 1),
+                tuple(control_hosts),
+                (LEADER, *draw(gateways, 1)),
+            ]
+            return chance.choices(groups, (4, 2, 2, 1))[0]
+        case DisruptionKind.WIPE_DISK:
+            wiped = chance.choice(control_hosts)
+            others = [name for name in control_hosts if name != wiped]
+            return (wiped, *others) if chance.random() < 0.5 else (wiped,)
+        case DisruptionKind.TERMINATE:
+            return chance.choice([draw(control_hosts, 1), draw(gateways, 1, 2, 3)])
+        case DisruptionKind.RELOAD:
+            return draw(hosts, 1, len(hosts))
+        case DisruptionKind.CHANGE_CONFIGURATION:
+            return draw(control_hosts, 1, 2)
+        case DisruptionKind.CUT_UPSTREAMS | DisruptionKind.CUT_UPSTREAMS_KILL_LEADER:
+            return draw(upstreams, 2, 4, 8)
+        case DisruptionKind.CRASH_UPSTREAMS | DisruptionKind.RESTART_UPSTREAMS:
+            return draw(upstreams, 1, 2)
+        case DisruptionKind.SILENCE_UPSTREAMS:
+            return draw(upstreams, 3)
+        case DisruptionKind.DELAY_ORDERS:
+            return tuple(upstreams)
+        case DisruptionKind.CUT_HOST:
+            return chance.choice([(LEADER,), draw(hosts, 1)])
+        case _:
+            pair = chance.sample(hosts, 2)
+            toward_leader = [(LEADER, pair[0]), (pair[0], LEADER)]
+            return chance.choice([(pair[0], pair[1]), *toward_leader])
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,246 @@
+"""A TCP proxy on loopback between the processes of a run, whose links fail on demand.
+
+One listener stands in front of each listener of a host. Bytes that a fault holds back stay in
+order: in the proxy up to a limit, then in the buffers of both sockets, and then the sender waits,
+as on a network that loses every packet. Data and the end of a connection are delayed alike.
+
+Limits: the kernel accepts a connection before the proxy knows whether the host behind it can be
+reached. A connection to a host that is not listening is therefore reset instead of refused, and
+behind a cut it opens but stays silent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+_CHUNK_BYTES = 64 * 1024
+_MAX_HELD_CHUNKS = 32
+"""Chunks that one direction of a connection holds before its sender has to wait."""
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Link(NamedTuple):
+    """An open connection, as its client sees it."""
+
+    port: int
+    """Local port, which connections to different addresses may share."""
+    remote: tuple[str, int]
+
+
+FindOwners = Callable[[Iterable[Link]], dict[Link, str]]
+"""Returns which host has opened each connection, for those that are known."""
+
+
+class FaultKind(Enum):
+    """How a link fails."""
+
+    DELAY = "delay"
+    """All bytes, in both directions, arrive later."""
+    RESET = "reset"
+    """Open connections are reset at the beginning, and new ones at once."""
+    CUT_ONE_WAY = "cut_one_way"
+    """Bytes from the first end to the second are held until the fault ends."""
+    CUT = "cut"
+    """Bytes in both directions are held until the fault ends."""
+    SILENCE = "silence"
+    """Connections that are open at the beginning carry no more bytes, ever; new ones work."""
+
+
+@dataclass(frozen=True, slots=True, eq=False, kw_only=True)
+class LinkFault:
+    """A fault of the links between two hosts, or between one host and all others."""
+
+    kind: FaultKind
+    source: str
+    peer: str | None = None
+    """The other end; None stands for all."""
+    delay: float = 0.0
+    """Seconds, for `DELAY`."""
+
+    def harms(self, sender: str, receiver: str) -> bool:
+        """Return whether the fault holds for bytes from one host to another."""
+        if self._is_forward(sender, receiver):
+            return True
+        return self.kind is not FaultKind.CUT_ONE_WAY and self._is_forward(receiver, sender)
+
+    def _is_forward(self, sender: str, receiver: str) -> bool:
+        return sender == self.source and self.peer in (None, receiver)
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class _Connection:
+    """Both sockets of a proxied connection."""
+
+    link: Link
+    server: str
+    client: str | None = None
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+    is_silent: bool = False
+
+    def reset(self) -> None:
+        for writer in self.writers:
+            _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    if not writer.is_closing():
+        with contextlib.suppress(OSError):
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
+class Proxy:
+    """Forwards connections to the hosts of a run and applies faults to them."""
+
+    def __init__(self, *, find_owners: FindOwners) -> None:
+        self._find_owners = find_owners
+        self._servers: list[asyncio.Server] = []
+        self._connections: set[_Connection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._faults: list[LinkFault] = []
+        self._changed = asyncio.Event()
+
+    async def listen(self, server: str, address: tuple[str, int], target: tuple[str, int]) -> None:
+        """Accept connections for a host at `address` and pass them on to `target`."""
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            task = asyncio.current_task()
+            assert task is not None
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            link = Link(writer.get_extra_info("peername")[1], address)
+            connection = _Connection(link=link, server=server, writers=[writer])
+            await self._serve(connection, target, reader)
+
+        self._servers.append(await asyncio.start_server(accept, *address, backlog=1_024))
+
+    def get_ports(self) -> list[int]:
+        """Return the ports that the proxy listens on."""
+        return [each.getsockname()[1] for server in self._servers for each in server.sockets]
+
+    async def close(self) -> None:
+        """Stop listening and reset all connections."""
+        for server in self._servers:
+            server.close()
+        for connection in list(self._connections):
+            connection.reset()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def add_fault(self, fault: LinkFault) -> None:
+        """Begin a fault."""
+        self._identify(self._connections)
+        for connection in list(self._connections):
+            if fault.kind is FaultKind.SILENCE and _is_harmed(connection, fault):
+                connection.is_silent = True
+            if fault.kind is FaultKind.RESET and _is_harmed(connection, fault):
+                connection.reset()
+        self._faults.append(fault)
+
+    def remove_fault(self, fault: LinkFault) -> None:
+        """End a fault; what it held back is delivered."""
+        self._faults.remove(fault)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _identify(self, connections: Iterable[_Connection]) -> None:
+        unknown = {each.link: each for each in connections if each.client is None}
+        if unknown:
+            for link, owner in self._find_owners(unknown).items():
+                unknown[link].client = owner
+
+    async def _serve(
+        self, connection: _Connection, target: tuple[str, int], reader: asyncio.StreamReader
+    ) -> None:
+        [writer] = connection.writers
+        self._connections.add(connection)
+        try:
+            if self._faults:
+                self._identify([connection])
+            is_reset = any(
+                fault.kind is FaultKind.RESET and _is_harmed(connection, fault)
+                for fault in self._faults
+            )
+            if is_reset:
+                return
+            far_reader, far_writer = await asyncio.open_connection(*target)
+            connection.writers.append(far_writer)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(connection, reader, far_writer, is_request=True))
+                group.create_task(self._pump(connection, far_reader, writer, is_request=False))
+            for each in connection.writers:
+                each.close()
+            connection.writers.clear()
+        except* OSError:
+            pass
+        finally:
+            connection.reset()
+            self._connections.discard(connection)
+
+    async def _pump(
+        self,
+        connection: _Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_request: bool,
+    ) -> None:
+        """Copy one direction of a connection until its end."""
+        held: asyncio.Queue[tuple[float, bytes | None]] = asyncio.Queue(_MAX_HELD_CHUNKS)
+
+        async def read() -> None:
+            data: bytes | None = b"-"
+            while data:
+                try:
+                    data = await reader.read(_CHUNK_BYTES)
+                except OSError:
+                    data = None
+                await held.put((time.monotonic(), data))
+
+        reading = asyncio.create_task(read())
+        try:
+            while True:
+                read_at, data = await held.get()
+                await self._wait_until_due(connection, read_at, is_request=is_request)
+                if data is None:
+                    raise ConnectionResetError
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+            writer.write_eof()
+        finally:
+            reading.cancel()
+
+    async def _wait_until_due(
+        self, connection: _Connection, read_at: float, *, is_request: bool
+    ) -> None:
+        while True:
+            if connection.is_silent:
+                await asyncio.Event().wait()
+            client, server = connection.client or "", connection.server
+            ends = (client, server) if is_request else (server, client)
+            faults = [fault for fault in self._faults if fault.harms(*ends)]
+            if any(fault.kind in (FaultKind.CUT, FaultKind.CUT_ONE_WAY) for fault in faults):
+                await self._changed.wait()
+                continue
+            delays = [fault.delay for fault in faults if fault.kind is FaultKind.DELAY]
+            pause = read_at + sum(delays) - time.monotonic()
+            if not delays or pause <= 0.0:
+                return
+            await asyncio.sleep(pause)
+
+
+def _is_harmed(connection: _Connection, fault: LinkFault) -> bool:
+    client = connection.client or ""
+    return fault.harms(client, connection.server) or fault.harms(connection.server, client)
