Soak: the whole run, and owners of connections by socket diagnostics

Reading /proc/net/tcp took up to 137 ms a lookup on a machine with 16,000 connections and stalled the run; a lookup of one socket does not grow with the table.

--- a/cottonlug/tests/test_soak.py
+++ b/cottonlug/tests/test_soak.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import itertools
+import os
+import socket
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -13,8 +15,9 @@
 import pytest
 
 from soak.plan import LEADER, Disruption, DisruptionKind, Targets, build_plan
-from soak.proxy import FaultKind, Link, LinkFault, Proxy
+from soak.proxy import FaultKind, LinkFault, Proxy
 from soak.settings import ROOT, HostSettings, Ports, render_settings
+from soak.sockets import Link, find_owners
 
 from ..config.cluster import load_control_settings, load_gateway_settings
 from ..config.options import Address
@@ -271,6 +274,17 @@
     asyncio.run(run())
 
 
+def test_owner_of_a_connection_is_found_by_both_ends() -> None:
+    """Guards against faults of a pair of hosts that meet no connection, or the wrong one."""
+    with socket.create_server(("127.0.0.2", 0)) as server:
+        with socket.create_connection(server.getsockname()) as client:
+            port = client.getsockname()[1]
+            link, other = Link(port, server.getsockname()), Link(port, ("127.0.0.3", 9))
+            owners = find_owners([link, other], {"this": os.getpid()})
+            assert owners == {link: "this"}
+        assert find_owners([link], {"this": os.getpid()}) == {}
+
+
 def test_connection_to_a_host_that_is_down_is_reset() -> None:
     """Guards against connections that hang where the host refuses them."""
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,13 +18,14 @@
 
 import httpx
 
-from .proxy import Link, Proxy
+from .proxy import Proxy
 from .record import Phase, Record
 from .settings import ROOT, HostSettings, Ports, render_settings
+from .sockets import Link, find_owners
 
 SERVICE = "service-1"
 QUEUE_HOST = "jobs.example"
-QUEUE_PREFIX = "/queue-1/"
+QUEUE_PREFIX = "/jobs/"
 GRACE_SECONDS = 6.0
 """How long a process may take to stop before it is killed, as on the users' platform."""
 _START_LIMIT_SECONDS = 30.0
@@ -148,20 +149,13 @@
             await self.proxy.listen(host.name, (host.advertised, port), (host.bound, port))
 
     def find_owners(self, links: Iterable[Link]) -> dict[Link, str]:
-        """Return which host's process has opened each connection, for those that are known."""
-        wanted = set(links)
-        by_inode = {}
-        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            columns = line.split()
-            link = Link(_read_port(columns[1]), (_read_host(columns[2]), _read_port(columns[2])))
-            if link in wanted:
-                by_inode[f"socket:[{columns[9]}]"] = link
-        owners = {}
-        for host in self.hosts.values():
-            for name in self._list_open_files(host):
-                if name in by_inode:
-                    owners[by_inode[name]] = host.name
-        return owners
+        """Return which host has opened each connection, for those that are known."""
+        pids = {
+            host.name: host.process.pid
+            for host in self.hosts.values()
+            if host.process is not None and host.is_running
+        }
+        return find_owners(links, pids)
 
     def identify(self, link: Link) -> str:
         """Return the host that has opened a connection, or an empty string.
@@ -172,18 +166,6 @@
             self._owners |= {link: "", **self.find_owners([link])}
         return self._owners[link]
 
-    def _list_open_files(self, host: Host) -> list[str]:
-        if host.process is None or not host.is_running:
-            return []
-        found = []
-        folder = f"/proc/{host.process.pid}/fd"
-        for descriptor in os.listdir(folder):
-            try:
-                found.append(os.readlink(f"{folder}/{descriptor}"))
-            except FileNotFoundError:
-                continue
-        return found
-
     # Processes
 
     def start_process(self, name: str) -> None:
@@ -406,13 +388,3 @@
             continue
         return net, claim
     raise FleetError("no loopback network has the ports free")
-
-
-def _read_port(address: str) -> int:
-    """Return the port of an address as the kernel's table has it."""
-    return int(address.rpartition(":")[2], 16)
-
-
-def _read_host(address: str) -> str:
-    """Return the IP number of an address as the kernel's table has it, lowest byte first."""
-    return socket.inet_ntoa(int(address.partition(":")[0], 16).to_bytes(4, sys.byteorder))
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -19,22 +19,14 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NamedTuple
+
+from .sockets import Link
 
 _CHUNK_BYTES = 64 * 1024
 _MAX_HELD_CHUNKS = 32
 """Chunks that one direction of a connection holds before its sender has to wait."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
-
-class Link(NamedTuple):
-    """An open connection, as its client sees it."""
-
-    port: int
-    """Local port, which connections to different addresses may share."""
-    remote: tuple[str, int]
-
-
 FindOwners = Callable[[Iterable[Link]], dict[Link, str]]
 """Returns which host has opened each connection, for those that are known."""
 
@@ -119,7 +111,8 @@
             task.add_done_callback(self._tasks.discard)
             link = Link(writer.get_extra_info("peername")[1], address)
             connection = _Connection(link=link, server=server, writers=[writer])
-            await self._serve(connection, target, reader)
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._serve(connection, target, reader)
 
         self._servers.append(await asyncio.start_server(accept, *address, backlog=1_024))
 
@@ -181,7 +174,8 @@
             for each in connection.writers:
                 each.close()
             connection.writers.clear()
-        except* OSError:
+        except* (OSError, RuntimeError):
+            # uvloop reports a write to a closed connection as RuntimeError.
             pass
         finally:
             connection.reset()
@@ -218,7 +212,8 @@
                     break
                 writer.write(data)
                 await writer.drain()
-            writer.write_eof()
+            if not writer.is_closing():
+                writer.write_eof()
         finally:
             reading.cancel()
 
