--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -21,7 +21,7 @@
 from .proxy import Proxy
 from .record import Phase, Record
 from .settings import ROOT, HostSettings, Ports, render_settings
-from .sockets import Link, find_owners
+from .wire import ProcessFinder
 
 SERVICE = "service-1"
 QUEUE_HOST = "jobs.example"
@@ -86,12 +86,12 @@
             for kind, count in (("c", size.control_hosts), ("e", size.gateways))
             for number, name in ((at, f"{kind}{at + 1}") for at in range(count))
         }
-        self.proxy = Proxy(find_owners=self.find_owners)
+        self.identify = ProcessFinder(pids=self._list_pids).find
+        self.proxy = Proxy(identify=self.identify)
         self._output = output
         self._record = record
         self.control_disturbed_at = 0.0
         """When a control host was last stopped, paused, started or cut off, by the loop's clock."""
-        self._owners: dict[Link, str] = {}
         self._temporary = tempfile.TemporaryDirectory(prefix="cottonlug-soak-")
         self._client = httpx.AsyncClient(trust_env=False, timeout=_REQUEST_SECONDS)
 
@@ -148,23 +148,12 @@
         for port in (ports.peers, ports.urgent, kind):
             await self.proxy.listen(host.name, (host.advertised, port), (host.bound, port))
 
-    def find_owners(self, links: Iterable[Link]) -> dict[Link, str]:
-        """Return which host has opened each connection, for those that are known."""
-        pids = {
+    def _list_pids(self) -> dict[str, int]:
+        return {
             host.name: host.process.pid
             for host in self.hosts.values()
             if host.process is not None and host.is_running
         }
-        return find_owners(links, pids)
-
-    def identify(self, link: Link) -> str:
-        """Return the host that has opened a connection, or an empty string.
-
-        What is known of a connection is kept until a process starts or ends.
-        """
-        if link not in self._owners:
-            self._owners |= {link: "", **self.find_owners([link])}
-        return self._owners[link]
 
     # Processes
 
@@ -190,7 +179,6 @@
                 stderr=log,
             )
         host.is_paused = False
-        self._owners.clear()
         self.note_disturbance([name])
         self._record.add_disruption(name, "start")
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -16,20 +16,16 @@
 import socket
 import struct
 import time
-from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .sockets import Link
+from .wire import Identify, Peer
 
 _CHUNK_BYTES = 64 * 1024
 _MAX_HELD_CHUNKS = 32
 """Chunks that one direction of a connection holds before its sender has to wait."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
-FindOwners = Callable[[Iterable[Link]], dict[Link, str]]
-"""Returns which host has opened each connection, for those that are known."""
-
 
 class FaultKind(Enum):
     """How a link fails."""
@@ -71,9 +67,8 @@
 class _Connection:
     """Both sockets of a proxied connection."""
 
-    link: Link
+    client: str
     server: str
-    client: str | None = None
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     is_silent: bool = False
 
@@ -93,15 +88,16 @@
 class Proxy:
     """Forwards connections to the hosts of a run and applies faults to them."""
 
-    def __init__(self, *, find_owners: FindOwners) -> None:
-        self._find_owners = find_owners
+    def __init__(self, *, identify: Identify) -> None:
+        """`identify` names the client of a connection; it is called once for each."""
+        self._identify = identify
         self._servers: list[asyncio.Server] = []
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._faults: list[LinkFault] = []
         self._changed = asyncio.Event()
 
-    async def listen(self, server: str, address: tuple[str, int], target: tuple[str, int]) -> None:
+    async def listen(self, server: str, address: Peer, target: Peer) -> None:
         """Accept connections for a host at `address` and pass them on to `target`."""
 
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -109,8 +105,9 @@
             assert task is not None
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            link = Link(writer.get_extra_info("peername")[1], address)
-            connection = _Connection(link=link, server=server, writers=[writer])
+            peer, local = (writer.get_extra_info(name)[:2] for name in ("peername", "sockname"))
+            client = self._identify(peer, local)
+            connection = _Connection(client=client, server=server, writers=[writer])
             with contextlib.suppress(asyncio.CancelledError):
                 await self._serve(connection, target, reader)
 
@@ -132,7 +129,6 @@
 
     def add_fault(self, fault: LinkFault) -> None:
         """Begin a fault."""
-        self._identify(self._connections)
         for connection in list(self._connections):
             if fault.kind is FaultKind.SILENCE and _is_harmed(connection, fault):
                 connection.is_silent = True
@@ -146,20 +142,12 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _identify(self, connections: Iterable[_Connection]) -> None:
-        unknown = {each.link: each for each in connections if each.client is None}
-        if unknown:
-            for link, owner in self._find_owners(unknown).items():
-                unknown[link].client = owner
-
     async def _serve(
-        self, connection: _Connection, target: tuple[str, int], reader: asyncio.StreamReader
+        self, connection: _Connection, target: Peer, reader: asyncio.StreamReader
     ) -> None:
         [writer] = connection.writers
         self._connections.add(connection)
         try:
-            if self._faults:
-                self._identify([connection])
             is_reset = any(
                 fault.kind is FaultKind.RESET and _is_harmed(connection, fault)
                 for fault in self._faults
@@ -223,8 +211,8 @@
         while True:
             if connection.is_silent:
                 await asyncio.Event().wait()
-            client, server = connection.client or "", connection.server
-            ends = (client, server) if is_request else (server, client)
+            ends = (connection.client, connection.server)
+            ends = ends if is_request else ends[::-1]
             faults = [fault for fault in self._faults if fault.harms(*ends)]
             if any(fault.kind in (FaultKind.CUT, FaultKind.CUT_ONE_WAY) for fault in faults):
                 await self._changed.wait()
@@ -237,5 +225,5 @@
 
 
 def _is_harmed(connection: _Connection, fault: LinkFault) -> bool:
-    client = connection.client or ""
-    return fault.harms(client, connection.server) or fault.harms(connection.server, client)
+    ends = (connection.client, connection.server)
+    return fault.harms(*ends) or fault.harms(*ends[::-1])
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,7 +17,6 @@
 from .fleet import SERVICE, Fleet, FleetError, FleetSize
 from .plan import Disruption, Targets, build_plan
 from .record import EventKind, Record
-from .sockets import Link
 from .upstreams import StandInUpstream
 
 _RACK_SIZE = 8
@@ -130,7 +129,7 @@
             control_addresses=fleet.control_addresses,
             random=random.Random(f"upstream {settings.seed} {number}"),
             work=callers.find_work,
-            identify=lambda peer, local: fleet.identify(Link(peer[1], local)),
+            identify=fleet.identify,
             reports_start_time=True,
         )
 
