--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -92,6 +92,7 @@
         self._record = record
         self.control_disturbed_at = 0.0
         """When a control host was last stopped, paused, started or cut off, by the loop's clock."""
+        self._failures: list[str] = []
         self._temporary = tempfile.TemporaryDirectory(prefix="cottonlug-soak-")
         self._client = httpx.AsyncClient(trust_env=False, timeout=_REQUEST_SECONDS)
 
@@ -160,6 +161,7 @@
     def start_process(self, name: str) -> None:
         """Start the process of a host, with its data folder as it is."""
         host = self.hosts[name]
+        self._note_failure(host)
         role = "control" if name in self.control_hosts else "gateway"
         file = self.write_settings(name)
         host.was_started = True
@@ -262,12 +264,16 @@
         self._record.add_disruption(name, "wipe_disk")
 
     def find_failures(self) -> list[str]:
-        """Return a line for each host whose process has ended by itself."""
-        return [
-            f"{host.name}: its process has ended by itself, exit status {host.process.returncode}"
-            for host in self.hosts.values()
-            if host.process is not None and not host.is_running
-        ]
+        """Return a line for each process that has ended by itself."""
+        for host in self.hosts.values():
+            self._note_failure(host)
+        return self._failures
+
+    def _note_failure(self, host: Host) -> None:
+        if host.process is not None and not host.is_running:
+            status = host.process.returncode
+            self._failures.append(f"{host.name}: its process has ended by itself, status {status}")
+            host.process = None
 
     def note_disturbance(self, names: Iterable[str]) -> None:
         """Note that hosts were disturbed now."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -64,7 +64,10 @@
     length: timedelta
     kind: DisruptionKind
     targets: tuple[str, ...]
-    """Names of hosts or upstreams, or `LEADER`. The two ends of a link, from sender to receiver."""
+    """Names of hosts or upstreams, or `LEADER`.
+
+    For links the two ends, from sender to receiver, or one host, for its links to all others.
+    """
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -176,7 +179,7 @@
             others = [name for name in control_hosts if name != wiped]
             return (wiped, *others) if chance.random() < 0.5 else (wiped,)
         case DisruptionKind.TERMINATE:
-            return chance.choice([draw(control_hosts, 1), draw(gateways, 1, 2, 3)])
+            return chance.choice([draw(control_hosts, 1, 3), draw(gateways, 1, 2, 3)])
         case DisruptionKind.RELOAD:
             return draw(hosts, 1, len(hosts))
         case DisruptionKind.CHANGE_CONFIGURATION:
@@ -192,6 +195,5 @@
         case DisruptionKind.CUT_HOST:
             return chance.choice([(LEADER,), draw(hosts, 1)])
         case _:
-            pair = chance.sample(hosts, 2)
-            toward_leader = [(LEADER, pair[0]), (pair[0], LEADER)]
-            return chance.choice([(pair[0], pair[1]), *toward_leader])
+            one, other = chance.sample(hosts, 2)
+            return chance.choice([(one, other), (LEADER, one), (one, LEADER), (LEADER,), (one,)])
