--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import os
+import re
 import shutil
 import signal
 import socket
@@ -29,11 +30,13 @@
 GRACE_SECONDS = 6.0
 """How long a process may take to stop before it is killed, as on the users' platform."""
 _START_LIMIT_SECONDS = 30.0
+_NO_SIGHUP_SECONDS = 3.0
+"""A process that has not installed its handlers yet would be ended by SIGHUP."""
 _REQUEST_SECONDS = 1.0
 _FIRST_NET, _NETS = 20, 200
 _ADVERTISED, _BOUND = {"c": 1, "e": 2}, {"c": 11, "e": 12}
 """Third number of the addresses of control hosts (c) and gateways (e)."""
-_UPSTREAMS, _CALLERS_SIDE = 3, 13
+_UPSTREAMS = 3
 
 
 class FleetError(Exception):
@@ -61,7 +64,8 @@
     process: subprocess.Popen[bytes] | None = None
     """None before the first start and after the process was killed or told to stop."""
     is_paused: bool = False
-    was_started: bool = False
+    started_at: float | None = None
+    """When its process was started last, by the loop's clock."""
 
     @property
     def is_running(self) -> bool:
@@ -164,7 +168,7 @@
         self._note_failure(host)
         role = "control" if name in self.control_hosts else "gateway"
         file = self.write_settings(name)
-        host.was_started = True
+        host.started_at = asyncio.get_running_loop().time()
         self._get_data_folder(name).mkdir(exist_ok=True)
         environment = {
             key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
@@ -180,7 +184,6 @@
                 stdout=log,
                 stderr=log,
             )
-        host.is_paused = False
         self.note_disturbance([name])
         self._record.add_disruption(name, "start")
 
@@ -197,7 +200,7 @@
             ports=self.ports,
             seeds=[self.hosts[each].advertised for each in self.control_hosts[:3]],
             data_folder=self._get_data_folder(name),
-            may_begin=not host.was_started,
+            may_begin=host.started_at is None,
         )
         file = Path(self._temporary.name) / f"{name}.yaml"
         file.write_text(render_settings(ROOT / "deploy" / f"{role}.yaml.template", settings))
@@ -212,6 +215,7 @@
             assert host.process is not None
             host.process.wait()
             host.process = None
+            self._end_pause(host)
             self._record.add_disruption(host.name, "kill")
 
     def pause(self, name: str) -> None:
@@ -227,13 +231,18 @@
         host = self.hosts[name]
         if host.is_running and host.is_paused:
             self._signal(host, signal.SIGCONT)
-            self._record.add_disruption(name, "pause", Phase.END)
+        self._end_pause(host)
+
+    def _end_pause(self, host: Host) -> None:
+        if host.is_paused:
+            self._record.add_disruption(host.name, "pause", Phase.END)
         host.is_paused = False
 
     def reload(self, name: str) -> None:
-        """Write the settings of a host again and tell its process."""
+        """Write the settings of a host again and tell its process, unless that just starts."""
         host = self.hosts[name]
-        if host.is_running:
+        age = asyncio.get_running_loop().time() - (host.started_at or 0.0)
+        if host.is_running and age > _NO_SIGHUP_SECONDS:
             self.write_settings(name)
             self._signal(host, signal.SIGHUP)
             self._record.add_disruption(name, "reload")
@@ -255,6 +264,7 @@
             process.wait()
         if host.process is process:
             host.process = None
+        self._end_pause(host)
         self._record.add_disruption(name, "terminate", Phase.END)
 
     def wipe_disk(self, name: str) -> None:
@@ -293,21 +303,15 @@
     async def find_leader(self) -> str | None:
         """Return the control host that leads by its own metrics, or None."""
         running = [name for name in self.control_hosts if self.hosts[name].is_running]
-        leads = await asyncio.gather(*(self._is_leader(name) for name in running))
-        return next(
-            (name for name, is_leader in zip(running, leads, strict=True) if is_leader), None
-        )
+        leads = await asyncio.gather(*(self._is_leader(self.hosts[name]) for name in running))
+        return next(itertools.compress(running, leads), None)
 
-    async def _is_leader(self, name: str) -> bool:
-        host = self.hosts[name]
+    async def _is_leader(self, host: Host) -> bool:
         if host.is_paused:
             return False
         reply = await self._get(f"http://{host.bound}:{self.ports.metrics}/metrics")
-        lines = reply.text.splitlines() if reply is not None else []
-        return any(
-            line.startswith("cottonlug_is_leader") and float(line.split()[-1]) == 1.0
-            for line in lines
-        )
+        metrics = reply.text if reply is not None else ""
+        return re.search(r"^cottonlug_is_leader\S* 1(\.0)?$", metrics, re.MULTILINE) is not None
 
     async def wait_ready(self, name: str) -> None:
         """Wait until a gateway reports that it is ready for callers."""
@@ -344,27 +348,15 @@
             "name": f"queue-{number}",
             "host": QUEUE_HOST,
             "path_prefix": QUEUE_PREFIX if number == 1 else f"/queue-{number}/",
-            "route_type": "unsafe",
-            "timeout_ms": 1_500,
-            "target_latency_ms": 60,
-            "priority": 0,
             "service": SERVICE,
+            "timeout_ms": 1_500,
             "max_attempts": 3,
             "stretch": 1.6,
         }
         for number in range(1, queues + 1)
     ]
-    service = {
-        "name": SERVICE,
-        "health_path": "/health",
-        "max_conns": 64,
-        "protocol": "h1",
-        "tls": False,
-        "rejects_overload": True,
-        "standby": False,
-    }
-    limits = {"max_header_bytes": 16_384, "max_body_bytes": 262_144}
-    return {"version": version, "routes": routes, "services": [service], "limits": limits}
+    services = [{"name": SERVICE, "rejects_overload": True}]
+    return {"version": version, "routes": routes, "services": services}
 
 
 def _claim_net(ports: Ports) -> tuple[str, socket.socket]:
