--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -214,11 +214,13 @@
         else:
             scene.upstreams[name].late_share = LATE_SHARE if begins else 0.0
 
-    for name in names:
+    chosen = _claim(names, scene)
+    for name in chosen:
         apply(name, begins=True)
     await asyncio.sleep(seconds)
-    for name in names:
+    for name in chosen:
         apply(name, begins=False)
+    scene.busy.difference_update(chosen)
 
 
 def _claim(names: Sequence[str], scene: Scene) -> list[str]:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -191,7 +191,7 @@
         case DisruptionKind.SILENCE_UPSTREAMS:
             return draw(upstreams, 3)
         case DisruptionKind.DELAY_ORDERS:
-            return tuple(upstreams)
+            return draw(upstreams, 8, 16)
         case DisruptionKind.CUT_HOST:
             return chance.choice([(LEADER,), draw(hosts, 1)])
         case _:
