--- a/cottonlug/tests/test_soak.py
+++ b/cottonlug/tests/test_soak.py
@@ -4,7 +4,11 @@
 
 import asyncio
 import itertools
+import json
+import signal
 import socket
+import subprocess
+import sys
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -23,6 +27,7 @@
 
 from ..config.cluster import load_control_settings, load_gateway_settings
 from ..config.options import Address
+from .processes import WAIT_LIMIT_SECONDS, wait_until
 
 TARGETS = Targets(
     control_hosts=["c1", "c2", "c3"],
@@ -316,3 +321,21 @@
     file = tmp_path / "file"
     file.write_text("")
     assert main(["--seed", "7", "--output", str(file / "below")]) is ExitStatus.COULD_NOT_RUN
+
+
+def test_run_that_is_told_to_stop_ends_all_its_processes(tmp_path: Path) -> None:
+    """Guards against hosts that stay behind and take the machine's time and ports."""
+    sizes = ["--gateways", "1", "--upstreams", "1"]
+    arguments = ["-m", "soak", "--seed", "7", *sizes, "--output", str(tmp_path)]
+    soak = subprocess.Popen([sys.executable, *arguments], cwd=ROOT, stderr=subprocess.DEVNULL)
+    try:
+        # The plan is written when all hosts are ready.
+        wait_until((tmp_path / "plan.txt").exists)
+        soak.send_signal(signal.SIGTERM)
+        assert soak.wait(WAIT_LIMIT_SECONDS) == ExitStatus.COULD_NOT_RUN
+    finally:
+        soak.kill()
+    lines = [line for log in tmp_path.glob("logs/*.log") for line in log.read_text().splitlines()]
+    pids = [json.loads(line)["pid"] for line in lines if '"event": 1001' in line]
+    assert len(pids) >= 4
+    assert not any(Path(f"/proc/{pid}").exists() for pid in pids)
