Report begun jobs at once, and as complete only what is known to be

Callers could still see two runs of a task after a change of leader:

- a complete report counted for ever, also at a host that the leader had not reached for seconds.
It counts for 1 s now, and each message of the leader renews that;
- a leader that did not know what the one before had begun reported its own runs as complete.
It reports what it has inherited as well now, and nothing as complete until it knows.

--- a/cottonlug/core/cluster/begun_jobs.py
+++ b/cottonlug/core/cluster/begun_jobs.py
@@ -6,8 +6,8 @@
 control hosts, together with the messages of the log. The host that leads next does not start a
 reported job again before it knows what has become of its runs.
 
-A report costs no message of its own and no start waits for it. What a leader has begun since its
-last report, without contact to any other control host, is not known to the next one.
+No start waits for a report. What a leader has begun in its last milliseconds, or since it last
+reached the host that leads next, is not known to that one.
 """
 
 from __future__ import annotations
@@ -20,6 +20,9 @@
 
 REPORT_ALL_INTERVAL = timedelta(seconds=1)
 """How often a leader reports all jobs with active runs, in place of those newly begun."""
+MAX_REPORT_AGE = timedelta(seconds=1)
+"""The next leader knows nothing for certain if it last heard from this one longer ago. A leader is
+replaced within 0.7 s; this one may have gone on with other hosts, and begun more."""
 REPORTED_FOR = REPORT_ALL_INTERVAL + timedelta(seconds=3)
 """How long a reported job is remembered: until the next report of all, and then for longer than any
 lease of its runs."""
@@ -30,8 +33,9 @@
 
     term: int
     jobs: tuple[JobId, ...]
-    is_complete: bool
-    """Whether these are all that have active runs, not only those begun since the last report."""
+    is_complete: bool = False
+    """Whether these are all that may have active runs, also of earlier leaders, and not only those
+    begun since the last report."""
 
 
 class BegunJobs:
@@ -42,6 +46,8 @@
         """The term of the newest leader that has sent a report."""
         self._is_complete = False
         """Whether all jobs that this leader had begun by its last report are known here."""
+        self._heard_at = timedelta()
+        """When its last report arrived."""
         self._reported_at: dict[JobId, timedelta] = {}
 
     def receive(self, report: BegunReport, now: timedelta) -> None:
@@ -52,31 +58,37 @@
             self._term = report.term
             self._is_complete = False
         self._is_complete = self._is_complete or report.is_complete
+        self._heard_at = now
         self._reported_at |= dict.fromkeys(report.jobs, now)
         if report.is_complete:
             limit = now - REPORTED_FOR
             self._reported_at = {id: at for id, at in self._reported_at.items() if at >= limit}
 
-    def find_begun(self, term: int) -> frozenset[JobId] | None:
+    def find_begun(self, term: int, now: timedelta) -> frozenset[JobId] | None:
         """Return the jobs that may have active runs; None if that is not known here.
 
-        `term` is that of the last leader. If its reports have not arrived here, any job may be one
-        that it has begun.
+        `term` is that of the last leader. If its reports have not arrived here, or not lately, any
+        job may be one that it has begun.
         """
         if term != self._term or not self._is_complete:
             return None
+        if now - self._heard_at > MAX_REPORT_AGE:
+            return None
         return frozenset(self._reported_at)
 
 
 class BegunReporter:
     """What the leader of a term has yet to report to each other control host."""
 
-    def __init__(self, *, term: int, list_active: Callable[[], Iterable[JobId]]) -> None:
+    def __init__(self, *, term: int, list_begun: Callable[[], Iterable[JobId] | None]) -> None:
         self._term = term
-        self._list_active = list_active
-        """Lists the best-effort jobs that have active runs."""
+        self._list_begun = list_begun
+        """Lists the best-effort jobs that may have active runs, None if this leader does not know:
+        see `Dispatch.list_begun`."""
         self._unreported: dict[str, set[JobId]] = {}
         """Jobs begun since the last report, by the host that is to be told of them."""
+        self._recent: set[JobId] = set()
+        """Jobs that were recorded lately, which are reported once for all their runs."""
         self._complete_at: dict[str, timedelta] = {}
         """When all jobs were last reported to a host, if no later report to it was lost."""
         self._refused_by: set[str] = set()
@@ -84,22 +96,33 @@
 
     def record_begun(self, job: JobId) -> None:
         """Record that a run of a job is active now."""
+        if job in self._recent:
+            return
+        self._recent.add(job)
         for unreported in self._unreported.values():
             unreported.add(job)
 
+    def has_news(self, host: str) -> bool:
+        """Return whether jobs have begun that have not been reported to a host."""
+        return host not in self._refused_by and bool(self._unreported.get(host))
+
     def build_report(self, host: str, now: timedelta) -> BegunReport | None:
-        """Return the next report to a host; None if there is nothing to report."""
+        """Return the next report to a host; None if that does not understand reports.
+
+        A report without jobs tells that no more have begun.
+        """
         if host in self._refused_by:
             return None
         complete_at = self._complete_at.get(host)
         unreported = self._unreported.get(host, set())
         self._unreported[host] = set()
         if complete_at is None or now >= complete_at + REPORT_ALL_INTERVAL:
-            self._complete_at[host] = now
-            return BegunReport(term=self._term, jobs=tuple(self._list_active()), is_complete=True)
-        if not unreported:
-            return None
-        return BegunReport(term=self._term, jobs=tuple(unreported), is_complete=False)
+            begun = self._list_begun()
+            self._recent.clear()
+            if begun is not None:
+                self._complete_at[host] = now
+                return BegunReport(term=self._term, jobs=tuple(begun), is_complete=True)
+        return BegunReport(term=self._term, jobs=tuple(unreported))
 
     def handle_lost_report(self, host: str, *, is_refused: bool) -> None:
         """Report all jobs next time, since a report to a host may not have arrived."""
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -158,6 +158,17 @@
         """Instances of upstreams by id."""
         return self._instances.by_id
 
+    def list_begun(self) -> frozenset[JobId] | None:
+        """Return the best-effort jobs that may have active runs, also unknown ones.
+
+        None if an earlier leader may have begun any job, at an upstream that has not been polled.
+        """
+        active = self._instances.active_runs.list_best_effort_jobs()
+        if self._reconciliation.is_reconciled:
+            return frozenset(active)
+        begun_earlier = self._term.begun_earlier
+        return begun_earlier | active if begun_earlier is not None else None
+
     @property
     def active_runs(self) -> ActiveRuns:
         """The runs that may be active, by task."""
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -33,6 +33,7 @@
 from ..core.cluster.capacity_reports import MAX_TIME_WITHOUT_LEADER, ReportTerms
 from ..core.cluster.forecast import find_max_useful_wait
 from ..core.cluster.instances import LeaseTerms, choose_lease_terms
+from ..core.cluster.model import JobId
 from ..core.consensus.types import Term
 from ..core.control_messages import ConsensusBatch
 from ..net.asgi import HttpRequest, HttpResponse
@@ -404,7 +405,9 @@
                     reports=reports,
                     known_until=self._find_known_until(reports),
                     remote_factor=self._settings.remote_factor,
-                    begun_earlier=replica.begun_jobs.find_begun(replica.find_last_leader_term()),
+                    begun_earlier=replica.begun_jobs.find_begun(
+                        replica.find_last_leader_term(), self._clock.monotonic()
+                    ),
                 ),
             )
             self._report_begun_jobs(self.leadership)
@@ -413,12 +416,17 @@
 
     def _report_begun_jobs(self, leadership: Leadership) -> None:
         """Report the best-effort jobs that begin in a term to the other control hosts."""
-        active_runs = leadership.dispatch.active_runs
-        reporter = BegunReporter(
-            term=leadership.term, list_active=active_runs.list_best_effort_jobs
-        )
-        active_runs.on_best_effort_run = reporter.record_begun
+        reporter = BegunReporter(term=leadership.term, list_begun=leadership.dispatch.list_begun)
         messenger = self.replica.messenger
+
+        def report_begun(job: JobId) -> None:
+            reporter.record_begun(job)
+            messenger.send_reports()
+
+        leadership.dispatch.active_runs.on_best_effort_run = report_begun
+        messenger.has_report = lambda host: (
+            self.leadership is leadership and reporter.has_news(host)
+        )
         messenger.on_lost_report = lambda host, is_refused: reporter.handle_lost_report(
             host, is_refused=is_refused
         )
@@ -430,8 +438,10 @@
 
     def _record_own_begun_jobs(self, leadership: Leadership) -> None:
         """Remember the jobs of a term of this host, which may lead again next."""
-        jobs = leadership.dispatch.active_runs.list_best_effort_jobs()
-        report = BegunReport(term=leadership.term, jobs=tuple(jobs), is_complete=True)
+        begun = leadership.dispatch.list_begun()
+        report = BegunReport(
+            term=leadership.term, jobs=tuple(begun or ()), is_complete=begun is not None
+        )
         self.replica.begun_jobs.receive(report, self._clock.monotonic())
 
     def _log_lease_change(self) -> None:
--- a/cottonlug/runtime/messenger.py
+++ b/cottonlug/runtime/messenger.py
@@ -35,6 +35,8 @@
 """The same for a batch with a snapshot, which is large."""
 
 BAD_REQUEST = 400
+REPORT_INTERVAL = timedelta(milliseconds=20)
+"""Shortest time from a batch to one that contains only a report."""
 
 GetSender = Callable[[], tuple[MemberId, Term]]
 """Returns this host's member id and its current term."""
@@ -50,6 +52,8 @@
     task: asyncio.Task[None] | None = None
     host: str
     """The address that names it."""
+    sent_at: timedelta = timedelta()
+    """When the last batch was sent."""
     acked_at: timedelta | None = None
     """When the last batch was sent that it has answered in the current term."""
 
@@ -73,6 +77,8 @@
         self._on_failure = on_failure
         self.build_report: Callable[[str], BegunReport | None] = lambda host: None
         """Returns what is sent to a host with the messages of the log, if anything."""
+        self.has_report: Callable[[str], bool] = lambda host: False
+        """Returns whether a report to a host should not wait for the next message of the log."""
         self.on_lost_report: Callable[[str, bool], object] = lambda host, is_refused: None
         """Called with the host that may not have received the last report, and whether it has
         refused it."""
@@ -97,6 +103,11 @@
         peer.outbox.append(message)
         peer.has_messages.set()
 
+    def send_reports(self) -> None:
+        """Send reports soon, also to hosts for which there are no messages."""
+        for peer in self._peers.values():
+            peer.has_messages.set()
+
     def pop_messages(self, host: str) -> list[ConsensusMessage]:
         """Remove and return the messages for a peer that has just called, as its answer."""
         peer = self._peers.get(host)
@@ -135,18 +146,30 @@
             while True:
                 await peer.has_messages.wait()
                 peer.has_messages.clear()
+                if not peer.outbox and self.has_report(peer.host):
+                    await self._wait_for_messages(peer, peer.sent_at + REPORT_INTERVAL)
                 messages, peer.outbox = peer.outbox, []
-                if messages:
+                if messages or self.has_report(peer.host):
                     await self._send(peer, messages)
         except Exception as error:
             log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
             self._on_failure(error)
 
+    async def _wait_for_messages(self, peer: Peer, until: timedelta) -> None:
+        """Wait until there are messages of the log for a peer, at most until that time."""
+        while not peer.outbox and (left := until - self._clock.monotonic()) > timedelta():
+            try:
+                async with asyncio.timeout(left.total_seconds()):
+                    await peer.has_messages.wait()
+            except TimeoutError:
+                return
+            peer.has_messages.clear()
+
     async def _send(self, peer: Peer, messages: list[ConsensusMessage]) -> None:
         sender, term = self._get_sender()
         report = self.build_report(peer.host)
         batch = ConsensusBatch(sender=sender, messages=messages, begun=report)
-        sent_at = self._clock.monotonic()
+        sent_at = peer.sent_at = self._clock.monotonic()
         is_large = any(isinstance(message, SnapshotRequest) for message in messages)
         timeout = SNAPSHOT_TIMEOUT if is_large else CALL_TIMEOUT
         pool = self._pools.get(peer.address)
