Serve requests where the kernel refuses to tell of their connections

A socket that could not be described failed every request, and an unknown event of poll counted as a client that has left. Found by the review; whether a platform's sockets do either is not known. Family, type and protocol are passed on, which saves three system calls a request.

--- a/cottonlug/net/client_connections.py
+++ b/cottonlug/net/client_connections.py
@@ -13,6 +13,7 @@
 import struct
 from datetime import timedelta
 
+_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _TCP_INFO_LAST_DATA_RECEIVED = struct.Struct("@52xI")
 """`tcpi_last_data_recv` of `struct tcp_info` in linux/tcp.h: ms since data was last received."""
 
@@ -24,30 +25,39 @@
         self._transport = transport
 
     def has_client_left(self) -> bool:
-        """Return whether the client has closed its side, also if that has not been read yet."""
+        """Return whether the client has closed its side, also if that has not been read yet.
+
+        False where the kernel cannot tell.
+        """
         if self._transport.is_closing():
             return True
         closings = select.poll()
-        closings.register(self._get_descriptor(), select.POLLRDHUP)
-        return bool(closings.poll(0))
+        closings.register(self._get_socket().fileno(), select.POLLRDHUP)
+        return any(events & _CLOSED_EVENTS for _, events in closings.poll(0))
 
     def measure_age(self) -> timedelta:
         """Return how long ago the client's last bytes arrived; 0 where the kernel cannot tell."""
         if self._transport.is_closing():
             return timedelta()
-        with socket.socket(fileno=self._get_descriptor()) as borrowed:
-            try:
-                info = borrowed.getsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_LAST_DATA_RECEIVED.size
-                )
-            except OSError:
-                return timedelta()
-            finally:
-                borrowed.detach()
+        try:
+            info = self._read_tcp_info()
+        except OSError:
+            return timedelta()
         if len(info) < _TCP_INFO_LAST_DATA_RECEIVED.size:
             return timedelta()
         return timedelta(milliseconds=_TCP_INFO_LAST_DATA_RECEIVED.unpack(info)[0])
 
-    def _get_descriptor(self) -> int:
-        descriptor: int = self._transport.get_extra_info("socket").fileno()
-        return descriptor
+    def _read_tcp_info(self) -> bytes:
+        known = self._get_socket()
+        # With family, type and protocol given, the kernel is not asked for them.
+        borrowed = socket.socket(known.family, known.type, known.proto, known.fileno())
+        try:
+            return borrowed.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_LAST_DATA_RECEIVED.size
+            )
+        finally:
+            borrowed.detach()
+
+    def _get_socket(self) -> socket.socket:
+        known: socket.socket = self._transport.get_extra_info("socket")
+        return known
