Count the time in which a request lay unread towards its job's objective

A job that a paused gateway read late counted as new: it was started after others that had come later, and was given up later than it was of use. A caller with a timeout of 40 ms or less was told that its request had been read too late.

--- a/cottonlug/platform/front.py
+++ b/cottonlug/platform/front.py
@@ -87,12 +87,16 @@
     if request.method != "POST":
         return HttpResponse(status=405)
     decoded = decode_job(request.body)
-    wait_timeout_ms = to_milliseconds(_read_wait_timeout(request))
+    wait_timeout_ms = to_milliseconds(_read_given_timeout(request))
     if isinstance(decoded, Err):
         body = msgspec.json.encode({"error": decoded.failure()})
         return HttpResponse(status=400, body=body)
     return Submit(
-        host=host, path=request.path, spec=decoded.unwrap(), wait_timeout_ms=wait_timeout_ms
+        host=host,
+        path=request.path,
+        spec=decoded.unwrap(),
+        wait_timeout_ms=wait_timeout_ms,
+        waited_ms=to_milliseconds(request.age),
     )
 
 
@@ -101,9 +105,14 @@
 
     The caller has waited since the request arrived, which may be long before it was read here.
     """
+    return max(_read_given_timeout(request) - request.age, timedelta())
+
+
+def _read_given_timeout(request: HttpRequest) -> timedelta:
+    """Return how long after the arrival of a request the answer must be ready."""
     text = request.headers.get(TIMEOUT_HEADER, "")
     given = timedelta(milliseconds=int(text)) if text.isdecimal() else DEFAULT_WAIT_TIMEOUT
-    return max(given - ANSWER_MARGIN - request.age, timedelta())
+    return given - ANSWER_MARGIN
 
 
 def _encode_answer(answer: Answer) -> HttpResponse:
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -214,7 +214,7 @@
 
     async def _call_within_limit(self, call: Call, timeout: timedelta) -> Answer:
         """Have a call carried out, or refuse it at once if too many wait here."""
-        if timeout <= timedelta():
+        if timeout <= timedelta() and isinstance(call, Submit) and call.waited_ms:
             return Answer(outcome=Outcome.UNAVAILABLE, detail=READ_TOO_LATE)
         refusal = self.call_limit.refuse(call)
         if refusal is not None:
@@ -263,6 +263,7 @@
         deadline = began_at + timeout
         unavailable_since: timedelta | None = None
         may_have_run = False
+        waited_unread = timedelta(milliseconds=call.waited_ms if isinstance(call, Submit) else 0)
         while True:
             now = self._clock.monotonic()
             left = deadline - now
@@ -276,7 +277,7 @@
             via = self.link.via
             acting_leader_term = self.link.acting_leader_term if via is Via.ACTING_LEADER else 0
             if isinstance(call, Submit):
-                waited_ms = to_milliseconds(now - began_at)
+                waited_ms = to_milliseconds(waited_unread + now - began_at)
                 call = msgspec.structs.replace(call, waited_ms=waited_ms)
             answer = await self._try_once(call, left)
             if answer.detail == NEWER_CONFIGURATION and await self.link.refresh_contact():
@@ -295,7 +296,7 @@
                 break
             else:
                 return answer
-            waited = self._clock.monotonic() - began_at
+            waited = waited_unread + self._clock.monotonic() - began_at
             if is_undecided and isinstance(call, Submit) and self._is_hopeless(call, waited):
                 break
             await self.link.wait_for_change(RETRY_SECONDS)
