--- a/cottonlug/commands/gateway.py
+++ b/cottonlug/commands/gateway.py
@@ -61,7 +61,8 @@
     lifecycle.watch_reload(lambda: _reload_seeds(gateway, config))
     handler = build_caller_handler(gateway.call, gateway.abandon, gateway.should_close_connections)
     callers = Listener(
-        app=build_asgi(handler, lambda: gateway.max_body_bytes), address=settings.listen.callers
+        app=build_asgi(handler, lambda: gateway.max_body_bytes, checks_clients=True),
+        address=settings.listen.callers,
     )
     readiness = build_listener(
         build_readiness_handler(gateway.is_ready), settings.listen.readiness, MAX_SMALL_BODY_BYTES
--- a/cottonlug/net/asgi.py
+++ b/cottonlug/net/asgi.py
@@ -44,6 +44,7 @@
     """Whether the connection is closed after this response."""
 
 
+_CLIENT_LEFT = b'{"error":"the client has closed the connection"}'
 CONNECTION_EXTENSION = "cottonlug.connection"
 """Name of an extension of the ASGI scope that contains the `ClientConnection`, by the same name."""
 
@@ -62,12 +63,15 @@
     handle: Handler,
     max_body_bytes: Callable[[], int],
     handle_immediately: ImmediateHandler | None = None,
+    *,
+    checks_clients: bool = False,
 ) -> AsgiApp:
     """Return an ASGI application that calls a handler, with a limit on request bodies.
 
     A request that `handle_immediately` answers is not passed to `handle`, whose task takes two more
-    iterations of the event loop; on a busy host these are long. Nor is a request whose client has
-    left: after a pause of this process, its end of the connection lies behind the request.
+    iterations of the event loop; on a busy host these are long. With `checks_clients`, a request
+    whose client has left is not carried out, although the end of its connection has not been read
+    yet, and the age of other requests is measured.
     """
 
     async def app(scope: Any, receive: Receive, send: Send) -> None:
@@ -85,15 +89,14 @@
                 method=scope["method"], path=scope["path"], headers=headers, body=body
             )
             answer = handle_immediately(request) if handle_immediately is not None else None
-            connection = _find_connection(scope)
-            if answer is None and connection is not None and connection.has_client_left():
-                log_event(Event.REQUEST_DROPPED, method=request.method, path=request.path)
-                # The server takes it for an error if the application returns before it has read
-                # the end of the connection.
-                await receive()
-                return
+            connection = _find_connection(scope) if checks_clients else None
+            if answer is None and connection is not None:
+                if connection.has_client_left():
+                    log_event(Event.REQUEST_DROPPED, method=request.method, path=request.path)
+                    answer = HttpResponse(status=503, body=_CLIENT_LEFT, close=True)
+                else:
+                    request.age = connection.measure_age()
             if answer is None:
-                request.age = connection.measure_age() if connection is not None else timedelta()
                 answer = await _handle_while_connected(handle(request), receive)
             if answer is None:
                 return
--- a/cottonlug/tests/test_cluster_pauses.py
+++ b/cottonlug/tests/test_cluster_pauses.py
@@ -254,7 +254,8 @@
         await gateway.link.check_failover()
         handle = build_caller_handler(gateway.call, gateway.abandon, lambda: False)
         address = Address("127.0.0.1", find_base_port())
-        listener = Listener(app=build_asgi(handle, lambda: 10_000), address=address)
+        app = build_asgi(handle, lambda: 10_000, checks_clients=True)
+        listener = Listener(app=app, address=address)
         assert await listener.start() is None
         caller = socket.create_connection((address.host, address.port))
         if is_accepted:
@@ -289,7 +290,8 @@
     async def measure_ages(self) -> list[timedelta]:
         """Return the ages of a request that is read after a pause, and of one read at once."""
         address = Address("127.0.0.1", find_base_port())
-        listener = Listener(app=build_asgi(self.handle, lambda: 10_000), address=address)
+        app = build_asgi(self.handle, lambda: 10_000, checks_clients=True)
+        listener = Listener(app=app, address=address)
         assert await listener.start() is None
         for pause in (PAUSE_SECONDS, 0.0):
             with socket.create_connection((address.host, address.port)) as caller:
