--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -14,4 +14,13 @@
     cause: str
 
 
-FAILED_SEEDS: tuple[FailedSeed, ...] = ()
+FAILED_SEEDS: tuple[FailedSeed, ...] = (
+    FailedSeed(
+        seed=101,
+        series=2,
+        cause="LOST: a durable job is shown as failed after two upstreams crashed under a task",
+    ),
+    FailedSeed(
+        seed=202, series=3, cause="LOST: no leader for 66 s beside a load of 26; not traced"
+    ),
+)
