--- a/cottonlug/net/asgi.py
+++ b/cottonlug/net/asgi.py
@@ -46,7 +46,7 @@
 
 _CLIENT_LEFT = b'{"error":"the client has closed the connection"}'
 CONNECTION_EXTENSION = "cottonlug.connection"
-"""Name of an extension of the ASGI scope that contains the `ClientConnection`, by the same name."""
+"""Extension of the ASGI scope that contains the `ClientConnection` as its `connection`."""
 
 
 class _RequestAborted(Exception):  # noqa: N818 - not an error of this server
@@ -108,7 +108,7 @@
 
 def _find_connection(scope: Any) -> ClientConnection | None:
     extension = scope.get("extensions", {}).get(CONNECTION_EXTENSION, {})
-    connection: ClientConnection | None = extension.get(CONNECTION_EXTENSION)
+    connection: ClientConnection | None = extension.get("connection")
     return connection
 
 
--- a/cottonlug/net/servers.py
+++ b/cottonlug/net/servers.py
@@ -133,7 +133,7 @@
     def on_message_begin(self) -> None:
         super().on_message_begin()
         connection = ClientConnection(transport=self.transport)
-        self.scope["extensions"] = {CONNECTION_EXTENSION: {CONNECTION_EXTENSION: connection}}
+        self.scope["extensions"] = {CONNECTION_EXTENSION: {"connection": connection}}
 
 
 class Listener:
