Soak: the end of a process that was told to stop is no failure of it

The record shows a race of the rig: one series had told e9 to stop, another one found it gone within the 20 ms before the first one noticed, and started it again. The new test fails without the change.

--- a/cottonlug/tests/test_soak.py
+++ b/cottonlug/tests/test_soak.py
@@ -19,9 +19,10 @@
 import pytest
 
 from soak.__main__ import ExitStatus, main
+from soak.fleet import Fleet, FleetSize
 from soak.plan import LEADER, Disruption, DisruptionKind, Targets, build_plan
 from soak.proxy import FaultKind, LinkFault, Proxy
-from soak.record import EventKind, read_detail, read_record
+from soak.record import EventKind, Record, read_detail, read_record
 from soak.settings import ROOT, HostSettings, Ports, render_settings
 from soak.wire import Peer
 
@@ -339,3 +340,25 @@
     pids = [json.loads(line)["pid"] for line in lines if '"event": 1001' in line]
     assert len(pids) >= 4
     assert not any(Path(f"/proc/{pid}").exists() for pid in pids)
+
+
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_process_that_was_told_to_stop_has_not_ended_by_itself(
+    is_stopping: bool, tmp_path: Path
+) -> None:
+    """Guards against a false failure where another series finds a host that has just stopped."""
+
+    async def play() -> list[str]:
+        record = Record(now=lambda: timedelta())
+        fleet = Fleet(size=FleetSize(gateways=1), output=tmp_path, record=record)
+        try:
+            host = fleet.hosts["e1"]
+            host.process = subprocess.Popen([sys.executable, "-c", ""])
+            host.process.wait()
+            host.is_stopping = is_stopping
+            return list(fleet.find_failures())
+        finally:
+            await fleet.close()
+
+    ended = ["e1: its process has ended by itself, status 0"]
+    assert asyncio.run(play()) == ([] if is_stopping else ended)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -64,6 +64,8 @@
     process: subprocess.Popen[bytes] | None = None
     """None before the first start and after the process was killed or told to stop."""
     is_paused: bool = False
+    is_stopping: bool = False
+    """Whether its process has been told to stop, so that its end is no failure."""
     started_at: float | None = None
     """When its process was started last, by the loop's clock."""
 
@@ -166,6 +168,7 @@
         """Start the process of a host, with its data folder as it is."""
         host = self.hosts[name]
         self._note_failure(host)
+        host.is_stopping = False
         role = "control" if name in self.control_hosts else "gateway"
         file = self.write_settings(name)
         host.started_at = asyncio.get_running_loop().time()
@@ -253,6 +256,7 @@
         if host.process is None or not host.is_running:
             return
         process = host.process
+        host.is_stopping = True
         self._signal(host, signal.SIGTERM)
         self._record.add_disruption(name, "terminate", Phase.BEGIN)
         loop = asyncio.get_running_loop()
@@ -282,7 +286,10 @@
     def _note_failure(self, host: Host) -> None:
         if host.process is not None and not host.is_running:
             status = host.process.returncode
-            self._failures.append(f"{host.name}: its process has ended by itself, status {status}")
+            if not host.is_stopping:
+                self._failures.append(
+                    f"{host.name}: its process has ended by itself, status {status}"
+                )
             host.process = None
 
     def note_disturbance(self, names: Iterable[str]) -> None:
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -148,7 +148,7 @@
                 for request in requests.read(data) if is_answering else []:
                     response = await self._handle(request)
                     is_answering = response is not None
-                    if response is not None:
+                    if response is not None and not writer.is_closing():
                         writer.write(_encode_response(response))
         except (ConnectionError, httptools.HttpParserError):
             pass
