--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -20,6 +20,8 @@
         series=2,
         cause="LOST: a durable job is shown as failed after two upstreams crashed under a task",
     ),
+    FailedSeed(seed=208, series=3, cause="LOST: as seed 101"),
+    FailedSeed(seed=209, series=3, cause="LOST: as seed 101"),
     FailedSeed(
         seed=202, series=3, cause="LOST: no leader for 66 s beside a load of 26; not traced"
     ),
