--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -14,15 +14,12 @@
     cause: str
 
 
+_NO_LEADER = "LOST: no leader for {} s on a busy machine with nine gateways; not traced"
+_CRASHES = "LOST: a durable job is shown as failed after two upstreams crashed under a task"
+
 FAILED_SEEDS: tuple[FailedSeed, ...] = (
-    FailedSeed(
-        seed=101,
-        series=2,
-        cause="LOST: a durable job is shown as failed after two upstreams crashed under a task",
-    ),
-    FailedSeed(seed=208, series=3, cause="LOST: as seed 101"),
-    FailedSeed(seed=209, series=3, cause="LOST: as seed 101"),
-    FailedSeed(
-        seed=202, series=3, cause="LOST: no leader for 66 s beside a load of 26; not traced"
-    ),
+    FailedSeed(seed=101, series=2, cause=_CRASHES),
+    FailedSeed(seed=202, series=3, cause=_NO_LEADER.format(66)),
+    FailedSeed(seed=208, series=3, cause=_CRASHES),
+    FailedSeed(seed=209, series=3, cause=_NO_LEADER.format(36)),
 )
