--- a/cottonlug/tests/model_site.py
+++ b/cottonlug/tests/model_site.py
@@ -29,6 +29,7 @@
 from ..runtime.coordinator_link import CALLS_LOST_AFTER, KEEPALIVE_TIMEOUT
 from ..runtime.gateway_registry import GATEWAY_TIMEOUT
 from ..runtime.leadership import LONG_DECISION_GAP
+from ..runtime.messenger import REPORT_INTERVAL
 from .model_upstreams import (
     Leader,
     ModelUpstream,
@@ -362,8 +363,11 @@
     def lose_leader(self) -> None:
         if self.leader is not None:
             self.leader.is_over = True
-            active_runs = self.leader.dispatch.active_runs
-            self.begun_earlier = frozenset(active_runs.list_best_effort_jobs())
+            active = self.leader.dispatch.active_runs.list_best_effort_jobs()
+            # What has begun since the last report is not known to the next leader.
+            reported_at = self.world.now - REPORT_INTERVAL
+            unreported = {ref.job for ref, at in self.world.begun if at > reported_at}
+            self.begun_earlier = frozenset(active - unreported)
         self.leader = None
 
     def find_acting_leader_delay(self, domain: DomainName) -> timedelta:
--- a/cottonlug/tests/test_cluster_resubmissions.py
+++ b/cottonlug/tests/test_cluster_resubmissions.py
@@ -13,6 +13,7 @@
 from datetime import timedelta
 
 import msgspec
+import pytest
 
 from ..core.clock import ManualClock
 from ..core.cluster.calls import Answer, Submit
@@ -72,7 +73,7 @@
 class NewLeader:
     """A leader whose term has just begun, and which has contact with a gateway."""
 
-    def __init__(self) -> None:
+    def __init__(self, begun_earlier: frozenset[JobId] | None) -> None:
         self.port = LatePort()
         self.clock: ManualClock = build_clock()
         replicated = ReplicatedRecords()
@@ -91,6 +92,7 @@
                 keep_ended=timedelta(),
                 caller_retry=CALLER_RETRY,
                 control_address=None,
+                begun_earlier=begun_earlier,
             ),
         )
 
@@ -121,11 +123,14 @@
             self.clock.advance(min(milliseconds(20), end - self.clock.monotonic()))
 
 
-def play(script: Callable[[NewLeader], Coroutine[None, None, None]]) -> None:
-    """Run a script with a new leader."""
+def play(
+    script: Callable[[NewLeader], Coroutine[None, None, None]],
+    begun_earlier: frozenset[JobId] | None = None,
+) -> None:
+    """Run a script with a new leader to which the last one has reported jobs, or nothing."""
 
     async def play_whole() -> None:
-        leader = NewLeader()
+        leader = NewLeader(begun_earlier)
         await leader.let_pass(milliseconds(20))
         await script(leader)
         leader.leadership.stop()
@@ -133,7 +138,10 @@
     asyncio.run(play_whole())
 
 
-def test_a_job_sent_again_does_not_start_beside_its_run_at_an_unpolled_upstream() -> None:
+@pytest.mark.parametrize("begun_earlier", [None, frozenset({JobId(JOB)})])
+def test_a_job_sent_again_does_not_start_beside_its_run_at_an_unpolled_upstream(
+    begun_earlier: frozenset[JobId] | None,
+) -> None:
     """Guards against two runs of a task at once, after a change of leader.
 
     The new leader started the job at once, since it took for granted that runs of an earlier try
@@ -151,7 +159,19 @@
         assert leader.leadership.dispatch.jobs.is_open(JobId(JOB))
         waiting.cancel()
 
-    play(script)
+    play(script, begun_earlier)
+
+
+def test_a_job_that_the_last_leader_had_not_begun_starts_at_once() -> None:
+    """Guards against jobs that wait for a second after each change of leader."""
+
+    async def script(leader: NewLeader) -> None:
+        waiting = await leader.submit()
+        await leader.let_pass(milliseconds(40))
+        assert len(leader.port.starts) == 1
+        waiting.cancel()
+
+    play(script, frozenset())
 
 
 def test_a_job_sent_again_starts_once_all_upstreams_are_polled() -> None:
