--- a/cottonlug/tests/test_cluster_resubmissions.py
+++ b/cottonlug/tests/test_cluster_resubmissions.py
@@ -197,3 +197,18 @@
         waiting.cancel()
 
     play(script)
+
+
+@pytest.mark.parametrize("begun_earlier", [None, frozenset({JobId(JOB)})])
+def test_a_new_leader_passes_on_what_it_was_told_until_all_upstreams_are_polled(
+    begun_earlier: frozenset[JobId] | None,
+) -> None:
+    """Guards against a third leader that takes jobs of the first one for new."""
+
+    async def script(leader: NewLeader) -> None:
+        assert leader.leadership.dispatch.list_begun() == begun_earlier
+        leader.port.answers.set()
+        await leader.let_pass(milliseconds(40))
+        assert leader.leadership.dispatch.list_begun() == frozenset()
+
+    play(script, begun_earlier)
