--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -11,6 +11,7 @@
 
     seed: int
     series: int
+    gateways: int = 9
     cause: str
 
 
@@ -22,4 +23,6 @@
     FailedSeed(seed=202, series=3, cause=_NO_LEADER.format(66)),
     FailedSeed(seed=208, series=3, cause=_CRASHES),
     FailedSeed(seed=209, series=3, cause=_NO_LEADER.format(36)),
+    FailedSeed(seed=303, series=2, gateways=3, cause=_CRASHES),
+    FailedSeed(seed=408, series=3, gateways=3, cause=_CRASHES),
 )
