Count unpolled upstreams once a round, not once for each task that is started again

A new leader goes through all upstreams for the field unpolled of each run_started_again and tasks_released line, in the moment in which it has the most to start (thousands of such starts). The number does not change within a round of scheduling or of the reconciliation. No behaviour changes; the cost was not measured.

--- a/cottonlug/core/cluster/reconciliation.py
+++ b/cottonlug/core/cluster/reconciliation.py
@@ -64,17 +64,19 @@
         if not self._jobs.may_have_unknown_tasks:
             return
         self._jobs.may_have_unknown_tasks = False
-        may_miss = {each: self.may_miss_runs(of_acting_leaders=each) for each in (False, True)}
+        unpolled = {
+            each: self._instances.count_unpolled(of_acting_leaders=each) for each in (False, True)
+        }
         for job in self._jobs.jobs.values():
-            if not may_miss[job.may_be_of_acting_leader]:
+            if not unpolled[job.may_be_of_acting_leader]:
                 self._jobs.queue_unknown(job)
             elif now >= job.reconcile_at:
-                self._log_released(job, now)
+                self._log_released(job, unpolled[job.may_be_of_acting_leader], now)
                 self._jobs.queue_unknown(job)
             elif job.has_unknown_tasks():
                 self._jobs.may_have_unknown_tasks = True
 
-    def _log_released(self, job: OpenJob, now: timedelta) -> None:
+    def _log_released(self, job: OpenJob, unpolled: int, now: timedelta) -> None:
         """Log that unknown tasks are queued since their wait is over, not since all was polled."""
         released = sum(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values())
         if not released:
@@ -85,9 +87,7 @@
             {
                 "job": job.record.id,
                 "tasks": released,
-                "unpolled": self._instances.count_unpolled(
-                    of_acting_leaders=job.may_be_of_acting_leader
-                ),
+                "unpolled": unpolled,
                 "waited_ms": to_milliseconds(now - job.taken_at),
                 "term_ms": to_milliseconds(now - self._term.began_at),
             },
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -53,6 +53,8 @@
         self._jobs = jobs
         self._capacity = CapacityIndex(instances=instances, find_factor=self._find_factor)
         self._placement = Placement(capacity=self._capacity, remote_factor=term.remote_factor)
+        self._unpolled: dict[bool, int] = {}
+        """Unpolled upstreams in this round, without and with those of acting leaders."""
         self._next_release = NO_RELEASE
         """No held batch may be placed elsewhere before then."""
         self._overload = Overload()
@@ -73,6 +75,7 @@
         `changed` are the instances that may have gained capacity, None where that is not known:
         a batch that did not fit is tried again only where one of these has enough.
         """
+        self._unpolled.clear()
         for instance in changed or ():
             self._capacity.update(instance, now)
         if changed is None:
@@ -232,6 +235,14 @@
                 self._term.counts.evacuated_rejections += 1
                 self._jobs.reject(job, ALL_EVACUATED, EVACUATED_RETRY, now)
 
+    def _count_unpolled(self, of_acting_leaders: bool) -> int:
+        """Return the number of unpolled upstreams, which is the same in a whole round."""
+        if of_acting_leaders not in self._unpolled:
+            self._unpolled[of_acting_leaders] = self._instances.count_unpolled(
+                of_acting_leaders=of_acting_leaders
+            )
+        return self._unpolled[of_acting_leaders]
+
     def _find_factor(self, info: UpstreamInfo) -> float:
         """Return how many times as long as on the mean upstream a task takes at one."""
         return self._term.speeds.find_factor(info)
@@ -324,9 +335,7 @@
             "waiting": len(self._jobs.backlog),
         }
         if is_again:
-            inputs["unpolled"] = self._instances.count_unpolled(
-                of_acting_leaders=job.may_be_of_acting_leader
-            )
+            inputs["unpolled"] = self._count_unpolled(job.may_be_of_acting_leader)
         self._term.log_decision("run_started_again" if is_again else "run_started", inputs)
         order = StartOrder(
             upstream=instance.info,
