Wake the messenger only for a job that is newly begun

Each run that was added woke the sender to every control host, also when its job had been reported: hundreds of times for a job of many tasks.

--- a/cottonlug/core/cluster/begun_jobs.py
+++ b/cottonlug/core/cluster/begun_jobs.py
@@ -94,13 +94,14 @@
         self._refused_by: set[str] = set()
         """Hosts of an earlier version, which refuse messages with a report."""
 
-    def record_begun(self, job: JobId) -> None:
-        """Record that a run of a job is active now."""
+    def record_begun(self, job: JobId) -> bool:
+        """Record that a run of a job is active now; return whether that is to be reported."""
         if job in self._recent:
-            return
+            return False
         self._recent.add(job)
         for unreported in self._unreported.values():
             unreported.add(job)
+        return True
 
     def has_news(self, host: str) -> bool:
         """Return whether jobs have begun that have not been reported to a host."""
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -420,8 +420,8 @@
         messenger = self.replica.messenger
 
         def report_begun(job: JobId) -> None:
-            reporter.record_begun(job)
-            messenger.send_reports()
+            if reporter.record_begun(job):
+                messenger.send_reports()
 
         leadership.dispatch.active_runs.on_best_effort_run = report_begun
         messenger.has_report = lambda host: (
