--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -174,10 +174,6 @@
         """The runs that may be active, by task."""
         return self._instances.active_runs
 
-    def find_begun_earlier(self) -> frozenset[JobId] | None:
-        """Return the best-effort jobs of which the last leader may have active runs, if known."""
-        return self._term.begun_earlier
-
     @property
     def speeds(self) -> Speeds:
         """Factors of run times by kind of upstream."""
--- a/cottonlug/tests/test_begun_jobs.py
+++ b/cottonlug/tests/test_begun_jobs.py
@@ -149,7 +149,7 @@
         await asyncio.sleep(SETTLING_SECONDS)
         second = get_host(world)
         assert second is not first and second.leadership is not None
-        assert second.leadership.dispatch.find_begun_earlier() == frozenset({FIRST})
+        assert second.leadership.dispatch._term.begun_earlier == frozenset({FIRST})
 
     assert not play(1, scenario).failures
 
@@ -252,7 +252,7 @@
         await asyncio.sleep(SETTLING_SECONDS)
         second = get_host(world)
         assert second.leadership is not None
-        assert may_be_begun(second.leadership.dispatch.find_begun_earlier())
+        assert may_be_begun(second.leadership.dispatch._term.begun_earlier)
 
     assert not play(seed, scenario).failures
 
@@ -321,6 +321,6 @@
         again = get_host(world)
         assert again is host and again.leadership is not None
         assert again.leadership.term > term
-        assert again.leadership.dispatch.find_begun_earlier() is None
+        assert again.leadership.dispatch._term.begun_earlier is None
 
     assert not play(1, scenario).failures
