--- a/bench/leader.py
+++ b/bench/leader.py
@@ -19,6 +19,7 @@
 import subprocess
 import sys
 import time
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Annotated, Any
 
@@ -58,10 +59,6 @@
 from .callers import KINDS
 from .standin import STARTED_MS, build_address
 
-UPSTREAMS = 40
-GATEWAYS = 15
-JOBS_PER_SECOND = 95.0
-"""Load of 40 upstreams of 32 to 48 cores in the users' largest workload: 0.56 of their capacity."""
 DURATION_SECONDS = 8.0
 SERVICE = ServiceName("service")
 UPSTREAM_CPU_MILLIS = (32_000, 32_000, 48_000)
@@ -108,6 +105,17 @@
     ]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Load:
+    """Size of the site and the load that its gateways bring."""
+
+    upstreams: int = 40
+    gateways: int = 15
+    jobs_per_second: float = 95.0
+    """Load of 40 upstreams of 32 to 48 cores in the users' largest workload: 0.56 of their
+    capacity."""
+
+
 class LeaderHost:
     """A leader with the listener that the gateways call."""
 
@@ -177,21 +185,21 @@
     return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
 
 
-async def measure_round(profile: cProfile.Profile | None) -> dict[str, Any]:
+async def measure_round(load: Load, profile: cProfile.Profile | None) -> dict[str, Any]:
     """Run a leader under the load once; return its processor time and polls per start.
 
     A profile, if given, records the calls of this process during the load.
     """
     port = find_base_port()
     address = Address("127.0.0.1", port + 1)
-    upstreams = _spawn("standin", port, UPSTREAMS)
+    upstreams = _spawn("standin", port, load.upstreams)
     assert upstreams.stdout is not None
     upstreams.stdout.readline()
-    host = LeaderHost(address=address, infos=build_infos(port, UPSTREAMS))
+    host = LeaderHost(address=address, infos=build_infos(port, load.upstreams))
     error = await host.listener.start()
     assert error is None, error
     await asyncio.sleep(0.5)
-    callers = _spawn("callers", address, GATEWAYS, JOBS_PER_SECOND, DURATION_SECONDS)
+    callers = _spawn("callers", address, load.gateways, load.jobs_per_second, DURATION_SECONDS)
     began = time.thread_time()
     if profile is not None:
         profile.enable()
@@ -218,14 +226,18 @@
 def main(
     rounds: Annotated[int, typer.Option(min=1, help="Number of measured rounds.")] = 5,
     profile: Annotated[bool, typer.Option(help="Print a profile instead.")] = False,
+    upstreams: Annotated[int, typer.Option(min=1, max=500)] = 40,
+    gateways: Annotated[int, typer.Option(min=1, max=100)] = 15,
+    jobs_per_second: Annotated[float, typer.Option(min=1)] = 95.0,
 ) -> None:
     """Print the processor time that a leader takes per start."""
+    load = Load(upstreams=upstreams, gateways=gateways, jobs_per_second=jobs_per_second)
     if profile:
         profiled = cProfile.Profile()
-        print(uvloop.run(measure_round(profiled)))
+        print(uvloop.run(measure_round(load, profiled)))
         pstats.Stats(profiled).sort_stats("tottime").print_stats(45)
         return
-    measured = [uvloop.run(measure_round(None)) for _ in range(rounds)]
+    measured = [uvloop.run(measure_round(load, None)) for _ in range(rounds)]
     costs = [each["us_a_start"] for each in measured]
     results = {
         "us_a_start": {
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -51,6 +52,7 @@
 from .ports import UpstreamPort
 from .replica import HELLO_PATH, Replica, ReplicaSettings
 from .replicated import ReplicatedRecords
+from .work_meter import Work, WorkMeter
 
 FORWARDED_HEADER = "x-passed-on"
 """Header of a call forwarded by another control host; such a call is not forwarded again."""
@@ -109,6 +111,8 @@
         self._idempotent_pools = ConnectionPools(port=settings.urgent_port)
         """Used for idempotent calls only. A call forwarded for a gateway is abandoned and its
         connection closed as soon as it is late, and a busy leader accepts new connections late."""
+        self.work = WorkMeter(read_seconds=time.monotonic)
+        """Processor time of this process by kind of work."""
         self._job_channels = JobChannelServer(
             answer=self.answer, clock=clock, find_slack=self._find_slack
         )
@@ -211,7 +215,8 @@
         This needs no asyncio task, which a busy event loop would start late: a gateway sends its
         jobs elsewhere after two keep-alives without an answer within 0.1 s.
         """
-        response = self._job_channels.handle_at_once(request)
+        with self.work.measure(Work.JOBS):
+            response = self._job_channels.handle_at_once(request)
         if response is not None:
             return response
         if self.leadership is None or not self.replica.has_lease():
@@ -227,8 +232,9 @@
             if self._job_channels.handles(request.path):
                 return await self._job_channels.handle(request)
             if request.path == MESSAGES_PATH:
-                batch = msgspec.json.decode(request.body, type=ConsensusBatch)
-                return _reply(self.replica.receive(batch))
+                with self.work.measure(Work.LOG_MESSAGES):
+                    batch = msgspec.json.decode(request.body, type=ConsensusBatch)
+                    return _reply(self.replica.receive(batch))
             if request.path == CALL_PATH:
                 call = call_decoder.decode(request.body)
                 return _reply(
@@ -395,6 +401,7 @@
                 port=self._port,
                 clock=self._clock,
                 on_failure=self._on_failure,
+                work=self.work,
                 settings=LeadershipSettings(
                     lease_terms=self._choose_lease_terms(),
                     orders_by_heartbeat=self._settings.orders is OrderDelivery.HEARTBEAT,
@@ -412,6 +419,7 @@
             )
             self._report_begun_jobs(self.leadership)
             self.leadership.gateways.record_age = self.record_message_age
+            self.leadership.work_report.describe_queue = self._job_channels.describe_queue
             self.leadership.record_decision_gap = self.record_decision_gap
 
     def _report_begun_jobs(self, leadership: Leadership) -> None:
--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -76,6 +76,7 @@
     EVACUATION_ENDED = EventKind(4018, logging.INFO, "a failure domain is used again")
     EVACUATION_REFUSED = EventKind(4019, logging.WARNING, "an evacuation order was refused")
     HEARTBEAT_REFUSED = EventKind(4020, logging.WARNING, "a heartbeat names no upstream to use")
+    LEADER_BEHIND = EventKind(4021, logging.INFO, "this leader was behind with its work")
     STORAGE_FAILED = EventKind(5001, logging.ERROR, "the data folder cannot be written")
     STORAGE_TORN = EventKind(5002, logging.WARNING, "a torn tail of a log file was cut")
     STORAGE_DAMAGED = EventKind(5003, logging.ERROR, "a file of the data folder is damaged")
--- a/cottonlug/runtime/job_channel_server.py
+++ b/cottonlug/runtime/job_channel_server.py
@@ -65,6 +65,20 @@
     """Number of jobs received that have no answer yet."""
 
 
+@dataclass(slots=True, kw_only=True, order=True)
+class _QueuedJob:
+    """A job that was received and not passed on yet; the most urgent one is the least."""
+
+    latest_start: float
+    """Latest useful start, in seconds of the monotonic clock."""
+    order: int
+    """Order of arrival."""
+    arrived_at: timedelta = field(compare=False)
+    number: int = field(compare=False)
+    channel: _Channel = field(compare=False)
+    submit: Submit = field(compare=False)
+
+
 class JobChannelServer:
     """All job channels that end at this host."""
 
@@ -81,9 +95,8 @@
         self._find_slack = find_slack
         self._channels: dict[tuple[str, int], _Channel] = {}
         """Channels by the client's address and the channel's id."""
-        self._queued: list[tuple[float, int, int, _Channel, Submit]] = []
-        """Heap of jobs not started yet: latest useful start in s, order of arrival, number, channel
-        and submission."""
+        self._queued: list[_QueuedJob] = []
+        """Heap of the jobs that are not started yet."""
         self._arrival_numbers = itertools.count()
         self._last_numbering = random.randrange(_MAX_FIRST_NUMBERING)
         self._is_start_scheduled = False
@@ -111,15 +124,21 @@
     def receive(self, batch: JobBatch) -> None:
         """Queue the jobs of a batch that were not received before."""
         channel = self._get_channel(batch.caller, batch.channel)
-        now = self._clock.monotonic() / timedelta(seconds=1)
+        now = self._clock.monotonic()
         for job in batch.jobs:
             if job.number <= channel.received_through:
                 continue
             channel.received_through = job.number
             channel.unanswered_count += 1
-            latest_start = now + self._find_slack(job.submit)
-            entry = (latest_start, next(self._arrival_numbers), job.number, channel, job.submit)
-            heapq.heappush(self._queued, entry)
+            queued = _QueuedJob(
+                latest_start=now.total_seconds() + self._find_slack(job.submit),
+                order=next(self._arrival_numbers),
+                arrived_at=now,
+                number=job.number,
+                channel=channel,
+                submit=job.submit,
+            )
+            heapq.heappush(self._queued, queued)
         if self._queued and not self._is_start_scheduled:
             self._is_start_scheduled = True
             asyncio.get_running_loop().call_soon(self._start_next)
@@ -145,11 +164,21 @@
             numbering=channel.numbering, through=channel.answer_count, answers=answers
         )
 
+    def describe_queue(self) -> tuple[int, timedelta]:
+        """Return how many received jobs were not passed on yet, and for how long the oldest waits.
+
+        It has waited at this host; how long before that is not included.
+        """
+        if not self._queued:
+            return 0, timedelta()
+        oldest = min(job.arrived_at for job in self._queued)
+        return len(self._queued), self._clock.monotonic() - oldest
+
     def _start_next(self) -> None:
         """Start the most urgent queued jobs, and continue in the next iteration of the loop."""
         for _ in range(min(MAX_STARTS_PER_TURN, len(self._queued))):
-            _, _, number, channel, submit = heapq.heappop(self._queued)
-            task = asyncio.create_task(self._run_job(channel, number, submit))
+            job = heapq.heappop(self._queued)
+            task = asyncio.create_task(self._run_job(job.channel, job.number, job.submit))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         self._is_start_scheduled = bool(self._queued)
--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -70,6 +70,8 @@
 from .operator_answers import OperatorAnswers
 from .ports import Authority, OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords, Waiters
+from .work_meter import Work, WorkMeter
+from .work_report import WorkReport
 
 TICK_SECONDS = 0.02
 """Decisions are made at least this often; calls and answers of upstreams cause further ones."""
@@ -131,8 +133,11 @@
         clock: Clock,
         settings: LeadershipSettings,
         on_failure: OnFailure,
+        work: WorkMeter | None = None,
     ) -> None:
         self._on_failure = on_failure
+        self._work = work or WorkMeter(read_seconds=lambda: clock.monotonic().total_seconds())
+        self.work_report = WorkReport(meter=self._work, now=clock.monotonic())
         self.term = authority.term
         self.token = int(authority.term) * TOKENS_PER_TERM + settings.level
         """Fencing token of all orders: upstreams refuse lower ones than they have accepted."""
@@ -301,6 +306,10 @@
 
         The contact in the answer proves with its next calls that it was answered lately.
         """
+        with self._work.measure(Work.KEEPALIVES):
+            return self._answer_keepalive(call)
+
+    def _answer_keepalive(self, call: KeepAlive) -> Answer:
         self._handle_abandoned(call)
         self.gateways.handle_keepalive(call)
         if not self._settings.keeps_log:
@@ -449,7 +458,8 @@
         if self._is_over:
             return
         try:
-            self._decide_now()
+            with self._work.measure(Work.DECISIONS):
+                self._decide_now()
         except Exception as error:
             # The same error would occur again here: another host has to schedule.
             log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
@@ -494,6 +504,7 @@
         """Record how late a decision is, if only a delay of this host can be the cause."""
         if gap > USUAL_DECISION_GAP:
             self.record_decision_gap(gap / timedelta(milliseconds=1))
+            self.work_report.record_gap(gap)
         if gap > LONG_DECISION_GAP:
             log_event(Event.DECISION_DELAYED, term=int(self.term), held_up_ms=to_milliseconds(gap))
 
@@ -510,18 +521,22 @@
         token = self.token
         if isinstance(order, StartOrder):
             outcome, clock_ms = await self._port.start(order, token)
-            self.dispatch.handle_start_answer(order, outcome, clock_ms, self._clock.monotonic())
+            with self._work.measure(Work.UPSTREAM_ANSWERS):
+                self.dispatch.handle_start_answer(order, outcome, clock_ms, self._clock.monotonic())
         elif isinstance(order, StopOrder):
             failure = await self._port.stop(order, token)
-            self.dispatch.handle_stop_answer(order, failure, self._clock.monotonic())
+            with self._work.measure(Work.UPSTREAM_ANSWERS):
+                self.dispatch.handle_stop_answer(order, failure, self._clock.monotonic())
         else:
             reply = await self._port.poll(order, token)
-            self.dispatch.handle_poll_answer(order, reply, sent_at, self._clock.monotonic())
+            with self._work.measure(Work.UPSTREAM_ANSWERS):
+                self.dispatch.handle_poll_answer(order, reply, sent_at, self._clock.monotonic())
         self._schedule_decision()
 
     async def _tick_forever(self) -> None:
         while True:
             self._forget_ended()
+            self.work_report.log_if_due(self.dispatch, self._clock.monotonic())
             self._schedule_decision()
             await asyncio.sleep(TICK_SECONDS)
 
