--- a/cottonlug/core/cluster/forecast.py
+++ b/cottonlug/core/cluster/forecast.py
@@ -8,6 +8,7 @@
 
 import math
 from collections import Counter
+from dataclasses import dataclass
 from datetime import timedelta
 
 from .model import JobSpec, Queue, QueueKey, StepSpec, UpstreamInfo
@@ -25,6 +26,20 @@
 users' platform."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitLimits:
+    """How long after its caller has sent it a job may begin."""
+
+    in_time: timedelta
+    """If it waits longer, it will probably miss its objective."""
+    useful: timedelta | None
+    """If it waits longer, it is of no more use; None if it is served however late."""
+
+
+NO_WAIT = WaitLimits(in_time=timedelta(), useful=timedelta())
+"""Limits of a job that can be answered without starting anything."""
+
+
 class Forecast:
     """Mean ratio of actual to declared run times of each queue, on a logarithmic scale."""
 
@@ -108,3 +123,17 @@
     declared = Forecast()
     objective = declared.find_objective(queue, spec.steps)
     return objective * USEFUL_FACTOR - declared.predict_critical_path(queue, spec.steps)
+
+
+def find_wait_limits(queue: Queue, spec: JobSpec) -> WaitLimits:
+    """Return how long a job may wait before it begins, by declared run times."""
+    path = _DECLARED.predict_critical_path(queue, spec.steps)
+    objective = _DECLARED.find_objective(queue, spec.steps)
+    has_limit = spec.best_effort and not (spec.is_timed or spec.long_running)
+    return WaitLimits(
+        in_time=objective - path, useful=objective * USEFUL_FACTOR - path if has_limit else None
+    )
+
+
+_DECLARED = Forecast()
+"""Learns nothing, so that it predicts declared run times."""
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -32,7 +32,7 @@
     call_decoder,
 )
 from ..core.cluster.capacity_reports import MAX_TIME_WITHOUT_LEADER, ReportTerms
-from ..core.cluster.forecast import find_max_useful_wait
+from ..core.cluster.forecast import NO_WAIT, WaitLimits, find_wait_limits
 from ..core.cluster.instances import LeaseTerms, choose_lease_terms
 from ..core.cluster.model import JobId
 from ..core.consensus.types import Term
@@ -114,7 +114,7 @@
         self.work = WorkMeter(read_seconds=time.monotonic)
         """Processor time of this process by kind of work."""
         self._job_channels = JobChannelServer(
-            answer=self.answer, clock=clock, find_slack=self._find_slack
+            answer=self.answer, clock=clock, find_limits=self._find_wait_limits
         )
         self._idempotent_calls = IdempotentCalls(
             host=settings.host,
@@ -256,13 +256,11 @@
             return Answer(outcome=Outcome.UNAVAILABLE, detail="no other host leads")
         return await self._forward(leader, report, HEARTBEAT_REPORT_TIMEOUT, self._pools)
 
-    def _find_slack(self, call: Submit) -> float:
-        """Return for how many more seconds a job may wait and still be useful; 0 if unknown."""
+    def _find_wait_limits(self, call: Submit) -> WaitLimits:
+        """Return how long a job may wait before it begins; not at all if its queue is unknown."""
         queues = self.replicated.records.queues
         found = queues.find_queue(call.host, call.path) if queues is not None else None
-        if found is None:
-            return 0.0
-        return find_max_useful_wait(found[0], call.spec).total_seconds() - call.waited_ms / 1000
+        return find_wait_limits(found[0], call.spec) if found is not None else NO_WAIT
 
     async def _wait_for_leader(self) -> None:
         """Park a keep-alive until there is a leader, so that gateways learn of it immediately."""
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -32,7 +32,13 @@
     Submit,
     call_decoder,
 )
-from ..core.cluster.forecast import find_declared_objective, find_max_useful_wait
+from ..core.cluster.forecast import (
+    NO_WAIT,
+    WaitLimits,
+    find_declared_objective,
+    find_max_useful_wait,
+    find_wait_limits,
+)
 from ..core.cluster.model import Queue
 from ..net.asgi import HttpRequest, HttpResponse
 from .acting_leader import ActingLeader
@@ -105,7 +111,7 @@
             own_address=str(settings.listen.peers), urgent_port=settings.urgent_port
         )
         self._job_channels = JobChannelServer(
-            answer=self.answer_peer, clock=clock, find_slack=self._find_slack
+            answer=self.answer_peer, clock=clock, find_limits=self._find_wait_limits
         )
         self.link = CoordinatorLink(
             settings=settings,
@@ -320,12 +326,10 @@
             return False
         return waited > find_max_useful_wait(queue, spec)
 
-    def _find_slack(self, call: Submit) -> float:
-        """Return for how many seconds a job can still wait and be useful; 0 if not known."""
+    def _find_wait_limits(self, call: Submit) -> WaitLimits:
+        """Return how long a job may wait before it begins; not at all if its queue is unknown."""
         queue = self._find_queue(call)
-        if queue is None:
-            return 0.0
-        return find_max_useful_wait(queue, call.spec).total_seconds() - call.waited_ms / 1000
+        return find_wait_limits(queue, call.spec) if queue is not None else NO_WAIT
 
     async def _try_once(self, call: Call, timeout: timedelta) -> Answer:
         """Send a call to the acting leader in this process, or else to the coordinator."""
--- a/cottonlug/runtime/job_channel_server.py
+++ b/cottonlug/runtime/job_channel_server.py
@@ -5,14 +5,12 @@
 
 Load pattern: all jobs that waited for a coordinator arrive at once. Started together, they would
 block the event loop for longer than a gateway tolerates an unanswered keep-alive. So only some are
-started in each iteration of the loop, those with the least slack first.
+started in each iteration of the loop, in the order of `core/cluster/arrivals`.
 """
 
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -20,7 +18,8 @@
 
 import msgspec
 
-from ..core.clock import Clock
+from ..core.clock import Clock, to_milliseconds
+from ..core.cluster.arrivals import Arrivals
 from ..core.cluster.batches import (
     AnswerBatch,
     AskAnswers,
@@ -30,6 +29,7 @@
     job_batch_decoder,
 )
 from ..core.cluster.calls import Answer, Call, Outcome, Submit
+from ..core.cluster.forecast import WaitLimits
 from ..net.asgi import HttpRequest, HttpResponse
 from .events import Event, log_event
 from .job_channel import ANSWER_POLL_WAIT, ANSWERS_PATH, JOBS_PATH
@@ -65,18 +65,14 @@
     """Number of jobs received that have no answer yet."""
 
 
-@dataclass(slots=True, kw_only=True, order=True)
-class _QueuedJob:
-    """A job that was received and not passed on yet; the most urgent one is the least."""
+@dataclass(slots=True, kw_only=True)
+class _ReceivedJob:
+    """A job as a channel has brought it."""
 
-    latest_start: float
-    """Latest useful start, in seconds of the monotonic clock."""
-    order: int
-    """Order of arrival."""
-    arrived_at: timedelta = field(compare=False)
-    number: int = field(compare=False)
-    channel: _Channel = field(compare=False)
-    submit: Submit = field(compare=False)
+    number: int
+    """Its number on the channel."""
+    channel: _Channel
+    submit: Submit
 
 
 class JobChannelServer:
@@ -87,17 +83,16 @@
         *,
         answer: AnswerCall,
         clock: Clock,
-        find_slack: Callable[[Submit], float],
+        find_limits: Callable[[Submit], WaitLimits],
     ) -> None:
-        """Run jobs by calling `answer`, those with the least slack in seconds first."""
+        """Run jobs by calling `answer`, in an order that depends on how long each may wait."""
         self._answer = answer
         self._clock = clock
-        self._find_slack = find_slack
+        self._find_limits = find_limits
         self._channels: dict[tuple[str, int], _Channel] = {}
         """Channels by the client's address and the channel's id."""
-        self._queued: list[_QueuedJob] = []
-        """Heap of the jobs that are not started yet."""
-        self._arrival_numbers = itertools.count()
+        self._arrivals: Arrivals[_ReceivedJob] = Arrivals()
+        """Jobs that are not started yet."""
         self._last_numbering = random.randrange(_MAX_FIRST_NUMBERING)
         self._is_start_scheduled = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -130,16 +125,13 @@
                 continue
             channel.received_through = job.number
             channel.unanswered_count += 1
-            queued = _QueuedJob(
-                latest_start=now.total_seconds() + self._find_slack(job.submit),
-                order=next(self._arrival_numbers),
-                arrived_at=now,
-                number=job.number,
-                channel=channel,
-                submit=job.submit,
+            self._arrivals.add(
+                _ReceivedJob(number=job.number, channel=channel, submit=job.submit),
+                waited=timedelta(milliseconds=job.submit.waited_ms),
+                limits=self._find_limits(job.submit),
+                now=now,
             )
-            heapq.heappush(self._queued, queued)
-        if self._queued and not self._is_start_scheduled:
+        if len(self._arrivals) and not self._is_start_scheduled:
             self._is_start_scheduled = True
             asyncio.get_running_loop().call_soon(self._start_next)
 
@@ -169,19 +161,21 @@
 
         It has waited at this host; how long before that is not included.
         """
-        if not self._queued:
-            return 0, timedelta()
-        oldest = min(job.arrived_at for job in self._queued)
-        return len(self._queued), self._clock.monotonic() - oldest
+        return len(self._arrivals), self._arrivals.find_longest_wait(self._clock.monotonic())
 
     def _start_next(self) -> None:
-        """Start the most urgent queued jobs, and continue in the next iteration of the loop."""
-        for _ in range(min(MAX_STARTS_PER_TURN, len(self._queued))):
-            job = heapq.heappop(self._queued)
-            task = asyncio.create_task(self._run_job(job.channel, job.number, job.submit))
+        """Start some of the jobs, and continue in the next iteration of the loop."""
+        now = self._clock.monotonic()
+        for _ in range(MAX_STARTS_PER_TURN):
+            arrival = self._arrivals.pop(now)
+            if arrival is None:
+                break
+            job = arrival.job
+            submit = _add_wait(job.submit, now - arrival.arrived_at)
+            task = asyncio.create_task(self._run_job(job.channel, job.number, submit))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        self._is_start_scheduled = bool(self._queued)
+        self._is_start_scheduled = bool(len(self._arrivals))
         if self._is_start_scheduled:
             asyncio.get_running_loop().call_soon(self._start_next)
 
@@ -217,3 +211,11 @@
             for key, channel in self._channels.items()
             if channel.unanswered_count or now - channel.used_at < CHANNEL_RETENTION
         }
+
+
+def _add_wait(submit: Submit, wait: timedelta) -> Submit:
+    """Return a submission whose waiting time includes that at this host."""
+    wait_ms = to_milliseconds(wait)
+    if not wait_ms:
+        return submit
+    return msgspec.structs.replace(submit, waited_ms=submit.waited_ms + wait_ms)
