--- a/bench/leader.py
+++ b/bench/leader.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import cProfile
+import gc
 import json
 import pstats
 import statistics
@@ -44,6 +45,7 @@
 )
 from cottonlug.core.cluster.records import UpstreamRecord
 from cottonlug.core.ids import DomainName
+from cottonlug.daemon import GC_THRESHOLD
 from cottonlug.net.asgi import HttpRequest, HttpResponse, build_asgi
 from cottonlug.net.connections import ConnectionPools
 from cottonlug.net.servers import Listener
@@ -147,8 +149,8 @@
         self._job_channel_server = JobChannelServer(
             answer=self.leadership.answer, clock=clock, find_limits=lambda submit: NO_WAIT
         )
-        app = build_asgi(self._handle, lambda: 1 << 24, self._answer_at_once)
-        self.listener = Listener(app=app, address=address)
+        app = build_asgi(self._handle, lambda: 1 << 24)
+        self.listener = Listener(app=app, address=address, handle_immediately=self._answer_at_once)
 
     def stop(self) -> None:
         """Stop scheduling and close the connections to upstreams."""
@@ -238,6 +240,7 @@
         print(uvloop.run(measure_round(load, profiled)))
         pstats.Stats(profiled).sort_stats("tottime").print_stats(45)
         return
+    gc.set_threshold(GC_THRESHOLD)
     measured = [uvloop.run(measure_round(load, None)) for _ in range(rounds)]
     costs = [each["us_a_start"] for each in measured]
     results = {
--- a/cottonlug/commands/daemons.py
+++ b/cottonlug/commands/daemons.py
@@ -54,8 +54,10 @@
 
     See `Listener` for `accepts_all`.
     """
-    app: Any = build_asgi(handler, lambda: max_body_bytes, handle_immediately)
-    return Listener(app=app, address=address, accepts_all=accepts_all)
+    app: Any = build_asgi(handler, lambda: max_body_bytes)
+    return Listener(
+        app=app, address=address, accepts_all=accepts_all, handle_immediately=handle_immediately
+    )
 
 
 def find_bind_address(advertised: Address, settings: ControlSettings | GatewaySettings) -> Address:
--- a/cottonlug/net/asgi.py
+++ b/cottonlug/net/asgi.py
@@ -62,16 +62,13 @@
 def build_asgi(
     handle: Handler,
     max_body_bytes: Callable[[], int],
-    handle_immediately: ImmediateHandler | None = None,
     *,
     checks_clients: bool = False,
 ) -> AsgiApp:
     """Return an ASGI application that calls a handler, with a limit on request bodies.
 
-    A request that `handle_immediately` answers is not passed to `handle`, whose task takes two more
-    iterations of the event loop; on a busy host these are long. With `checks_clients`, a request
-    whose client has left is not carried out, although the end of its connection has not been read
-    yet, and the age of other requests is measured.
+    With `checks_clients`, a request whose client has left is not carried out, although the end of
+    its connection has not been read yet, and the age of other requests is measured.
     """
 
     async def app(scope: Any, receive: Receive, send: Send) -> None:
@@ -88,9 +85,9 @@
             request = HttpRequest(
                 method=scope["method"], path=scope["path"], headers=headers, body=body
             )
-            answer = handle_immediately(request) if handle_immediately is not None else None
+            answer: HttpResponse | None = None
             connection = _find_connection(scope) if checks_clients else None
-            if answer is None and connection is not None:
+            if connection is not None:
                 if connection.has_client_left():
                     log_event(Event.REQUEST_DROPPED, method=request.method, path=request.path)
                     answer = HttpResponse(status=503, body=_CLIENT_LEFT, close=True)
--- a/cottonlug/net/servers.py
+++ b/cottonlug/net/servers.py
@@ -9,17 +9,20 @@
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ..config.options import Address
-from .asgi import CONNECTION_EXTENSION
-from .client_connections import ClientConnection
+from .asgi import ImmediateHandler
+from .client_protocol import ClientProtocol
+from .immediate import build_immediate_protocol
 
 if TYPE_CHECKING:
     from litestar import Litestar
 
 _START_CHECK_SECONDS = 0.005
 _MAX_ACCEPTS_PER_ITERATION = 256
+MAX_IMMEDIATE_BYTES = 1024 * 1024
+"""Longest body of a request that is held back until it is complete; a batch of the largest jobs
+takes a third of this."""
 _DESCRIPTOR_RETRY_SECONDS = 0.1
 """Pause before accepting again after the process has run out of file descriptors."""
 
@@ -127,15 +130,6 @@
         yield
 
 
-class _Protocol(HttpToolsProtocol):
-    """HTTP/1.1 that lets the application ask the kernel about the client's connection."""
-
-    def on_message_begin(self) -> None:
-        super().on_message_begin()
-        connection = ClientConnection(transport=self.transport)
-        self.scope["extensions"] = {CONNECTION_EXTENSION: {"connection": connection}}
-
-
 class Listener:
     """One application on one address.
 
@@ -144,14 +138,27 @@
     operators and upstreams. It does not suit gateways: when a leader is behind, connections that
     are accepted together are also late together. Under long overload, jobs earned 0.31 of their
     worth to callers, against 0.51 with one connection per iteration.
+
+    Requests that `handle_immediately` answers do not reach `app`.
     """
 
-    def __init__(self, *, app: Litestar | Any, address: Address, accepts_all: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        app: Litestar | Any,
+        address: Address,
+        accepts_all: bool = False,
+        handle_immediately: ImmediateHandler | None = None,
+    ) -> None:
         config = uvicorn.Config(
             app,
             host=address.host,
             port=address.port,
-            http=_Protocol,
+            http=(
+                build_immediate_protocol(handle_immediately, MAX_IMMEDIATE_BYTES)
+                if handle_immediately is not None
+                else ClientProtocol
+            ),
             ws="none",
             lifespan="off",
             loop="none",
--- a/cottonlug/runtime/job_channel_server.py
+++ b/cottonlug/runtime/job_channel_server.py
@@ -98,11 +98,17 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def handles(self, path: str) -> bool:
-        """Return whether a path is that of a poll for answers."""
-        return path == ANSWERS_PATH
+        """Return whether a path is one of a job channel."""
+        return path in (ANSWERS_PATH, JOBS_PATH)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer a poll for answers; raises `msgspec.MsgspecError` if it cannot be decoded."""
+        """Receive jobs or answer a poll for answers.
+
+        Raises `msgspec.MsgspecError` if a poll cannot be decoded.
+        """
+        received = self.handle_at_once(request)
+        if received is not None:
+            return received
         batch = await self.poll_answers(ask_answers_decoder.decode(request.body))
         return HttpResponse(status=200, body=msgspec.json.encode(batch))
 
--- /dev/null
+++ b/cottonlug/tests/test_immediate_requests.py
@@ -0,0 +1,119 @@
+"""Requests that a listener answers without an ASGI application, and those that it passes on."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..config.options import Address
+from ..net.asgi import HttpRequest, HttpResponse, build_asgi
+from ..net.servers import MAX_IMMEDIATE_BYTES, Listener
+from .processes import find_base_port
+
+MAX_BODY_BYTES = 4 * MAX_IMMEDIATE_BYTES
+
+
+def build_request(path: str, body: bytes, *, close: bool = False) -> bytes:
+    head = f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n"
+    return f"{head}{'Connection: close' if close else 'X-Test: 1'}\r\n\r\n".encode() + body
+
+
+async def read_response(reader: asyncio.StreamReader) -> tuple[int, bytes]:
+    """Return status and body of the next response on a connection."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+    length = int(head.split("content-length: ")[1].split("\r\n")[0])
+    return int(head.split(" ")[1]), await reader.readexactly(length)
+
+
+class Server:
+    """A listener that answers `/now` immediately, and everything else by its application."""
+
+    def __init__(self) -> None:
+        self.immediate: list[bytes] = []
+        self.passed_on: list[tuple[str, int]] = []
+        self.tasks: set[object] = set()
+        self.gate = asyncio.Event()
+        self.address = Address("127.0.0.1", find_base_port() + 6)
+        self.listener = Listener(
+            app=build_asgi(self.answer, lambda: MAX_BODY_BYTES),
+            address=self.address,
+            handle_immediately=self.answer_immediately,
+        )
+
+    def answer_immediately(self, request: HttpRequest) -> HttpResponse | None:
+        if request.path != "/now":
+            return None
+        self.immediate.append(request.body)
+        # Within a task this is not None.
+        self.tasks.add(asyncio.current_task())
+        return HttpResponse(status=200, body=b"now:" + request.body[:8])
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        self.passed_on.append((request.path, len(request.body)))
+        if request.path == "/slow":
+            await self.gate.wait()
+        return HttpResponse(status=202, body=b"passed on")
+
+
+async def exchange(server: Server, *requests: bytes) -> list[tuple[int, bytes]]:
+    """Send requests over one connection without waiting; return the responses in their order."""
+    assert await server.listener.start() is None
+    reader, writer = await asyncio.open_connection(server.address.host, server.address.port)
+    writer.write(b"".join(requests))
+    asyncio.get_running_loop().call_later(0.02, server.gate.set)
+    responses = [await asyncio.wait_for(read_response(reader), 5) for _ in requests]
+    if b"Connection: close" in requests[-1]:
+        assert await asyncio.wait_for(reader.read(), 5) == b""
+    writer.close()
+    await server.listener.stop()
+    return responses
+
+
+def test_immediate_answer_creates_no_task() -> None:
+    """On a busy host each iteration of the event loop is long, and a task takes two of them."""
+
+    async def play() -> None:
+        server = Server()
+        assert await exchange(server, build_request("/now", b"a"), build_request("/now", b"b")) == [
+            (200, b"now:a"),
+            (200, b"now:b"),
+        ]
+        assert server.tasks == {None}
+        assert server.passed_on == []
+
+    asyncio.run(play())
+
+
+def test_other_requests_reach_the_application_whole() -> None:
+    async def play() -> None:
+        server = Server()
+        long = b"x" * (MAX_IMMEDIATE_BYTES + 70_000)
+        responses = await exchange(
+            server, build_request("/other", b"abc"), build_request("/now", long)
+        )
+        assert responses == [(202, b"passed on"), (202, b"passed on")]
+        assert server.passed_on == [("/other", 3), ("/now", len(long))]
+
+    asyncio.run(play())
+
+
+def test_pipelined_requests_are_answered_in_their_order() -> None:
+    """An immediate answer must not overtake that of an earlier request on the connection."""
+
+    async def play() -> None:
+        server = Server()
+        responses = await exchange(
+            server, build_request("/slow", b""), build_request("/now", b"a", close=True)
+        )
+        assert responses == [(202, b"passed on"), (202, b"passed on")]
+        assert server.passed_on == [("/slow", 0), ("/now", 1)]
+
+    asyncio.run(play())
+
+
+def test_connection_is_closed_where_the_client_asks_for_it() -> None:
+    async def play() -> None:
+        server = Server()
+        responses = await exchange(server, build_request("/now", b"a", close=True))
+        assert responses == [(200, b"now:a")]
+
+    asyncio.run(play())
--- a/cottonlug/tests/test_job_channels.py
+++ b/cottonlug/tests/test_job_channels.py
@@ -298,9 +298,9 @@
         async def handle(request: HttpRequest) -> HttpResponse:
             return await server.handle(request)
 
-        app = build_asgi(handle, lambda: 1_000_000, server.handle_at_once)
+        app = build_asgi(handle, lambda: 1_000_000)
         address = Address("127.0.0.1", find_base_port() + 5)
-        listener = Listener(app=app, address=address)
+        listener = Listener(app=app, address=address, handle_immediately=server.handle_at_once)
         assert await listener.start() is None
         calls = PeerCalls()
         asking = [
--- a/cottonlug/tests/test_peer_calls.py
+++ b/cottonlug/tests/test_peer_calls.py
@@ -59,8 +59,8 @@
             return HttpResponse(status=200, body=msgspec.json.encode(Answer(outcome=Outcome.DONE)))
 
         address = Address("127.0.0.1", find_base_port() + 2)
-        app = build_asgi(answer, lambda: 1_000_000, channels.handle_at_once)
-        listener = Listener(app=app, address=address)
+        app = build_asgi(answer, lambda: 1_000_000)
+        listener = Listener(app=app, address=address, handle_immediately=channels.handle_at_once)
         assert await listener.start() is None
         calls = PeerCalls()
         waiting = [
@@ -151,29 +151,3 @@
         gateway.stop()
 
     asyncio.run(play())
-
-
-def test_immediate_answer_creates_no_task() -> None:
-    """On a busy host each iteration of the event loop is long, and a task takes two of them."""
-
-    async def play() -> tuple[list[int], int]:
-        async def never(request: HttpRequest) -> HttpResponse:
-            raise AssertionError("answered at once")
-
-        app = build_asgi(never, lambda: 1_000, lambda request: HttpResponse(status=204))
-        statuses: list[int] = []
-
-        async def receive() -> dict[str, object]:
-            return {"type": "http.request", "body": b"", "more_body": False}
-
-        async def send(message: dict[str, object]) -> None:
-            status = message.get("status")
-            if isinstance(status, int):
-                statuses.append(status)
-
-        scope = {"type": "http", "method": "POST", "path": "/", "headers": []}
-        before = len(asyncio.all_tasks())
-        await app(scope, receive, send)  # type: ignore[arg-type]
-        return statuses, len(asyncio.all_tasks()) - before
-
-    assert asyncio.run(play()) == ([204], 0)
