--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -37,7 +37,7 @@
 from ..core.cluster.model import JobId
 from ..core.consensus.types import Term
 from ..core.control_messages import ConsensusBatch
-from ..net.asgi import HttpRequest, HttpResponse
+from ..net.asgi import DeferredResponse, HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
 from .events import Event, log_event
 from .gateway_registry import GATEWAY_TIMEOUT
@@ -209,7 +209,7 @@
             return await self._forward_idempotent(leader, call)
         return await self._forward(leader, call, FORWARD_TIMEOUT, self._pools)
 
-    def answer_at_once(self, request: HttpRequest) -> HttpResponse | None:
+    def answer_at_once(self, request: HttpRequest) -> HttpResponse | DeferredResponse | None:
         """Accept jobs and, as leader, answer keep-alives; return None for other requests.
 
         This needs no asyncio task, which a busy event loop would start late: a gateway sends its
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -40,7 +40,7 @@
     find_wait_limits,
 )
 from ..core.cluster.model import Queue
-from ..net.asgi import HttpRequest, HttpResponse
+from ..net.asgi import DeferredResponse, HttpRequest, HttpResponse
 from .acting_leader import ActingLeader
 from .call_limit import CallLimit
 from .coordinator_link import CoordinatorLink, Via
@@ -357,7 +357,7 @@
 
     # Calls of other gateways
 
-    def answer_at_once(self, request: HttpRequest) -> HttpResponse | None:
+    def answer_at_once(self, request: HttpRequest) -> HttpResponse | DeferredResponse | None:
         """Receive jobs, and answer keep-alives while acting as leader; None for other requests."""
         response = self._job_channels.handle_at_once(request)
         if response is not None:
--- a/cottonlug/runtime/job_channel_server.py
+++ b/cottonlug/runtime/job_channel_server.py
@@ -30,7 +30,7 @@
 )
 from ..core.cluster.calls import Answer, Call, Outcome, Submit
 from ..core.cluster.forecast import WaitLimits
-from ..net.asgi import HttpRequest, HttpResponse
+from ..net.asgi import DeferredResponse, HttpRequest, HttpResponse
 from .events import Event, log_event
 from .job_channel import ANSWER_POLL_WAIT, ANSWERS_PATH, JOBS_PATH
 
@@ -60,10 +60,36 @@
     """Number of answers so far, and thus the number of the last one."""
     answers: list[tuple[int, NumberedAnswer]] = field(default_factory=list)
     """Answers that the client is not known to have, each with its own number."""
-    answer_added: asyncio.Event = field(default_factory=asyncio.Event)
+    parked: list[DeferredResponse] = field(default_factory=list)
+    """Polls that wait for an answer."""
+    is_send_scheduled: bool = False
+    """Whether the parked polls are about to be answered."""
     unanswered_count: int = 0
     """Number of jobs received that have no answer yet."""
 
+    def add_answer(self, answer: NumberedAnswer) -> None:
+        """Add an answer, and have it sent together with others that are added at the same time."""
+        self.answer_count += 1
+        self.answers.append((self.answer_count, answer))
+        if self.parked and not self.is_send_scheduled:
+            self.is_send_scheduled = True
+            asyncio.get_running_loop().call_soon(self._send_answers)
+
+    def _send_answers(self) -> None:
+        self.is_send_scheduled = False
+        parked, self.parked = self.parked, []
+        for each in parked:
+            each.give(self.build_batch())
+
+    def build_batch(self) -> HttpResponse:
+        """Return all answers that the client is not known to have, as a response to a poll."""
+        batch = AnswerBatch(
+            numbering=self.numbering,
+            through=self.answer_count,
+            answers=tuple(answer for _, answer in self.answers),
+        )
+        return HttpResponse(status=200, body=msgspec.json.encode(batch))
+
 
 @dataclass(slots=True, kw_only=True)
 class _ReceivedJob:
@@ -102,25 +128,22 @@
         return path in (ANSWERS_PATH, JOBS_PATH)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Receive jobs or answer a poll for answers.
-
-        Raises `msgspec.MsgspecError` if a poll cannot be decoded.
-        """
-        received = self.handle_at_once(request)
-        if received is not None:
-            return received
-        batch = await self.poll_answers(ask_answers_decoder.decode(request.body))
-        return HttpResponse(status=200, body=msgspec.json.encode(batch))
+        """Answer a request of a job channel."""
+        response = self.handle_at_once(request)
+        assert response is not None, "the path is one of a job channel"
+        return response if isinstance(response, HttpResponse) else await response.wait()
 
-    def handle_at_once(self, request: HttpRequest) -> HttpResponse | None:
-        """Receive a batch of jobs; None for any other request."""
-        if request.path != JOBS_PATH:
-            return None
+    def handle_at_once(self, request: HttpRequest) -> HttpResponse | DeferredResponse | None:
+        """Receive a batch of jobs or a poll for answers; None for any other request."""
         try:
-            self.receive(job_batch_decoder.decode(request.body))
+            if request.path == JOBS_PATH:
+                self.receive(job_batch_decoder.decode(request.body))
+                return HttpResponse(status=200)
+            if request.path == ANSWERS_PATH:
+                return self.poll_answers(ask_answers_decoder.decode(request.body))
         except msgspec.MsgspecError as error:
             return HttpResponse(status=400, body=msgspec.json.encode({"error": str(error)}))
-        return HttpResponse(status=200)
+        return None
 
     def receive(self, batch: JobBatch) -> None:
         """Queue the jobs of a batch that were not received before."""
@@ -141,26 +164,23 @@
             self._is_start_scheduled = True
             asyncio.get_running_loop().call_soon(self._start_next)
 
-    async def poll_answers(self, ask: AskAnswers) -> AnswerBatch:
-        """Return the answers that the client lacks, as soon as there are any.
+    def poll_answers(self, ask: AskAnswers) -> HttpResponse | DeferredResponse:
+        """Return the answers that the client lacks, or have them sent as soon as there are any.
 
-        Returns an empty batch after `ANSWER_POLL_WAIT`.
+        The batch is empty if there are none within `ANSWER_POLL_WAIT`.
         """
         channel = self._get_channel(ask.caller, ask.channel)
         if ask.numbering == channel.numbering:
             # Up to the number `have` the client has received them.
             channel.answers = [each for each in channel.answers if each[0] > ask.have]
-        if not channel.answers:
-            channel.answer_added.clear()
-            try:
-                async with asyncio.timeout(ANSWER_POLL_WAIT.total_seconds()):
-                    await channel.answer_added.wait()
-            except TimeoutError:
-                pass
-        answers = tuple(answer for _, answer in channel.answers)
-        return AnswerBatch(
-            numbering=channel.numbering, through=channel.answer_count, answers=answers
+        if channel.answers:
+            return channel.build_batch()
+        parked = DeferredResponse()
+        channel.parked.append(parked)
+        asyncio.get_running_loop().call_later(
+            ANSWER_POLL_WAIT.total_seconds(), _expire_poll, channel, parked
         )
+        return parked
 
     def describe_queue(self) -> tuple[int, timedelta]:
         """Return how many received jobs were not passed on yet, and for how long the oldest waits.
@@ -195,9 +215,7 @@
             answer = Answer(outcome=Outcome.UNKNOWN, detail=detail)
         finally:
             channel.unanswered_count -= 1
-        channel.answer_count += 1
-        channel.answers.append((channel.answer_count, NumberedAnswer(number=number, answer=answer)))
-        channel.answer_added.set()
+        channel.add_answer(NumberedAnswer(number=number, answer=answer))
 
     def _get_channel(self, caller: str, channel_id: int) -> _Channel:
         now = self._clock.monotonic()
@@ -225,3 +243,10 @@
     if not wait_ms:
         return submit
     return msgspec.structs.replace(submit, waited_ms=submit.waited_ms + wait_ms)
+
+
+def _expire_poll(channel: _Channel, parked: DeferredResponse) -> None:
+    """Answer a poll that has waited long enough with what there is."""
+    if not parked.is_given:
+        channel.parked.remove(parked)
+        parked.give(channel.build_batch())
