--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -215,6 +215,8 @@
         self.gateways.on_restart = self._abandon_jobs_of_restarted
         self._proposals: list[Command] = []
         self._is_decision_scheduled = False
+        self._scheduled_at = clock.monotonic()
+        """When the next or last decision was scheduled."""
         self._is_over = False
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._forget_at = clock.monotonic() + FORGET_INTERVAL
@@ -455,12 +457,14 @@
         """Schedule a decision for after the callbacks that are already due on the event loop."""
         if not self._is_decision_scheduled:
             self._is_decision_scheduled = True
+            self._scheduled_at = self._clock.monotonic()
             asyncio.get_running_loop().call_soon(self._decide)
 
     def _decide(self) -> None:
         self._is_decision_scheduled = False
         if self._is_over:
             return
+        self.work_report.record_turn(self._clock.monotonic() - self._scheduled_at)
         try:
             with self._work.measure(Work.DECISIONS):
                 has_decided = self._decide_now()
@@ -514,7 +518,6 @@
         """Record how late a decision is, if only a delay of this host can be the cause."""
         if gap > USUAL_DECISION_GAP:
             self.record_decision_gap(gap / timedelta(milliseconds=1))
-            self.work_report.record_gap(gap)
         if gap > LONG_DECISION_GAP:
             log_event(Event.DECISION_DELAYED, term=int(self.term), held_up_ms=to_milliseconds(gap))
 
