--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -400,24 +400,22 @@
         self._abandon_runs(instance)
 
     def cordon_idle(self, now: timedelta) -> None:
-        """Propose to cordon unreachable upstreams that certainly run nothing.
+        """Propose to cordon unreachable and leaving upstreams that certainly run nothing.
 
         A leader knows at which upstreams it has started something. The next leader does not, and
         without cordons would have to wait for the leases of all upstreams that do not answer it,
         however long these have been gone.
         """
-        if not (self._unreachable and self._term.keeps_log):
+        if not self._term.keeps_log:
             return
         self._unreachable = {
             id: instance
             for id, instance in self._unreachable.items()
             if instance.failed_polls and id in self._instances.by_id
         }
-        idle = [
-            instance
-            for instance in self._unreachable.values()
-            if self._is_surely_idle(instance, now)
-        ]
+        leaving = (each for each in self._instances.by_id.values() if each.draining)
+        candidates = {each.info.id: each for each in (*self._unreachable.values(), *leaving)}
+        idle = [each for each in candidates.values() if self._is_surely_idle(each, now)]
         if not idle:
             return
         for instance in idle:
@@ -432,17 +430,27 @@
         self._term.proposals.append(CordonUpstreams(upstreams=cordoned, lost=lost))
 
     def _is_surely_idle(self, instance: Instance, now: timedelta) -> bool:
-        """Return whether an instance is unreachable and no run of any leader is active there."""
+        """Return whether no run of any leader is active at an instance, nor will be.
+
+        That is so if it is unreachable, or leaving: nothing is started there any more.
+        """
         is_unreachable = (
             not instance.is_fenced and instance.failed_polls >= FAILED_POLLS_BEFORE_CORDON
         )
+        has_left = instance.draining and instance.proposed_through <= instance.recorded_through
         is_lapsed = not instance.runs and now >= max(
             instance.lapse_at, self._term.earlier_leases_lapsed_at
         )
-        return is_unreachable and is_lapsed and not (instance.is_cordoned or instance.is_over)
+        is_unused = (is_unreachable or has_left) and is_lapsed
+        return is_unused and not (instance.is_cordoned or instance.is_over)
 
     def request_uncordon(self, instance: Instance) -> None:
-        """Propose to lift the cordon of an upstream; nothing is started there before the commit."""
+        """Propose to lift the cordon of an upstream; nothing is started there before the commit.
+
+        It stays on one that is leaving, where nothing is started any more.
+        """
+        if instance.draining:
+            return
         if instance.is_cordoned and not instance.is_uncordoning:
             instance.is_uncordoning = True
             self._term.proposals.append(UncordonUpstream(upstream=instance.info.id))
--- a/cottonlug/tests/test_cluster_cordon.py
+++ b/cottonlug/tests/test_cluster_cordon.py
@@ -148,3 +148,59 @@
     assert not any(leader.dispatch.jobs.is_open(JobId(job)) for job in jobs)
     assert leader.dispatch.jobs.find_ended(JobId(jobs[-1])) in (JobState.COMPLETED, None)
     assert not world.running
+
+
+def lose_upstream_that_has_left(seed: int) -> Leader:
+    """Return a leader of which an upstream has left, without an active run, and ended."""
+    world, upstreams = build_world(seed)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.submit("b" * 16, build_spec(tasks=8), build_queue())
+    world.run_until(milliseconds(300))
+    leader.dispatch.handle_leave(GONE)
+    world.run_until(milliseconds(300) + TERMS.lapse_after + milliseconds(300))
+    upstreams[GONE].crash()
+    world.run_until(world.now + milliseconds(50))
+    return leader
+
+
+def test_a_new_leader_does_not_wait_for_upstreams_that_have_left() -> None:
+    """Guards against jobs that wait for leases of a second after each change of leader.
+
+    Upstreams that leave without active runs are not polled, and so were never found unreachable.
+    """
+    second = replace_leader(lose_upstream_that_has_left(1))
+    second.submit(JOB, build_spec(tasks=2), build_queue(), may_have_begun=True)
+    second.world.run_until(second.world.now + milliseconds(100))
+    assert count_starts(second.world, JOB) == 2
+
+
+def test_an_upstream_that_leaves_is_not_cordoned_while_a_run_is_active_there() -> None:
+    """A later leader would start the task beside that run."""
+    world, upstreams = build_world(2)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda job: milliseconds(4_000)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.submit("b" * 16, build_spec(tasks=8, run_ms=4_000), build_queue())
+    world.run_until(milliseconds(200))
+    assert upstreams[GONE].runs
+    leader.dispatch.handle_leave(GONE)
+    world.run_until(milliseconds(3_000))
+    assert upstreams[GONE].runs
+    assert not leader.records.upstreams[GONE].is_cordoned
+    world.run_until(milliseconds(8_000))
+    assert not upstreams[GONE].runs
+    assert leader.records.upstreams[GONE].is_cordoned
+
+
+def test_an_upstream_that_leaves_stays_cordoned_though_it_answers() -> None:
+    """Nothing is started there again; lifting the cordon would have later leaders wait for it."""
+    world, upstreams = build_world(3)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.dispatch.handle_leave(GONE)
+    world.run_until(milliseconds(2_000))
+    second = replace_leader(leader)
+    world.run_until(milliseconds(4_000))
+    assert second.records.upstreams[GONE].is_cordoned
