--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -193,6 +193,13 @@
         """Forget the higher fencing token, since this host now requests a later term."""
         self._term.is_superseded = False
 
+    def set_busy(self, is_busy: bool) -> None:
+        """Tell whether this host has hardly enough processor time for its work.
+
+        It then leaves out what can wait.
+        """
+        self._term.is_busy = is_busy
+
     def find_rejection(
         self, queue: Queue, spec: JobSpec, waited: timedelta, now: timedelta
     ) -> Rejection | None:
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -112,6 +112,8 @@
     preferred."""
     begun_earlier: frozenset[JobId] | None = None
     """Best-effort jobs of which the last leader may have active runs; None if that is unknown."""
+    is_busy: bool = False
+    """Whether this host has hardly enough processor time for its work."""
     is_superseded: bool = False
     """Whether an upstream is known to have accepted a higher token, which ends this term there."""
 
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -205,9 +205,12 @@
     def _find_poll_wait(self, instance: Instance, now: timedelta) -> timedelta:
         """Return how long the answer to a poll may be delayed if no run ends.
 
-        That is until the progress of a run should be checked, within the limits above.
+        That is until the progress of a run should be checked, within the limits above. A host that
+        is busy leaves these checks to the polls that renew leases.
         """
         wait = LONG_POLL_WAIT
+        if self._term.is_busy:
+            return wait
         for run in instance.runs.values():
             job = self._jobs.jobs.get(run.task.job)
             if job is None or run.stop_requested or job.record.spec.long_running:
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -152,6 +152,7 @@
             on_progress=self._update_leadership,
             on_failure=on_failure,
         )
+        self.replica.messenger.measure = lambda: self.work.measure(Work.LOG_MESSAGES)
 
     async def start(self) -> str | None:
         """Start the replica and the background tasks; return an error message, or None."""
--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -86,6 +86,11 @@
 LONG_DECISION_GAP = timedelta(milliseconds=150)
 """Decisions are made every 20 ms unless the process was delayed. Longer gaps are logged, and the
 messages that arrived during them are processed before the next decision."""
+BUSY_TURN = timedelta(milliseconds=4)
+"""From this mean length of a turn of the event loop on, this host counts as busy. A message passes
+several turns, so that it then costs a job as much as its way through the network, or more."""
+TURN_LEARNING_RATE = 0.1
+"""Weight of the last turn in the mean, which follows within some twenty turns."""
 COMMIT_TIMEOUT = timedelta(seconds=2)
 """How long a call waits for its command to commit; after that its outcome is unknown."""
 
@@ -217,6 +222,8 @@
         self._is_decision_scheduled = False
         self._scheduled_at = clock.monotonic()
         """When the next or last decision was scheduled."""
+        self._turn = timedelta()
+        """Mean length of the last turns of the event loop."""
         self._is_over = False
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._forget_at = clock.monotonic() + FORGET_INTERVAL
@@ -464,7 +471,10 @@
         self._is_decision_scheduled = False
         if self._is_over:
             return
-        self.work_report.record_turn(self._clock.monotonic() - self._scheduled_at)
+        turn = self._clock.monotonic() - self._scheduled_at
+        self.work_report.record_turn(turn)
+        self._turn += (turn - self._turn) * TURN_LEARNING_RATE
+        self.dispatch.set_busy(self._turn > BUSY_TURN)
         try:
             with self._work.measure(Work.DECISIONS):
                 has_decided = self._decide_now()
--- a/cottonlug/runtime/messenger.py
+++ b/cottonlug/runtime/messenger.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -82,6 +83,8 @@
         self.on_lost_report: Callable[[str, bool], object] = lambda host, is_refused: None
         """Called with the host that may not have received the last report, and whether it has
         refused it."""
+        self.measure: Callable[[], AbstractContextManager[None]] = nullcontext
+        """Returns a context in which the preparation of a batch is measured."""
         self._peers: dict[str, Peer] = {}
 
     async def stop(self) -> None:
@@ -167,13 +170,15 @@
 
     async def _send(self, peer: Peer, messages: list[ConsensusMessage]) -> None:
         sender, term = self._get_sender()
-        report = self.build_report(peer.host)
-        batch = ConsensusBatch(sender=sender, messages=messages, begun=report)
+        with self.measure():
+            report = self.build_report(peer.host)
+            batch = ConsensusBatch(sender=sender, messages=messages, begun=report)
+            body = msgspec.json.encode(batch)
         sent_at = peer.sent_at = self._clock.monotonic()
         is_large = any(isinstance(message, SnapshotRequest) for message in messages)
         timeout = SNAPSHOT_TIMEOUT if is_large else CALL_TIMEOUT
         pool = self._pools.get(peer.address)
-        sent = await pool.call("POST", MESSAGES_PATH, msgspec.json.encode(batch), timeout=timeout)
+        sent = await pool.call("POST", MESSAGES_PATH, body, timeout=timeout)
         if isinstance(sent, Err) or sent.unwrap().status != 200:
             # The leader's next heartbeat makes up for lost messages.
             peer.outbox = []
--- a/cottonlug/tests/test_cluster_progress.py
+++ b/cottonlug/tests/test_cluster_progress.py
@@ -159,3 +159,43 @@
     assert lost
     assert leader.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
     assert leader.dispatch.counts.stops == 1
+
+
+def count_polls(*, is_busy: bool) -> int:
+    """Return how many polls a leader sends for twelve runs, one after the other."""
+    world, upstreams = build_world(5)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda job: milliseconds(150)
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(1_500))
+    leader.dispatch.set_busy(is_busy)
+    before = leader.dispatch.counts.looks
+    for number in range(12):
+        leader.submit(f"{number:016x}", build_spec(tasks=1, run_ms=150), build_queue())
+        world.run_until(world.now + milliseconds(400))
+        assert leader.dispatch.jobs.find_ended(JobId(f"{number:016x}")) is JobState.COMPLETED
+    return leader.dispatch.counts.looks - before
+
+
+def test_a_busy_leader_does_not_poll_to_check_the_progress_of_runs() -> None:
+    """Guards against a leader that lacks processor time and spends a third of its polls on checks.
+
+    What remains is a poll for each end, and one that confirms it.
+    """
+    assert count_polls(is_busy=True) <= 2 * 12
+    assert count_polls(is_busy=False) >= 3 * 12
+
+
+def test_a_stalled_run_is_moved_by_a_busy_leader_as_well() -> None:
+    """The polls that renew leases show it, a little later."""
+    world, upstreams = build_world(5)
+    for number, upstream in enumerate(upstreams.values()):
+        run_ms = 60_000 if number == 0 else 200
+        upstream.run_times = lambda job, run_ms=run_ms: milliseconds(run_ms)  # type: ignore[misc]
+    leader = start_leader(world, upstreams, Records(), 1)
+    world.run_until(milliseconds(100))
+    leader.dispatch.set_busy(True)
+    leader.submit("a" * 16, build_spec(tasks=4, run_ms=200), build_queue())
+    world.run_until(milliseconds(1_000))
+    assert leader.dispatch.jobs.find_ended(JobId("a" * 16)) is JobState.COMPLETED
+    assert leader.dispatch.counts.moved_runs >= 1
