--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -20,6 +20,7 @@
 from .log_output import LogOutput
 from .metrics import Metrics
 from .refused_heartbeats import RefusedHeartbeats
+from .work_meter import MS_PER_SECOND
 
 if TYPE_CHECKING:
     from .control_host import ControlHost
@@ -46,6 +47,9 @@
         counts["cancelled_jobs_dropped"] = host.replicated.records.cancelled.dropped
         counts["idle_connections_closed"] = idle.closed_count
         counts["log_lines_left_out"] = output.dropped
+        for work, amount in host.work.total.items():
+            counts[f"work_{work.value}"] = amount.count
+            counts[f"work_{work.value}_ms"] = amount.seconds * MS_PER_SECOND
         return counts
 
     def read_gauges() -> dict[str, float]:
@@ -55,6 +59,7 @@
         gauges["cancelled_jobs"] = len(host.replicated.records.cancelled)
         gauges["peak_memory_mb"] = _read_peak_memory()
         gauges["descriptors_open"] = _count_descriptors()
+        gauges["jobs_not_taken"] = host.describe_arrivals()[0]
         if host.leadership is not None:
             gauges.update(_read_dispatch_gauges(host))
         return gauges
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -210,6 +210,10 @@
             return await self._forward_idempotent(leader, call)
         return await self._forward(leader, call, FORWARD_TIMEOUT, self._pools)
 
+    def describe_arrivals(self) -> tuple[int, timedelta]:
+        """Return how many jobs have arrived that were not taken yet, and the longest wait here."""
+        return self._job_channels.describe_arrivals()
+
     def answer_at_once(self, request: HttpRequest) -> HttpResponse | DeferredResponse | None:
         """Accept jobs and, as leader, answer keep-alives; return None for other requests.
 
@@ -418,7 +422,7 @@
             )
             self._report_begun_jobs(self.leadership)
             self.leadership.gateways.record_age = self.record_message_age
-            self.leadership.work_report.describe_queue = self._job_channels.describe_queue
+            self.leadership.work_report.describe_arrivals = self.describe_arrivals
             self.leadership.record_decision_gap = self.record_decision_gap
 
     def _report_begun_jobs(self, leadership: Leadership) -> None:
--- a/cottonlug/runtime/job_channel_server.py
+++ b/cottonlug/runtime/job_channel_server.py
@@ -182,7 +182,7 @@
         )
         return parked
 
-    def describe_queue(self) -> tuple[int, timedelta]:
+    def describe_arrivals(self) -> tuple[int, timedelta]:
         """Return how many received jobs were not passed on yet, and for how long the oldest waits.
 
         It has waited at this host; how long before that is not included.
--- a/cottonlug/runtime/work_report.py
+++ b/cottonlug/runtime/work_report.py
@@ -29,8 +29,8 @@
         self._longest_turn = timedelta()
         self._busy_seconds = time.thread_time()
         self._starts = 0
-        self.describe_queue: Callable[[], tuple[int, timedelta]] = lambda: (0, timedelta())
-        """Returns how many jobs have arrived that were not looked at yet, and for how long the
+        self.describe_arrivals: Callable[[], tuple[int, timedelta]] = lambda: (0, timedelta())
+        """Returns how many jobs have arrived that were not taken yet, and for how long the
         oldest of them has waited."""
 
     def record_turn(self, turn: timedelta) -> None:
@@ -52,15 +52,15 @@
         earlier_starts, self._starts = self._starts, dispatch.counts.starts
         if longest < REPORTED_TURN:
             return
-        queued, queued_for = self.describe_queue()
+        not_taken, waited = self.describe_arrivals()
         log_event(
             Event.LEADER_BEHIND,
             turn_ms=to_milliseconds(mean),
             longest_turn_ms=to_milliseconds(longest),
             busy_ms=round((self._busy_seconds - began) * MS_PER_SECOND),
             starts=self._starts - earlier_starts,
-            queued_jobs=queued,
-            queued_for_ms=to_milliseconds(queued_for),
+            not_taken=not_taken,
+            not_taken_for_ms=to_milliseconds(waited),
             waiting=len(dispatch.jobs.backlog),
             open_jobs=dispatch.jobs.count_jobs(),
             **fields,
