--- a/cottonlug/net/immediate.py
+++ b/cottonlug/net/immediate.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from ..runtime.events import Event, log_event
 from .asgi import DeferredResponse, HttpRequest, HttpResponse, ImmediateHandler
 from .client_protocol import ClientProtocol
 
@@ -78,7 +79,7 @@
 
     def _answer(self, body: bytes) -> bool:
         """Answer a request if that can be done immediately; return whether it was."""
-        response = self.handle_immediately(
+        response = self._handle(
             HttpRequest(
                 method=self.parser.get_method().decode("ascii"),
                 path=httptools.parse_url(self.url).path.decode("ascii"),
@@ -98,6 +99,16 @@
         response.send_to(lambda given: self._send(given, keeps_alive))
         return True
 
+    def _handle(self, request: HttpRequest) -> HttpResponse | DeferredResponse | None:
+        """Call the handler; an error in it is answered with 500."""
+        try:
+            return self.handle_immediately(request)
+        except Exception as error:
+            # The parser would take it for a malformed request.
+            detail = f"{type(error).__name__}: {error}"
+            log_event(Event.CALL_FAILED, call=request.method, path=request.path, detail=detail)
+            return HttpResponse(status=500)
+
     def _send(self, response: HttpResponse, keeps_alive: bool) -> None:
         self._deferred = None
         if self.transport.is_closing():
--- a/cottonlug/tests/test_immediate_requests.py
+++ b/cottonlug/tests/test_immediate_requests.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+
+import pytest
 
 from ..config.options import Address
 from ..net.asgi import DeferredResponse, HttpRequest, HttpResponse, build_asgi
@@ -44,6 +47,8 @@
         if request.path == "/later":
             self.deferred.append(DeferredResponse())
             return self.deferred[-1]
+        if request.path == "/fault":
+            raise ValueError("a fault")
         if request.path != "/now":
             return None
         self.immediate.append(request.body)
@@ -173,3 +178,20 @@
         await server.listener.stop()
 
     asyncio.run(play())
+
+
+def test_error_in_an_immediate_handler_is_answered_and_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against errors that look like malformed requests, with nothing in the log."""
+
+    async def play() -> None:
+        server = Server()
+        responses = await exchange(
+            server, build_request("/fault", b""), build_request("/now", b"a")
+        )
+        assert responses == [(500, b""), (200, b"now:a")]
+
+    with caplog.at_level(logging.INFO):
+        asyncio.run(play())
+    assert "ValueError: a fault" in str([vars(record) for record in caplog.records])
