--- a/cottonlug/net/immediate.py
+++ b/cottonlug/net/immediate.py
@@ -32,6 +32,8 @@
     _held_size = 0
     _deferred: DeferredResponse | None = None
     """The response to the last request, if that is yet to be given."""
+    _is_stopping = False
+    """Whether the server has stopped listening."""
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, unless the client does not wait for its response."""
@@ -40,6 +42,12 @@
             return
         super().data_received(data)
 
+    def shutdown(self) -> None:
+        """Close the connection, after a response that is yet to be given."""
+        self._is_stopping = True
+        if self._deferred is None:
+            super().shutdown()
+
     def on_headers_complete(self) -> None:
         """Hold the request back if it may be answered immediately."""
         is_free = self.cycle is None or self.cycle.response_complete
@@ -113,7 +121,7 @@
         self._deferred = None
         if self.transport.is_closing():
             return
-        closes = response.close or not keeps_alive
+        closes = response.close or not keeps_alive or self._is_stopping
         self.transport.write(_encode(response, closes=closes))
         if closes:
             self.transport.close()
--- a/cottonlug/tests/test_immediate_requests.py
+++ b/cottonlug/tests/test_immediate_requests.py
@@ -195,3 +195,24 @@
     with caplog.at_level(logging.INFO):
         asyncio.run(play())
     assert "ValueError: a fault" in str([vars(record) for record in caplog.records])
+
+
+def test_deferred_response_is_given_before_a_server_that_stops_closes_the_connection() -> None:
+    """Guards against answers to jobs that are lost with the graceful stop of their host."""
+
+    async def play() -> None:
+        server = Server()
+        assert await server.listener.start() is None
+        reader, writer = await asyncio.open_connection(server.address.host, server.address.port)
+        writer.write(build_request("/later", b""))
+        while not server.deferred:
+            await asyncio.sleep(0.001)
+        stopping = asyncio.create_task(server.listener.stop())
+        await asyncio.sleep(0.02)
+        server.deferred[0].give(HttpResponse(status=200, body=b"answer"))
+        assert await asyncio.wait_for(read_response(reader), 5) == (200, b"answer")
+        assert await asyncio.wait_for(reader.read(), 5) == b""
+        await asyncio.wait_for(stopping, 5)
+        writer.close()
+
+    asyncio.run(play())
