--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -25,4 +25,6 @@
     FailedSeed(seed=209, series=3, cause=_NO_LEADER.format(36)),
     FailedSeed(seed=303, series=2, gateways=3, cause=_CRASHES),
     FailedSeed(seed=408, series=3, gateways=3, cause=_CRASHES),
+    FailedSeed(seed=501, series=2, cause=_NO_LEADER.format(36)),
+    FailedSeed(seed=521, series=2, cause=_NO_LEADER.format(9)),
 )
