--- a/cottonlug/core/cluster/arrivals.py
+++ b/cottonlug/core/cluster/arrivals.py
@@ -4,14 +4,16 @@
 burst, or all those that waited for a leader at once. Taken in the order of their deadlines, each
 job would wait until it is late, all callers would be served late, and that for seconds after the
 burst. So the newest jobs go first among those that can still meet their objective: those taken are
-in time, however long the queue is. All others go when there is time left, and a job that is of no
-more use goes before all, since it is only refused, and its caller should hear of that at once.
+in time, however long the queue is. All others go when there is time left. Before all go jobs that
+are served however late, since they only have to be stored here, and jobs that are of no more use,
+since they are only refused, and their callers should hear of that at once.
 """
 
 from __future__ import annotations
 
 import heapq
 import itertools
+from collections import deque
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Generic, TypeVar
@@ -22,8 +24,8 @@
 
 TIME_TO_START = timedelta(milliseconds=20)
 """From the moment at which a job is taken to the start of its first run, on a busy coordinator."""
-NEVER = timedelta.max
-"""Latest useful start of a job that is served however late."""
+MAX_TAKEN_ENTRIES = 64
+"""Entries of arrivals that were taken, which may stay in a heap beyond the number of the others."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -36,7 +38,7 @@
     latest_start: timedelta
     """If taken later, it will probably miss its objective."""
     latest_useful_start: timedelta
-    """If taken later, it is of no more use."""
+    """If taken later, it is of no more use, unless it is served however late."""
     is_taken: bool = False
 
 
@@ -48,10 +50,12 @@
 class Arrivals(Generic[T]):
     """The arrivals that were not taken yet.
 
-    Each of them is in the heap of those in time or of those that are late, newest first, and in
-    that of deadlines; it stays in the other one after it was taken.
+    Each one with a limit is in the heap of those in time or of those that are late, newest first,
+    and in that of deadlines; it stays in the other one after it was taken.
     """
 
+    _unlimited: deque[Arrival[T]] = field(default_factory=deque)
+    """Jobs that are served however late, in the order of their arrival."""
     _in_time: list[_Entry[T]] = field(default_factory=list)
     _late: list[_Entry[T]] = field(default_factory=list)
     _deadlines: list[_Entry[T]] = field(default_factory=list)
@@ -68,26 +72,36 @@
             job=job,
             arrived_at=now,
             latest_start=sent_at + limits.in_time - TIME_TO_START,
-            latest_useful_start=sent_at + limits.useful if limits.useful is not None else NEVER,
+            latest_useful_start=sent_at + (limits.useful or timedelta()),
         )
+        self._count += 1
+        if limits.useful is None:
+            self._unlimited.append(arrival)
+            return
         number = next(self._numbers)
         heapq.heappush(self._in_time, (-sent_at, -number, arrival))
         heapq.heappush(self._deadlines, (arrival.latest_useful_start, number, arrival))
-        self._count += 1
 
     def pop(self, now: timedelta) -> Arrival[T] | None:
         """Remove and return the arrival to take next, or None if there is none."""
+        if self._unlimited:
+            self._count -= 1
+            return self._unlimited.popleft()
         arrival = self._pop_useless(now) or self._pop_in_time(now) or self._pop_late()
         if arrival is not None:
             arrival.is_taken = True
             self._count -= 1
-        if not self._count:
-            self._clear()
+            self._drop_taken()
         return arrival
 
+    def count_entries(self) -> int:
+        """Return the number of entries in all heaps, which memory depends on."""
+        return len(self._in_time) + len(self._late) + len(self._deadlines)
+
     def find_longest_wait(self, now: timedelta) -> timedelta:
         """Return for how long the oldest arrival has waited at this host."""
-        waiting = (each for _, _, each in self._deadlines if not each.is_taken)
+        limited = (each for _, _, each in self._deadlines if not each.is_taken)
+        waiting = (*self._unlimited, *limited)
         return max((now - each.arrived_at for each in waiting), default=timedelta())
 
     def _pop_useless(self, now: timedelta) -> Arrival[T] | None:
@@ -115,8 +129,12 @@
                 return arrival
         return None
 
-    def _clear(self) -> None:
-        """Drop the entries of arrivals that were taken, as nothing else is left."""
-        self._in_time.clear()
-        self._late.clear()
-        self._deadlines.clear()
+    def _drop_taken(self) -> None:
+        """Drop the entries of arrivals that were taken once they are the most in a heap.
+
+        Under overload that lasts, the oldest entries would never come to the top.
+        """
+        for heap in (self._in_time, self._late, self._deadlines):
+            if len(heap) > 2 * self._count + MAX_TAKEN_ENTRIES:
+                heap[:] = [entry for entry in heap if not entry[2].is_taken]
+                heapq.heapify(heap)
--- a/cottonlug/tests/test_leader_press.py
+++ b/cottonlug/tests/test_leader_press.py
@@ -16,11 +16,13 @@
 
 import msgspec
 
+from ..core.cluster.arrivals import MAX_TAKEN_ENTRIES, Arrivals
 from ..core.cluster.batches import JobBatch, NumberedJob
 from ..core.cluster.calls import Answer, Call, Outcome, Submit
 from ..core.cluster.forecast import WaitLimits
 from ..runtime.job_channel_server import JobChannelServer
 from .gateway_builders import build_submit
+from .model_upstreams import milliseconds
 
 PROCESSOR_TIME_PER_START = timedelta(microseconds=560)
 PROCESSOR_TIME_PER_JOB = timedelta(microseconds=280)
@@ -214,3 +216,38 @@
     _, leader = play_press(1)
     for path, wait in leader.waits.items():
         assert abs(leader.reported_waits[path] - wait) <= LONGEST_TURN, path
+
+
+def test_arrivals_take_bounded_memory_under_overload_that_lasts() -> None:
+    """Guards against jobs that are kept after they were taken, as newer ones always come first.
+
+    For a third of the arrivals there is no time, until they are of no more use.
+    """
+    arrivals: Arrivals[int] = Arrivals()
+    limits = WaitLimits(in_time=milliseconds(100), useful=milliseconds(400))
+    now = timedelta()
+    most_waiting = most_entries = 0
+    for number in range(20_000):
+        now += milliseconds(1)
+        arrivals.add(number, waited=timedelta(), limits=limits, now=now)
+        has_time = number % 3 > 0
+        while has_time and (taken := arrivals.pop(now)) is not None:
+            has_time = taken.latest_useful_start < now
+        most_waiting = max(most_waiting, len(arrivals))
+        most_entries = max(most_entries, arrivals.count_entries())
+    assert most_waiting <= 400
+    assert most_entries <= 3 * (2 * most_waiting + MAX_TAKEN_ENTRIES)
+
+
+def test_jobs_that_only_have_to_be_stored_are_taken_first_and_in_their_order() -> None:
+    """Guards against durable jobs that are never accepted, as newer ones always come first."""
+    arrivals: Arrivals[str] = Arrivals()
+    in_time = WaitLimits(in_time=milliseconds(100), useful=milliseconds(400))
+    stored = WaitLimits(in_time=milliseconds(100), useful=None)
+    for name, limits in (("a", in_time), ("b", stored), ("c", in_time), ("d", stored)):
+        arrivals.add(name, waited=timedelta(), limits=limits, now=timedelta())
+    now = timedelta(hours=1)
+    arrivals.add("e", waited=timedelta(), limits=in_time, now=now)
+    taken = [arrivals.pop(now) for _ in range(6)]
+    assert [each.job for each in taken if each is not None] == ["b", "d", "a", "c", "e"]
+    assert taken[-1] is None
