--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -27,4 +27,5 @@
     FailedSeed(seed=408, series=3, gateways=3, cause=_CRASHES),
     FailedSeed(seed=501, series=2, cause=_NO_LEADER.format(36)),
     FailedSeed(seed=521, series=2, cause=_NO_LEADER.format(9)),
+    FailedSeed(seed=554, series=2, gateways=3, cause=_CRASHES),
 )
