--- a/cottonlug/net/connections.py
+++ b/cottonlug/net/connections.py
@@ -132,7 +132,10 @@
         return self._loop.call_later(seconds, expire)
 
     async def exchange(self, data: bytes) -> HttpReply:
-        """Send a complete request and return its reply; raises `ConnectionError` if it breaks."""
+        """Send a complete request and return its reply.
+
+        Raises `ConnectionError` if the connection breaks, `TimeoutError` after `time_out`.
+        """
         waiting: asyncio.Future[HttpReply] = self._loop.create_future()
 
         def resolve(reply: Reply) -> None:
@@ -356,22 +359,13 @@
     ) -> Result[HttpReply, TransportError]:
         """Make a call on a connection that needs no handshake, which takes less processor time."""
         async with self._slots:
-            self._busy.add(connection)
             timer = connection.call_later(timeout_seconds, connection.time_out)
             try:
-                reply = await connection.exchange(data)
-            except (ConnectionError, TimeoutError) as error:
-                self.counts.failed += 1
-                return Err(TransportError(message=str(error), unsent=False))
-            except BaseException:
-                # Cancelled: the reply may still arrive, so the connection is unusable.
-                connection.close()
-                raise
+                result = await self._exchange(connection, data)
             finally:
                 timer.cancel()
-                self._busy.discard(connection)
         self._release(connection)
-        return Success(reply)
+        return result
 
     def _take_confirmed(self, handshake: Handshake | None) -> _Connection | None:
         """Return an idle connection that needs no handshake, or None."""
@@ -413,11 +407,11 @@
         self._busy.add(connection)
         try:
             reply = await connection.exchange(data)
-        except ConnectionError as error:
+        except (ConnectionError, TimeoutError) as error:
             self.counts.failed += 1
             return Err(TransportError(message=str(error), unsent=False))
         except BaseException:
-            # Timed out or cancelled: the reply may still arrive, so the connection is unusable.
+            # Cancelled: the reply may still arrive, so the connection is unusable.
             connection.close()
             raise
         finally:
