--- a/cottonlug/core/cluster/forecast.py
+++ b/cottonlug/core/cluster/forecast.py
@@ -115,23 +115,22 @@
 
 def find_declared_objective(queue: Queue, spec: JobSpec) -> timedelta:
     """Return the objective of a job by declared run times, for hosts that learn no others."""
-    return Forecast().find_objective(queue, spec.steps)
+    return _DECLARED.find_objective(queue, spec.steps)
 
 
 def find_max_useful_wait(queue: Queue, spec: JobSpec) -> timedelta:
     """Return how long after its arrival a job may begin and be of use, by declared run times."""
-    declared = Forecast()
-    objective = declared.find_objective(queue, spec.steps)
-    return objective * USEFUL_FACTOR - declared.predict_critical_path(queue, spec.steps)
+    path = _DECLARED.predict_critical_path(queue, spec.steps)
+    return find_declared_objective(queue, spec) * USEFUL_FACTOR - path
 
 
 def find_wait_limits(queue: Queue, spec: JobSpec) -> WaitLimits:
     """Return how long a job may wait before it begins, by declared run times."""
     path = _DECLARED.predict_critical_path(queue, spec.steps)
-    objective = _DECLARED.find_objective(queue, spec.steps)
     has_limit = spec.best_effort and not (spec.is_timed or spec.long_running)
     return WaitLimits(
-        in_time=objective - path, useful=objective * USEFUL_FACTOR - path if has_limit else None
+        in_time=find_declared_objective(queue, spec) - path,
+        useful=find_max_useful_wait(queue, spec) if has_limit else None,
     )
 
 
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -36,7 +36,6 @@
     NO_WAIT,
     WaitLimits,
     find_declared_objective,
-    find_max_useful_wait,
     find_wait_limits,
 )
 from ..core.cluster.model import Queue
@@ -316,15 +315,10 @@
         return timedelta() if self.link.is_control_majority_silent() else DURABLE_COORDINATOR_WAIT
 
     def _is_hopeless(self, call: Submit, waited: timedelta) -> bool:
-        """Return whether a job that has waited this long would end too late to be useful.
-
-        Durable, timed and long-running jobs have no such limit.
-        """
+        """Return whether a job that has waited this long would end too late to be useful."""
         queue = self._find_queue(call)
-        spec = call.spec
-        if queue is None or not spec.best_effort or spec.is_timed or spec.long_running:
-            return False
-        return waited > find_max_useful_wait(queue, spec)
+        useful = find_wait_limits(queue, call.spec).useful if queue is not None else None
+        return useful is not None and waited > useful
 
     def _find_wait_limits(self, call: Submit) -> WaitLimits:
         """Return how long a job may wait before it begins; not at all if its queue is unknown."""
