--- a/cottonlug/runtime/work_meter.py
+++ b/cottonlug/runtime/work_meter.py
@@ -24,7 +24,8 @@
     UPSTREAM_ANSWERS = "upstream_answers"
     """Handling of decoded answers of upstreams."""
     JOBS = "jobs"
-    """Jobs from gateways: admission, and their first entry into the backlog."""
+    """Decoding of requests from other hosts and, of job channels, their handling up to the tasks
+    that admit the jobs."""
     KEEPALIVES = "keepalives"
     """Keep-alives of gateways."""
     LOG_MESSAGES = "log_messages"
