--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -12,6 +12,7 @@
 
 from datetime import timedelta
 
+from ..clock import to_milliseconds
 from .admission import Rejection, estimate_wait
 from .backlog import Batch, Tier
 from .capacity_index import CapacityIndex
@@ -336,6 +337,8 @@
         }
         if is_again:
             inputs["unpolled"] = self._count_unpolled(job.may_be_of_acting_leader)
+            inputs["taken_ms_ago"] = to_milliseconds(now - job.taken_at)
+            inputs["reconcile_ms"] = to_milliseconds(max(job.reconcile_at - now, timedelta()))
         self._term.log_decision("run_started_again" if is_again else "run_started", inputs)
         order = StartOrder(
             upstream=instance.info,
--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -51,6 +51,8 @@
     """Runs abandoned because the lease of their upstream, or the upstream itself, has ended."""
     ends: int = 0
     """Run ends that upstreams have listed."""
+    forgotten_upstreams: int = 0
+    """Upstreams dropped because they were silent, without evidence that they had ended."""
     released_tasks: int = 0
     """Tasks queued as their wait was over, though an upstream that may run them was not polled."""
     doubled_runs: int = 0
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -487,12 +487,25 @@
                 self._cordon_silent(instance)
                 continue
             instance.is_over = True
-            self._term.log_decision("upstream_silent", {"upstream": instance.info.id})
+            self._log_forgotten(instance, now)
             if instance.lost_tasks != NO_ACTIVE_TASKS:
                 self._jobs.crash_tracker.record_removal(instance)
             else:
                 self._term.proposals.append(RemoveUpstreams(upstreams=(instance.info.id,)))
 
+    def _log_forgotten(self, instance: Instance, now: timedelta) -> None:
+        self._term.counts.forgotten_upstreams += 1
+        self._term.log_decision(
+            "upstream_silent",
+            {
+                "upstream": instance.info.id,
+                "silent_ms": to_milliseconds(now - _find_last_contact(instance)),
+                "polled": int(instance.is_fenced),
+                "cordoned": int(instance.is_cordoned),
+                "draining": int(instance.draining),
+            },
+        )
+
     def _cordon_silent(self, instance: Instance) -> None:
         if not instance.is_cordoned:
             instance.is_cordoned, instance.is_fenced = True, False
@@ -501,5 +514,9 @@
 
 def _is_silent(instance: Instance, now: timedelta, span: timedelta) -> bool:
     """Return whether neither a heartbeat nor an answer to a poll has arrived for that long."""
-    heard_at = max(instance.heard_at or timedelta(), instance.contact_at or timedelta())
-    return now - heard_at >= span
+    return now - _find_last_contact(instance) >= span
+
+
+def _find_last_contact(instance: Instance) -> timedelta:
+    """Return when the last heartbeat or answer to a poll has arrived."""
+    return max(instance.heard_at or timedelta(), instance.contact_at or timedelta())
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -121,6 +121,7 @@
     "lapsed_runs", "ends", "rejected_jobs", "given_up_jobs", "moved_runs", "resized_upstreams",
     "starts_without_room", "crashed_upstreams", "crashing_tasks", "evacuated_rejections",
     "runs_of_ignored_kinds", "refused_early", "released_tasks", "doubled_runs",
+    "forgotten_upstreams",
 )  # fmt: skip
 _DISPATCH_GAUGES = (
     "settled_after_ms", "open_jobs", "unsure_jobs", "waiting_tasks", "upstreams",
--- a/cottonlug/tests/test_cluster_logs.py
+++ b/cottonlug/tests/test_cluster_logs.py
@@ -11,6 +11,7 @@
 
 from ..commands.exits import ExitCode
 from ..commands.explanation import explain_job, read_log_lines
+from ..runtime import decisions
 from ..runtime.decisions import SAMPLE_ONE_IN, is_sampled
 from ..runtime.log_output import BUFFER_BYTES, LogOutput
 from ..runtime.metrics import Metrics
@@ -60,6 +61,18 @@
     assert abs(len(sampled) - 3_200 / SAMPLE_ONE_IN) < 60
 
 
+def test_a_job_that_another_coordinator_may_have_begun_is_always_logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two runs of a task whose second coordinator left no line about the job."""
+    logged: list[dict[str, object]] = []
+    monkeypatch.setattr(decisions, "log_event", lambda event, **fields: logged.append(fields))
+    job = next(each for each in map(str, range(100)) if not is_sampled(each))
+    for has_begun in (0, 1):
+        decisions.log_decision("job_taken", {"job": job, "has_begun": has_begun})
+    assert [fields["has_begun"] for fields in logged] == [1]
+
+
 def test_events_of_a_job_are_merged_in_order_from_many_files(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
