Have jobs of acting leaders wait for the end of all leases, not for the answers of known upstreams

Callers saw tasks run twice at once, right after a failure domain was cut off for over 10 s and had healed. Cause: a leader that takes a job which an acting leader may have begun starts it once all upstreams that it knows have answered. It may know fewer than the acting leader, whose list is a copy: upstreams are dropped when they are silent, leave, or count as crashed. At the heal the gateways reconnect some 0.1 s before the upstreams answer; with the last of them the leader took an acting leader for impossible, forgot the silent upstreams and started the jobs at once. Change: answers of all upstreams end the wait only for jobs of earlier leaders, which start tasks only at upstreams of the log. A job of an acting leader waits until the lease of any run of it has ended (reconcile_at), which needs no list; a run that an upstream lists is still adopted at once.

--- a/cottonlug/core/cluster/instance_table.py
+++ b/cottonlug/core/cluster/instance_table.py
@@ -155,19 +155,21 @@
         changed, self._changed = self._changed, {}
         return list(changed.values())
 
-    def may_have_unknown_runs(self, *, of_acting_leaders: bool) -> bool:
-        """Return whether any instance may have runs of another coordinator that are unknown here.
-
-        With `of_acting_leaders`, cordoned instances count as well: acting leaders ignore cordons.
-        """
+    def may_have_unknown_runs(self) -> bool:
+        """Return whether any instance may have runs of an earlier leader that are unknown here."""
         return any(
-            _may_have_unknown_runs(instance, of_acting_leaders) for instance in self.by_id.values()
+            _may_have_unknown_runs(instance, of_acting_leaders=False)
+            for instance in self.by_id.values()
         )
 
     def count_unpolled(self, *, of_acting_leaders: bool) -> int:
-        """Return the number of instances for which `may_have_unknown_runs` holds."""
+        """Return the number of known instances that may have runs which are unknown here.
+
+        With `of_acting_leaders`, cordoned instances count as well: acting leaders ignore cordons.
+        """
         return sum(
-            _may_have_unknown_runs(instance, of_acting_leaders) for instance in self.by_id.values()
+            _may_have_unknown_runs(instance, of_acting_leaders=of_acting_leaders)
+            for instance in self.by_id.values()
         )
 
     def update_orphaned_flag(self) -> None:
@@ -345,7 +347,7 @@
         return bool(active)
 
 
-def _may_have_unknown_runs(instance: Instance, of_acting_leaders: bool) -> bool:
+def _may_have_unknown_runs(instance: Instance, *, of_acting_leaders: bool) -> bool:
     """Return whether an instance has not been polled and may have runs of another coordinator."""
     if instance.is_fenced or instance.is_over:
         return False
--- a/cottonlug/core/cluster/reconciliation.py
+++ b/cottonlug/core/cluster/reconciliation.py
@@ -5,6 +5,11 @@
 upstreams. The new one learns of them as the upstreams answer its polls; at those that cannot be
 reached, they end with the lease at the latest. Until then the tasks concerned are unknown: they are
 not started, since they would run twice.
+
+Answers of all upstreams end that wait early only where the list of upstreams is certain to name all
+at which the earlier coordinator may have started something. Leaders start tasks only at upstreams
+in the replicated log, so that the next leader knows these. An acting leader orders by a copy of the
+records: it may use upstreams that a leader has dropped since.
 """
 
 from __future__ import annotations
@@ -38,11 +43,11 @@
         return TaskPhase.QUEUED if self.is_reconciled else TaskPhase.UNKNOWN
 
     def may_miss_runs(self, *, of_acting_leaders: bool) -> bool:
-        """Return whether another coordinator's run may be active where no poll was answered yet.
+        """Return whether a run of another coordinator may be active that no poll has shown.
 
         With `of_acting_leaders`, runs of acting leaders count as well.
         """
-        return self._instances.may_have_unknown_runs(of_acting_leaders=of_acting_leaders)
+        return of_acting_leaders or self._instances.may_have_unknown_runs()
 
     def request_recheck(self) -> None:
         """Have the next `reconcile` check for unknown tasks again."""
@@ -64,19 +69,17 @@
         if not self._jobs.may_have_unknown_tasks:
             return
         self._jobs.may_have_unknown_tasks = False
-        unpolled = {
-            each: self._instances.count_unpolled(of_acting_leaders=each) for each in (False, True)
-        }
+        may_miss_runs = {each: self.may_miss_runs(of_acting_leaders=each) for each in (False, True)}
         for job in self._jobs.jobs.values():
-            if not unpolled[job.may_be_of_acting_leader]:
+            if not may_miss_runs[job.may_be_of_acting_leader]:
                 self._jobs.queue_unknown(job)
             elif now >= job.reconcile_at:
-                self._log_released(job, unpolled[job.may_be_of_acting_leader], now)
+                self._log_released(job, now)
                 self._jobs.queue_unknown(job)
             elif job.has_unknown_tasks():
                 self._jobs.may_have_unknown_tasks = True
 
-    def _log_released(self, job: OpenJob, unpolled: int, now: timedelta) -> None:
+    def _log_released(self, job: OpenJob, now: timedelta) -> None:
         """Log that unknown tasks are queued since their wait is over, not since all was polled."""
         released = sum(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values())
         if not released:
@@ -87,7 +90,9 @@
             {
                 "job": job.record.id,
                 "tasks": released,
-                "unpolled": unpolled,
+                "unpolled": self._instances.count_unpolled(
+                    of_acting_leaders=job.may_be_of_acting_leader
+                ),
                 "waited_ms": to_milliseconds(now - job.taken_at),
                 "term_ms": to_milliseconds(now - self._term.began_at),
             },
