Have an acting leader wait for the end of all leases of jobs that were begun before

Cause: an acting leader schedules by its failover state, which lacks upstreams that joined since the last keep-alive. Once the known ones had answered it took marked jobs for known, and started them beside runs at a new upstream. Change: at an acting leader answers of all upstreams never end the wait of a job that may have begun.

--- a/cottonlug/core/cluster/reconciliation.py
+++ b/cottonlug/core/cluster/reconciliation.py
@@ -9,7 +9,7 @@
 Answers of all upstreams end that wait early only where the list of upstreams is certain to name all
 at which the earlier coordinator may have started something. Leaders start tasks only at upstreams
 in the replicated log, so that the next leader knows these. An acting leader orders by a copy of the
-records: it may use upstreams that a leader has dropped since.
+records: it may use upstreams that a leader has dropped since, and knows none that joined since.
 """
 
 from __future__ import annotations
@@ -47,7 +47,8 @@
 
         With `of_acting_leaders`, runs of acting leaders count as well.
         """
-        return of_acting_leaders or self._instances.may_have_unknown_runs()
+        is_list_certain = self._term.keeps_log and not of_acting_leaders
+        return not is_list_certain or self._instances.may_have_unknown_runs()
 
     def request_recheck(self) -> None:
         """Have the next `reconcile` check for unknown tasks again."""
