Keep silent upstreams over the heal of a partition, and poll them as their gateways reconnect

Cause: upstreams beyond a partition were forgotten at the moment of the heal, as soon as all gateways were connected again. Change: silent upstreams are kept until 10 s after a partition was last seen, and polled when it is over. This serves callers and is no condition for tasks running once.

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -65,6 +65,7 @@
 from .registry import UpstreamRegistry
 from .run_ends import RunEndHandler
 from .scheduler import Scheduler
+from .silent_upstreams import SilentUpstreams
 from .speed_reports import SpeedReporter
 from .speeds import Speeds
 from .term import DecisionLog, DispatchCounts, Term, WallTime
@@ -127,6 +128,9 @@
             term=self._term, instances=self._instances, crash_tracker=crash_tracker
         )
         self._watcher = Watcher(term=self._term, instances=self._instances, jobs=self._jobs)
+        self._silent_upstreams = SilentUpstreams(
+            term=self._term, instances=self._instances, crash_tracker=crash_tracker
+        )
         self._adopter = RunAdopter(term=self._term, instances=self._instances, jobs=self._jobs)
         self._scheduler = Scheduler(term=self._term, instances=self._instances, jobs=self._jobs)
         self._reconciliation = Reconciliation(
@@ -593,7 +597,7 @@
         """
         self._scan_due = now + SCAN_INTERVAL
         self._watcher.cordon_idle(now)
-        self._watcher.forget_silent(now, may_be_used=self.may_have_acting_leader)
+        self._silent_upstreams.forget(now, is_partitioned=self.may_have_acting_leader)
         self._registry.doubt_capacities(now)
         self._speed_reporter.report_changes(now)
         self._instances.update_orphaned_flag()
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -11,13 +11,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from datetime import timedelta
 
 from ..clock import to_milliseconds
 from ..ids import UpstreamId
 from .cancellations import is_beyond_stops
-from .commands import CordonUpstreams, RemoveUpstreams, UncordonUpstream
+from .commands import CordonUpstreams, UncordonUpstream
 from .crashes import NO_ACTIVE_TASKS, LostTasks
 from .instance_table import InstanceTable
 from .instances import Instance
@@ -26,6 +25,7 @@
 from .orders import CallFailure, PollOrder, Run, RunPhase, StopOrder
 from .progress import ProgressRate, classify_progress, estimate_run_time, find_next_check
 from .response_timeout import MAX_RESPONSE_TIMEOUT
+from .silent_upstreams import SILENT_AFTER, SILENT_POLL_INTERVAL, is_silent
 from .term import Term
 
 LONG_POLL_WAIT = timedelta(milliseconds=200)
@@ -58,15 +58,6 @@
 may still coordinate."""
 FAILED_POLLS_BEFORE_CORDON = 2
 """Failed polls before an upstream is cordoned: one that has just joined may miss one."""
-SILENT_AFTER = timedelta(seconds=10)
-"""Silence, with nothing running, after which an instance is forgotten, unless an acting leader may
-use it beyond a network partition."""
-SILENT_POLL_INTERVAL = timedelta(seconds=5)
-"""Interval between polls of an instance that is as silent as that, but kept and cordoned: if a
-later instance answers at its address, it has ended."""
-FORGET_PARTITIONED_AFTER = timedelta(hours=1)
-"""Silence after which an instance is forgotten even if it may be beyond a partition: longer than
-domains are usually cut off (minutes)."""
 MAX_MOVES = 2
 """How often a task is moved to another upstream at most: it may make no progress anywhere."""
 
@@ -251,7 +242,7 @@
         if failure is CallFailure.INSTANCE_ENDED:
             self.end_instance(instance, now)
             return
-        is_long_silent = instance.is_cordoned and _is_silent(instance, now, SILENT_AFTER)
+        is_long_silent = instance.is_cordoned and is_silent(instance, now, SILENT_AFTER)
         retry = (
             SILENT_POLL_INTERVAL
             if is_long_silent
@@ -465,58 +456,3 @@
             instance.is_cordoned = instance.is_uncordoning = False
             self._instances.mark_changed(instance)
             self._term.log_decision("upstream_uncordoned", {"upstream": upstream})
-
-    def forget_silent(self, now: timedelta, *, may_be_used: Callable[[], bool]) -> None:
-        """Forget instances that have been silent while nothing ran there.
-
-        `may_be_used` tells whether an acting leader beyond a network partition may send orders to
-        them. Those that are not leaving then stay in the replicated state for up to
-        `FORGET_PARTITIONED_AFTER`, cordoned, so that jobs which an acting leader may have started
-        wait for them.
-        """
-        if not self._term.keeps_log:
-            # An acting leader gets no heartbeats, so silence tells it nothing.
-            return
-        for instance in self._instances.by_id.values():
-            if instance.is_over or instance.runs or not _is_silent(instance, now, SILENT_AFTER):
-                continue
-            may_be_kept = not (
-                instance.draining or _is_silent(instance, now, FORGET_PARTITIONED_AFTER)
-            )
-            if may_be_kept and may_be_used():
-                self._cordon_silent(instance)
-                continue
-            instance.is_over = True
-            self._log_forgotten(instance, now)
-            if instance.lost_tasks != NO_ACTIVE_TASKS:
-                self._jobs.crash_tracker.record_removal(instance)
-            else:
-                self._term.proposals.append(RemoveUpstreams(upstreams=(instance.info.id,)))
-
-    def _log_forgotten(self, instance: Instance, now: timedelta) -> None:
-        self._term.counts.forgotten_upstreams += 1
-        self._term.log_decision(
-            "upstream_silent",
-            {
-                "upstream": instance.info.id,
-                "silent_ms": to_milliseconds(now - _find_last_contact(instance)),
-                "polled": int(instance.is_fenced),
-                "cordoned": int(instance.is_cordoned),
-                "draining": int(instance.draining),
-            },
-        )
-
-    def _cordon_silent(self, instance: Instance) -> None:
-        if not instance.is_cordoned:
-            instance.is_cordoned, instance.is_fenced = True, False
-            self._term.proposals.append(CordonUpstreams(upstreams=(instance.info.id,)))
-
-
-def _is_silent(instance: Instance, now: timedelta, span: timedelta) -> bool:
-    """Return whether neither a heartbeat nor an answer to a poll has arrived for that long."""
-    return now - _find_last_contact(instance) >= span
-
-
-def _find_last_contact(instance: Instance) -> timedelta:
-    """Return when the last heartbeat or answer to a poll has arrived."""
-    return max(instance.heard_at or timedelta(), instance.contact_at or timedelta())
--- a/cottonlug/tests/test_cluster_orphaned_runs.py
+++ b/cottonlug/tests/test_cluster_orphaned_runs.py
@@ -15,8 +15,8 @@
 from ..core.cluster.open_jobs import ENDED_JOB_RETENTION
 from ..core.cluster.orders import StopOrder
 from ..core.cluster.records import Records
+from ..core.cluster.silent_upstreams import SILENT_AFTER
 from ..core.cluster.term import TOKENS_PER_TERM
-from ..core.cluster.watcher import SILENT_AFTER
 from ..core.ids import UpstreamId
 from ..runtime.gateway_registry import GATEWAY_TIMEOUT
 from .gateway_builders import JOB
