Have blocked tasks wait too when a second submission names an acting leader, also from the same gateway

Cause: a second submission that may have begun elsewhere made the queued tasks of an open job unknown, but not those blocked by an earlier step: once that step was done here they started beside the run that the other coordinator had begun. And a second submission of the same gateway was ignored, though it may be of the caller's first try, which the gateway still holds and an acting leader has begun. Change: blocked tasks become unknown as well, as in a job that is opened as begun; a submission of the same gateway counts if it is the first to name an acting leader.

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -304,11 +304,15 @@
     def merge_submission(self, id: JobId, submission: Submission, now: timedelta) -> None:
         """Learn from a second submission of an open job that another coordinator may have begun it.
 
-        A second one from the same gateway adds nothing: it only repeats a call that had no answer.
-        Before that gateway sends the job to another coordinator, this one has abandoned it.
+        A second one from the same gateway mostly adds nothing: it only repeats a call that had no
+        answer. Before that gateway sends the job to another coordinator, this one has abandoned it.
+        But the gateway may hold two tries of a caller, and bring the later one here first.
         """
         job = self._jobs.jobs.get(id)
-        if job is None or not submission.may_have_begun or submission.gateway == job.gateway:
+        if job is None or not submission.may_have_begun:
+            return
+        names_acting_leader = submission.may_be_of_acting_leader and not job.may_be_of_acting_leader
+        if submission.gateway == job.gateway and not names_acting_leader:
             return
         job.has_begun = True
         job.may_be_of_acting_leader = (
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -346,11 +346,13 @@
     def mark_unknown(self, job: OpenJob) -> None:
         """Mark the tasks of a job as unknown: another coordinator may have begun them.
 
-        Queued tasks must wait from now on, active ones only if they have to begin again.
+        Queued and blocked tasks must wait from now on, active ones only if they have to begin
+        again. Another coordinator may have come further with the steps of the job.
         """
         for ref, task in job.tasks.items():
             if task.phase is TaskPhase.QUEUED:
                 self.unqueue(ref)
+            if task.phase in (TaskPhase.QUEUED, TaskPhase.BLOCKED):
                 task.phase = TaskPhase.UNKNOWN
             task.may_run_elsewhere = True
 
