Adopt no runs of an upstream whose removal is under way

Cause: the answer to a poll that arrives between the proposal to remove a silent upstream and its commit had its runs adopted. With the removal they were dropped without their tasks being queued again, so that the job waited until its caller gave up. Change: such an answer still counts for ended runs, but not for active ones; their tasks wait until the lease has ended. Result: test_a_list_of_an_upstream_that_is_being_forgotten_does_not_hold_a_task failed before (one start instead of two), and passes.

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -530,6 +530,9 @@
         self._watcher.request_uncordon(instance)
         self._run_ends.handle_listed_ends(instance, reply.ended, now)
         self._watcher.schedule_next_poll(instance, now)
+        if instance.is_over:
+            # It is about to be removed, so that its runs could not be followed to their end.
+            return
         if reply.clock_ms <= instance.listed_ms:
             # A later answer has overtaken it on another connection, so what it lists as active may
             # have ended.
--- a/cottonlug/tests/test_cluster_hand_over.py
+++ b/cottonlug/tests/test_cluster_hand_over.py
@@ -19,6 +19,7 @@
     SetDraining,
 )
 from ..core.cluster.model import JobId
+from ..core.cluster.orders import PollOrder
 from ..core.cluster.records import Records
 from ..core.cluster.silent_upstreams import SILENT_AFTER
 from ..core.cluster.term import TOKENS_PER_TERM
@@ -186,6 +187,36 @@
     assert FAR not in leader.dispatch.instances
 
 
+def test_a_list_of_an_upstream_that_is_being_forgotten_does_not_hold_a_task() -> None:
+    """Guards against a task that waits for a run at an upstream that is not tracked any more.
+
+    The answer to a poll arrives after the leader has proposed to remove the upstream, and before
+    that is committed. The upstream is cut off again before it has joined.
+    """
+    leader, copy = cut_off_leader(seed=19)
+    leader.dispatch.may_have_acting_leader = lambda: False
+    leader.commits = lambda command: not isinstance(command, RemoveUpstreams)
+    wait_cut_off(leader, SILENT_AFTER + milliseconds(200))
+    instance = leader.dispatch.instances[FAR]
+    assert instance.is_over
+    acting_leader = start_far_run(leader, copy)
+    acting_leader.is_over = True
+    take_over(leader)
+    poll = PollOrder(
+        upstream=instance.info,
+        last_seen=0,
+        expires_ms=None,
+        wait=timedelta(),
+        first_end=timedelta(),
+        response_timeout=timedelta(),
+    )
+    now = leader.world.now
+    reply = leader.upstreams[FAR].build_reply()
+    leader.dispatch.handle_poll_answer(poll, reply, now, now)
+    leader._commit(RemoveUpstreams(upstreams=(FAR,)))
+    expect_second_run_after_first(leader)
+
+
 def test_a_run_of_an_acting_leader_goes_on_where_its_upstream_joins_again() -> None:
     """Guards against a wait to the end of the lease although the run has been found."""
     leader, copy = cut_off_leader(seed=16)
