Count a failed run of a durable task once, also when its upstream was forgotten meanwhile

Cause: with a forgotten upstream the number of its last recorded end is forgotten. If the cut began before that end was confirmed, the upstream lists it again once it has joined, and the run counted as failed a second time, so that a durable job could fail after fewer attempts than its queue allows. Change: the record of a task keeps the numbers of its failed runs, which are counted once each.

--- a/cottonlug/core/cluster/records.py
+++ b/cottonlug/core/cluster/records.py
@@ -68,6 +68,9 @@
 
     is_done: bool = False
     failed_runs: int = 0
+    failed_run_numbers: list[int] = []
+    """Numbers of the failed runs that were counted. An upstream that was forgotten and joins again
+    lists ends once more that were recorded, but not confirmed to it."""
     last_run: int = 0
     """The highest number of a run whose end was recorded."""
     checkpoint: str = ""
@@ -367,7 +370,8 @@
         job.done_count += 1
         if job.done_count == job.task_count:
             end_job(job, JobState.COMPLETED, at_ms)
-    elif end.how is RunEndKind.FAILED:
+    elif end.how is RunEndKind.FAILED and end.run not in task.failed_run_numbers:
+        task.failed_run_numbers.append(end.run)
         task.failed_runs += 1
         if task.failed_runs >= job.queue.max_attempts:
             end_job(job, JobState.FAILED, at_ms)
--- a/cottonlug/tests/test_cluster_waiting.py
+++ b/cottonlug/tests/test_cluster_waiting.py
@@ -44,6 +44,7 @@
 )
 from .test_cluster_contact import CALLER_RETRY, run_callbacks
 from .test_cluster_dispatch import build_world, start_leader
+from .test_cluster_orphaned_runs import deliver_heartbeats
 
 LONG = build_spec(tasks=1, run_ms=2_500)
 
@@ -301,3 +302,41 @@
     upstreams[info.id] = ModelUpstream(world=world, info=info, rate=1.0, run_times=old.run_times)
     run_with_heartbeats(timedelta(seconds=14))
     assert leader.dispatch.instances[old.info.id].failed_polls > failed_before
+
+
+def test_a_failed_run_counts_once_although_its_upstream_was_forgotten_meanwhile() -> None:
+    """Guards against a job that fails after fewer attempts than its queue allows.
+
+    The log has recorded the end of a run when its upstream is cut off, before the upstream was told
+    so. The leader forgets the upstream, and with it up to which number its ends are recorded. Once
+    it has joined again it lists the end again.
+    """
+    world, upstreams = build_world(15)
+    for upstream in upstreams.values():
+        upstream.run_times = lambda job: timedelta(seconds=30)
+    leader = start_leader(world, upstreams, Records(), 1)
+    leader.dispatch.may_have_acting_leader = lambda: False
+    world.run_until(milliseconds(100))
+    for upstream in upstreams.values():
+        upstream.fails_all = True
+    leader.submit(JOB, build_spec(tasks=1, durable=True), build_queue(max_attempts=2))
+    job = leader.records.jobs[JobId(JOB)]
+    while not any(task.failed_runs for task in job.tasks.values()):
+        world.run_until(world.now + milliseconds(1))
+        for upstream in upstreams.values():
+            # The first end alone is a failure.
+            upstream.fails_all = not world.starts
+        where = next((each for each in upstreams.values() if each.ended), None)
+        if where is not None and leader.dispatch.instances[where.info.id].proposed_through:
+            leader.cut_off = {where.info.id}
+    (away,) = leader.cut_off
+    assert upstreams[away].ended, "the upstream has not been told that the end is recorded"
+    end = world.now + timedelta(seconds=11)
+    while world.now < end:
+        deliver_heartbeats(leader, set(upstreams) - {away})
+        world.run_until(world.now + milliseconds(100))
+    assert away not in leader.records.upstreams
+    leader.cut_off = set()
+    deliver_heartbeats(leader, {away})
+    world.run_until(world.now + timedelta(seconds=2))
+    assert job.is_open, "one run has failed, and the queue allows two"
