--- a/cottonlug/tests/test_cluster_hand_over.py
+++ b/cottonlug/tests/test_cluster_hand_over.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 
 import pytest
 
+from ..core.cluster.calls import Answer, Call, Outcome, Submit
 from ..core.cluster.commands import (
     Command,
     RecordCrash,
@@ -24,7 +26,9 @@
 from ..core.cluster.silent_upstreams import SILENT_AFTER
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import UpstreamId
-from .gateway_builders import JOB
+from ..runtime.coordinator_link import Via
+from .gateway_builders import JOB, answer_in_turn, build_clock, build_gateways, build_submit
+from .model_site import CALL_TIMEOUT
 from .model_upstreams import (
     RECONCILE_AFTER,
     Leader,
@@ -229,3 +233,20 @@
     leader.world.run_until(leader.world.now + timedelta(seconds=6))
     assert leader.world.starts == 1
     assert not leader.dispatch.jobs.is_open(JobId(JOB))
+
+
+def test_a_job_that_a_relay_has_not_answered_may_be_of_an_acting_leader() -> None:
+    """Guards against a submission without the mark for which a leader waits for all leases."""
+
+    async def play() -> list[Call]:
+        gateway = build_gateways(1, build_clock())[0]
+        gateway.link.follow("10.0.0.9:7000", Via.RELAY)
+        answers = [Answer(outcome=Outcome.UNKNOWN), Answer(outcome=Outcome.DONE)]
+        tried = answer_in_turn(gateway, answers)
+        await gateway._call(build_submit(), CALL_TIMEOUT)
+        gateway.stop()
+        return tried
+
+    _, second = asyncio.run(play())
+    assert isinstance(second, Submit)
+    assert second.may_have_begun and second.may_be_of_acting_leader
