Give the model of a site heartbeats, and gateways that know only what the leader told them

Its upstreams sent no periodic heartbeats, its leaders always took an acting leader for possible, and its acting leaders used the present term and records, also beyond a cut: their tokens were then at least the new leader's, which began a later term at the heal and waited for all leases. Change: upstreams send heartbeats through any control host, may_have_acting_leader and the contact of gateways are those of the real GatewayRegistry, gateways act with the term and records of the last answer, and an acting leader is tied to its own gateway. Links between two domains and single gateways or upstreams can be cut, and an acting leader can serve all domains. The check of the evacuation campaign is replaced: it passed over all starts in a domain for 4 s after it was cut off. Now only a present acting leader of the domain that has not heard of the order may start there, without a bound of time.

--- a/cottonlug/tests/model_site.py
+++ b/cottonlug/tests/model_site.py
@@ -6,19 +6,27 @@
 an acting leader after 0.52 s (0.9 s if an election is possible). A caller submits a job again 1.3 s
 after its gateway was lost or has abandoned the job. A delayed host processes what has arrived, and
 schedules, only when it continues. `ModelUpstream` fails the test if a task runs twice at a time.
+
+Gateways know the last leader's term and records from its last answer only, and use these to act as
+leader. Upstreams send heartbeats, which any control host that they reach passes on to the leader;
+so a leader that has forgotten an upstream learns of it again.
 """
 
 from __future__ import annotations
 
+import functools
 import itertools
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
+from ..core.clock import to_milliseconds
+from ..core.cluster.calls import Contact, KeepAlive
+from ..core.cluster.capacity_reports import DEFAULT_REPORT_TERMS
 from ..core.cluster.commands import Command
 from ..core.cluster.instances import choose_lease_terms
-from ..core.cluster.model import JobId, JobSpec
+from ..core.cluster.model import JobId, JobSpec, UpstreamInfo
 from ..core.cluster.open_job import Submission
 from ..core.cluster.orders import Order, StopOrder
 from ..core.cluster.records import JobRecord, Records
@@ -27,7 +35,7 @@
 from ..runtime.acting_leader import ACT_AS_LEADER_AFTER, ACT_AS_LEADER_AFTER_SILENCE
 from ..runtime.confirmations import ABANDONED_REPORT_PERIOD
 from ..runtime.coordinator_link import CALLS_LOST_AFTER, KEEPALIVE_TIMEOUT
-from ..runtime.gateway_registry import GATEWAY_TIMEOUT
+from ..runtime.gateway_registry import GATEWAY_TIMEOUT, GatewayRegistry
 from ..runtime.leadership import LONG_DECISION_GAP
 from ..runtime.messenger import REPORT_INTERVAL
 from .model_upstreams import (
@@ -54,18 +62,51 @@
 """How often each gateway sends keep-alives and decides which coordinator to follow."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorldClock:
+    """The time of the world as the clock of a host."""
+
+    world: World
+
+    def now(self) -> datetime:
+        """Return the time since the epoch as if the world had begun then."""
+        return datetime.fromtimestamp(0, UTC) + self.world.now
+
+    def monotonic(self) -> timedelta:
+        """Return the time since the start of the world."""
+        return self.world.now
+
+
 @dataclass(slots=True, kw_only=True)
 class ModelCoordinator(Leader):
     """A leader or acting leader on a host that may be delayed, with its contacts to gateways."""
 
     site: Site
     home: DomainName
+    host: str | None = None
+    """The gateway that acts as leader; None for a leader, which is on a control host."""
     busy_until: timedelta = timedelta()
     decided_at: timedelta = timedelta()
-    contacted_at: dict[str, timedelta] = field(default_factory=dict)
-    """When each gateway sent the last message that has arrived here."""
     abandoned: set[int] = field(default_factory=set)
     """Numbers of the calls that their gateways have abandoned."""
+    gateways: GatewayRegistry = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.gateways = GatewayRegistry(
+            term=self.token // TOKENS_PER_TERM,
+            token=self.token,
+            clock=WorldClock(world=self.world),
+        )
+        self.gateways.on_reconnect = lambda gateway: self.dispatch.abandon_silent_gateways(
+            lambda each: each != gateway, self.world.now
+        )
+        Leader.__post_init__(self)
+        self.dispatch.may_have_acting_leader = self._may_have_acting_leader
+
+    def _may_have_acting_leader(self) -> bool:
+        """Return the same as `Leadership` does."""
+        domains = {record.info.domain for record in self.records.upstreams.values()}
+        return self.gateways.may_act_as_leader(domains)
 
     def when_free(self, act: Callable[[], None]) -> None:
         """Do something once this host continues, unless its term is over by then."""
@@ -82,27 +123,9 @@
         was_delayed, self.decided_at = now - self.decided_at > LONG_DECISION_GAP, now
         if was_delayed:
             return
-        self.dispatch.abandon_silent_gateways(self.is_connected, now)
+        self.dispatch.abandon_silent_gateways(self.gateways.is_connected, now)
         Leader.act(self)
 
-    def is_connected(self, gateway: str) -> bool:
-        return self.world.now - self.contacted_at.get(gateway, -GATEWAY_TIMEOUT) < GATEWAY_TIMEOUT
-
-    def is_valid_contact(self, contact: Contact | None) -> bool:
-        """Whether a message was sent to this host, and recently, according to its contact."""
-        if contact is None or contact.decider is not self:
-            return False
-        return self.world.now - contact.sent_at < GATEWAY_TIMEOUT
-
-    def record_contact(self, gateway: str, contact: Contact | None) -> None:
-        """Record contact with a gateway from when it sent a message, as `GatewayRegistry` does."""
-        if contact is None or not self.is_valid_contact(contact):
-            return
-        if gateway in self.contacted_at and not self.is_connected(gateway):
-            self.dispatch.abandon_silent_gateways(lambda each: each != gateway, self.world.now)
-        known = self.contacted_at.get(gateway, contact.sent_at)
-        self.contacted_at[gateway] = max(contact.sent_at, known)
-
     def handle_abandoned(self, gateway: str, calls: list[ModelCall]) -> None:
         """Abandon the calls that a gateway has abandoned, and refuse those yet to arrive."""
         for call in calls:
@@ -115,7 +138,8 @@
         """Accept a job as `JobAnswers` does."""
         if call.number in self.abandoned:
             return
-        if contact is None or not self.is_valid_contact(contact):
+        sent_at = self.gateways.find_send_time(gateway, contact)
+        if sent_at is None:
             # Refused as not started: its gateway tries again.
             if call.at is self:
                 call.at, call.has_arrived = None, False
@@ -130,7 +154,7 @@
             JobRecord(id=call.job, queue=self.site.queue, spec=call.spec, accepted_ms=0),
             Submission(
                 gateway=gateway,
-                confirmed_until=contact.sent_at + GATEWAY_TIMEOUT,
+                confirmed_until=sent_at + GATEWAY_TIMEOUT,
                 may_have_begun=call.may_have_begun,
                 may_be_of_acting_leader=call.may_be_of_acting_leader,
                 reconcile_after=(
@@ -146,17 +170,21 @@
         if not self.is_over or self.site.leader is None:
             Leader._commit(self, command)
 
+    def receive_heartbeat(self, upstream: ModelUpstream) -> None:
+        """Handle a heartbeat that a control host has received."""
+        self.dispatch.handle_heartbeat(upstream.build_heartbeat(), self.world.now)
+        self.act()
+
     def _send(self, order: Order) -> None:
-        domain = order.upstream.domain
         is_lost = isinstance(order, StopOrder) and self.site.loses_stop(order)
-        is_away = is_lost or not self.site.can_reach(self.home, domain)
+        is_away = is_lost or not self.site.can_order(self, order.upstream)
         self.cut_off = {order.upstream.id} if is_away else set()
         Leader._send(self, order)
 
     def _handle_answer(
         self, order: Order, value: object, sent_at: timedelta, upstream: ModelUpstream
     ) -> None:
-        if not self.site.can_reach(self.home, upstream.info.domain):
+        if not self.site.can_order(self, upstream.info):
             value = None
         if self.world.now < self.busy_until:
             self.when_free(lambda: self._handle_answer(order, value, sent_at, upstream))
@@ -164,14 +192,6 @@
         Leader._handle_answer(self, order, value, sent_at, upstream)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Contact:
-    """The coordinator (`decider`) to which a gateway it has answered sent a message, and when."""
-
-    decider: ModelCoordinator
-    sent_at: timedelta
-
-
 @dataclass(slots=True, kw_only=True)
 class ModelCall:
     """One attempt of a caller to run a job, and the coordinator to which its gateway sent it."""
@@ -203,6 +223,10 @@
     is_answered: bool = False
     """Whether the coordinator that it follows has answered, so that it can confirm its calls."""
     abandoned: list[tuple[timedelta, ModelCall]] = field(default_factory=list)
+    known_term: int = 0
+    """The term of the last leader that has answered."""
+    known_records: str = ""
+    """The records of that leader when it last answered."""
 
     def run_turn(self) -> None:
         """Send keep-alives, choose the coordinator to follow, and forward calls."""
@@ -228,7 +252,8 @@
 
     def _find_contact(self, coordinator: ModelCoordinator) -> Contact | None:
         is_following = self.coordinator is coordinator and self.is_answered
-        return Contact(decider=coordinator, sent_at=self.site.world.now) if is_following else None
+        sent_ms = to_milliseconds(self.site.world.now)
+        return Contact(token=coordinator.token, answered_ms=sent_ms) if is_following else None
 
     def leave_coordinator(self) -> None:
         """Leave the coordinator; the outcome of all calls is unknown, and they go elsewhere."""
@@ -253,15 +278,19 @@
 
         def receive() -> None:
             coordinator.handle_abandoned(self.name, abandoned)
-            coordinator.record_contact(self.name, contact)
+            coordinator.gateways.handle_keepalive(
+                KeepAlive(gateway=self.name, domain=self.domain, contact=contact)
+            )
             world.at(HOP_DELAY, receive_answer)
 
         def receive_answer() -> None:
             is_late = world.now - sent_at > KEEPALIVE_TIMEOUT
-            if is_late or not self.is_up or not self.site.can_reach(coordinator.home, self.domain):
+            if is_late or not self.is_up or not self.site.can_contact(self, coordinator):
                 return
             if coordinator is self.site.leader:
                 self.leader_seen_at = world.now
+                self.known_term = self.site.term
+                self.known_records = self.site.encoded_records
                 if self.coordinator is not coordinator:
                     self.leave_coordinator()
                     self.coordinator = coordinator
@@ -270,7 +299,7 @@
                 self.answered_at = world.now
                 self.is_answered = True
 
-        if self.site.can_reach(self.domain, coordinator.home):
+        if self.site.can_contact(self, coordinator):
             world.at(HOP_DELAY, lambda: coordinator.when_free(receive))
 
     def _forward(self, call: ModelCall) -> None:
@@ -298,13 +327,13 @@
                 call.has_arrived = call.has_arrived or call.at is target
                 target.receive_job(self.name, call, contact)
 
-            if self.site.can_reach(self.domain, target.home):
+            if self.site.can_contact(self, target):
                 world.at(HOP_DELAY, lambda: target.when_free(arrive))
 
     def _abandon(self, call: ModelCall) -> None:
         self.abandoned.append((self.site.world.now, call))
         target = self.coordinator
-        if target is not None and self.site.can_reach(self.domain, target.home):
+        if target is not None and self.site.can_contact(self, target):
 
             def abandon() -> None:
                 target.dispatch.abandon(call.job, self.name, target.world.now)
@@ -321,7 +350,20 @@
     upstreams: dict[UpstreamId, ModelUpstream]
     gateways: list[ModelGateway] = field(default_factory=list)
     records: Records = field(default_factory=Records)
+    encoded_records: str = ""
+    """The records as the leader sends them to gateways, of the last turn."""
     cut_off: set[DomainName] = field(default_factory=set)
+    cut_links: set[frozenset[DomainName]] = field(default_factory=set)
+    """Pairs of domains that do not reach each other, while others reach both."""
+    isolated: set[str] = field(default_factory=set)
+    """Gateways and upstreams that are still cut off while the rest of their domain is not.
+
+    Such gateways reach each other and the upstreams of their domain, as acting leaders do.
+    """
+    acts_for_all: bool = False
+    """Whether an acting leader orders the upstreams of all domains, as on small sites."""
+    elsewhere_share: float = 0.25
+    """Share of callers that submit their job again to any gateway, not to one of its domain."""
     stops_lost_at: set[UpstreamId] = field(default_factory=set)
     leader: ModelCoordinator | None = None
     acting_leaders: dict[DomainName, ModelCoordinator] = field(default_factory=dict)
@@ -332,7 +374,40 @@
     queue = build_queue(max_attempts=50)
 
     def can_reach(self, one: DomainName, other: DomainName) -> bool:
-        return one == other or not {one, other} & self.cut_off
+        is_cut = {one, other} & self.cut_off or frozenset((one, other)) in self.cut_links
+        return one == other or not is_cut
+
+    def can_be_forwarded(self, one: DomainName, other: DomainName) -> bool:
+        """Return whether messages arrive directly or through a control host of a third domain."""
+        vias = {each.domain for each in self.gateways}
+        return any(self.can_reach(one, via) and self.can_reach(via, other) for via in vias)
+
+    def can_contact(self, gateway: ModelGateway, coordinator: ModelCoordinator) -> bool:
+        """Return whether a gateway and a coordinator reach each other."""
+        is_isolated = gateway.name in self.isolated
+        if coordinator.host is None:
+            return not is_isolated and self.can_be_forwarded(gateway.domain, coordinator.home)
+        if is_isolated != (coordinator.host in self.isolated):
+            return False
+        return gateway.domain == coordinator.home or (
+            not is_isolated and self.can_reach(gateway.domain, coordinator.home)
+        )
+
+    def can_order(self, coordinator: ModelCoordinator, upstream: UpstreamInfo) -> bool:
+        """Return whether a coordinator and an upstream reach each other."""
+        if coordinator.home == upstream.domain:
+            return True
+        is_isolated = bool({coordinator.host, upstream.id} & self.isolated)
+        return not is_isolated and self.can_reach(coordinator.home, upstream.domain)
+
+    def send_heartbeats_forever(self, upstream: ModelUpstream) -> None:
+        """Let an upstream send heartbeats to control hosts, which pass them on to the leader."""
+        leader, info = self.leader, upstream.info
+        is_heard = upstream.is_up and info.id not in self.isolated
+        if leader is not None and is_heard and self.can_be_forwarded(info.domain, leader.home):
+            leader.when_free(lambda: leader.receive_heartbeat(upstream))
+        interval = DEFAULT_REPORT_TERMS.interval
+        self.world.at(interval, lambda: self.send_heartbeats_forever(upstream))
 
     def loses_stop(self, order: StopOrder) -> bool:
         return order.upstream.id in self.stops_lost_at
@@ -343,6 +418,7 @@
             self.lead_from(self.leader.home)
         for acting_leader in self.acting_leaders.values():
             acting_leader.is_over = acting_leader.is_over or acting_leader.dispatch.is_superseded
+        self.encoded_records = self.records.encode()
         for gateway in self.gateways:
             gateway.run_turn()
         self.world.at(TURN_INTERVAL, self.run_turns_forever)
@@ -358,7 +434,7 @@
         )
         for upstream in self.upstreams.values():
             if upstream.is_up and self.can_reach(home, upstream.info.domain):
-                self.leader.deliver_heartbeat(upstream, sequence=self.term)
+                self.leader.receive_heartbeat(upstream)
 
     def lose_leader(self) -> None:
         if self.leader is not None:
@@ -376,28 +452,51 @@
     def find_acting_leader(self, gateway: ModelGateway) -> ModelCoordinator | None:
         """Return the acting leader of a domain: its first gateway, once that has left the leader.
 
-        Real domains have one each only with more upstreams than a small host can coordinate; this
-        model always does.
+        Domains have one each only with more upstreams than a small host can coordinate. With
+        `acts_for_all` there is one for all domains that reach each other.
         """
-        acting_leader = self.acting_leaders.get(gateway.domain)
-        if acting_leader is not None and not acting_leader.is_over:
-            return acting_leader
-        if gateway is not next(each for each in self.list_up(gateway.domain)):
+        for each in self.acting_leaders.values():
+            is_followed = self.acts_for_all or each.home == gateway.domain
+            if is_followed and not each.is_over and self.can_contact(gateway, each):
+                return each
+        if gateway is not self._find_first(gateway) or not gateway.known_term:
             return None
         records = Records()
-        records.restore(self.records.encode())
+        records.restore(gateway.known_records)
         # The failover state contains no jobs, and an acting leader may never have heard of them.
         records.jobs = {}
         self.level += 1
-        token = self.term * TOKENS_PER_TERM + self.level
-        acting_leader = self._start(gateway.domain, records, token, gateway.domain)
+        acting_leader = self._start(
+            gateway.domain,
+            records,
+            gateway.known_term * TOKENS_PER_TERM + self.level,
+            host=gateway.name,
+        )
         self.acting_leaders[gateway.domain] = acting_leader
         return acting_leader
 
+    def _find_first(self, gateway: ModelGateway) -> ModelGateway:
+        """Return the first of the gateways that reach each other and could act for this one."""
+        is_isolated = gateway.name in self.isolated
+        return next(
+            each
+            for each in self.gateways
+            if each.is_up
+            and (each.name in self.isolated) == is_isolated
+            and (
+                each.domain == gateway.domain
+                or (
+                    self.acts_for_all
+                    and not is_isolated
+                    and self.can_reach(each.domain, gateway.domain)
+                )
+            )
+        )
+
     def end_acting_leader(self, gateway: ModelGateway) -> None:
         """End the term of an acting leader whose host has found a leader."""
         acting_leader = self.acting_leaders.get(gateway.domain)
-        if acting_leader is not None and gateway is next(iter(self.list_up(gateway.domain))):
+        if acting_leader is not None and acting_leader.host == gateway.name:
             acting_leader.is_over = True
 
     def list_up(self, domain: DomainName) -> Iterable[ModelGateway]:
@@ -405,10 +504,9 @@
 
     def kill(self, gateway: ModelGateway) -> None:
         """Kill a gateway with all its state; its callers see their connections break."""
-        acting_leader = self.acting_leaders.get(gateway.domain)
-        if acting_leader is not None and gateway is next(iter(self.list_up(gateway.domain)), None):
-            acting_leader.is_over = True
+        self.end_acting_leader(gateway)
         gateway.is_up = False
+        gateway.known_term, gateway.known_records = 0, ""
         calls, gateway.calls, gateway.coordinator = gateway.calls, [], None
         gateway.is_answered = False
         for call in calls:
@@ -427,7 +525,7 @@
 
     def send_again(self, call: ModelCall, domain: DomainName) -> None:
         """Let a caller submit its job again, mostly to a gateway of its domain, or to any."""
-        elsewhere = self.world.random.random() < 0.25
+        elsewhere = self.world.random.random() < self.elsewhere_share
 
         def send() -> None:
             up = [each for each in self.gateways if each.is_up]
@@ -445,7 +543,8 @@
         home: DomainName,
         records: Records,
         token: int,
-        domain: DomainName | None = None,
+        *,
+        host: str | None = None,
         begun_earlier: frozenset[JobId] | None = None,
     ) -> ModelCoordinator:
         return ModelCoordinator(
@@ -456,8 +555,9 @@
             terms=TERMS,
             site=self,
             home=home,
-            domain=domain,
-            is_acting=domain is not None,
+            host=host,
+            domain=home if host is not None and not self.acts_for_all else None,
+            is_acting=host is not None,
             begun_earlier=begun_earlier,
             decided_at=self.world.now,
         )
@@ -479,6 +579,10 @@
         name = f"{domain}-{len(site.gateways)}"
         site.gateways.append(ModelGateway(site=site, name=name, domain=domain))
     site.lead_from(NORTH)
+    for number, upstream in enumerate(site.upstreams.values()):
+        # Their heartbeats are spread over the interval.
+        delay = DEFAULT_REPORT_TERMS.interval * (number + 1) / len(site.upstreams)
+        site.world.at(delay, functools.partial(site.send_heartbeats_forever, upstream))
     site.run_turns_forever()
     site.world.run_until(milliseconds(300))
     return site
--- a/cottonlug/tests/test_evacuation_campaign.py
+++ b/cottonlug/tests/test_evacuation_campaign.py
@@ -17,7 +17,6 @@
 DOMAINS_OF_SITE = (NORTH, SOUTH, EAST)
 EFFECTIVE_WITHIN = milliseconds(500)
 """An order commits in 15 ms and a start arrives 4 ms after sending; operators tolerate 5 s."""
-CONTACT_TIMEOUT = timedelta(seconds=4)
 
 
 class Campaign:
@@ -28,8 +27,6 @@
         self.chance = random.Random(seed)
         self.evacuated_since: dict[DomainName, timedelta] = {}
         """When the order was committed, by evacuated domain."""
-        self.cut_at: dict[DomainName, timedelta] = {}
-        """When a domain was last cut off; its acting leader may not know the order."""
         self.orders = 0
         for upstream in self.site.upstreams.values():
             upstream.run_times = self.choose_run_times(upstream.info.id)
@@ -40,9 +37,8 @@
 
         def choose(job: JobId) -> timedelta:
             now = self.site.world.now
-            evacuated_since, cut_at = self.evacuated_since.get(domain), self.cut_at.get(domain)
-            is_connected = cut_at is None or now > cut_at + CONTACT_TIMEOUT
-            if evacuated_since is not None and is_connected:
+            evacuated_since = self.evacuated_since.get(domain)
+            if evacuated_since is not None and self.is_order_known(domain):
                 assert (
                     now <= evacuated_since + EFFECTIVE_WITHIN
                 ), f"{job} starts in {domain}, evacuated"
@@ -50,6 +46,16 @@
 
         return choose
 
+    def is_order_known(self, domain: DomainName) -> bool:
+        """Return whether no acting leader orders upstreams there that has not heard of the order.
+
+        The leader may be lost before the gateways have heard of an order that is committed.
+        """
+        return all(
+            each.is_over or each.home != domain or domain in each.records.evacuations.evacuated
+            for each in self.site.acting_leaders.values()
+        )
+
     def send_order(self) -> None:
         leader = self.site.leader
         domain = self.chance.choice(DOMAINS_OF_SITE)
@@ -66,8 +72,6 @@
         world, number = self.site.world, 0
         while world.now < timedelta(seconds=14):
             world.run_until(world.now + milliseconds(self.chance.choice((50, 100, 150))))
-            for domain in self.site.cut_off:
-                self.cut_at[domain] = world.now
             for gateway in self.chance.sample(self.site.gateways, self.chance.choice((0, 1, 2))):
                 if gateway.is_up:
                     number += 1
