--- a/cottonlug/tests/test_evacuation_campaign.py
+++ b/cottonlug/tests/test_evacuation_campaign.py
@@ -18,6 +18,9 @@
 EFFECTIVE_WITHIN = milliseconds(500)
 """An order commits in 15 ms and a start arrives 4 ms after sending; operators tolerate 5 s."""
 
+LONGEST_DELAY = milliseconds(4)
+"""Longest time for which a start is under way."""
+
 
 class Campaign:
     """A site whose domains are evacuated and used again while other faults occur."""
@@ -47,13 +50,16 @@
         return choose
 
     def is_order_known(self, domain: DomainName) -> bool:
-        """Return whether no acting leader orders upstreams there that has not heard of the order.
+        """Return whether no acting leader starts tasks there that has not heard of the order.
 
         The leader may be lost before the gateways have heard of an order that is committed.
         """
-        return all(
-            each.is_over or each.home != domain or domain in each.records.evacuations.evacuated
-            for each in self.site.acting_leaders.values()
+        now = self.site.world.now
+        acting = self.site.acting_leaders.get(domain)
+        return (
+            acting is None
+            or (acting.is_over and now > acting.decided_at + LONGEST_DELAY)
+            or domain in acting.records.evacuations.evacuated
         )
 
     def send_order(self) -> None:
