--- a/cottonlug/tests/model_site.py
+++ b/cottonlug/tests/model_site.py
@@ -432,9 +432,6 @@
         self.leader = self._start(
             home, self.records, self.term * TOKENS_PER_TERM, begun_earlier=begun_earlier
         )
-        for upstream in self.upstreams.values():
-            if upstream.is_up and self.can_reach(home, upstream.info.domain):
-                self.leader.receive_heartbeat(upstream)
 
     def lose_leader(self) -> None:
         if self.leader is not None:
@@ -579,7 +576,9 @@
         name = f"{domain}-{len(site.gateways)}"
         site.gateways.append(ModelGateway(site=site, name=name, domain=domain))
     site.lead_from(NORTH)
+    assert site.leader is not None
     for number, upstream in enumerate(site.upstreams.values()):
+        site.leader.receive_heartbeat(upstream)
         # Their heartbeats are spread over the interval.
         delay = DEFAULT_REPORT_TERMS.interval * (number + 1) / len(site.upstreams)
         site.world.at(delay, functools.partial(site.send_heartbeats_forever, upstream))
