--- a/cottonlug/runtime/acting_leader.py
+++ b/cottonlug/runtime/acting_leader.py
@@ -8,7 +8,8 @@
   an acting leader (that of the last leader plus a level) lies between those of two leaders;
 - the coordinator abandons the jobs of a gateway after `GATEWAY_TIMEOUT` without contact, and a
   gateway moves its jobs to another coordinator only after the longer `ACT_AS_LEADER_AFTER_SILENCE`;
-- a job that may have started waits until every upstream was polled or its leases have expired.
+- a job that may have started waits until its leases have expired, since neither an acting leader
+  nor the leader after it can know all upstreams that the other has used.
 
 Among the gateways that reach no leader, the first one (`host_sizes`) acts as leader. It knows
 the upstreams and the configuration from the failover state, which the last leader has sent to all
