--- a/cottonlug/core/cluster/term.py
+++ b/cottonlug/core/cluster/term.py
@@ -54,7 +54,7 @@
     forgotten_upstreams: int = 0
     """Upstreams dropped because they were silent, without evidence that they had ended."""
     released_tasks: int = 0
-    """Tasks queued since their wait for leases was over, without all upstreams known to be polled."""
+    """Tasks queued since their wait for leases was over, not since all upstreams had answered."""
     doubled_runs: int = 0
     """Runs that an upstream listed while another run of their task was active."""
     rejected_jobs: int = 0
