Cut whole failure domains off in the soak, and name its connections cheaply

Cause: the soak missed tasks that ran twice after a failure domain had been cut off for over 10 s. Its plan had no such cut, no disruption lasted over 3 s, orders to upstreams passed its faults by, and it spent most of its time on naming new connections: each one was looked up by a scan of the files of all processes, also those of callers and upstreams, which no scan finds.

Change: `--cuts` adds a series of cuts of failure domains, 3 to 32 s long, the leader's among them, also again at once. Links between hosts, orders and heartbeats are held; callers reach all gateways. Upstreams return with the links between hosts or up to 0.6 s later. What began behind a cut and was closed again is dropped. `--durable-share` and `--timeout` make the domain that is cut off serve: no gateway acts as leader while a durable job is open. The share of jobs answered in cuts is printed beside that outside. Callers and upstreams connect from IP numbers of their own, and a scan keeps all sockets that it meets. Plans without `--cuts` are the same as before.

--- a/cottonlug/tests/test_soak.py
+++ b/cottonlug/tests/test_soak.py
@@ -5,12 +5,14 @@
 import asyncio
 import itertools
 import json
+import random
+import re
 import signal
 import socket
 import subprocess
 import sys
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from datetime import timedelta
@@ -19,6 +21,7 @@
 import pytest
 
 from soak.__main__ import ExitStatus, main
+from soak.domains import DomainCuts
 from soak.fleet import Fleet, FleetSize
 from soak.plan import LEADER, Disruption, DisruptionKind, Targets, build_plan
 from soak.proxy import FaultKind, LinkFault, Proxy
@@ -37,9 +40,15 @@
 )
 
 
-def build(seed: int, series: int = 2, seconds: float = 120.0) -> list[Disruption]:
+def build(
+    seed: int, series: int = 2, seconds: float = 120.0, *, cuts_domains: bool = False
+) -> list[Disruption]:
     return build_plan(
-        seed=seed, duration=timedelta(seconds=seconds), series=series, targets=TARGETS
+        seed=seed,
+        duration=timedelta(seconds=seconds),
+        series=series,
+        targets=TARGETS,
+        cuts_domains=cuts_domains,
     )
 
 
@@ -54,7 +63,7 @@
 
 def test_plan_contains_every_kind_within_its_duration() -> None:
     """Guards against a kind that is declared and never drawn."""
-    plan = build(1, series=3, seconds=600.0)
+    plan = build(1, series=3, seconds=600.0, cuts_domains=True)
     assert {disruption.kind for disruption in plan} == set(DisruptionKind)
     assert all(disruption.start < timedelta(seconds=600) for disruption in plan)
     names = {*TARGETS.control_hosts, *TARGETS.gateways, *TARGETS.upstreams, LEADER}
@@ -84,6 +93,29 @@
     assert all(later.start - first.start >= timedelta(seconds=12) for first, later in pairs)
 
 
+def test_cuts_of_domains_leave_the_other_series_as_they_are() -> None:
+    """Guards against seeds that stand for another plan once domains are cut off."""
+    cuts = DisruptionKind.CUT_DOMAIN
+    assert [each for each in build(3, cuts_domains=True) if each.kind is not cuts] == build(3)
+
+
+def test_cuts_of_domains_are_short_and_long_and_may_follow_at_once() -> None:
+    """Guards against cuts that all end before a leader may forget silent upstreams (10 s)."""
+    plans = [build(seed, series=0, seconds=60.0, cuts_domains=True) for seed in range(40)]
+    lengths = [each.length.total_seconds() for plan in plans for each in plan]
+    assert 3.0 <= min(lengths) < 5.0 and 30.0 < max(lengths) <= 32.0
+    ends = [each.start + each.length for plan in plans for each in plan]
+    assert max(ends) <= timedelta(seconds=60.001)
+    gaps = [
+        later.start - (earlier.start + earlier.length)
+        for plan in plans
+        for earlier, later in itertools.pairwise(plan)
+    ]
+    assert timedelta(0) in gaps and max(gaps) > timedelta(seconds=5)
+    targets = {target for plan in plans for each in plan for target in each.targets}
+    assert targets == {LEADER, *TARGETS.control_hosts}
+
+
 # Settings
 
 
@@ -148,11 +180,11 @@
 
 
 @asynccontextmanager
-async def open_ends() -> AsyncIterator[Ends]:
+async def open_ends(name: str = "server") -> AsyncIterator[Ends]:
     ends = Ends()
     server = await asyncio.start_server(ends.serve, "127.0.0.1", 0)
     target = server.sockets[0].getsockname()
-    await ends.proxy.listen("server", ("127.0.0.1", 0), target)
+    await ends.proxy.listen(name, ("127.0.0.1", 0), target)
     ends.port = ends.proxy.get_ports()[0]
     try:
         yield ends
@@ -176,7 +208,8 @@
 
 
 def fault_of(kind: FaultKind, source: str = "a", peer: str | None = "server") -> LinkFault:
-    return LinkFault(kind=kind, source=source, peer=peer, delay=0.2)
+    peers = None if peer is None else frozenset({peer})
+    return LinkFault(kind=kind, sources=frozenset({source}), peers=peers, delay=0.2)
 
 
 def test_proxy_passes_bytes_and_the_end_of_a_connection_on() -> None:
@@ -266,6 +299,77 @@
     asyncio.run(run())
 
 
+def test_what_a_client_gave_up_behind_a_cut_never_arrives() -> None:
+    """Guards against a burst of old requests at the heal, on connections that never opened."""
+
+    async def run() -> None:
+        async with open_ends() as ends:
+            fault = fault_of(FaultKind.CUT)
+            ends.proxy.add_fault(fault)
+            first, second = await ends.connect("a"), await ends.connect("a")
+            first[1].write(b"x")
+            second[1].write(b"b")
+            assert await is_quiet(first)
+            first[1].close()
+            await first[1].wait_closed()
+            ends.proxy.remove_fault(fault)
+            assert await asyncio.wait_for(second[0].read(1), 10) == b"B"
+            assert ends.received == b"b" and len(ends.accepted) == 1
+
+    asyncio.run(run())
+
+
+def test_a_cut_domain_reaches_only_its_own_upstreams_until_it_is_back() -> None:
+    """Guards against an acting leader that reaches upstreams beyond the cut."""
+
+    async def run() -> None:
+        proxy = Proxy(identify=lambda peer, local: "")
+        domains = {"1": "domain-1", "2": "domain-2", "3": "domain-3"}
+        hosts = {f"{kind}{number}": own for kind in "ce" for number, own in domains.items()}
+        upstreams = {f"u{number}": own for number, own in domains.items()}
+        cuts = DomainCuts(hosts=hosts, upstreams=upstreams, proxy=proxy)
+        ends = list(itertools.product(hosts, upstreams))
+        assert all(cuts.reaches(*each) for each in ends) and cuts.reaches("", "u1")
+        cutting = asyncio.create_task(cuts.cut("domain-1", 0.1, random.Random(1)))
+        await asyncio.sleep(0)
+        for host, upstream in ends:
+            are_on_one_side = (hosts[host] == "domain-1") == (upstreams[upstream] == "domain-1")
+            assert cuts.reaches(host, upstream) is are_on_one_side, (host, upstream)
+        assert not cuts.reaches("", "u2"), "a sender that cannot be named may be beyond the cut"
+        await cutting
+        assert all(cuts.reaches(*each) for each in ends) and cuts.reaches("", "u1")
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("client", "server", "is_held"),
+    [("c1", "e2", True), ("e2", "c1", True), ("u1", "c2", True), ("c1", "e1", False),
+     ("u1", "c1", False), ("u2", "c1", True), ("u2", "c3", False), ("", "e1", False)],
+)  # fmt: skip
+def test_a_cut_domain_is_away_from_hosts_and_heartbeats_but_not_from_callers(
+    client: str, server: str, is_held: bool
+) -> None:
+    """Guards against a cut that lets heartbeats through, and one that callers notice."""
+
+    async def run() -> None:
+        async with open_ends(server) as ends:
+            names = {"1": "domain-1", "2": "domain-2", "3": "domain-3"}
+            hosts = {f"{kind}{number}": own for kind in "ce" for number, own in names.items()}
+            upstreams = {f"u{number}": own for number, own in names.items()}
+            cuts = DomainCuts(hosts=hosts, upstreams=upstreams, proxy=ends.proxy)
+            cutting = asyncio.create_task(cuts.cut("domain-1", 0.5, random.Random(1)))
+            await asyncio.sleep(0)
+            connection = await ends.connect(client)
+            connection[1].write(b"a")
+            assert await is_quiet(connection) is is_held
+            await cutting
+            if is_held:
+                assert await asyncio.wait_for(connection[0].read(1), 10) == b"A"
+
+    asyncio.run(run())
+
+
 def test_silence_lasts_for_open_connections_only() -> None:
     """Guards against a silent connection that recovers, or that its host can notice."""
 
@@ -301,7 +405,26 @@
 # Whole run
 
 
-def test_short_run_keeps_every_promise(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+@pytest.fixture(scope="module")
+def cut_run(tmp_path_factory: pytest.TempPathFactory) -> Iterator[subprocess.Popen[str]]:
+    """Run the soak with cuts of failure domains, beside the short run to save its time."""
+    sizes = ["--gateways", "3", "--upstreams", "12", "--seconds", "20", "--series", "0"]
+    callers = ["--durable-share", "0", "--timeout", "3"]
+    output = ["--output", str(tmp_path_factory.mktemp("cuts"))]
+    arguments = ["-m", "soak", "--seed", "16", "--cuts", *sizes, *callers, *output]
+    command = [sys.executable, *arguments]
+    soak = subprocess.Popen(
+        command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+    )
+    yield soak
+    # The run ends its processes when it is told to stop.
+    soak.terminate()
+    soak.wait(WAIT_LIMIT_SECONDS)
+
+
+def test_short_run_keeps_every_promise(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], cut_run: subprocess.Popen[str]
+) -> None:
     """Guards against broken promises under faults, and against a soak that no longer runs.
 
     Record, plan and logs of a failed run are in the test's folder.
@@ -317,6 +440,17 @@
     assert planned and {line.split()[4] for line in planned} <= disrupted
 
 
+def test_run_with_cuts_of_domains_serves_callers_and_keeps_every_promise(
+    cut_run: subprocess.Popen[str],
+) -> None:
+    """Guards against two runs of a task after a long cut, and against cuts without any service."""
+    printed, _ = cut_run.communicate(timeout=100)
+    assert cut_run.returncode == ExitStatus.HELD, printed
+    answered = re.search(r"in cuts (\d+) of (\d+)", printed)
+    assert answered is not None, printed
+    assert int(answered[1]) > 0.3 * int(answered[2]) > 0, printed
+
+
 def test_run_that_cannot_start_is_told_from_a_broken_promise(tmp_path: Path) -> None:
     """Guards against a machine without free ports that passes for a found fault."""
     file = tmp_path / "file"
--- a/cottonlug/tests/test_soak_checks.py
+++ b/cottonlug/tests/test_soak_checks.py
@@ -7,6 +7,7 @@
 import os
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from datetime import timedelta
 from pathlib import Path
 from random import Random
@@ -17,6 +18,7 @@
 
 from soak.callers import Callers, CallerSettings
 from soak.checks import Rule, find_gaps, find_violations
+from soak.domains import describe_answers
 from soak.jobs import Plan, Step, read_plan
 from soak.record import Event, EventKind, Phase, Record, build_detail, read_detail, read_record
 from soak.upstreams import MAX_LISTED, StandInUpstream, Work, hash_spec
@@ -485,6 +487,45 @@
     run_live(test)
 
 
+def test_an_order_from_beyond_a_cut_waits_and_is_lost_with_its_connection() -> None:
+    """Guards against an acting leader that starts tasks in a domain that it cannot reach."""
+    cut_off = {"c1"}
+
+    async def test(rig: LiveRig) -> None:
+        assert await rig.call_start(timeout_ms=60) == 0
+        waiting = asyncio.create_task(rig.call_start(task=OTHER_TASK))
+        await asyncio.sleep(0.1)
+        assert rig.upstream.running == []
+        cut_off.clear()
+        assert await waiting == 200
+        assert rig.upstream.running == [OTHER_TASK]
+
+    reaches = {"reaches": lambda sender: sender not in cut_off}
+    run_live(test, identify=lambda peer, local: "c1", **reaches)
+
+
+def test_an_answer_to_a_host_beyond_a_cut_waits_for_the_heal() -> None:
+    """Guards against a leader that hears how a run has ended behind a cut."""
+    cut_off: set[str] = set()
+
+    async def test(rig: LiveRig) -> None:
+        assert await rig.call_start() == 200
+        expires_ms = int(rig.upstream.clock_ms() + 900)
+        polling = rig.call("/hold", fencing_token=1, wait_ms=2_000, expires_ms=expires_ms)
+        polling_task = asyncio.create_task(polling)
+        await asyncio.sleep(0.1)
+        cut_off.add("c1")
+        while rig.upstream.running:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        assert not polling_task.done()
+        cut_off.clear()
+        assert await polling_task == 200
+
+    reaches = {"reaches": lambda sender: sender not in cut_off}
+    run_live(test, identify=lambda peer, local: "c1", **reaches)
+
+
 def test_a_silent_upstream_carries_out_orders_without_an_answer() -> None:
     async def test(rig: LiveRig) -> None:
         rig.upstream.is_silent = True
@@ -593,6 +634,27 @@
             assert finder.find(client.getsockname(), ("127.0.0.1", 1)) == "", "another connection"
 
 
+def test_one_scan_names_all_new_connections_of_a_process() -> None:
+    """Guards against a soak that spends its time on names: a scan of all processes takes 10 ms."""
+    scans = 0
+
+    def list_pids() -> dict[str, int]:
+        nonlocal scans
+        scans += 1
+        return {"self": os.getpid()}
+
+    with socket.create_server((HOST, 0)) as server, ExitStack() as stack:
+        local = server.getsockname()
+        clients = [
+            stack.enter_context(socket.create_connection(local, source_address=(host, 0)))
+            for host in (HOST, HOST, "127.0.0.9")
+        ]
+        finder = ProcessFinder(pids=list_pids, addresses={"127.0.0.9": "u1"})
+        names = [finder.find(client.getsockname(), local) for client in clients]
+        assert names == ["self", "self", "u1"]
+        assert scans == 1
+
+
 def test_a_record_is_written_in_the_order_of_time_and_read_back(tmp_path: Path) -> None:
     record = Record(now=timedelta)
     late = Event(milliseconds(20), EventKind.END, "i-1/0", "a", TASK, 3, build_detail(how="done"))
@@ -1235,3 +1297,23 @@
     assert len(find_gaps(story.record)) == 2
     story.disrupt(10, Phase.END).add(20, EventKind.HOLDER, "i-1/0", "", token=7, sender="c1")
     assert find_gaps(story.record) == []
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "status", "line"),
+    [
+        (2_000, 200, "in cuts 1 of 1 (1.00), outside 0 of 0 (0.00)"),
+        (2_000, 503, "in cuts 0 of 1 (0.00), outside 0 of 0 (0.00)"),
+        (9_000, 200, "in cuts 0 of 0 (0.00), outside 1 of 1 (1.00)"),
+        (5_000, 200, "in cuts 0 of 0 (0.00), outside 0 of 0 (0.00)"),
+    ],
+)
+def test_jobs_count_as_answered_by_whether_a_domain_was_cut_off_meanwhile(
+    sent_at: float, status: int, line: str
+) -> None:
+    """Guards against cuts in which nothing is served and which therefore find nothing."""
+    story = Story().ask(sent_at, status=status)
+    for at, phase in ((1_000, Phase.BEGIN), (6_000, Phase.END)):
+        story.add(at, EventKind.DISRUPTION, "d1", "", what="cut_domain", phase=phase.value)
+    assert describe_answers(story.record) == f"jobs answered within 3 s of their work: {line}"
+    assert describe_answers(Story().ask(sent_at, status=status).record) == ""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,17 +39,37 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=60.0, help="time of the disruptions")
     parser.add_argument("--series", type=int, default=2, help="disruptions at the same time")
+    parser.add_argument(
+        "--cuts", action="store_true", help="also cut failure domains off, for 3 to 32 s each"
+    )
     parser.add_argument("--gateways", type=int, default=_SIZE.gateways)
     parser.add_argument("--upstreams", type=int, default=_SIZE.upstreams)
     parser.add_argument("--rate", type=float, default=_CALLERS.rate_per_s, help="jobs a second")
+    parser.add_argument(
+        "--durable-share",
+        type=float,
+        default=_CALLERS.durable_share,
+        help="share of durable jobs; no gateway acts as leader while one is open",
+    )
+    parser.add_argument(
+        "--timeout",
+        type=float,
+        default=_CALLERS.timeout.total_seconds(),
+        help="seconds that callers wait for an answer",
+    )
     parser.add_argument("--output", type=Path, required=True, help="folder of record and logs")
     given = parser.parse_args(arguments)
     return SoakSettings(
         seed=given.seed,
         duration=timedelta(seconds=given.seconds),
         series=given.series,
+        cuts_domains=given.cuts,
         size=FleetSize(gateways=given.gateways, upstreams=given.upstreams),
-        callers=CallerSettings(rate_per_s=given.rate),
+        callers=CallerSettings(
+            rate_per_s=given.rate,
+            durable_share=given.durable_share,
+            timeout=timedelta(seconds=given.timeout),
+        ),
         output=given.output,
     )
 
@@ -76,6 +96,8 @@
         f"seed {settings.seed}: {result.counts[EventKind.SUBMIT]} submissions, "
         f"{result.counts[EventKind.START]} starts, {result.disruptions} disruptions"
     )
+    if result.answers:
+        print(result.answers)
     for gap in result.gaps:
         print(f"not tested: {gap}")
     print("\n".join(result.broken_promises) or "every promise held")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -73,13 +73,15 @@
         gateways: Mapping[str, Peer],
         random: Random,
         settings: CallerSettings | None = None,
+        host: str | None = None,
     ) -> None:
+        """`host` is the IP number that connections come from, any one if not given."""
         self.settings = settings or CallerSettings()
         self._record, self._gateways, self._random = record, gateways, random
         self._plans: dict[str, Plan] = {}
         self._starts: Counter[str] = Counter()
         self._calls = count(1)
-        self._client = build_client()
+        self._client = build_client(host)
         self._until = timedelta()
 
     async def run(self, until: float) -> None:
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -64,6 +64,8 @@
         await asyncio.sleep(began_at + disruption.start.total_seconds() - loop.time())
         targets = [await _resolve(target, scene) for target in disruption.targets]
         named = list(dict.fromkeys(target for target in targets if target is not None))
+        if disruption.kind is DisruptionKind.CUT_DOMAIN:
+            named = [scene.fleet.hosts[name].domain for name in named]
         if named:
             kind = disruption.kind.value
             scene.record.add_disruption(",".join(named), kind, Phase.BEGIN)
@@ -109,6 +111,9 @@
             await _crash_upstreams(names, 0.0, scene, same_id=True)
         case DisruptionKind.SILENCE_UPSTREAMS | DisruptionKind.DELAY_ORDERS:
             await _harm_orders(disruption.kind, names, seconds, scene)
+        case DisruptionKind.CUT_DOMAIN:
+            await scene.fleet.cuts.cut(names[0], seconds, scene.chance)
+            scene.fleet.note_disturbance(scene.fleet.control_hosts)
         case _:
             await _harm_link(_LINK_FAULTS[disruption.kind], names, seconds, scene)
 
@@ -231,8 +236,8 @@
 
 
 async def _harm_link(kind: FaultKind, names: list[str], seconds: float, scene: Scene) -> None:
-    peer = names[1] if len(names) > 1 else None
-    fault = LinkFault(kind=kind, source=names[0], peer=peer, delay=LINK_DELAY)
+    peers = frozenset(names[1:2]) or None
+    fault = LinkFault(kind=kind, sources=frozenset(names[:1]), peers=peers, delay=LINK_DELAY)
     scene.fleet.proxy.add_fault(fault)
     await asyncio.sleep(seconds)
     scene.fleet.proxy.remove_fault(fault)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,6 +19,7 @@
 
 import httpx
 
+from .domains import DomainCuts
 from .proxy import Proxy
 from .record import Phase, Record
 from .settings import ROOT, HostSettings, Ports, render_settings
@@ -36,7 +37,7 @@
 _FIRST_NET, _NETS = 20, 200
 _ADVERTISED, _BOUND = {"c": 1, "e": 2}, {"c": 11, "e": 12}
 """Third number of the addresses of control hosts (c) and gateways (e)."""
-_UPSTREAMS = 3
+_UPSTREAMS, _CALLERS = 3, 4
 
 
 class FleetError(Exception):
@@ -92,8 +93,16 @@
             for kind, count in (("c", size.control_hosts), ("e", size.gateways))
             for number, name in ((at, f"{kind}{at + 1}") for at in range(count))
         }
-        self.identify = ProcessFinder(pids=self._list_pids).find
+        upstreams = {f"u{number}": number for number in range(size.upstreams)}
+        addresses = {self.get_upstream_host(number): name for name, number in upstreams.items()}
+        addresses[self.caller_host] = ""
+        self.identify = ProcessFinder(pids=self._list_pids, addresses=addresses).find
         self.proxy = Proxy(identify=self.identify)
+        self.cuts = DomainCuts(
+            hosts={name: host.domain for name, host in self.hosts.items()},
+            upstreams={name: self.get_domain(number) for name, number in upstreams.items()},
+            proxy=self.proxy,
+        )
         self._output = output
         self._record = record
         self.control_disturbed_at = 0.0
@@ -122,6 +131,11 @@
         """Addresses at which callers reach each gateway."""
         return {name: (self.hosts[name].advertised, self.ports.callers) for name in self.gateways}
 
+    @property
+    def caller_host(self) -> str:
+        """IP number that callers connect from."""
+        return f"{self.net}.{_CALLERS}.1"
+
     def get_domain(self, number: int) -> str:
         """Return the failure domain of the host or upstream with this number."""
         return self.domains[number % len(self.domains)]
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,6 +12,8 @@
 from datetime import timedelta
 from enum import Enum
 
+from .domains import CUT_DOMAIN
+
 LEADER = "leader"
 """Target that stands for the control host that leads when the disruption begins."""
 
@@ -19,6 +21,13 @@
 """Seconds: below and above the leader's lease (0.28 s) and an upstream's lease (0.92 s)."""
 GAPS = (0.05, 0.4, 1.5, 3.0)
 """Seconds between two disruptions of one series."""
+CUT_LENGTHS = (3.0, 32.0)
+"""Seconds, shortest and longest: below and above the 10 s after which a leader may forget a silent
+upstream, and up to the longest cut that users have met."""
+FIRST_CUT = 6.0
+"""Seconds without a cut at the beginning, so that jobs run when the first one begins."""
+CUT_GAPS = (0.0, 0.5, 3.0, 8.0)
+"""Seconds between two cuts of failure domains."""
 WIPE_INTERVAL = 12.0
 """Seconds between two wiped disks: a replaced member must have caught up before the next loss, as
 a majority of the disks holds each entry."""
@@ -52,6 +61,8 @@
     CUT_LINK_ONE_WAY = "cut_link_one_way"
     CUT_HOST = "cut_host"
     SILENCE_LINK = "silence_link"
+    CUT_DOMAIN = CUT_DOMAIN
+    """The failure domain of the target, with its hosts and upstreams."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -80,15 +91,18 @@
 
 
 def build_plan(
-    *, seed: int, duration: timedelta, series: int, targets: Targets
+    *, seed: int, duration: timedelta, series: int, targets: Targets, cuts_domains: bool = False
 ) -> list[Disruption]:
-    """Return disruptions in the order of their start; those of different series overlap."""
+    """Return disruptions in the order of their start; those of different series overlap.
+
+    `cuts_domains` adds a series of cuts of failure domains and leaves the other series as they are.
+    """
+    plan = _build_cuts(seed, duration.total_seconds(), series, targets) if cuts_domains else []
     chance = random.Random(seed)
     seconds = duration.total_seconds()
     free_at = [chance.choice(GAPS) for _ in range(series)]
     next_wipe_at = 0.0
-    plan: list[Disruption] = []
-    while min(free_at) < seconds:
+    while min(free_at, default=seconds) < seconds:
         number = free_at.index(min(free_at))
         start = free_at[number]
         kind = chance.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
@@ -107,7 +121,27 @@
             )
         )
         free_at[number] = start + length + chance.choice(GAPS)
-    return plan
+    return sorted(plan, key=lambda disruption: disruption.start)
+
+
+def _build_cuts(seed: int, seconds: float, series: int, targets: Targets) -> list[Disruption]:
+    """Return cuts of failure domains, one after the other, the last one ended by the duration."""
+    chance = random.Random(f"cuts {seed}")
+    cuts: list[Disruption] = []
+    start = FIRST_CUT
+    while seconds - start >= CUT_LENGTHS[0]:
+        length = min(chance.uniform(*CUT_LENGTHS), seconds - start)
+        cuts.append(
+            Disruption(
+                series=series,
+                start=timedelta(seconds=round(start, 3)),
+                length=timedelta(seconds=round(length, 3)),
+                kind=DisruptionKind.CUT_DOMAIN,
+                targets=(chance.choice([LEADER, *targets.control_hosts]),),
+            )
+        )
+        start += length + chance.choice(CUT_GAPS)
+    return cuts
 
 
 WEIGHTS = {
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .wire import Identify, Peer
+from .wire import Identify, Peer, is_closed_by_peer
 
 _CHUNK_BYTES = 64 * 1024
 _MAX_HELD_CHUNKS = 32
@@ -44,12 +44,12 @@
 
 @dataclass(frozen=True, slots=True, eq=False, kw_only=True)
 class LinkFault:
-    """A fault of the links between two hosts, or between one host and all others."""
+    """A fault of the links between two groups of hosts, or between one group and all others."""
 
     kind: FaultKind
-    source: str
-    peer: str | None = None
-    """The other end; None stands for all."""
+    sources: frozenset[str]
+    peers: frozenset[str] | None = None
+    """The other ends; None stands for all."""
     delay: float = 0.0
     """Seconds, for `DELAY`."""
 
@@ -60,7 +60,7 @@
         return self.kind is not FaultKind.CUT_ONE_WAY and self._is_forward(receiver, sender)
 
     def _is_forward(self, sender: str, receiver: str) -> bool:
-        return sender == self.source and self.peer in (None, receiver)
+        return sender in self.sources and (self.peers is None or receiver in self.peers)
 
 
 @dataclass(slots=True, eq=False, kw_only=True)
@@ -154,6 +154,11 @@
             )
             if is_reset:
                 return
+            while self._is_cut(connection):
+                await self._changed.wait()
+            if is_closed_by_peer(writer):
+                # Its opening was never received: nothing of it arrives after the cut.
+                return
             far_reader, far_writer = await asyncio.open_connection(*target)
             connection.writers.append(far_writer)
             async with asyncio.TaskGroup() as group:
@@ -169,6 +174,10 @@
             connection.reset()
             self._connections.discard(connection)
 
+    def _is_cut(self, connection: _Connection) -> bool:
+        cuts = [fault for fault in self._faults if fault.kind is FaultKind.CUT]
+        return any(_is_harmed(connection, fault) for fault in cuts)
+
     async def _pump(
         self,
         connection: _Connection,
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,11 +9,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 
 from .callers import Callers, CallerSettings
 from .checks import find_gaps, find_violations
 from .disruptions import Scene, carry_out, send_configuration
+from .domains import describe_answers
 from .fleet import SERVICE, Fleet, FleetError, FleetSize
 from .plan import Disruption, Targets, build_plan
 from .record import EventKind, Record
@@ -32,6 +34,7 @@
     seed: int
     duration: timedelta
     series: int
+    cuts_domains: bool
     size: FleetSize
     callers: CallerSettings
     output: Path
@@ -47,6 +50,8 @@
     """What the run has not put to the test."""
     counts: Mapping[EventKind, int]
     disruptions: int
+    answers: str
+    """Shares of jobs that were answered; empty without a cut of a failure domain."""
 
 
 async def run_soak(settings: SoakSettings) -> SoakResult:
@@ -60,6 +65,7 @@
             record=record,
             gateways=fleet.caller_addresses,
             random=random.Random(f"callers {settings.seed}"),
+            host=fleet.caller_host,
             settings=settings.callers,
         )
         upstreams += _build_upstreams(settings, fleet, record, callers)
@@ -75,6 +81,7 @@
             seed=settings.seed,
             duration=settings.duration,
             series=settings.series,
+            cuts_domains=settings.cuts_domains,
             targets=Targets(
                 control_hosts=fleet.control_hosts,
                 gateways=fleet.gateways,
@@ -100,6 +107,7 @@
         gaps=find_gaps(record),
         counts=Counter(event.kind for event in record.events),
         disruptions=len(plan),
+        answers=describe_answers(record),
     )
 
 
@@ -130,6 +138,7 @@
             random=random.Random(f"upstream {settings.seed} {number}"),
             work=callers.find_work,
             identify=fleet.identify,
+            reaches=partial(fleet.cuts.reaches, upstream=f"u{number}"),
             reports_start_time=True,
         )
 
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -22,7 +22,17 @@
 import msgspec
 
 from .record import Event, EventKind, Phase, Record, build_detail
-from .wire import Identify, Peer, Request, Response, Server, build_client, encode_json, send
+from .wire import (
+    Identify,
+    Peer,
+    Reaches,
+    Request,
+    Response,
+    Server,
+    build_client,
+    encode_json,
+    send,
+)
 
 MAX_LEASE = timedelta(seconds=1)
 """Longest lease (`max_hold_ms`); a longer one is shortened."""
@@ -134,6 +144,7 @@
         random: Random,
         work: Callable[[str], Work],
         identify: Identify = lambda peer, local: "",
+        reaches: Reaches = lambda sender: True,
         cpu_millis: int = 16_000,
         memory_mb: int = 32_768,
         rejects_overload: bool = True,
@@ -142,6 +153,8 @@
     ) -> None:
         """`identify` names the sender of an order (see `wire.ProcessFinder`).
 
+        `reaches` tells whether orders of a sender arrive now, and the answers to them.
+
         `work` is called for each run that starts. `reports_start_time` tells the instances under
         one id apart, so `restart` under the same id needs it.
         """
@@ -152,7 +165,7 @@
         """Whether starts are refused with 503."""
         self._record, self._random, self._work = record, random, work
         self._controls = control_addresses
-        self._identify = identify
+        self._identify, self._reaches = identify, reaches
         self._cpu_millis, self._memory_mb = cpu_millis, memory_mb
         self._rejects_overload = rejects_overload
         self._reports_start_time = reports_start_time
@@ -184,8 +197,12 @@
         self._has_ended = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._heartbeat_address: Peer | None = None
-        self._server = Server(handle=partial(self._handle, self._life), identify=self._identify)
-        self._client = build_client()
+        self._server = Server(
+            handle=partial(self._handle, self._life),
+            identify=self._identify,
+            reaches=self._reaches,
+        )
+        self._client = build_client(self.host)
 
     @property
     def source(self) -> str:
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -8,19 +8,22 @@
 
 import asyncio
 import json
+import os
 import socket
 import struct
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Iterator, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
 from datetime import timedelta
-from pathlib import Path
 from typing import Any
 
 import httptools
 import httpx
 
 _READ_BYTES = 65_536
+_LINK_CHECK_SECONDS = 0.02
+_TCP_ESTABLISHED = 1
+"""State of a socket in the kernel's `tcp_info`, see tcp(7)."""
 
 # Constants of the kernel's interface, from sock_diag(7) and netlink(7).
 _NETLINK_SOCK_DIAG = 4
@@ -68,6 +71,9 @@
 Identify = Callable[[Peer, Peer], str]
 """Names the process at the first end of a connection; the second one is that of the server."""
 
+Reaches = Callable[[str], bool]
+"""Tells whether the named process is not beyond a cut now."""
+
 
 def encode_json(content: object) -> bytes:
     """Return the content as compact JSON."""
@@ -114,11 +120,18 @@
 class Server:
     """A listener that passes complete requests to a handler.
 
-    `identify` names the process behind a connection; it is called once for each.
+    `identify` names the process behind a connection; it is called once for each. While `reaches`
+    is false for that name, requests and answers wait; those of closed connections are lost.
     """
 
-    def __init__(self, *, handle: Handler, identify: Identify = lambda peer, local: "") -> None:
-        self._handle, self._identify = handle, identify
+    def __init__(
+        self,
+        *,
+        handle: Handler,
+        identify: Identify = lambda peer, local: "",
+        reaches: Reaches = lambda name: True,
+    ) -> None:
+        self._handle, self._identify, self._reaches = handle, identify, reaches
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -140,14 +153,17 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         peer, local = (writer.get_extra_info(name)[:2] for name in ("peername", "sockname"))
-        requests = _RequestReader(self._identify(peer, local))
+        name = self._identify(peer, local)
+        requests = _RequestReader(name)
         is_answering = True
         try:
             # Without an answer the connection stays open, and what arrives on it is ignored.
             while data := await reader.read(_READ_BYTES):
                 for request in requests.read(data) if is_answering else []:
+                    await self._wait_for_link(name, writer)
                     response = await self._handle(request)
                     is_answering = response is not None
+                    await self._wait_for_link(name, writer)
                     if response is not None and not writer.is_closing():
                         writer.write(_encode_response(response))
         except (ConnectionError, httptools.HttpParserError):
@@ -156,6 +172,21 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
+    async def _wait_for_link(self, name: str, writer: asyncio.StreamWriter) -> None:
+        while not self._reaches(name):
+            await asyncio.sleep(_LINK_CHECK_SECONDS)
+            if is_closed_by_peer(writer):
+                raise ConnectionResetError
+
+
+def is_closed_by_peer(writer: asyncio.StreamWriter) -> bool:
+    """Return whether a connection was closed or reset, also if its last bytes are unread."""
+    if writer.is_closing():
+        return True
+    sock = writer.get_extra_info("socket")
+    state: bytes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return state[0] != _TCP_ESTABLISHED
+
 
 def _encode_response(response: Response) -> bytes:
     head = (
@@ -165,10 +196,14 @@
     return head.encode() + response.body
 
 
-def build_client() -> httpx.AsyncClient:
-    """Return a client that uses its connections until the process behind them is gone."""
+def build_client(host: str | None = None) -> httpx.AsyncClient:
+    """Return a client that uses its connections until the process behind them is gone.
+
+    `host` is the IP number that they come from.
+    """
     limits = httpx.Limits(max_connections=None, keepalive_expiry=None)
-    return httpx.AsyncClient(limits=limits, trust_env=False, verify=False)
+    transport = httpx.AsyncHTTPTransport(verify=False, limits=limits, local_address=host)
+    return httpx.AsyncClient(transport=transport, trust_env=False)
 
 
 async def send(
@@ -195,24 +230,37 @@
 class ProcessFinder:
     """Names the process at the other end of a loopback connection.
 
-    All processes share one loopback address for outgoing connections, so a sender is known by the
-    owner of its socket alone.
+    Hosts share one loopback address for outgoing connections, so a host is known by the owner of
+    its socket alone. A scan of the sockets of all hosts takes milliseconds, so the owners of all
+    sockets that it meets are kept; the kernel gives the number of a socket only once.
     """
 
     pids: Callable[[], Mapping[str, int]]
     """Returns the processes that may have opened the connection, by name."""
+    addresses: Mapping[str, str] = field(default_factory=dict)
+    """Names of clients with an IP number of their own, by this number."""
+    _owners: dict[int, str] = field(default_factory=dict, init=False)
+    """Owner of each socket, by inode."""
     _last: str = field(default="", init=False)
 
     def find(self, peer: Peer, local: Peer) -> str:
         """Return the name of the process that holds the socket, or an empty name."""
+        if peer[0] in self.addresses:
+            return self.addresses[peer[0]]
         inode = _find_inode(peer, local)
-        pids = self.pids() if inode else {}
+        if inode and inode not in self._owners:
+            self._scan(inode)
+        return self._owners.get(inode, "")
+
+    def _scan(self, inode: int) -> None:
+        """Take note of the sockets of one process after the other until the owner is found."""
+        pids = self.pids()
         # Most new connections come from the process that opened the last one.
         for name in sorted(pids, key=lambda name: name != self._last):
-            if _holds_socket(pids[name], inode):
+            self._owners.update(dict.fromkeys(_list_sockets(pids[name]), name))
+            if inode in self._owners:
                 self._last = name
-                return name
-        return ""
+                return
 
 
 def _find_inode(local: Peer, remote: Peer) -> int:
@@ -235,11 +283,13 @@
     return int(struct.unpack_from("=I", answer, _INODE_OFFSET)[0]) if is_found else 0
 
 
-def _holds_socket(pid: int, inode: int) -> bool:
-    # The process may end meanwhile.
+def _list_sockets(pid: int) -> Iterator[int]:
+    """Return the inodes of the sockets that a process holds."""
+    folder = f"/proc/{pid}/fd"
+    # The process may end, and close files, meanwhile.
     with suppress(OSError):
-        for link in Path(f"/proc/{pid}/fd").iterdir():
+        for number in os.listdir(folder):
             with suppress(OSError):
-                if str(link.readlink()) == f"socket:[{inode}]":
-                    return True
-    return False
+                target = os.readlink(f"{folder}/{number}")
+                if target.startswith("socket:["):
+                    yield int(target[8:-1])
