Have coordinators of the model merge a second submission of an open job, as JobAnswers does

Cause: the model dropped it, so that a job sent again to the coordinator that has it kept its old marks.

--- a/cottonlug/tests/model_site.py
+++ b/cottonlug/tests/model_site.py
@@ -148,21 +148,22 @@
             # An acting leader's token is higher: only a leader of a later term may continue.
             self.site.lead_from(self.home)
             return
-        if self.dispatch.jobs.is_open(call.job) or self.dispatch.jobs.find_ended(call.job):
+        if self.dispatch.jobs.find_ended(call.job):
             return
-        self.dispatch.submit(
-            JobRecord(id=call.job, queue=self.site.queue, spec=call.spec, accepted_ms=0),
-            Submission(
-                gateway=gateway,
-                confirmed_until=sent_at + GATEWAY_TIMEOUT,
-                may_have_begun=call.may_have_begun,
-                may_be_of_acting_leader=call.may_be_of_acting_leader,
-                reconcile_after=(
-                    RECONCILE_AFTER if call.may_have_begun else RECONCILE_AFTER - CALLER_RETRY
-                ),
+        submission = Submission(
+            gateway=gateway,
+            confirmed_until=sent_at + GATEWAY_TIMEOUT,
+            may_have_begun=call.may_have_begun,
+            may_be_of_acting_leader=call.may_be_of_acting_leader,
+            reconcile_after=(
+                RECONCILE_AFTER if call.may_have_begun else RECONCILE_AFTER - CALLER_RETRY
             ),
-            self.world.now,
         )
+        if self.dispatch.jobs.is_open(call.job):
+            self.dispatch.merge_submission(call.job, submission, self.world.now)
+            return
+        record = JobRecord(id=call.job, queue=self.site.queue, spec=call.spec, accepted_ms=0)
+        self.dispatch.submit(record, submission, self.world.now)
         self.act()
 
     def _commit(self, command: Command) -> None:
--- a/cottonlug/tests/test_evacuation_campaign.py
+++ b/cottonlug/tests/test_evacuation_campaign.py
@@ -17,7 +17,6 @@
 DOMAINS_OF_SITE = (NORTH, SOUTH, EAST)
 EFFECTIVE_WITHIN = milliseconds(500)
 """An order commits in 15 ms and a start arrives 4 ms after sending; operators tolerate 5 s."""
-
 LONGEST_DELAY = milliseconds(4)
 """Longest time for which a start is under way."""
 
