--- a/cottonlug/tests/test_cluster_hand_over.py
+++ b/cottonlug/tests/test_cluster_hand_over.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 
 import pytest
 
+from ..core.cluster.calls import Answer, Call, Outcome, Submit
 from ..core.cluster.commands import (
     Command,
     RecordCrash,
@@ -19,11 +21,14 @@
     SetDraining,
 )
 from ..core.cluster.model import JobId
+from ..core.cluster.orders import PollOrder
 from ..core.cluster.records import Records
 from ..core.cluster.silent_upstreams import SILENT_AFTER
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import UpstreamId
-from .gateway_builders import JOB
+from ..runtime.coordinator_link import Via
+from .gateway_builders import JOB, answer_in_turn, build_clock, build_gateways, build_submit
+from .model_site import CALL_TIMEOUT
 from .model_upstreams import (
     RECONCILE_AFTER,
     Leader,
@@ -186,6 +191,36 @@
     assert FAR not in leader.dispatch.instances
 
 
+def test_a_list_of_an_upstream_that_is_being_forgotten_does_not_hold_a_task() -> None:
+    """Guards against a task that waits for a run at an upstream that is not tracked any more.
+
+    The answer to a poll arrives after the leader has proposed to remove the upstream, and before
+    that is committed. The upstream is cut off again before it has joined.
+    """
+    leader, copy = cut_off_leader(seed=19)
+    leader.dispatch.may_have_acting_leader = lambda: False
+    leader.commits = lambda command: not isinstance(command, RemoveUpstreams)
+    wait_cut_off(leader, SILENT_AFTER + milliseconds(200))
+    instance = leader.dispatch.instances[FAR]
+    assert instance.is_over
+    acting_leader = start_far_run(leader, copy)
+    acting_leader.is_over = True
+    take_over(leader)
+    poll = PollOrder(
+        upstream=instance.info,
+        last_seen=0,
+        expires_ms=None,
+        wait=timedelta(),
+        first_end=timedelta(),
+        response_timeout=timedelta(),
+    )
+    now = leader.world.now
+    reply = leader.upstreams[FAR].build_reply()
+    leader.dispatch.handle_poll_answer(poll, reply, now, now)
+    leader._commit(RemoveUpstreams(upstreams=(FAR,)))
+    expect_second_run_after_first(leader)
+
+
 def test_a_run_of_an_acting_leader_goes_on_where_its_upstream_joins_again() -> None:
     """Guards against a wait to the end of the lease although the run has been found."""
     leader, copy = cut_off_leader(seed=16)
@@ -198,3 +233,20 @@
     leader.world.run_until(leader.world.now + timedelta(seconds=6))
     assert leader.world.starts == 1
     assert not leader.dispatch.jobs.is_open(JobId(JOB))
+
+
+def test_a_job_that_a_relay_has_not_answered_may_be_of_an_acting_leader() -> None:
+    """Guards against a submission without the mark for which a leader waits for all leases."""
+
+    async def play() -> list[Call]:
+        gateway = build_gateways(1, build_clock())[0]
+        gateway.link.follow("10.0.0.9:7000", Via.RELAY)
+        answers = [Answer(outcome=Outcome.UNKNOWN), Answer(outcome=Outcome.DONE)]
+        tried = answer_in_turn(gateway, answers)
+        await gateway._call(build_submit(), CALL_TIMEOUT)
+        gateway.stop()
+        return tried
+
+    _, second = asyncio.run(play())
+    assert isinstance(second, Submit)
+    assert second.may_have_begun and second.may_be_of_acting_leader
