--- a/cottonlug/tests/test_cluster_hand_over.py
+++ b/cottonlug/tests/test_cluster_hand_over.py
@@ -1,8 +1,8 @@
-"""Jobs that pass from an acting leader to a leader, or the reverse, and the runs left of them.
+"""Jobs that pass from an acting leader to a leader, and the runs that are left of them.
 
 An acting leader orders by a copy of the records. The leader may have dropped upstreams since that
-are in the copy, and added others, so that neither can tell from its own list of upstreams that all
-runs of the other have been polled.
+are in the copy, so that it cannot tell from its own list of upstreams that all runs of the acting
+leader have been polled. The reverse, upstreams that have joined since, is in `test_cluster_pauses`.
 """
 
 from __future__ import annotations
