Count unpolled upstreams once a round again, not for each job whose wait is over

Change: both counts are taken once a round, as before, and decide together with whether the list names all upstreams. No behaviour changes.

--- a/cottonlug/core/cluster/reconciliation.py
+++ b/cottonlug/core/cluster/reconciliation.py
@@ -47,9 +47,13 @@
 
         With `of_acting_leaders`, runs of acting leaders count as well.
         """
-        is_list_certain = self._term.keeps_log and not of_acting_leaders
+        is_list_certain = self._names_all_upstreams(of_acting_leaders=of_acting_leaders)
         return not is_list_certain or self._instances.may_have_unknown_runs()
 
+    def _names_all_upstreams(self, *, of_acting_leaders: bool) -> bool:
+        """Return whether the list here names all upstreams that the other coordinator may use."""
+        return self._term.keeps_log and not of_acting_leaders
+
     def request_recheck(self) -> None:
         """Have the next `reconcile` check for unknown tasks again."""
         self._jobs.may_have_unknown_tasks = True
@@ -70,17 +74,21 @@
         if not self._jobs.may_have_unknown_tasks:
             return
         self._jobs.may_have_unknown_tasks = False
-        may_miss_runs = {each: self.may_miss_runs(of_acting_leaders=each) for each in (False, True)}
+        unpolled = {
+            each: self._instances.count_unpolled(of_acting_leaders=each) for each in (False, True)
+        }
         for job in self._jobs.jobs.values():
-            if not may_miss_runs[job.may_be_of_acting_leader]:
+            is_of_acting = job.may_be_of_acting_leader
+            is_list_certain = self._names_all_upstreams(of_acting_leaders=is_of_acting)
+            if is_list_certain and not unpolled[is_of_acting]:
                 self._jobs.queue_unknown(job)
             elif now >= job.reconcile_at:
-                self._log_released(job, now)
+                self._log_released(job, unpolled[is_of_acting], now)
                 self._jobs.queue_unknown(job)
             elif job.has_unknown_tasks():
                 self._jobs.may_have_unknown_tasks = True
 
-    def _log_released(self, job: OpenJob, now: timedelta) -> None:
+    def _log_released(self, job: OpenJob, unpolled: int, now: timedelta) -> None:
         """Log that unknown tasks are queued since their wait is over, not since all was polled."""
         released = sum(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values())
         if not released:
@@ -91,9 +99,7 @@
             {
                 "job": job.record.id,
                 "tasks": released,
-                "unpolled": self._instances.count_unpolled(
-                    of_acting_leaders=job.may_be_of_acting_leader
-                ),
+                "unpolled": unpolled,
                 "waited_ms": to_milliseconds(now - job.taken_at),
                 "term_ms": to_milliseconds(now - self._term.began_at),
             },
