--- a/review/lab/worker.py
+++ b/review/lab/worker.py
@@ -91,6 +91,7 @@
         self._expires_ms = 0.0
         self._lease_timer: asyncio.TimerHandle | None = None
         self._sequence = 0
+        self._state = "ready"
         self._named: tuple[str, int] | None = None
         self._ended = asyncio.Event()
         self._server = Server(self._handle)
@@ -114,6 +115,18 @@
         for task in list(self._tasks):
             task.cancel()
 
+    async def leave(self, drain_s: float) -> None:
+        """Leave as planned: report `draining`, serve on after the acknowledgement, and end."""
+        self._state = "draining"
+        await self._send_heartbeat()
+        self._record.add("worker_draining", worker=self.id, machine=self.number)
+        await asyncio.sleep(drain_s + 1.0)
+        for address in random.sample(self._controls, len(self._controls)):
+            reply = await call(address, "DELETE", f"/instances/{self.id}", timeout=1.0)
+            if reply is not None and 200 <= reply[0] < 300:
+                break
+        self.crash()
+
     def stop(self) -> None:
         if self.is_up:
             self.is_up = False
@@ -277,7 +290,7 @@
                 "zone": self.zone,
                 "version": "v1",
                 "slots": 8,
-                "state": "ready",
+                "state": self._state,
                 "cold_left_ms": 0,
                 "capacity": {"cpu": self.cpu, "mem_mb": self.mem_mb, "gpu": 0},
                 "labels": self.labels,
