--- a/review/lab/fleet.py
+++ b/review/lab/fleet.py
@@ -63,6 +63,7 @@
         self.gateways = [self.ip(30 + each) for each in range(gateways)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.workers: list[Worker] = []
+        self._services: tuple[str, ...] = (SERVICE,)
 
     def ip(self, last: int) -> str:
         return f"{self._net}.{last}"
@@ -157,8 +158,19 @@
     def find_log(self, name: str) -> str:
         return (self._folder / f"{name}.log").read_text(errors="replace")
 
-    async def begin(self, *, workers: int, find_work: FindWork, routes: list[dict[str, Any]]) -> None:
-        """Start everything, and wait until the gateways are ready and the workers are known."""
+    async def begin(
+        self,
+        *,
+        workers: int,
+        find_work: FindWork,
+        routes: list[dict[str, Any]],
+        services: tuple[str, ...] = (SERVICE,),
+    ) -> None:
+        """Start everything, and wait until the gateways are ready and the workers are known.
+
+        The workers are dealt out to the services in turn.
+        """
+        self._services = services
         for number in range(len(self.controls)):
             self.start_control(number, may_begin=True)
         for number in range(len(self.gateways)):
@@ -167,7 +179,7 @@
             worker = Worker(
                 record=self.record,
                 number=number,
-                service=SERVICE,
+                service=services[number % len(services)],
                 zone=ZONES[number * 3 // workers],
                 rack=f"r{number * 3 // workers + 1}-1",
                 kind="a",
@@ -201,7 +213,7 @@
             "routes": routes,
             "services": [
                 {
-                    "name": SERVICE,
+                    "name": service,
                     "health_path": "/health",
                     "max_conns": 64,
                     "protocol": "h1",
@@ -209,6 +221,7 @@
                     "rejects_overload": True,
                     "standby": False,
                 }
+                for service in self._services
             ],
             "limits": {
                 "max_header_bytes": 16384,
@@ -233,10 +246,16 @@
     # Clients
 
     async def ask(
-        self, method: str, path: str, body: object = None, *, timeout: float = 1.5
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        timeout: float = 1.5,
+        gateway: str = "",
     ) -> tuple[int, dict[str, Any]] | None:
         """Send one request of a client to any gateway; None if it gets no response."""
-        ip = random.choice(self.gateways)
+        ip = gateway or random.choice(self.gateways)
         headers = {"X-Timeout-Ms": str(int(timeout * 1_000))}
         reply = await call(
             (ip, CONTROL), method, path, body, host=HOST, timeout=timeout, headers=headers
