--- a/review/5/case.py
+++ b/review/5/case.py
@@ -66,9 +66,7 @@
         return Work(cpu=500, mem_mb=64, seconds=0.1) if job == pipeline else None
 
     try:
-        await fleet.begin(
-            workers=WORKERS, find_work=find_work, routes=[build_route("r-1", PREFIX)]
-        )
+        await fleet.begin(workers=WORKERS, find_work=find_work, routes=[build_route("r-1", PREFIX)])
         step = {"count": 2, "cpu": 1_000, "mem_mb": 64, "est_runtime_ms": 6_000}
         for job in earlier:
             if not await fleet.submit(PREFIX, job, {"task_spec": "earlier", "steps": [step]}):
--- a/review/lab/fleet.py
+++ b/review/lab/fleet.py
@@ -267,9 +267,7 @@
         )
         return (reply[0], answer) if reply else None
 
-    async def submit(
-        self, prefix: str, job: str, body: dict[str, Any], *, tries: int = 12
-    ) -> bool:
+    async def submit(self, prefix: str, job: str, body: dict[str, Any], *, tries: int = 12) -> bool:
         """Hand a job in, again after no response, a 502, a 504 or a refusal; True once accepted."""
         for _ in range(tries):
             reply = await self.ask("POST", prefix + job, body)
--- a/review/lab/wire.py
+++ b/review/lab/wire.py
@@ -64,8 +64,7 @@
                 content = json.dumps(reply[1]).encode()
                 writer.write(
                     f"HTTP/1.1 {reply[0]} {_REASONS.get(reply[0], 'Status')}\r\n"
-                    f"Content-Type: application/json\r\nContent-Length: {len(content)}\r\n\r\n"
-                    .encode()
+                    f"Content-Type: application/json\r\nContent-Length: {len(content)}\r\n\r\n".encode()
                     + content
                 )
                 await writer.drain()
--- a/review/lab/worker.py
+++ b/review/lab/worker.py
@@ -196,9 +196,7 @@
         if path == "/run-start":
             reason = self._start(order)
             if reason is not None:
-                self._record.add(
-                    "start_refused", worker=self.id, task=order["task"], reason=reason
-                )
+                self._record.add("start_refused", worker=self.id, task=order["task"], reason=reason)
                 return self._answer(409, reason=reason)
             return self._answer(200)
         if path == "/run-stop":
