Forecast chains of steps in one pass over the steps and their dependencies

Cause: Forecast.predict_chain followed every path through the steps by itself, 4^13 of them here, and recursed once for each step.

Change: the declared times of all chains are computed backwards, once for each JobSpec (job_graph.measure_chains), without recursion. A queue's ratio applies to all steps of a job alike, so that a forecast is the declared chain times that ratio.

--- a/cottonlug/core/cluster/forecast.py
+++ b/cottonlug/core/cluster/forecast.py
@@ -11,13 +11,12 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from .job_graph import MIN_RUN_TIME_MS
 from .model import JobSpec, Queue, QueueKey, StepSpec, UpstreamInfo
 from .speeds import Speeds
 
 LEARNING_RATE = 0.05
 """Weight of the newest run: the mean of a queue follows a change within some twenty runs."""
-MIN_RUN_TIME_MS = 1.0
-"""Lower bound of declared and actual run times, since logarithms of their ratios are taken."""
 SETTLED_AFTER = 60
 """Runs of a queue from which on kinds of upstreams are compared by it: by then only a twentieth of
 the first error of its ratio is left, which would otherwise be taken for a difference of kinds."""
@@ -80,53 +79,50 @@
 
     def predict(self, queue: QueueKey, step: StepSpec) -> timedelta:
         """Return the expected run time of a task of a step."""
-        mean_ratio = self._mean_ratios.get(queue, 1.0)
-        return timedelta(milliseconds=max(step.estimate_ms, MIN_RUN_TIME_MS) * mean_ratio)
+        return self._correct(queue, max(step.estimate_ms, MIN_RUN_TIME_MS))
 
     def predict_at(self, queue: QueueKey, step: StepSpec, info: UpstreamInfo) -> timedelta:
         """Return the expected run time of a task of a step at an upstream."""
         return self.predict(queue, step) * self.speeds.find_factor(info)
 
     def predict_chain_at(
-        self, queue: QueueKey, steps: tuple[StepSpec, ...], first: int, info: UpstreamInfo
+        self, queue: QueueKey, spec: JobSpec, first: int, info: UpstreamInfo
     ) -> timedelta:
         """Return the expected time of a chain, as `predict_chain`, at upstreams of one kind."""
-        return self.predict_chain(queue, steps, first) * self.speeds.find_factor(info)
+        return self.predict_chain(queue, spec, first) * self.speeds.find_factor(info)
 
-    def predict_chain(self, queue: QueueKey, steps: tuple[StepSpec, ...], first: int) -> timedelta:
+    def predict_chain(self, queue: QueueKey, spec: JobSpec, first: int) -> timedelta:
         """Return the expected time of the longest chain that begins with step number `first`."""
-        longest = timedelta()
-        for number in range(first + 1, len(steps)):
-            if first in steps[number].depends_on:
-                longest = max(longest, self.predict_chain(queue, steps, number))
-        return self.predict(queue, steps[first]) + longest
+        return self._correct(queue, spec.chains_ms[first])
 
-    def find_objective(self, queue: Queue, steps: tuple[StepSpec, ...]) -> timedelta:
+    def find_objective(self, queue: Queue, spec: JobSpec) -> timedelta:
         """Return the objective of a job: how long it should take from its arrival to its end."""
         target = timedelta(milliseconds=queue.target_latency_ms)
-        return self.predict_critical_path(queue, steps) * queue.stretch + target
+        return self.predict_critical_path(queue, spec) * queue.stretch + target
 
-    def predict_critical_path(self, queue: Queue, steps: tuple[StepSpec, ...]) -> timedelta:
+    def predict_critical_path(self, queue: Queue, spec: JobSpec) -> timedelta:
         """Return the expected time of the longest chain: the least that a job can take."""
-        roots = [number for number, step in enumerate(steps) if not step.depends_on]
-        chains = (self.predict_chain(queue.key, steps, root) for root in roots)
-        return max(chains, default=timedelta())
+        return self._correct(queue.key, max(spec.chains_ms, default=0.0))
+
+    def _correct(self, queue: QueueKey, declared_ms: float) -> timedelta:
+        """Return the expected time for a declared one, of a step or of a chain of steps."""
+        return timedelta(milliseconds=declared_ms * self._mean_ratios.get(queue, 1.0))
 
 
 def find_declared_objective(queue: Queue, spec: JobSpec) -> timedelta:
     """Return the objective of a job by declared run times, for hosts that learn no others."""
-    return _DECLARED.find_objective(queue, spec.steps)
+    return _DECLARED.find_objective(queue, spec)
 
 
 def find_max_useful_wait(queue: Queue, spec: JobSpec) -> timedelta:
     """Return how long after its arrival a job may begin and be of use, by declared run times."""
-    path = _DECLARED.predict_critical_path(queue, spec.steps)
+    path = _DECLARED.predict_critical_path(queue, spec)
     return find_declared_objective(queue, spec) * USEFUL_FACTOR - path
 
 
 def find_wait_limits(queue: Queue, spec: JobSpec) -> WaitLimits:
     """Return how long a job may wait before it begins, by declared run times."""
-    path = _DECLARED.predict_critical_path(queue, spec.steps)
+    path = _DECLARED.predict_critical_path(queue, spec)
     has_limit = spec.best_effort and not (spec.is_timed or spec.long_running)
     return WaitLimits(
         in_time=find_declared_objective(queue, spec) - path,
--- a/cottonlug/core/cluster/model.py
+++ b/cottonlug/core/cluster/model.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from enum import Enum
+from functools import cached_property
 from typing import NamedTuple, NewType
 
 import msgspec
 
 from ..ids import DomainName, UpstreamId
+from .job_graph import measure_chains
 
 JobId = NewType("JobId", str)
 RunNumber = NewType("RunNumber", int)
@@ -71,8 +73,11 @@
     max_unavailable: int = 0
 
 
-class JobSpec(Value, frozen=True):
-    """A job as its caller submitted it; `payload` is handed to each task as it is."""
+class JobSpec(Value, frozen=True, dict=True):
+    """A job as its caller submitted it; `payload` is handed to each task as it is.
+
+    What is derived from the steps is computed once, and neither stored nor sent.
+    """
 
     payload: str
     steps: tuple[StepSpec, ...]
@@ -98,6 +103,11 @@
         """Whether its occurrences begin at scheduled times."""
         return self.repeat_count > 0
 
+    @cached_property
+    def chains_ms(self) -> tuple[float, ...]:
+        """For each step, the declared time in ms of the longest chain that begins with it."""
+        return measure_chains(self.steps)
+
     def find_due_ms(self, occurrence: int) -> int:
         """Return the wall-clock time at which an occurrence of a timed job begins."""
         return self.start_at_ms + occurrence * self.interval_ms
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -104,7 +104,7 @@
         `may_have_begun` tells whether its gateway knows of an earlier try. For `reconcile_at`, see
         `OpenJob`.
         """
-        objective = self.forecast.find_objective(record.queue, record.spec.steps)
+        objective = self.forecast.find_objective(record.queue, record.spec)
         job = OpenJob(
             record=record,
             opened_at=now - age,
@@ -238,7 +238,7 @@
             job.tasks[ref].phase = TaskPhase.QUEUED
         due_at = job.due_at[occurrence]
         queue = job.record.queue
-        chain = self.forecast.predict_chain(queue.key, job.record.spec.steps, number)
+        chain = self.forecast.predict_chain(queue.key, job.record.spec, number)
         run_time = self.forecast.predict(queue.key, step)
         longest_wait = find_max_wait(queue, job.objective, chain)
         batch = Batch(
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -201,8 +201,8 @@
         if self._instances.is_service_evacuated(queue.service):
             self._term.counts.evacuated_rejections += 1
             return Rejection(reason=ALL_EVACUATED, retry_after=EVACUATED_RETRY)
-        objective = self._jobs.forecast.find_objective(queue, spec.steps)
-        chain = self._jobs.forecast.predict_chain(queue.key, spec.steps, 0)
+        objective = self._jobs.forecast.find_objective(queue, spec)
+        chain = self._jobs.forecast.predict_chain(queue.key, spec, 0)
         latest_start = now - waited + find_max_wait(queue, objective, chain)
         core_ms = self._jobs.backlog.measure_work_ahead(latest_start)
         if not core_ms and waited <= objective * USEFUL_FACTOR:
--- a/cottonlug/tests/test_cluster_policy.py
+++ b/cottonlug/tests/test_cluster_policy.py
@@ -162,7 +162,8 @@
         StepSpec(count=1, estimate_ms=50),
         StepSpec(count=1, estimate_ms=200, depends_on=(0,)),
     )
-    objective = Forecast().find_objective(build_queue(target_ms=60), steps)
+    spec = JobSpec(payload="", steps=steps)
+    objective = Forecast().find_objective(build_queue(target_ms=60), spec)
     assert abs(objective - milliseconds(1.6 * 300 + 60)) < milliseconds(1)
 
 
--- a/cottonlug/tests/test_cluster_speeds.py
+++ b/cottonlug/tests/test_cluster_speeds.py
@@ -14,7 +14,7 @@
 from ..core.cluster.commands import Command, RecordSpeeds, decode_commands, encode_commands
 from ..core.cluster.failover_state import FailoverStateLog, merge_failover_state
 from ..core.cluster.forecast import Forecast
-from ..core.cluster.model import JobId, ServiceName, StepSpec, UpstreamInfo
+from ..core.cluster.model import JobId, JobSpec, ServiceName, StepSpec, UpstreamInfo
 from ..core.cluster.open_job import OpenJob
 from ..core.cluster.records import JobRecord, Records
 from ..core.cluster.speeds import (
@@ -176,8 +176,8 @@
     assert forecast.predict(queue.key, step) / milliseconds(200) == pytest.approx(1.0, rel=0.05)
     at_slow = forecast.predict_at(queue.key, step, slow)
     assert at_slow / milliseconds(400) == pytest.approx(1.0, rel=0.05)
-    steps = (step, StepSpec(count=1, estimate_ms=50, depends_on=(0,)))
-    assert forecast.predict_chain_at(queue.key, steps, 0, slow) / at_slow == pytest.approx(1.5)
+    spec = JobSpec(payload="", steps=(step, StepSpec(count=1, estimate_ms=50, depends_on=(0,))))
+    assert forecast.predict_chain_at(queue.key, spec, 0, slow) / at_slow == pytest.approx(1.5)
 
 
 def test_kinds_differ_only_after_enough_runs() -> None:
