Count the tasks and dependencies of an open job instead of going through them

Cause: for each recorded end of a run, OpenJobs.unblock went through all tasks of the job once for each of its steps, with JobRecord.is_step_done for each dependency; JobRecord.task_count, summed up over all steps for each end, and OpenJob.find_sibling_run_time, over all steps and upstreams, did the same on a smaller scale. A silent leader loses its lease, and the next one began anew.

Change: an open job counts its tasks by phase, the unfinished tasks of each step, and the steps that each step waits for; blocked tasks are kept by step, unknown ones in a set of their own. So an end touches its own step and, where that is done, the steps that wait for it. Batches are found by job and step and removed one by one; a run time is compared within its step; durable jobs that are hopeless are no longer gone through at each decision. What belongs to an occurrence is dropped with its last task.

--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -108,7 +108,7 @@
         # Once this run has ended, the host that started it may start the task again, at an upstream
         # that has not answered here yet.
         task.may_run_elsewhere = task.may_run_elsewhere or task.phase is TaskPhase.UNKNOWN
-        task.follow_run(run.run, instance.info.id)
+        job.follow_run(run.task, run.run, instance.info.id)
         job.has_begun = True
 
     def _log_doubled(self, instance: Instance, run: Run) -> None:
--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -18,7 +18,7 @@
 from enum import Enum
 
 from .crashes import StartRestriction
-from .model import JobId, Needs, ServiceName, StepSpec
+from .model import JobId, Needs, ServiceName, StepSpec, TaskRef
 from .records import JobRecord
 
 RANKED_SCAN_INTERVAL = timedelta(milliseconds=20)
@@ -119,6 +119,11 @@
     return 0, batch.latest_useful_start
 
 
+def _get_key(tier: Tier) -> Callable[[Batch], tuple[int, timedelta]]:
+    """Return the key by which the batches of a tier are sorted."""
+    return _by_latest_start if tier is Tier.ON_TIME else _by_latest_useful_start
+
+
 def _is_late(batch: Batch, now: timedelta) -> bool:
     """Whether an on-time batch will probably miss the objective of its job."""
     if batch.latest_start >= now:
@@ -131,8 +136,10 @@
 
     def __init__(self) -> None:
         self._tiers: dict[Tier, list[Batch]] = {tier: [] for tier in Tier}
-        self.has_empty = False
-        """Whether some batch has no waiting tasks left."""
+        self._by_step: dict[JobId, dict[tuple[int, int], list[Batch]]] = {}
+        """All batches by job, and by the numbers of the occurrence and of the step."""
+        self._empty: list[Batch] = []
+        """Batches without waiting tasks, which are to be removed."""
         self._new: list[Batch] = []
         """Batches that the scheduler has not tried to place yet."""
         self.find_rank: Callable[[Batch], int] = lambda batch: 0
@@ -156,13 +163,21 @@
 
     def add(self, batch: Batch) -> None:
         """Insert a batch in serving order."""
-        key = _by_latest_start if batch.tier is Tier.ON_TIME else _by_latest_useful_start
         if not batch.was_tried:
             self._new.append(batch)
         if batch.tier is Tier.ON_TIME:
             batch.rank = self.find_rank(batch)
             self._is_ranked = self._is_ranked or batch.rank != 0
-        bisect.insort(self._tiers[batch.tier], batch, key=key)
+        steps = self._by_step.setdefault(batch.job.id, {})
+        steps.setdefault((batch.occurrence, batch.step_number), []).append(batch)
+        self._insert(batch)
+
+    def _insert(self, batch: Batch) -> None:
+        bisect.insort(self._tiers[batch.tier], batch, key=_get_key(batch.tier))
+
+    def list_step(self, ref: TaskRef) -> list[Batch]:
+        """Return the batches of the step of a task, in the same occurrence."""
+        return list(self._by_step.get(ref.job, {}).get((ref.occurrence, ref.step), ()))
 
     def update_ranks(self) -> None:
         """Update the ranks of all on-time batches, and their order."""
@@ -183,7 +198,7 @@
         while late and late[0].latest_useful_start < now:
             batch = late.pop(0)
             batch.tier = Tier.HOPELESS
-            self.add(batch)
+            self._insert(batch)
             moved.append(batch)
         return moved
 
@@ -201,7 +216,7 @@
             self._tiers[Tier.ON_TIME] = [batch for batch in on_time if not _is_late(batch, now)]
         for batch in moved:
             batch.tier = Tier.LATE
-            self.add(batch)
+            self._insert(batch)
         return moved
 
     def _demote_on_time(self, now: timedelta) -> list[Batch]:
@@ -216,7 +231,7 @@
                 kept.append(batch)
                 continue
             batch.tier = Tier.LATE
-            self.add(batch)
+            self._insert(batch)
             moved.append(batch)
         on_time[:0] = kept
         return moved
@@ -231,16 +246,40 @@
         new, self._new = self._new, []
         return [batch for batch in new if batch.waiting and not batch.was_tried]
 
+    def mark_if_empty(self, batch: Batch) -> None:
+        """Have `drop_empty` remove a batch if none of its tasks waits any more."""
+        if not batch.waiting:
+            self._empty.append(batch)
+
     def drop_empty(self) -> None:
-        """Remove batches without waiting tasks, if `has_empty` says that there are any."""
-        if not self.has_empty:
+        """Remove the batches without waiting tasks."""
+        empty, self._empty = self._empty, []
+        for batch in empty:
+            self._drop(batch)
+
+    def _drop(self, batch: Batch) -> None:
+        """Remove a batch, unless it was removed with its job."""
+        steps = self._by_step.get(batch.job.id, {})
+        step = (batch.occurrence, batch.step_number)
+        alike = [each for each in steps.get(step, ()) if each is not batch]
+        if len(alike) == len(steps.get(step, ())):
             return
-        self.has_empty = False
-        for tier, batches in self._tiers.items():
-            self._tiers[tier] = [batch for batch in batches if batch.waiting]
+        if alike:
+            steps[step] = alike
+        else:
+            del steps[step]
+        if not steps:
+            del self._by_step[batch.job.id]
+        batches, key = self._tiers[batch.tier], _get_key(batch.tier)
+        at = bisect.bisect_left(batches, key(batch), key=key)
+        while batches[at] is not batch:
+            at += 1
+        del batches[at]
 
     def drop_job(self, job: JobId) -> None:
         """Remove all batches of a job."""
+        if self._by_step.pop(job, None) is None:
+            return
         self._new = [batch for batch in self._new if batch.job.id != job]
         for tier, batches in self._tiers.items():
             if any(batch.job.id == job for batch in batches):
--- a/cottonlug/core/cluster/job_graph.py
+++ b/cottonlug/core/cluster/job_graph.py
@@ -30,3 +30,12 @@
             if 0 <= earlier < number:
                 longest_after[earlier] = max(longest_after[earlier], chains[number])
     return tuple(chains)
+
+
+def list_dependents(steps: Sequence[StepSpec]) -> tuple[tuple[int, ...], ...]:
+    """Return for each step the numbers of the later steps that wait for it, each once."""
+    dependents: list[list[int]] = [[] for _ in steps]
+    for number, step in enumerate(steps):
+        for earlier in frozenset(step.depends_on):
+            dependents[earlier].append(number)
+    return tuple(map(tuple, dependents))
--- a/cottonlug/core/cluster/model.py
+++ b/cottonlug/core/cluster/model.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..ids import DomainName, UpstreamId
-from .job_graph import measure_chains
+from .job_graph import list_dependents, measure_chains
 
 JobId = NewType("JobId", str)
 RunNumber = NewType("RunNumber", int)
@@ -108,6 +108,16 @@
         """For each step, the declared time in ms of the longest chain that begins with it."""
         return measure_chains(self.steps)
 
+    @cached_property
+    def dependents(self) -> tuple[tuple[int, ...], ...]:
+        """For each step, the numbers of the later steps that wait for it."""
+        return list_dependents(self.steps)
+
+    @cached_property
+    def task_count(self) -> int:
+        """Number of tasks, in all occurrences."""
+        return sum(step.count for step in self.steps) * self.occurrences
+
     def find_due_ms(self, occurrence: int) -> int:
         """Return the wall-clock time at which an occurrence of a timed job begins."""
         return self.start_at_ms + occurrence * self.interval_ms
--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -19,6 +20,7 @@
 from ..ids import DomainName, UpstreamId
 from .model import RunNumber, TaskRef
 from .records import JobRecord
+from .sibling_run_times import SiblingRunTimes
 
 NO_RUN = RunNumber(0)
 """Below all run numbers: no run of the task is known."""
@@ -44,6 +46,7 @@
     """An unfinished task."""
 
     phase: TaskPhase
+    """Changed by `OpenJob.set_phase` only, which counts tasks by phase."""
     instance: UpstreamId | None = None
     """The upstream of its current or last run, if this coordinator knows one."""
     run: RunNumber = NO_RUN
@@ -61,12 +64,6 @@
     """Listed ends of its runs that have yet to be recorded, by upstream and number of the end. Any
     of them may tell that the task is done, so that it is not queued before all are recorded."""
 
-    def follow_run(self, run: RunNumber, upstream: UpstreamId) -> None:
-        """Make an active run the current one."""
-        self.phase = TaskPhase.RUNNING
-        self.instance = upstream
-        self.run = run
-
     def is_current_run(self, run: RunNumber, upstream: UpstreamId) -> bool:
         """Whether the task is running, and this run at this upstream is its current one.
 
@@ -76,6 +73,29 @@
         return self.phase is TaskPhase.RUNNING and (self.run, self.instance) == (run, upstream)
 
 
+@dataclass(slots=True, kw_only=True)
+class StepProgress:
+    """How far one step of an occurrence has come."""
+
+    unfinished: int = 0
+    """Number of its tasks that are not done."""
+    awaited: int = 0
+    """Number of earlier steps that it waits for."""
+    blocked: set[int] = field(default_factory=set)
+    """Indexes of its blocked tasks within the step."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Occurrence:
+    """An occurrence of a job with tasks that are not done."""
+
+    due_at: timedelta
+    """When it was due; the objective counts from there."""
+    steps: list[StepProgress]
+    unfinished: int = 0
+    """Number of its tasks that are not done."""
+
+
 @dataclass(slots=True, kw_only=True)
 class OpenJob:
     """A job that has not ended, and its tasks."""
@@ -88,6 +108,13 @@
     objective: timedelta
     """How long the job should take from `opened_at`; if it takes longer, it counts as late."""
     tasks: dict[TaskRef, Task] = field(default_factory=dict)
+    """Its unfinished tasks, in all occurrences that were opened."""
+    unknown: dict[TaskRef, None] = field(default_factory=dict)
+    """The unknown ones among them, in the order in which they became unknown."""
+    occurrences: dict[int, Occurrence] = field(default_factory=dict)
+    """The unfinished ones of those that were opened, by number."""
+    phase_counts: Counter[TaskPhase] = field(default_factory=Counter)
+    """Number of its tasks in each phase."""
     has_begun: bool = False
     """Whether a task of it was started, or may have been by another coordinator."""
     gateway: str = ""
@@ -105,12 +132,9 @@
     there has ended, and with it any run that another coordinator started."""
     next_occurrence: int = 0
     """The first occurrence whose tasks are not in `tasks` yet, since it was not due."""
-    due_at: dict[int, timedelta] = field(default_factory=dict)
-    """When each occurrence was due; the objective counts from there."""
-    run_times: dict[tuple[int, UpstreamId], timedelta] = field(default_factory=dict)
-    """Latest run time of a task, by the number of its step and its upstream: measured at the end of
-    the run, or estimated from its progress. Divided by the factor of the kind of the upstream."""
-
+    run_times: dict[int, SiblingRunTimes] = field(default_factory=dict)
+    """Run times by the number of the step: measured at the end of the run, or estimated from its
+    progress. Divided by the factor of the kind of the upstream."""
     sampled_kinds: set[tuple[int, str]] = field(default_factory=set)
     """Numbers of steps, and kinds of upstreams where a task of them was started."""
 
@@ -125,16 +149,93 @@
         self.sampled_kinds.add((step, kind))
         return is_first
 
+    def add_occurrence(self, number: int, phase: TaskPhase, due_at: timedelta) -> None:
+        """Add the tasks of an occurrence that are not done, in this phase."""
+        specs = self.record.spec.steps
+        steps = [StepProgress() for _ in specs]
+        occurrence = self.occurrences[number] = Occurrence(due_at=due_at, steps=steps)
+        for step_number, (spec, step) in enumerate(zip(specs, steps, strict=True)):
+            for task_index in range(spec.count):
+                ref = TaskRef(self.record.id, number, step_number, task_index)
+                known = self.record.get_task(ref)
+                if known.is_done:
+                    continue
+                step.unfinished += 1
+                self.tasks[ref] = Task(phase=phase, run=RunNumber(known.last_run))
+                self._count_phase(ref, phase)
+            earlier_steps = (steps[each] for each in frozenset(spec.depends_on))
+            step.awaited = sum(each.unfinished > 0 for each in earlier_steps)
+            occurrence.unfinished += step.unfinished
+        if not occurrence.unfinished:
+            del self.occurrences[number]
+
+    def list_ready_tasks(self, occurrence: int, step: int) -> list[int]:
+        """Return the indexes of the blocked tasks of a step that waits for no earlier one."""
+        progress = self.occurrences[occurrence].steps[step]
+        return [] if progress.awaited else sorted(progress.blocked)
+
+    def set_phase(self, ref: TaskRef, phase: TaskPhase) -> None:
+        """Change the phase of a task."""
+        task = self.tasks[ref]
+        if task.phase is phase:
+            return
+        self._uncount_phase(ref, task.phase)
+        task.phase = phase
+        self._count_phase(ref, phase)
+
+    def follow_run(self, ref: TaskRef, run: RunNumber, upstream: UpstreamId) -> None:
+        """Make an active run the current one of its task."""
+        self.set_phase(ref, TaskPhase.RUNNING)
+        task = self.tasks[ref]
+        task.instance = upstream
+        task.run = run
+
+    def finish_task(self, ref: TaskRef) -> list[int]:
+        """Remove a task that is done; return the steps that waited for nothing else."""
+        self._uncount_phase(ref, self.tasks.pop(ref).phase)
+        occurrence = self.occurrences[ref.occurrence]
+        occurrence.unfinished -= 1
+        if not occurrence.unfinished:
+            del self.occurrences[ref.occurrence]
+            return []
+        steps = occurrence.steps
+        steps[ref.step].unfinished -= 1
+        if steps[ref.step].unfinished:
+            return []
+        dependents = self.record.spec.dependents[ref.step]
+        for later in dependents:
+            steps[later].awaited -= 1
+        return [later for later in dependents if not steps[later].awaited]
+
+    def _count_phase(self, ref: TaskRef, phase: TaskPhase) -> None:
+        self.phase_counts[phase] += 1
+        if phase is TaskPhase.UNKNOWN:
+            self.unknown[ref] = None
+        elif phase is TaskPhase.BLOCKED:
+            self.occurrences[ref.occurrence].steps[ref.step].blocked.add(ref.task_index)
+
+    def _uncount_phase(self, ref: TaskRef, phase: TaskPhase) -> None:
+        self.phase_counts[phase] -= 1
+        if phase is TaskPhase.UNKNOWN:
+            del self.unknown[ref]
+        elif phase is TaskPhase.BLOCKED:
+            self.occurrences[ref.occurrence].steps[ref.step].blocked.discard(ref.task_index)
+
     def has_unknown_tasks(self) -> bool:
         """Whether another coordinator may have started any of its tasks, unknown to this one."""
-        return any(task.phase is TaskPhase.UNKNOWN for task in self.tasks.values())
+        return bool(self.unknown)
+
+    def is_ending(self) -> bool:
+        """Whether no task of the opened occurrences still waits for its start."""
+        counts = self.phase_counts
+        return counts[TaskPhase.RUNNING] + counts[TaskPhase.RECORDING] == len(self.tasks)
 
     def record_run_time(self, step: int, upstream: UpstreamId, total: timedelta) -> None:
         """Record how long a whole run of a task of a step takes at an upstream.
 
         `total` is divided by the factor of the upstream's kind, so that kinds can be compared.
         """
-        self.run_times[(step, upstream)] = total
+        self.run_times.setdefault(step, SiblingRunTimes()).record(upstream, total)
 
     def find_sibling_run_time(
         self, step: int, upstream: UpstreamId, factor: float
@@ -143,12 +244,8 @@
 
         That is, how long it would take there if run times had the same `factor` as at `upstream`.
         """
-        others = (
-            total
-            for (each_step, each_upstream), total in self.run_times.items()
-            if each_step == step and each_upstream != upstream
-        )
-        fastest = min(others, default=None)
+        siblings = self.run_times.get(step)
+        fastest = siblings.find_fastest_other(upstream) if siblings is not None else None
         return fastest * factor if fastest is not None else None
 
 
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -24,7 +24,7 @@
 from .forecast import USEFUL_FACTOR, Forecast
 from .instance_table import InstanceTable
 from .model import JobId, JobState, Queue, RunEndKind, RunEndReport, RunNumber, TaskRef
-from .open_job import OpenJob, Task, TaskPhase
+from .open_job import OpenJob, TaskPhase
 from .records import JobRecord, end_job
 from .term import Term
 from .throughput import Throughput
@@ -120,7 +120,7 @@
             {
                 "job": record.id,
                 "queue": record.queue.name,
-                "tasks": record.task_count,
+                "tasks": record.spec.task_count,
                 "objective_ms": to_milliseconds(objective),
                 "phase": phase.value,
                 "has_begun": int(may_have_begun),
@@ -162,29 +162,17 @@
         self, job: OpenJob, occurrence: int, phase: TaskPhase, due_at: timedelta
     ) -> None:
         job.next_occurrence = occurrence + 1
-        job.due_at[occurrence] = due_at
-        is_known = phase is TaskPhase.QUEUED
-        for ref in job.record.list_refs(occurrence):
-            task = job.record.get_task(ref)
-            if not task.is_done:
-                first = TaskPhase.BLOCKED if is_known else phase
-                job.tasks[ref] = Task(phase=first, run=RunNumber(task.last_run))
-        if is_known:
-            self.unblock(job, occurrence)
-
-    def unblock(self, job: OpenJob, occurrence: int) -> None:
-        """Queue the blocked tasks of one occurrence that no longer wait for earlier steps."""
-        for number, step in enumerate(job.record.spec.steps):
-            if not all(job.record.is_step_done(occurrence, each) for each in step.depends_on):
-                continue
-            blocked = [
-                ref.task_index
-                for ref, task in job.tasks.items()
-                if ref.occurrence == occurrence
-                and ref.step == number
-                and task.phase is TaskPhase.BLOCKED
-            ]
-            self.queue(job, occurrence, number, blocked)
+        if phase is not TaskPhase.QUEUED:
+            job.add_occurrence(occurrence, phase, due_at)
+            return
+        job.add_occurrence(occurrence, TaskPhase.BLOCKED, due_at)
+        if occurrence in job.occurrences:
+            for number in range(len(job.record.spec.steps)):
+                self.unblock(job, occurrence, number)
+
+    def unblock(self, job: OpenJob, occurrence: int, number: int) -> None:
+        """Queue the blocked tasks of a step unless it waits for earlier steps."""
+        self.queue(job, occurrence, number, job.list_ready_tasks(occurrence, number))
 
     def queue(self, job: OpenJob, occurrence: int, number: int, task_indexes: list[int]) -> None:
         """Queue tasks of step `number` of an occurrence; those that may crash upstreams separately.
@@ -196,7 +184,7 @@
         task_indexes = [
             ref.task_index
             for ref in refs
-            if not (self.await_active_run(job, ref) or _await_record(job.tasks[ref]))
+            if not (self.await_active_run(job, ref) or _await_record(job, ref))
         ]
         if not task_indexes:
             return
@@ -220,7 +208,7 @@
         active = self._instances.active_runs.find_latest(ref)
         if active is None:
             return False
-        job.tasks[ref].follow_run(active.run, active.upstream)
+        job.follow_run(ref, active.run, active.upstream)
         job.has_begun = True
         return True
 
@@ -234,9 +222,8 @@
     ) -> None:
         step = job.record.spec.steps[number]
         for task_index in task_indexes:
-            ref = TaskRef(job.record.id, occurrence, number, task_index)
-            job.tasks[ref].phase = TaskPhase.QUEUED
-        due_at = job.due_at[occurrence]
+            job.set_phase(TaskRef(job.record.id, occurrence, number, task_index), TaskPhase.QUEUED)
+        due_at = job.occurrences[occurrence].due_at
         queue = job.record.queue
         chain = self.forecast.predict_chain(queue.key, job.record.spec, number)
         run_time = self.forecast.predict(queue.key, step)
@@ -276,7 +263,7 @@
         if job is None or task is None or not task.is_current_run(run, upstream):
             return
         if task.may_run_elsewhere:
-            task.phase = TaskPhase.UNKNOWN
+            job.set_phase(ref, TaskPhase.UNKNOWN)
             self.may_have_unknown_tasks = True
             return
         self.queue(job, ref.occurrence, ref.step, [ref.task_index])
@@ -319,18 +306,17 @@
 
     def unqueue(self, ref: TaskRef) -> None:
         """Remove a task from the backlog."""
-        for batch in self.backlog:
-            key = (batch.job.id, batch.occurrence, batch.step_number)
-            if key == (ref.job, ref.occurrence, ref.step) and ref.task_index in batch.waiting:
+        for batch in self.backlog.list_step(ref):
+            if ref.task_index in batch.waiting:
                 batch.waiting.remove(ref.task_index)
-                self.backlog.has_empty |= not batch.waiting
+                self.backlog.mark_if_empty(batch)
         self.backlog.drop_empty()
 
     def mark_recording(self, end: RunEndReport, upstream: UpstreamId) -> None:
         """Have a task whose run has ended at this upstream wait until that end is recorded."""
         job = self.jobs.get(end.task.job)
         task = job.tasks.get(end.task) if job is not None else None
-        if task is None:
+        if job is None or task is None:
             return
         task.unrecorded_ends.add((upstream, end.number))
         is_current = task.is_current_run(end.run, upstream)
@@ -340,7 +326,7 @@
             self.unqueue(end.task)
         if is_current or is_counted_after_all or task.phase is TaskPhase.UNKNOWN:
             task.may_run_elsewhere = task.may_run_elsewhere or task.phase is TaskPhase.UNKNOWN
-            task.phase = TaskPhase.RECORDING
+            job.set_phase(end.task, TaskPhase.RECORDING)
             task.run = RunNumber(max(task.run, end.run))
 
     def mark_unknown(self, job: OpenJob) -> None:
@@ -349,21 +335,20 @@
         Queued and blocked tasks must wait from now on, active ones only if they have to begin
         again. Another coordinator may have come further with the steps of the job.
         """
+        self.backlog.drop_job(job.record.id)
         for ref, task in job.tasks.items():
-            if task.phase is TaskPhase.QUEUED:
-                self.unqueue(ref)
             if task.phase in (TaskPhase.QUEUED, TaskPhase.BLOCKED):
-                task.phase = TaskPhase.UNKNOWN
+                job.set_phase(ref, TaskPhase.UNKNOWN)
             task.may_run_elsewhere = True
 
     def queue_unknown(self, job: OpenJob) -> None:
         """Queue the unknown tasks of a job: no run of them can be active any more."""
-        for task in job.tasks.values():
-            if task.phase is TaskPhase.UNKNOWN:
-                task.phase = TaskPhase.BLOCKED
-                task.may_run_elsewhere = False
-        for occurrence in range(job.next_occurrence):
-            self.unblock(job, occurrence)
+        released = list(job.unknown)
+        for ref in released:
+            job.tasks[ref].may_run_elsewhere = False
+            job.set_phase(ref, TaskPhase.BLOCKED)
+        for occurrence, number in sorted({(ref.occurrence, ref.step) for ref in released}):
+            self.unblock(job, occurrence, number)
 
     def close_if_ended(self, id: JobId, now: timedelta) -> None:
         """Close a job whose record says that it has ended, and have its runs stopped."""
@@ -378,8 +363,7 @@
             self.ended[id] = (job.record.state, now)
         elif job.record.spec.best_effort and job.has_begun:
             self._closed_after_begin[id] = now
-        if any(task.phase is TaskPhase.QUEUED for task in job.tasks.values()):
-            self.backlog.drop_job(id)
+        self.backlog.drop_job(id)
         for ref in job.tasks:
             if self._instances.request_stop_of_all(ref):
                 self.closed_while_running[id] = now
@@ -471,10 +455,7 @@
     def is_ending(self, id: JobId) -> bool:
         """Whether no task still waits for its start, so that the job may end at any moment."""
         job = self.jobs.get(id)
-        last = (TaskPhase.RUNNING, TaskPhase.RECORDING)
-        if job is None or id in self._timed:
-            return False
-        return all(task.phase in last for task in job.tasks.values())
+        return job is not None and id not in self._timed and job.is_ending()
 
     def find_state(self, job: JobRecord) -> JobState:
         """Return the state of a durable job as callers see it."""
@@ -501,11 +482,11 @@
         return len(self.jobs)
 
 
-def _await_record(task: Task) -> bool:
+def _await_record(job: OpenJob, ref: TaskRef) -> bool:
     """Have a task wait until all listed ends of its runs are recorded; False if they are."""
-    if not task.unrecorded_ends:
+    if not job.tasks[ref].unrecorded_ends:
         return False
-    task.phase = TaskPhase.RECORDING
+    job.set_phase(ref, TaskPhase.RECORDING)
     return True
 
 
--- a/cottonlug/core/cluster/reconciliation.py
+++ b/cottonlug/core/cluster/reconciliation.py
@@ -78,6 +78,8 @@
             each: self._instances.count_unpolled(of_acting_leaders=each) for each in (False, True)
         }
         for job in self._jobs.jobs.values():
+            if not job.has_unknown_tasks():
+                continue
             is_of_acting = job.may_be_of_acting_leader
             is_list_certain = self._names_all_upstreams(of_acting_leaders=is_of_acting)
             if is_list_certain and not unpolled[is_of_acting]:
@@ -85,14 +87,12 @@
             elif now >= job.reconcile_at:
                 self._log_released(job, unpolled[is_of_acting], now)
                 self._jobs.queue_unknown(job)
-            elif job.has_unknown_tasks():
+            else:
                 self._jobs.may_have_unknown_tasks = True
 
     def _log_released(self, job: OpenJob, unpolled: int, now: timedelta) -> None:
         """Log that unknown tasks are queued since their wait is over, not since all was polled."""
-        released = sum(task.phase is TaskPhase.UNKNOWN for task in job.tasks.values())
-        if not released:
-            return
+        released = len(job.unknown)
         self._term.counts.released_tasks += released
         self._term.log_decision(
             "tasks_released",
--- a/cottonlug/core/cluster/records.py
+++ b/cottonlug/core/cluster/records.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
 import msgspec
 
 from ..ids import UpstreamId
@@ -109,23 +107,6 @@
         """Return the record of a task for changing, adding it if necessary."""
         return self.tasks.setdefault(_build_task_key(ref), TaskRecord())
 
-    def list_refs(self, occurrence: int) -> Iterator[TaskRef]:
-        """Yield every task of one occurrence."""
-        for number, step in enumerate(self.spec.steps):
-            for index in range(step.count):
-                yield TaskRef(self.id, occurrence, number, index)
-
-    def is_step_done(self, occurrence: int, number: int) -> bool:
-        """Return whether every task of a step is done in one occurrence."""
-        step = self.spec.steps[number]
-        refs = (TaskRef(self.id, occurrence, number, index) for index in range(step.count))
-        return all(self.get_task(ref).is_done for ref in refs)
-
-    @property
-    def task_count(self) -> int:
-        """Number of tasks of the job, in all its occurrences."""
-        return sum(step.count for step in self.spec.steps) * self.spec.occurrences
-
 
 class UpstreamRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
     """A known instance of an upstream: one run of its process."""
@@ -368,7 +349,7 @@
     if end.how is RunEndKind.DONE:
         task.is_done = True
         job.done_count += 1
-        if job.done_count == job.task_count:
+        if job.done_count == job.spec.task_count:
             end_job(job, JobState.COMPLETED, at_ms)
     elif end.how is RunEndKind.FAILED and end.run not in task.failed_run_numbers:
         task.failed_run_numbers.append(end.run)
--- a/cottonlug/core/cluster/run_ends.py
+++ b/cottonlug/core/cluster/run_ends.py
@@ -222,9 +222,8 @@
             self._instances.request_stop_of_all(end.task)
             if task.phase is TaskPhase.QUEUED:
                 self._jobs.unqueue(end.task)
-            del job.tasks[end.task]
-            if job.record.is_step_done(end.task.occurrence, end.task.step):
-                self._jobs.unblock(job, end.task.occurrence)
+            for number in job.finish_task(end.task):
+                self._jobs.unblock(job, end.task.occurrence, number)
         elif task.phase is not TaskPhase.RECORDING or task.unrecorded_ends:
             # Of a run that is not awaited, or with a further end to be recorded.
             return
@@ -232,7 +231,7 @@
             # Another coordinator may have started a further run: one that is listed by now, or one
             # at an upstream that has not answered this one yet.
             if not self._jobs.await_active_run(job, end.task):
-                task.phase = TaskPhase.UNKNOWN
+                job.set_phase(end.task, TaskPhase.UNKNOWN)
                 self._reconciliation.request_recheck()
         else:
             # All runs have ended without success, so the task is queued again.
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -85,14 +85,15 @@
         if not len(backlog):
             self._handle_overload(now)
             return
-        self._overload.record_misses(backlog.demote(now), now)
+        demoted = backlog.demote(now)
+        self._overload.record_misses(demoted, now)
         if self._capacity.refresh_if_due(now):
             self._schedule_backlog(None, now)
         elif backlog.has_new or _find_max_free_cpu(changed) >= self._min_cpu_needed:
             self._schedule_backlog(changed, now)
         if self._next_release < now:
             self._release_held(now)
-        self._shed(now)
+        self._shed([batch for batch in demoted if batch.tier is Tier.HOPELESS], now)
         self._handle_overload(now)
 
     def _handle_overload(self, now: timedelta) -> None:
@@ -174,9 +175,13 @@
             return False
         return self._start_batch(batch, service, now)
 
-    def _shed(self, now: timedelta) -> None:
-        """End best-effort jobs that found no capacity while they could still be of use."""
-        hopeless = self._jobs.backlog.list_tier(Tier.HOPELESS)
+    def _shed(self, hopeless: list[Batch], now: timedelta) -> None:
+        """End best-effort jobs that found no capacity while they could still be of use.
+
+        `hopeless` are the batches that have just become hopeless: this ends their jobs, but not
+        durable ones, which keep theirs.
+        """
+        hopeless = [batch for batch in hopeless if batch.waiting]
         if not hopeless:
             return
         wait = estimate_wait(
@@ -293,7 +298,7 @@
             self._start(batch, batch.waiting.pop(), instance, now)
         if batch.hold is not None:
             self._next_release = min(self._next_release, batch.hold.until)
-        self._jobs.backlog.has_empty |= not batch.waiting
+        self._jobs.backlog.mark_if_empty(batch)
         return has_started
 
     def _start(self, batch: Batch, task_index: int, instance: Instance, now: timedelta) -> None:
@@ -307,7 +312,7 @@
         task.run = choose_run_number(
             token=self._term.token, last=last_run, is_durable=not job.record.spec.best_effort
         )
-        task.phase = TaskPhase.RUNNING
+        job.set_phase(ref, TaskPhase.RUNNING)
         task.instance = instance.info.id
         job.has_begun = batch.has_begun = True
         job.home = job.home or instance.info.domain
