Refuse job bodies that cannot be computed with, at the gateway and with the reason

What callers saw: 500 and a traceback for a body of 30,000 nested objects, a declared run time of 10^17 ms, and a step that depends on itself.

Decoders did not catch RecursionError. Gateways forecast a job before the leader had validated it.

Gateways validate a job before anything else. Bodies of operators and upstreams that are nested too deeply are refused as well, and X-Timeout-Ms may have any number of digits. Dependencies that are listed twice are dropped.

--- a/cottonlug/core/cluster/forecast.py
+++ b/cottonlug/core/cluster/forecast.py
@@ -20,10 +20,15 @@
 SETTLED_AFTER = 60
 """Runs of a queue from which on kinds of upstreams are compared by it: by then only a twentieth of
 the first error of its ratio is left, which would otherwise be taken for a difference of kinds."""
+MAX_PREDICTION = timedelta(days=365)
+"""Longest predicted time: with the ratio of another caller's tasks, the declared time of a long
+chain might exceed what a `timedelta` holds."""
 USEFUL_FACTOR = 3
 """An answer after more than this many times the objective is worth nothing, by the rules of the
 users' platform."""
 
+_MAX_PREDICTION_MS = MAX_PREDICTION / timedelta(milliseconds=1)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WaitLimits:
@@ -106,7 +111,8 @@
 
     def _correct(self, queue: QueueKey, declared_ms: float) -> timedelta:
         """Return the expected time for a declared one, of a step or of a chain of steps."""
-        return timedelta(milliseconds=declared_ms * self._mean_ratios.get(queue, 1.0))
+        expected_ms = declared_ms * self._mean_ratios.get(queue, 1.0)
+        return timedelta(milliseconds=min(expected_ms, _MAX_PREDICTION_MS))
 
 
 def find_declared_objective(queue: Queue, spec: JobSpec) -> timedelta:
--- a/cottonlug/platform/configurations.py
+++ b/cottonlug/platform/configurations.py
@@ -13,6 +13,7 @@
     Service,
     ServiceName,
 )
+from .decoding import DECODE_ERRORS, describe_error
 
 DEFAULT_MAX_BODY_BYTES = 262_144
 """Limit of callers' request bodies where a configuration names none."""
@@ -57,8 +58,8 @@
     try:
         parsed = _decoder.decode(body)
         document = body.decode()
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Err(str(error))
+    except DECODE_ERRORS as error:
+        return Err(describe_error(error))
     return Success(
         Configuration(
             version=ConfigurationVersion(parsed.version),
--- a/cottonlug/platform/front.py
+++ b/cottonlug/platform/front.py
@@ -20,9 +20,14 @@
 """How long a caller waits for an answer if it does not send `TIMEOUT_HEADER`."""
 ANSWER_MARGIN = timedelta(milliseconds=40)
 """Time for an answer to reach the caller, with a reserve for a busy host."""
+MAX_WAIT_TIMEOUT = timedelta(days=1)
+"""A caller that sends a longer timeout is taken to wait for this long."""
 RETRY_AFTER_SECONDS = "1"
 """Value of `retry-after` where an answer names no time."""
 
+_MAX_TIMEOUT_DIGITS = 9
+"""A number of more digits means more than `MAX_WAIT_TIMEOUT`."""
+
 STATUS_OF_OUTCOME = {
     Outcome.DONE: 200,
     Outcome.REJECTED: 429,
@@ -111,8 +116,12 @@
 def _read_given_timeout(request: HttpRequest) -> timedelta:
     """Return how long after the arrival of a request the answer must be ready."""
     text = request.headers.get(TIMEOUT_HEADER, "")
-    given = timedelta(milliseconds=int(text)) if text.isdecimal() else DEFAULT_WAIT_TIMEOUT
-    return given - ANSWER_MARGIN
+    if not text.isdecimal():
+        return DEFAULT_WAIT_TIMEOUT - ANSWER_MARGIN
+    digits = text.lstrip("0") or "0"
+    if len(digits) > _MAX_TIMEOUT_DIGITS:
+        return MAX_WAIT_TIMEOUT - ANSWER_MARGIN
+    return min(timedelta(milliseconds=int(digits)), MAX_WAIT_TIMEOUT) - ANSWER_MARGIN
 
 
 def _encode_answer(answer: Answer) -> HttpResponse:
--- a/cottonlug/platform/heartbeats.py
+++ b/cottonlug/platform/heartbeats.py
@@ -17,6 +17,7 @@
 from ..core.cluster.model import Capacity, Heartbeat, ServiceName, UpstreamInfo
 from ..core.ids import DomainName, UpstreamId
 from ..net.connections import parse_address
+from .decoding import DECODE_ERRORS, describe_error
 from .workers import read_run_lists
 
 READY = "ready"
@@ -59,8 +60,8 @@
     """Decode the heartbeat of the worker with this id, or return the reason why it is invalid."""
     try:
         parsed = _heartbeat_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Err(str(error))
+    except DECODE_ERRORS as error:
+        return Err(describe_error(error))
     problem = _find_problem(name, parsed)
     if problem is not None:
         return Err(problem)
@@ -90,8 +91,8 @@
     """Decode the leave message of the worker with this id, or return why it is invalid."""
     try:
         parsed = _leave_decoder.decode(body) if body.strip() else _LeaveBody()
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Err(str(error))
+    except DECODE_ERRORS as error:
+        return Err(describe_error(error))
     if not _is_valid_name(name):
         return Err("the path names no worker")
     if not _is_valid_start_time(parsed.born):
--- a/cottonlug/platform/jobs.py
+++ b/cottonlug/platform/jobs.py
@@ -7,6 +7,7 @@
 from returns.result import Result, Success
 
 from ..core.cluster.model import JobId, JobSpec, JobState, Needs, StepSpec, TaskRef
+from .decoding import DECODE_ERRORS, describe_error
 
 STATE_WORDS = {
     JobState.QUEUED: "queued",
@@ -56,8 +57,8 @@
     """Decode a job, or return the reason why the body is invalid."""
     try:
         job = _decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Err(str(error))
+    except DECODE_ERRORS as error:
+        return Err(describe_error(error))
     return Success(
         JobSpec(
             payload=job.task_spec,
@@ -76,7 +77,7 @@
         count=step.count,
         needs=Needs(cpu_millis=step.cpu, memory_mb=step.mem_mb, gpus=step.gpu),
         estimate_ms=step.est_runtime_ms,
-        depends_on=tuple(step.depends_on),
+        depends_on=tuple(dict.fromkeys(step.depends_on)),
         checkpointing=step.checkpointing,
         gang=step.gang,
         same_rack=step.same_rack,
--- a/cottonlug/platform/workers.py
+++ b/cottonlug/platform/workers.py
@@ -37,6 +37,7 @@
 from ..core.ids import UpstreamId
 from ..net.connections import ConnectionPool, ConnectionPools, Handshake, parse_address
 from ..net.transport import HttpReply, TransportError
+from .decoding import DECODE_ERRORS
 from .jobs import build_task_name, parse_task_name
 
 START_PATH = "/run-start"
@@ -312,7 +313,7 @@
 def _read_reply(reply: HttpReply) -> _ReplyBody | None:
     try:
         return _decoder.decode(reply.body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -39,6 +39,7 @@
     find_wait_limits,
 )
 from ..core.cluster.model import Queue
+from ..core.cluster.validation import find_job_problem
 from ..net.asgi import DeferredResponse, HttpRequest, HttpResponse
 from .acting_leader import ActingLeader
 from .call_limit import CallLimit
@@ -218,7 +219,10 @@
         return answer
 
     async def _call_within_limit(self, call: Call, timeout: timedelta) -> Answer:
-        """Have a call carried out, or refuse it at once if too many wait here."""
+        """Have a call carried out; refuse it at once if it is invalid or too many wait here."""
+        problem = find_job_problem(call.spec) if isinstance(call, Submit) else None
+        if problem is not None:
+            return Answer(outcome=Outcome.INVALID, detail=problem)
         if timeout <= timedelta() and isinstance(call, Submit) and call.waited_ms:
             return Answer(outcome=Outcome.UNAVAILABLE, detail=READ_TOO_LATE)
         refusal = self.call_limit.refuse(call)
@@ -243,7 +247,7 @@
         """Update the metrics for a call that has been answered."""
         self.outcomes[answer.outcome.value] += 1
         self.record_call(took / timedelta(milliseconds=1))
-        if answer.outcome in _EXPECTED_OUTCOMES:
+        if answer.outcome in _EXPECTED_OUTCOMES or answer.outcome is Outcome.INVALID:
             return
         # Tries end `MIN_TRY_TIME` before the timeout.
         self.timeout_failure_count += answer.detail != READ_TOO_LATE and (
