Bound the starts and stops of one round of decisions

Cause: a round started every task that fits, and sent every stop that was due, in one turn of the event loop.

Change: a round starts at most 100 tasks and sends at most 100 stops; what is left is done by the next round, which follows once the loop has handled what has arrived. Jobs are ended as hopeless only by a round that tried all of them.

Measured: without the limits 3 of the 5 new tests fail (300 orders in a round instead of 100).

--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -147,6 +147,8 @@
         surrounding program replaces it."""
         self._registry = UpstreamRegistry(term=self._term, instances=self._instances)
         self._speed_reporter = SpeedReporter(term=self._term)
+        self.has_more_to_do = False
+        """Whether the last `tick` left orders to the next one, which is due at once."""
         self._timers = UpstreamTimers()
         self._scan_due = now
 
@@ -570,12 +572,15 @@
         self._jobs.open_due(self._reconciliation.initial_phase, now)
         self._reconciliation.reconcile(now)
         due = self._pop_due_instances(now)
+        self._watcher.begin_round()
         instances = list(self._instances.by_id.values()) if is_full_scan else due
         for instance in instances:
             self._watcher.abandon_lapsed_runs(instance, now)
             self._watcher.stop_runs(instance, now)
+        is_cut_short = False
         if self._term.may_start:
             self._scheduler.schedule(now, None if is_full_scan else instances)
+            is_cut_short = self._scheduler.is_cut_short
         changed = (*instances, *self._instances.pop_changed())
         for id, instance in {each.info.id: each for each in changed}.items():
             self._watcher.poll_if_due(instance, now)
@@ -588,6 +593,10 @@
             self._timers.set(id, self._watcher.find_next_due(instance, now))
         if is_full_scan:
             self._scan_all(now)
+        postponed = self._watcher.pop_postponed()
+        for instance in postponed:
+            self._instances.mark_changed(instance)
+        self.has_more_to_do = bool(postponed) or is_cut_short
 
     def _pop_due_instances(self, now: timedelta) -> list[Instance]:
         """Return the instances about which something has changed, or whose timer is due."""
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -38,6 +38,9 @@
 hours: this is frequent enough for the former, and rare enough for the latter."""
 OBSERVATION_INTERVAL = timedelta(milliseconds=20)
 """Time between two passes over all waiting jobs, which bounds their cost under a backlog."""
+MAX_STARTS_PER_ROUND = 100
+"""Most tasks that one round starts. A start costs some 0.2 ms with its order, and a job may have
+thousands of tasks that fit at once; keep-alives and heartbeats are answered between rounds."""
 NO_DEMAND = 1 << 62
 """CPU need, more than any upstream has, that stands for an empty backlog: no change of an upstream
 then triggers another try."""
@@ -58,6 +61,10 @@
         """Unpolled upstreams in this round, without and with those of acting leaders."""
         self._next_release = NO_RELEASE
         """No held batch may be placed elsewhere before then."""
+        self._starts_left = MAX_STARTS_PER_ROUND
+        """How many more tasks this round may start."""
+        self._hopeless: list[Batch] = []
+        """Batches that have become hopeless since the last round that tried all."""
         self._overload = Overload()
         self._priorities = PriorityOrder(overload=self._overload)
         jobs.backlog.find_rank = self._priorities.find_rank
@@ -70,13 +77,20 @@
         """Lower bound of the CPU that a task of any waiting batch needs, in thousandths of a core;
         batches that were not tried yet may need less."""
 
+    @property
+    def is_cut_short(self) -> bool:
+        """Whether the last round started as much as it may, so that another one is due at once."""
+        return not self._starts_left
+
     def schedule(self, now: timedelta, changed: list[Instance] | None) -> None:
-        """Start waiting tasks as long as any of them fits.
+        """Start waiting tasks as long as any of them fits, up to `MAX_STARTS_PER_ROUND`.
 
         `changed` are the instances that may have gained capacity, None where that is not known:
         a batch that did not fit is tried again only where one of these has enough.
         """
         self._unpolled.clear()
+        continues = self.is_cut_short
+        self._starts_left = MAX_STARTS_PER_ROUND
         for instance in changed or ():
             self._capacity.update(instance, now)
         if changed is None:
@@ -87,13 +101,15 @@
             return
         demoted = backlog.demote(now)
         self._overload.record_misses(demoted, now)
-        if self._capacity.refresh_if_due(now):
+        self._hopeless += [batch for batch in demoted if batch.tier is Tier.HOPELESS]
+        if self._capacity.refresh_if_due(now) or continues:
             self._schedule_backlog(None, now)
         elif backlog.has_new or _find_max_free_cpu(changed) >= self._min_cpu_needed:
             self._schedule_backlog(changed, now)
         if self._next_release < now:
             self._release_held(now)
-        self._shed([batch for batch in demoted if batch.tier is Tier.HOPELESS], now)
+        if not self.is_cut_short:
+            self._shed(now)
         self._handle_overload(now)
 
     def _handle_overload(self, now: timedelta) -> None:
@@ -117,6 +133,8 @@
         else:
             self._schedule_changed(changed, now)
             for batch in backlog.pop_new():
+                if self.is_cut_short:
+                    break
                 self._schedule_batch(batch, now)
         backlog.drop_empty()
 
@@ -124,6 +142,8 @@
         backlog = self._jobs.backlog
         backlog.pop_new()
         for batch in backlog:
+            if self.is_cut_short:
+                break
             self._schedule_batch(batch, now)
         waiting = (batch.cpu_millis for batch in backlog if batch.waiting)
         self._min_cpu_needed = min(waiting, default=NO_DEMAND)
@@ -140,7 +160,7 @@
                 continue
             if self._schedule_batch(batch, now):
                 most = _find_max_free_cpu(changed)
-            if most < self._min_cpu_needed:
+            if most < self._min_cpu_needed or self.is_cut_short:
                 return
 
     def _may_fit_any(self, batch: Batch, changed: list[Instance]) -> bool:
@@ -175,13 +195,10 @@
             return False
         return self._start_batch(batch, service, now)
 
-    def _shed(self, hopeless: list[Batch], now: timedelta) -> None:
-        """End best-effort jobs that found no capacity while they could still be of use.
-
-        `hopeless` are the batches that have just become hopeless: this ends their jobs, but not
-        durable ones, which keep theirs.
-        """
-        hopeless = [batch for batch in hopeless if batch.waiting]
+    def _shed(self, now: timedelta) -> None:
+        """End best-effort jobs that found no capacity while they could still be of use."""
+        hopeless = [batch for batch in self._hopeless if batch.waiting]
+        self._hopeless.clear()
         if not hopeless:
             return
         wait = estimate_wait(
@@ -288,13 +305,14 @@
         """Start tasks of a batch as long as any fits; return whether any was started."""
         has_started = False
         job = self._jobs.jobs[batch.job.id]
-        while batch.waiting:
+        while batch.waiting and self._starts_left:
             instance = self._placement.choose(
                 batch, service, job.home, now, needs_empty=self._needs_empty(batch, now)
             )
             if instance is None:
                 break
             has_started = True
+            self._starts_left -= 1
             self._start(batch, batch.waiting.pop(), instance, now)
         if batch.hold is not None:
             self._next_release = min(self._next_release, batch.hold.until)
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -56,6 +56,8 @@
 DISPUTED_TOLERATED_FOR = timedelta(milliseconds=100)
 """The same for a run whose job an acting leader, or a leader that an acting leader does not reach,
 may still coordinate."""
+MAX_STOPS_PER_ROUND = 100
+"""Most stops that one round sends, for the same reason as `scheduler.MAX_STARTS_PER_ROUND`."""
 FAILED_POLLS_BEFORE_CORDON = 2
 """Failed polls before an upstream is cordoned: one that has just joined may miss one."""
 MAX_MOVES = 2
@@ -74,6 +76,19 @@
         self._jobs = jobs
         self._unreachable: dict[UpstreamId, Instance] = {}
         """Instances with failed polls; `cordon_idle` removes those that have answered since."""
+        self._stops_left = MAX_STOPS_PER_ROUND
+        """How many more stops this round may send."""
+        self._postponed: list[Instance] = []
+        """Instances with stops that are due and left to the next round."""
+
+    def begin_round(self) -> None:
+        """Allow as many stops again as one round may send."""
+        self._stops_left = MAX_STOPS_PER_ROUND
+
+    def pop_postponed(self) -> list[Instance]:
+        """Return the instances with stops that are due still, and clear that list."""
+        postponed, self._postponed = self._postponed, []
+        return postponed
 
     def poll_if_due(self, instance: Instance, now: timedelta) -> None:
         """Poll an upstream if a poll or a probe is due."""
@@ -269,6 +284,10 @@
                 instance.mark_disputed(key)
             wanted = run.stop_requested and run.stopped_at is None and not run.is_stop_pending
             if wanted and now >= run.stop_due and run.phase is not RunPhase.STARTING:
+                if not self._stops_left:
+                    self._postponed.append(instance)
+                    return
+                self._stops_left -= 1
                 run.is_stop_pending = True
                 if run.first_stop_at is None:
                     run.first_stop_at = now
--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -521,6 +521,8 @@
         if self.gateways.may_have_timed_out():
             self.dispatch.abandon_silent_gateways(self.gateways.is_connected, now)
         self.dispatch.tick(now)
+        if self.dispatch.has_more_to_do:
+            self._schedule_decision()
         self._propose()
         return True
 
--- /dev/null
+++ b/cottonlug/tests/test_long_turns.py
@@ -0,0 +1,100 @@
+"""What one turn of the event loop does for a large job is bounded, so that others are served."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+import pytest
+
+from ..core.cluster.commands import AcceptJob
+from ..core.cluster.model import JobId, JobSpec, JobState, Needs
+from ..core.cluster.orders import StartOrder, StopOrder
+from ..core.cluster.scheduler import MAX_STARTS_PER_ROUND
+from ..core.cluster.watcher import MAX_STOPS_PER_ROUND
+from .job_shapes import build_independent_steps, build_single_step
+from .model_upstreams import Leader, build_info, build_queue, milliseconds, start_site_leader
+
+JOB = JobId("a" * 16)
+OTHER_JOB = JobId("b" * 16)
+LARGE = 300
+
+
+def build_without_needs(build: Callable[[int], JobSpec], size: int, *, run_ms: int = 20) -> JobSpec:
+    """Return a job whose tasks all fit at once."""
+    spec = build(size)
+    steps = tuple(
+        msgspec.structs.replace(step, needs=Needs(), estimate_ms=run_ms) for step in spec.steps
+    )
+    return msgspec.structs.replace(spec, steps=steps)
+
+
+def start_leader(run_ms: int = 20) -> Leader:
+    infos = [build_info(f"u{number}") for number in range(1, 5)]
+    return start_site_leader(infos, seed=1, run_ms=run_ms)
+
+
+def accept(leader: Leader, spec: JobSpec, job: JobId = JOB) -> None:
+    """Have a leader open a job, without a decision."""
+    command = AcceptJob(job=job, queue=build_queue(), spec=spec, at_ms=0)
+    leader.world.needs[job] = spec.steps[0].needs
+    leader.world.durable_jobs.add(job)
+    leader.records.apply(command)
+    leader.dispatch.handle_applied_command(command, leader.world.now)
+
+
+def decide_until_done(leader: Leader) -> list[int]:
+    """Make decisions until none is due at once; return the starts and stops of each."""
+    counts: list[int] = []
+    while True:
+        leader.dispatch.tick(leader.world.now)
+        orders = leader.dispatch.pop_orders()
+        counts.append(sum(isinstance(each, StartOrder | StopOrder) for each in orders))
+        for order in orders:
+            leader._send(order)
+        if not leader.dispatch.has_more_to_do:
+            return counts
+
+
+# Guards against: a job of 4,096 tasks that all fit is started in one turn of the loop, in which
+# its leader loses its lease.
+@pytest.mark.parametrize("build", [build_single_step, build_independent_steps])
+def test_a_round_starts_a_bounded_number_of_tasks(build: Callable[[int], JobSpec]) -> None:
+    leader = start_leader()
+    accept(leader, build_without_needs(build, LARGE))
+    counts = decide_until_done(leader)
+    assert max(counts) == MAX_STARTS_PER_ROUND
+    assert sum(counts) == LARGE
+
+
+# Guards against: the same when such a job is cancelled.
+def test_a_round_sends_a_bounded_number_of_stops() -> None:
+    leader = start_leader(run_ms=60_000)
+    accept(leader, build_without_needs(build_single_step, LARGE, run_ms=60_000))
+    decide_until_done(leader)
+    leader.world.run_until(leader.world.now + milliseconds(200))
+    assert len(leader.world.running) == LARGE
+    leader.dispatch.jobs.abandon(leader.dispatch.jobs.jobs[JOB], leader.world.now)
+    counts = decide_until_done(leader)
+    assert max(counts) == MAX_STOPS_PER_ROUND
+    assert sum(counts) == LARGE
+
+
+# Guards against: a small job that comes behind a large one waits for all of its starts.
+def test_an_urgent_job_does_not_wait_for_all_starts_of_a_large_one() -> None:
+    leader = start_leader()
+    accept(leader, build_without_needs(build_single_step, LARGE))
+    leader.dispatch.tick(leader.world.now)
+    leader.dispatch.pop_orders()
+    accept(leader, build_without_needs(build_single_step, 1, run_ms=1), OTHER_JOB)
+    leader.dispatch.tick(leader.world.now)
+    starts = [each for each in leader.dispatch.pop_orders() if isinstance(each, StartOrder)]
+    assert starts[0].task.job == OTHER_JOB
+
+
+def test_a_job_whose_starts_took_many_rounds_is_completed() -> None:
+    leader = start_leader()
+    accept(leader, build_without_needs(build_independent_steps, LARGE))
+    leader.world.run_until(leader.world.now + milliseconds(5_000))
+    assert leader.records.jobs[JOB].state is JobState.COMPLETED
+    assert len(leader.world.begun) == LARGE
