Queue the steps of a large job in pieces, and open overdue occurrences as earlier ones end

All overdue occurrences of a timed job, up to 65,536 tasks, were opened in one turn, and kept in memory from then on.

Cause: every step that became ready was queued in the turn that made it ready.

Change: 16 steps are queued at once, so that small jobs wait for nothing, and the others in pieces of 250 by the rounds of decisions that follow without delay. A timed job has at most 4,096 unfinished tasks open, or one occurrence. A later leader knows at least as many ends from the records, so that it opens at least the occurrences that the last one has begun; for best-effort jobs, which are not in the records, occurrences are unknown until the leases have lapsed.

--- a/cottonlug/core/cluster/open_job.py
+++ b/cottonlug/core/cluster/open_job.py
@@ -169,10 +169,16 @@
         if not occurrence.unfinished:
             del self.occurrences[number]
 
-    def list_ready_tasks(self, occurrence: int, step: int) -> list[int]:
-        """Return the indexes of the blocked tasks of a step that waits for no earlier one."""
+    def is_step_ready(self, occurrence: int, step: int) -> bool:
+        """Return whether a step has blocked tasks and waits for no earlier one."""
+        if occurrence not in self.occurrences:
+            return False
         progress = self.occurrences[occurrence].steps[step]
-        return [] if progress.awaited else sorted(progress.blocked)
+        return bool(progress.blocked) and not progress.awaited
+
+    def list_blocked(self, occurrence: int, step: int) -> list[int]:
+        """Return the indexes of the blocked tasks of a step."""
+        return sorted(self.occurrences[occurrence].steps[step].blocked)
 
     def set_phase(self, ref: TaskRef, phase: TaskPhase) -> None:
         """Change the phase of a task."""
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from datetime import timedelta
 
@@ -28,6 +29,7 @@
 from .records import JobRecord, end_job
 from .term import Term
 from .throughput import Throughput
+from .validation import MAX_TASKS
 
 ENDED_JOB_RETENTION = timedelta(seconds=10)
 """How long the end of a best-effort job is remembered, to answer a late second submission."""
@@ -35,6 +37,14 @@
 """Share of the wait allowed by the objective, beyond the queue's target latency, that is reserved
 for longer runs than expected: run times scatter by 0.4 on a logarithmic scale (its benefit is in
 docs/design/platform.md)."""
+MAX_QUEUED_AT_ONCE = 16
+"""Most steps that are queued as soon as they are ready. The start of a job, or the end of one task,
+may make thousands ready; the others wait for their turn."""
+MAX_QUEUED_PER_ROUND = 250
+"""Most steps that are queued in their turn in one round, some 10 ms of work."""
+MAX_OPEN_TASKS = MAX_TASKS
+"""Unfinished tasks of a timed job up to which further occurrences are opened. Many may be overdue
+at once, and each task costs time and memory from then on."""
 _COUNTED_ENDS = (RunEndKind.DONE, RunEndKind.FAILED)
 """Ends that the record of a task counts, so that it may not start again after them."""
 NEVER_LATE = timedelta.max
@@ -68,6 +78,9 @@
         """Whether tasks may have become unknown since this was last checked."""
         self._durable: set[JobId] = set()
         """Open durable jobs."""
+        self._ready: deque[tuple[JobId, int, int]] = deque()
+        """Steps that wait for nothing but their turn to be queued, by the numbers of the occurrence
+        and of the step."""
         self._timed: dict[JobId, OpenJob] = {}
         """Timed jobs with occurrences that are not open yet, since they are not due."""
         self._term = term
@@ -150,7 +163,13 @@
 
     def _open_due(self, job: OpenJob, phase: TaskPhase, now: timedelta) -> None:
         spec = job.record.spec
+        if spec.best_effort and now < job.reconcile_at:
+            # The records do not tell how far another coordinator has come.
+            phase = TaskPhase.UNKNOWN
+        size = spec.task_count // spec.occurrences
         while job.next_occurrence < spec.occurrences:
+            if job.tasks and len(job.tasks) + size > MAX_OPEN_TASKS:
+                return
             late_ms = self._term.wall_ms() - spec.find_due_ms(job.next_occurrence)
             if late_ms < 0:
                 return
@@ -164,15 +183,38 @@
         job.next_occurrence = occurrence + 1
         if phase is not TaskPhase.QUEUED:
             job.add_occurrence(occurrence, phase, due_at)
+            self.may_have_unknown_tasks = True
             return
         job.add_occurrence(occurrence, TaskPhase.BLOCKED, due_at)
-        if occurrence in job.occurrences:
-            for number in range(len(job.record.spec.steps)):
-                self.unblock(job, occurrence, number)
+        self.unblock(job, occurrence, range(len(job.record.spec.steps)))
 
-    def unblock(self, job: OpenJob, occurrence: int, number: int) -> None:
-        """Queue the blocked tasks of a step unless it waits for earlier steps."""
-        self.queue(job, occurrence, number, job.list_ready_tasks(occurrence, number))
+    def unblock(self, job: OpenJob, occurrence: int, numbers: Iterable[int]) -> None:
+        """Queue the blocked tasks of the steps that wait for no earlier one.
+
+        If these are many, most wait for their turn in `queue_ready`.
+        """
+        ready = [each for each in numbers if job.is_step_ready(occurrence, each)]
+        for number in ready[:MAX_QUEUED_AT_ONCE]:
+            self._queue_blocked(job, occurrence, number)
+        later = ready[MAX_QUEUED_AT_ONCE:]
+        self._ready.extend((job.record.id, occurrence, number) for number in later)
+
+    @property
+    def has_ready_steps(self) -> bool:
+        """Whether there are steps that wait for their turn to be queued."""
+        return bool(self._ready)
+
+    def queue_ready(self) -> None:
+        """Queue the steps that wait for their turn, as many as one round may."""
+        for _ in range(min(len(self._ready), MAX_QUEUED_PER_ROUND)):
+            id, occurrence, number = self._ready.popleft()
+            job = self.jobs.get(id)
+            # The job may have ended, or another coordinator may have begun it.
+            if job is not None and job.is_step_ready(occurrence, number):
+                self._queue_blocked(job, occurrence, number)
+
+    def _queue_blocked(self, job: OpenJob, occurrence: int, number: int) -> None:
+        self.queue(job, occurrence, number, job.list_blocked(occurrence, number))
 
     def queue(self, job: OpenJob, occurrence: int, number: int, task_indexes: list[int]) -> None:
         """Queue tasks of step `number` of an occurrence; those that may crash upstreams separately.
@@ -347,8 +389,11 @@
         for ref in released:
             job.tasks[ref].may_run_elsewhere = False
             job.set_phase(ref, TaskPhase.BLOCKED)
-        for occurrence, number in sorted({(ref.occurrence, ref.step) for ref in released}):
-            self.unblock(job, occurrence, number)
+        steps: dict[int, set[int]] = {}
+        for ref in released:
+            steps.setdefault(ref.occurrence, set()).add(ref.step)
+        for occurrence, numbers in sorted(steps.items()):
+            self.unblock(job, occurrence, sorted(numbers))
 
     def close_if_ended(self, id: JobId, now: timedelta) -> None:
         """Close a job whose record says that it has ended, and have its runs stopped."""
--- a/cottonlug/tests/test_long_turns.py
+++ b/cottonlug/tests/test_long_turns.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from datetime import timedelta
 
 import msgspec
 import pytest
 
+from ..core.cluster.backlog import Batch
 from ..core.cluster.commands import AcceptJob
 from ..core.cluster.model import JobId, JobSpec, JobState, Needs
+from ..core.cluster.open_jobs import MAX_OPEN_TASKS, MAX_QUEUED_AT_ONCE, MAX_QUEUED_PER_ROUND
 from ..core.cluster.orders import StartOrder, StopOrder
+from ..core.cluster.records import Records
 from ..core.cluster.scheduler import MAX_STARTS_PER_ROUND
 from ..core.cluster.watcher import MAX_STOPS_PER_ROUND
-from .job_shapes import build_independent_steps, build_single_step
+from .job_shapes import build_fan, build_independent_steps, build_single_step
 from .model_upstreams import Leader, build_info, build_queue, milliseconds, start_site_leader
 
 JOB = JobId("a" * 16)
@@ -92,6 +96,77 @@
     assert starts[0].task.job == OTHER_JOB
 
 
+# Guards against: a leader is silent for longer than its lease as it opens a job of thousands of
+# steps, or as one end lets thousands begin.
+@pytest.mark.parametrize("build", [build_independent_steps, build_fan])
+def test_the_steps_that_are_queued_in_a_turn_are_bounded(build: Callable[[int], JobSpec]) -> None:
+    leader = start_leader()
+    queued = count_queued_steps(leader)
+    accept(leader, build(4 * MAX_QUEUED_PER_ROUND))
+    leader.world.run_until(leader.world.now + milliseconds(200))
+    assert max(queued) <= MAX_QUEUED_PER_ROUND + MAX_QUEUED_AT_ONCE
+    assert sum(queued) >= 4 * MAX_QUEUED_PER_ROUND - 2
+
+
+def count_queued_steps(leader: Leader) -> list[int]:
+    """Return a list to which the number of batches added between two decisions is appended."""
+    counts = [0]
+    backlog, tick = leader.dispatch.jobs.backlog, leader.dispatch.tick
+    add = backlog.add
+
+    def count(batch: Batch) -> None:
+        counts[-1] += 1
+        add(batch)
+
+    def begin_turn(now: timedelta) -> None:
+        counts.append(0)
+        tick(now)
+
+    backlog.add = count  # type: ignore[method-assign]
+    leader.dispatch.tick = begin_turn  # type: ignore[method-assign]
+    return counts
+
+
+# Guards against: a small job waits until all steps of a large one are queued.
+def test_a_small_job_is_queued_before_the_rest_of_a_large_one() -> None:
+    leader = start_leader()
+    accept(leader, build_independent_steps(LARGE))
+    accept(leader, build_independent_steps(MAX_QUEUED_AT_ONCE), OTHER_JOB)
+    waiting = [batch for batch in leader.dispatch.jobs.backlog if batch.job.id == OTHER_JOB]
+    assert len(waiting) == MAX_QUEUED_AT_ONCE
+
+
+# Guards against: all overdue occurrences of a timed job are opened in one turn, 65,536 tasks.
+def test_overdue_occurrences_are_opened_as_earlier_ones_end() -> None:
+    leader = start_leader(run_ms=1)
+    spec = build_without_needs(build_single_step, MAX_OPEN_TASKS // 4)
+    timed = msgspec.structs.replace(spec, repeat_count=6, start_at_ms=1, interval_ms=1)
+    accept(leader, timed)
+    job = leader.dispatch.jobs.jobs[JOB]
+    assert job.next_occurrence == 4
+    assert len(job.tasks) == MAX_OPEN_TASKS
+    for ref in list(job.tasks)[: MAX_OPEN_TASKS // 4]:
+        leader.dispatch.jobs.unqueue(ref)
+        job.finish_task(ref)
+    leader.dispatch.tick(leader.world.now)
+    assert job.next_occurrence == 5
+
+
+# Guards against: the next leader opens fewer occurrences than the last one has begun, and starts
+# a task of the others again.
+def test_the_next_leader_opens_all_occurrences_that_the_last_one_has_begun() -> None:
+    first = start_leader(run_ms=60_000)
+    spec = build_without_needs(build_single_step, MAX_OPEN_TASKS // 4, run_ms=60_000)
+    accept(first, msgspec.structs.replace(spec, repeat_count=6, start_at_ms=1, interval_ms=1))
+    records = Records()
+    records.restore(first.records.encode())
+    first.is_over = True
+    second = Leader(world=first.world, upstreams=first.upstreams, records=records, token=2_000_000)
+    job = second.dispatch.jobs.jobs[JOB]
+    assert job.next_occurrence == first.dispatch.jobs.jobs[JOB].next_occurrence
+    assert len(job.unknown) == MAX_OPEN_TASKS
+
+
 def test_a_job_whose_starts_took_many_rounds_is_completed() -> None:
     leader = start_leader()
     accept(leader, build_without_needs(build_independent_steps, LARGE))
