Tell how late each process's event loop is, and which job it was about

Change: each process checks ten times a second how much later than due its loop runs a callback (histogram cottonlug_loop_delay_ms). From 50 ms on event 1010 names the kind of work that took most of the time since the last check, and the most frequent decision with its job.

Measured: unit tests only so far.

--- a/cottonlug/runtime/acting_leader.py
+++ b/cottonlug/runtime/acting_leader.py
@@ -37,6 +37,7 @@
 from .leadership import Leadership, LeadershipSettings
 from .ports import OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords
+from .work_meter import WorkMeter
 
 ACT_AS_LEADER_AFTER = timedelta(milliseconds=900)
 """A gateway acts as leader after this time without a leader, if control hosts answer.
@@ -116,6 +117,7 @@
         confirmed_at: timedelta,
         remote_factor: float,
         is_check_overdue: Callable[[], bool],
+        work: WorkMeter,
         on_failure: OnFailure,
     ) -> None:
         self.domain = domain
@@ -136,6 +138,7 @@
             port=port,
             clock=clock,
             on_failure=on_failure,
+            work=work,
             settings=LeadershipSettings(
                 lease_terms=choose_lease_terms(longest_lease, caller_retry, GATEWAY_TIMEOUT),
                 keep_ended=timedelta(),
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -65,6 +65,7 @@
         return gauges
 
     metrics = Metrics(counters=read_counters, gauges=read_gauges)
+    host.loop_monitor.record_delay = metrics.add_histogram("loop_delay_ms", DELAY_BOUNDS_MS)
     host.record_message_age = metrics.add_histogram("greeting_age_ms", DELAY_BOUNDS_MS)
     host.record_decision_gap = metrics.add_histogram("between_decisions_ms", DELAY_BOUNDS_MS)
     return metrics
@@ -90,6 +91,7 @@
         }
 
     metrics = Metrics(counters=read_counters, gauges=read_gauges)
+    gateway.loop_monitor.record_delay = metrics.add_histogram("loop_delay_ms", DELAY_BOUNDS_MS)
     gateway.record_refusal = metrics.add_histogram("refusal_over_objective", REFUSAL_BOUNDS)
     gateway.link.record_coordinator_change = metrics.add_histogram(
         "without_decider_ms", CALL_BOUNDS_MS
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -46,6 +46,7 @@
 from .idempotent_calls import IdempotentCalls
 from .job_channel_server import JobChannelServer
 from .leadership import Leadership, LeadershipSettings
+from .loop_monitor import LoopMonitor
 from .membership import JOIN_PATH, JoinRequest
 from .messenger import MESSAGES_PATH
 from .peer_calls import CALL_PATH, FORWARD_TIMEOUT, KEEPALIVE_FORWARD_TIMEOUT, decode_keepalive
@@ -113,6 +114,7 @@
         connection closed as soon as it is late, and a busy leader accepts new connections late."""
         self.work = WorkMeter(read_seconds=time.monotonic)
         """Processor time of this process by kind of work."""
+        self.loop_monitor = LoopMonitor(work=self.work, clock=clock)
         self._job_channels = JobChannelServer(
             answer=self.answer, clock=clock, find_limits=self._find_wait_limits
         )
@@ -156,6 +158,7 @@
 
     async def start(self) -> str | None:
         """Start the replica and the background tasks; return an error message, or None."""
+        self.loop_monitor.start()
         error = await self.replica.start()
         self._tasks.append(asyncio.create_task(self._check_forever()))
         self._tasks.append(
@@ -172,6 +175,7 @@
     async def stop(self) -> None:
         """Stop the background tasks, leadership and the replica, and close all connections."""
         self._is_stopping = True
+        self.loop_monitor.stop()
         for task in self._tasks:
             task.cancel()
         self._update_leadership()
--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -36,6 +36,7 @@
 from .keepalive_tracker import OVERDUE_AFTER, KeepAliveTracker
 from .peer_calls import PeerCalls
 from .ports import OnFailure, UpstreamPort
+from .work_meter import WorkMeter
 
 KEEPALIVE_SECONDS = 0.08
 KEEPALIVE_SECONDS_PER_GATEWAY = 0.0004
@@ -100,6 +101,7 @@
         clock: Clock,
         port: UpstreamPort,
         calls: PeerCalls,
+        work: WorkMeter,
         on_failure: OnFailure,
     ) -> None:
         self.own_address = str(settings.listen.peers)
@@ -123,6 +125,7 @@
         self._clock = clock
         self._port = port
         self._calls = calls
+        self._work = work
         self._on_failure = on_failure
         self._reached_at: timedelta | None = None
         """When this gateway last had contact with the coordinator."""
@@ -617,6 +620,7 @@
             confirmed_at=self.failover_store.confirmed_at,
             remote_factor=self._settings.remote_factor,
             is_check_overdue=self._is_check_overdue,
+            work=self._work,
             on_failure=self._on_failure,
         )
         self._register_itself(self.acting_leader)
--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -40,6 +40,7 @@
     STATE_DUMPED = EventKind(1007, logging.INFO, "state dumped on request")
     SETTINGS_RELOADED = EventKind(1008, logging.INFO, "settings were read again")
     SETTINGS_REFUSED = EventKind(1009, logging.WARNING, "changed settings have errors")
+    LOOP_DELAYED = EventKind(1010, logging.WARNING, "the event loop of this process was held up")
     UPSTREAM_OPENED = EventKind(2001, logging.INFO, "an upstream opened a session")
     UPSTREAM_GONE = EventKind(2002, logging.WARNING, "an upstream's session ended")
     UPSTREAM_LEAVING = EventKind(2003, logging.INFO, "an upstream is leaving")
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -47,6 +47,7 @@
 from .events import Event, log_event
 from .job_channel import NOT_SENT
 from .job_channel_server import JobChannelServer
+from .loop_monitor import LoopMonitor
 from .peer_calls import (
     CALL_PATH,
     FORWARD_TIMEOUT,
@@ -55,6 +56,7 @@
     decode_keepalive,
 )
 from .ports import OnFailure, UpstreamPort
+from .work_meter import WorkMeter
 
 RETRY_SECONDS = 0.05
 """Pause before a call is tried again, unless the coordinator changes or answers earlier."""
@@ -106,6 +108,9 @@
         self.size = settings.size
         """What this host may use."""
         self.call_limit = CallLimit(size=settings.size, clock=clock)
+        self.work = WorkMeter(read_seconds=lambda: clock.monotonic().total_seconds())
+        """Processor time of this process by kind of work, measured while it acts as leader."""
+        self.loop_monitor = LoopMonitor(work=self.work, clock=clock)
         self._clock = clock
         self.calls = PeerCalls(
             own_address=str(settings.listen.peers), urgent_port=settings.urgent_port
@@ -118,6 +123,7 @@
             clock=clock,
             port=port,
             calls=self.calls,
+            work=self.work,
             on_failure=on_failure,
         )
         self._last_number = self.link.confirmations.instance
@@ -128,10 +134,12 @@
 
     def start(self) -> None:
         """Start the background tasks that find and follow the coordinator."""
+        self.loop_monitor.start()
         self.link.start()
 
     def stop(self) -> None:
         """Stop and close all connections."""
+        self.loop_monitor.stop()
         self.link.stop()
         self.calls.close()
 
@@ -192,6 +200,7 @@
         """
         began_at = self._clock.monotonic()
         if isinstance(call, Submit):
+            self.work.count_decision("job_received", call.path.rpartition("/")[2])
             self._last_number += 1
             call = msgspec.structs.replace(
                 call, gateway=self.link.own_address, number=self._last_number
--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -186,7 +186,7 @@
             lease_terms=settings.lease_terms,
             now=clock.monotonic(),
             wall_ms=self._read_wall_ms,
-            log_decision=log_decision,
+            log_decision=self._log_decision,
             on_job_end=self._resolve_job_end,
             domain=settings.domain,
             keeps_log=settings.keeps_log,
@@ -293,6 +293,7 @@
         if isinstance(call, KeepAlive):
             return self.answer_keepalive(call)
         if isinstance(call, Submit):
+            self._work.count_decision("job_received", call.path.rpartition("/")[2])
             return await self._job_answers.answer_submit(call)
         if isinstance(call, Abandon):
             return self._job_answers.answer_abandon(call)
@@ -433,6 +434,11 @@
 
     # Decisions
 
+    def _log_decision(self, name: str, fields: dict[str, str | int]) -> None:
+        """Log a decision, and count it to tell what has held up the event loop."""
+        self._work.count_decision(name, str(fields.get("job", "")))
+        log_decision(name, fields)
+
     def _handle_applied(self, command: Command) -> None:
         """Act on a command that was just applied to the records, and end the waits for it."""
         if self._is_over:
--- a/cottonlug/runtime/work_meter.py
+++ b/cottonlug/runtime/work_meter.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -53,11 +54,40 @@
         }
         self._reported = {work: WorkAmount() for work in Work}
         """Work up to the last call of `take_interval`."""
+        self._checked_seconds = dict.fromkeys(Work, 0.0)
+        """Time spent up to the last call of `begin_check`."""
+        self._decisions: Counter[tuple[str, str]] = Counter()
+        """Decisions since then, by name and job."""
 
     def measure(self, work: Work) -> _Span:
         """Return a context in which the time counts for a kind of work; it may not be nested."""
         return self._spans[work]
 
+    def count_decision(self, name: str, job: str) -> None:
+        """Count a decision about a job; the id is empty for other decisions."""
+        self._decisions[name, job] += 1
+
+    def begin_check(self) -> None:
+        """Have `find_longest_work` and `find_most_frequent_decision` count from now on."""
+        self._checked_seconds = {work: amount.seconds for work, amount in self.total.items()}
+        self._decisions.clear()
+
+    def find_longest_work(self) -> tuple[Work, float]:
+        """Return the kind of work that took most of the time, and its seconds."""
+        seconds = {
+            work: amount.seconds - self._checked_seconds[work]
+            for work, amount in self.total.items()
+        }
+        longest = max(seconds, key=lambda work: seconds[work])
+        return longest, seconds[longest]
+
+    def find_most_frequent_decision(self) -> tuple[str, str, int]:
+        """Return the name and the job of the most frequent decision, and its number; 0 if none."""
+        if not self._decisions:
+            return "", "", 0
+        (name, job), count = self._decisions.most_common(1)[0]
+        return name, job, count
+
     def take_interval(self) -> dict[str, int]:
         """Return the work since the last call, as fields of a log line: milliseconds and counts."""
         fields: dict[str, int] = {}
