Count the dependencies of a job in the memory that its call takes at a gateway

Cause: by reading; the limit of the calls that wait at a gateway counted steps and payload, but a body of 234 KB may list 64,620 dependencies in 360 steps, which were counted as 0.24 MB.

Change: each dependency counts 40 bytes, 2.6 MB for such a job.

Measured (tracemalloc): 12 bytes for a decoded dependency. The new case of test_calls_above_the_limit_are_refused failed before, and passes.

--- a/cottonlug/runtime/call_limit.py
+++ b/cottonlug/runtime/call_limit.py
@@ -31,6 +31,8 @@
 """Measured 2.7 with payloads of 20 KB and 2.3 with 200 KB, and a copy for sending."""
 BYTES_PER_STEP = 600
 """Measured 274 for a decoded step of a job, and 65 to 74 for each copy of its text."""
+BYTES_PER_DEPENDENCY = 40
+"""Measured 12 for a decoded dependency of a step, and 4 to 5 for each copy of its text."""
 RETRY_AFTER = timedelta(seconds=1)
 """When a refused caller should retry: calls wait for 1.5 s at most as a rule."""
 LOG_INTERVAL = timedelta(seconds=1)
@@ -122,4 +124,6 @@
     if not isinstance(call, Submit):
         return BYTES_PER_CALL
     payload = len(call.spec.payload) * BYTES_PER_PAYLOAD_CHARACTER
-    return BYTES_PER_CALL + payload + len(call.spec.steps) * BYTES_PER_STEP
+    steps = call.spec.steps
+    dependencies = sum(len(step.depends_on) for step in steps) * BYTES_PER_DEPENDENCY
+    return BYTES_PER_CALL + payload + len(steps) * BYTES_PER_STEP + dependencies
--- a/cottonlug/tests/test_cluster_gateway.py
+++ b/cottonlug/tests/test_cluster_gateway.py
@@ -18,6 +18,7 @@
     Submit,
 )
 from ..core.cluster.host_sizes import UNKNOWN_SIZE, HostSize
+from ..core.cluster.model import StepSpec
 from ..net.asgi import HttpRequest
 from ..platform.front import build_caller_handler
 from ..runtime import call_limit
@@ -334,9 +335,14 @@
 
 FOR_FOUR = HostSize(memory=4 * BYTES_PER_CALL / MIN_MEMORY_SHARE / 1e6)
 """Less than four calls fit, as each has a payload and a step."""
-JOB, LONG, WIDE = (
+JOB, LONG, WIDE, DENSE = (
     msgspec.structs.replace(build_submit(), spec=msgspec.structs.replace(build_spec(), **changes))
-    for changes in ({}, {"payload": "x" * BYTES_PER_CALL}, {"steps": build_spec().steps * 100})
+    for changes in (
+        {},
+        {"payload": "x" * BYTES_PER_CALL},
+        {"steps": build_spec().steps * 100},
+        {"steps": tuple(StepSpec(count=1, depends_on=(0,) * 500) for _ in range(4))},
+    )
 )
 
 
@@ -349,6 +355,7 @@
         (FOR_FOUR, [JOB] * 50, 47),
         (FOR_FOUR, [JOB, LONG, JOB], 1),
         (FOR_FOUR, [WIDE, JOB], 1),
+        (FOR_FOUR, [DENSE, JOB], 1),
         # A call that finds no other one is accepted, and a cancel always, since it ends work.
         (HostSize(memory=0.001, descriptors=1), [LONG, LONG, Cancel(host="host", path="/q/1")], 1),
     ],
