Try waiting batches by what their tasks demand of an upstream

Cause: a batch was skipped only if its tasks need more CPU than any changed upstream has free. Tasks that need no CPU were tried at all upstreams for each run end, one batch after the other.

Change: the backlog counts its batches by what their tasks demand (needs and label). Batches whose demand no changed upstream meets are skipped, and the round ends when no demand is met any more. A batch is not tried in a round in which one with the same placement key has found no upstream: within a round capacity only shrinks.

--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -12,10 +12,12 @@
 from __future__ import annotations
 
 import bisect
+from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
+from typing import NamedTuple
 
 from .crashes import StartRestriction
 from .model import JobId, Needs, ServiceName, StepSpec, TaskRef
@@ -26,6 +28,14 @@
 ms and more, and each of some thousand run ends a second would cause a search otherwise."""
 
 
+class Demand(NamedTuple):
+    """What an upstream must have for a task to start there."""
+
+    needs: Needs
+    label: str
+    """Label of the upstream; empty if any will do."""
+
+
 class Tier(Enum):
     """Whether a batch can still meet its job's objective; served in the order of the members."""
 
@@ -76,6 +86,8 @@
     """Indexes of its waiting tasks within the step."""
     cpu_millis: int = field(init=False)
     """CPU need of each task; cached, since every run end reads it for every batch."""
+    demand: Demand = field(init=False)
+    """What its tasks demand of an upstream; cached as well."""
     service: ServiceName = field(init=False)
     """The service at whose upstreams its tasks run, by the queue as the job came."""
     priority: int = field(init=False)
@@ -97,6 +109,7 @@
 
     def __post_init__(self) -> None:
         self.cpu_millis = self.step.needs.cpu_millis
+        self.demand = Demand(self.step.needs, self.step.required_label)
         self.service = self.job.queue.service
         self.priority = self.job.queue.priority
 
@@ -138,6 +151,8 @@
         self._tiers: dict[Tier, list[Batch]] = {tier: [] for tier in Tier}
         self._by_step: dict[JobId, dict[tuple[int, int], list[Batch]]] = {}
         """All batches by job, and by the numbers of the occurrence and of the step."""
+        self.demands: Counter[Demand] = Counter()
+        """Number of batches by what their tasks demand."""
         self._empty: list[Batch] = []
         """Batches without waiting tasks, which are to be removed."""
         self._new: list[Batch] = []
@@ -170,6 +185,7 @@
             self._is_ranked = self._is_ranked or batch.rank != 0
         steps = self._by_step.setdefault(batch.job.id, {})
         steps.setdefault((batch.occurrence, batch.step_number), []).append(batch)
+        self.demands[batch.demand] += 1
         self._insert(batch)
 
     def _insert(self, batch: Batch) -> None:
@@ -270,6 +286,7 @@
             del steps[step]
         if not steps:
             del self._by_step[batch.job.id]
+        self._discount_demand(batch)
         batches, key = self._tiers[batch.tier], _get_key(batch.tier)
         at = bisect.bisect_left(batches, key(batch), key=key)
         while batches[at] is not batch:
@@ -278,13 +295,22 @@
 
     def drop_job(self, job: JobId) -> None:
         """Remove all batches of a job."""
-        if self._by_step.pop(job, None) is None:
+        steps = self._by_step.pop(job, None)
+        if steps is None:
             return
+        for batches in steps.values():
+            for batch in batches:
+                self._discount_demand(batch)
         self._new = [batch for batch in self._new if batch.job.id != job]
         for tier, batches in self._tiers.items():
             if any(batch.job.id == job for batch in batches):
                 self._tiers[tier] = [batch for batch in batches if batch.job.id != job]
 
+    def _discount_demand(self, batch: Batch) -> None:
+        self.demands[batch.demand] -= 1
+        if not self.demands[batch.demand]:
+            del self.demands[batch.demand]
+
     def measure_work_ahead(self, latest_start: timedelta) -> float:
         """Return the core-milliseconds of all on-time work that is as urgent as this latest start.
 
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -10,11 +10,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from ..clock import to_milliseconds
 from .admission import Rejection, estimate_wait
-from .backlog import Batch, Tier
+from .backlog import Batch, Demand, Tier
 from .capacity_index import CapacityIndex
 from .crashes import EXCLUSIVE_WAIT, THIRD_START_DELAY, StartRestriction
 from .early_refusal import EarlyRefusal
@@ -44,6 +45,7 @@
 NO_DEMAND = 1 << 62
 """CPU need, more than any upstream has, that stands for an empty backlog: no change of an upstream
 then triggers another try."""
+_PlacementKey = tuple[ServiceName, Demand, str, timedelta, timedelta, timedelta]
 NO_RELEASE = timedelta.max
 """When held batches are released if there are none."""
 
@@ -63,6 +65,8 @@
         """No held batch may be placed elsewhere before then."""
         self._starts_left = MAX_STARTS_PER_ROUND
         """How many more tasks this round may start."""
+        self._unplaceable: set[_PlacementKey] = set()
+        """Batches that have found no upstream in this round, in which capacity only shrinks."""
         self._hopeless: list[Batch] = []
         """Batches that have become hopeless since the last round that tried all."""
         self._overload = Overload()
@@ -89,6 +93,7 @@
         a batch that did not fit is tried again only where one of these has enough.
         """
         self._unpolled.clear()
+        self._unplaceable.clear()
         continues = self.is_cut_short
         self._starts_left = MAX_STARTS_PER_ROUND
         for instance in changed or ():
@@ -150,19 +155,28 @@
 
     def _schedule_changed(self, changed: list[Instance], now: timedelta) -> None:
         """Try the batches in their order on changed instances, until none fits any more."""
-        most = _find_max_free_cpu(changed)
-        if most < self._min_cpu_needed:
+        demands = self._select_fitting(self._jobs.backlog.demands, changed, now)
+        if not demands:
             return
         for batch in self._jobs.backlog:
             if batch.was_tried and (
-                batch.cpu_millis > most or not self._may_fit_any(batch, changed)
+                batch.demand not in demands or not self._may_fit_any(batch, changed)
             ):
                 continue
             if self._schedule_batch(batch, now):
-                most = _find_max_free_cpu(changed)
-            if most < self._min_cpu_needed or self.is_cut_short:
+                demands = self._select_fitting(demands, changed, now)
+            if not demands or self.is_cut_short:
                 return
 
+    def _select_fitting(
+        self, demands: Iterable[Demand], changed: list[Instance], now: timedelta
+    ) -> set[Demand]:
+        """Return the demands that at least one changed instance meets."""
+        accepting = [each for each in changed if self._instances.accepts_work(each, now)]
+        return {
+            demand for demand in demands if any(_meets_demand(each, demand) for each in accepting)
+        }
+
     def _may_fit_any(self, batch: Batch, changed: list[Instance]) -> bool:
         """Return whether a batch that waits for certain upstreams need be tried on changed ones."""
         if batch.hold is None:
@@ -190,6 +204,8 @@
         if self._is_delayed(batch, now):
             return False
         service = self._find_service(batch.job)
+        if _find_placement_key(batch, service) in self._unplaceable:
+            return False
         if batch.cpu_millis > self._capacity.find_max_free_cpu(service):
             # It fits nowhere.
             return False
@@ -310,6 +326,8 @@
                 batch, service, job.home, now, needs_empty=self._needs_empty(batch, now)
             )
             if instance is None:
+                if batch.hold is None and _depends_on_capacity_alone(batch):
+                    self._unplaceable.add(_find_placement_key(batch, service))
                 break
             has_started = True
             self._starts_left -= 1
@@ -375,6 +393,25 @@
         self._term.orders.append(order)
 
 
+def _meets_demand(instance: Instance, demand: Demand) -> bool:
+    if demand.label and demand.label not in instance.info.labels:
+        return False
+    if instance.is_on_probation and instance.runs:
+        return False
+    return instance.has_free_capacity(demand.needs)
+
+
+def _find_placement_key(batch: Batch, service: ServiceName) -> _PlacementKey:
+    """Return what the choice of an upstream depends on, apart from the upstreams and the time."""
+    times = (batch.latest_task_start, batch.chain, batch.run_time)
+    return (service, batch.demand, batch.step.data_rack, *times)
+
+
+def _depends_on_capacity_alone(batch: Batch) -> bool:
+    """Whether a batch finds no upstream if one with the same placement key has found none."""
+    return not batch.step.max_per_upstream and batch.restriction is StartRestriction.NONE
+
+
 def _is_typical(run: Run, step: StepSpec, instance: Instance, now: timedelta) -> bool:
     """Return whether the run time of a task that starts depends on the kind of upstream alone.
 
--- a/cottonlug/tests/job_shapes.py
+++ b/cottonlug/tests/job_shapes.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from ..core.cluster.model import JobSpec, Needs, StepSpec
 
 Shape = Callable[[int], JobSpec]
@@ -37,6 +39,13 @@
     return build_steps([()] * size)
 
 
+def build_steps_without_cpu(size: int) -> JobSpec:
+    """Return independent steps of which one at a time fits an upstream, by its memory."""
+    spec = build_independent_steps(size)
+    steps = tuple(msgspec.structs.replace(step, needs=Needs(memory_mb=600)) for step in spec.steps)
+    return msgspec.structs.replace(spec, steps=steps)
+
+
 def build_line(size: int) -> JobSpec:
     """Return a job in which each step waits for the one before it."""
     return build_steps([(), *((number,) for number in range(size - 1))])
@@ -73,6 +82,7 @@
 SHAPES: dict[str, Shape] = {
     "single step": build_single_step,
     "independent steps": build_independent_steps,
+    "steps without cpu": build_steps_without_cpu,
     "line": build_line,
     "fan": build_fan,
     "stages": build_stages,
