--- a/cottonlug/tests/test_job_bodies.py
+++ b/cottonlug/tests/test_job_bodies.py
@@ -11,6 +11,8 @@
 from hypothesis import strategies as st
 from returns.result import Failure as Err
 
+from soak.shapes import REFUSED, build_bodies
+
 from ..core.cluster.calls import Answer, Call, Outcome
 from ..core.cluster.forecast import Forecast
 from ..core.cluster.model import JobId, JobSpec, Queue
@@ -104,6 +106,14 @@
     assert isinstance(decode_heartbeat("u1", DEEP), Err)
 
 
+# Guards against: jobs that are tried on real processes are not what they are named.
+def test_the_jobs_of_the_soak_are_accepted_and_refused_as_they_are_named() -> None:
+    for name, body in build_bodies().items():
+        decoded = decode_job(body)
+        is_refused = isinstance(decoded, Err) or bool(find_job_problem(decoded.unwrap()))
+        assert is_refused == (name in REFUSED), name
+
+
 # Guards against: an accepted job ends each leader in turn, also after its restart, as a number of
 # it cannot be computed with.
 @settings(max_examples=300, derandomize=True, deadline=None)
