Have a task wait for its listed end also where its occurrence is not open yet

What callers saw: nothing in a run; found by reading, and shown by the model. An earlier leader had begun an occurrence of a timed job by a faster clock. The next one, by whose clock it was not due yet, heard of its ends before it opened the occurrence, and started the tasks again until these ends were committed (TWICE).

Cause: OpenJobs.mark_recording returned where the task was not open; only listed runs opened their occurrence.

Change: a listed end opens the occurrences up to its own, as a listed run does.

Measured: the new test counted 8 starts of 4 tasks before, and 4 now.

--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -368,8 +368,12 @@
     def mark_recording(self, end: RunEndReport, upstream: UpstreamId) -> None:
         """Have a task whose run has ended at this upstream wait until that end is recorded."""
         job = self.jobs.get(end.task.job)
-        task = job.tasks.get(end.task) if job is not None else None
-        if job is None or task is None:
+        if job is None:
+            return
+        # A task that is added only later would not wait for the record.
+        self.open_through(job, end.task.occurrence, self._now)
+        task = job.tasks.get(end.task)
+        if task is None:
             return
         task.unrecorded_ends.add((upstream, end.number))
         is_current = task.is_current_run(end.run, upstream)
--- a/cottonlug/tests/test_long_turns.py
+++ b/cottonlug/tests/test_long_turns.py
@@ -9,7 +9,7 @@
 import pytest
 
 from ..core.cluster.backlog import Backlog, Batch
-from ..core.cluster.commands import AcceptJob, CancelJob
+from ..core.cluster.commands import AcceptJob, CancelJob, RecordRunEnds
 from ..core.cluster.crashes import StartRestriction
 from ..core.cluster.model import JobId, JobSpec, JobState, Needs, TaskRef
 from ..core.cluster.open_job import TaskPhase
@@ -178,6 +178,26 @@
     assert len(job.unknown) == MAX_OPEN_TASKS
 
 
+# Guards against: an occurrence that is not due by the clock of this leader, but was begun by an
+# earlier one, is started while the ends of its runs are being recorded.
+def test_an_end_of_an_occurrence_that_is_not_open_yet_keeps_its_task_from_a_second_start() -> None:
+    first = start_leader(run_ms=100)
+    spec = build_without_needs(build_single_step, 4, run_ms=100)
+    accept(
+        first, msgspec.structs.replace(spec, repeat_count=2, start_at_ms=100, interval_ms=10_000)
+    )
+    first.world.run_until(first.world.now + milliseconds(50))
+    first.is_over = True
+    first.world.run_until(first.world.now + milliseconds(100))
+    record = first.records.jobs[JOB]
+    due_ms = int(first.world.now / milliseconds(1)) + 50
+    record.spec = msgspec.structs.replace(record.spec, start_at_ms=due_ms)
+    second = start_next_leader(first, first.records)
+    second.commits = lambda command: not isinstance(command, RecordRunEnds)
+    second.world.run_until(second.world.now + milliseconds(300))
+    assert len(second.world.begun) == 4
+
+
 def test_a_job_whose_starts_took_many_rounds_is_completed() -> None:
     leader = start_leader()
     accept(leader, build_without_needs(build_independent_steps, LARGE))
