Pass over the occurrences of a timed job in pieces, also those that are done

Cause: by reading; a new leader went through all occurrences of a timed job in the turn in which it opened it, up to 65,536, however many were done, as only open tasks counted for the limit.

Change: a call looks at occurrences of at most 4,096 tasks, or at one; the next round goes on.

Measured: the new test needs that; before, all twelve occurrences were passed over at once.

--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -187,15 +187,16 @@
             # The records do not tell how far another coordinator has come.
             phase = TaskPhase.UNKNOWN
         size = spec.task_count // spec.occurrences
-        while job.next_occurrence < spec.occurrences:
-            if job.tasks and len(job.tasks) + size > MAX_OPEN_TASKS:
-                return
+        # A call looks at no more than this many, also where their tasks are done already.
+        for _ in range(max(1, MAX_OPEN_TASKS // size)):
+            has_room = not job.tasks or len(job.tasks) + size <= MAX_OPEN_TASKS
             late_ms = self._term.wall_ms() - spec.find_due_ms(job.next_occurrence)
-            if late_ms < 0:
-                return
+            if job.next_occurrence == spec.occurrences or not has_room or late_ms < 0:
+                break
             due_at = now - timedelta(milliseconds=late_ms)
             self._open_occurrence(job, job.next_occurrence, phase, due_at)
-        del self._timed[job.record.id]
+        if job.next_occurrence == spec.occurrences:
+            del self._timed[job.record.id]
 
     def _open_occurrence(
         self, job: OpenJob, occurrence: int, phase: TaskPhase, due_at: timedelta
--- a/cottonlug/tests/test_long_turns.py
+++ b/cottonlug/tests/test_long_turns.py
@@ -178,6 +178,25 @@
     assert len(job.unknown) == MAX_OPEN_TASKS
 
 
+# Guards against: a new leader looks at all occurrences of a timed job in one turn, also where these
+# have ended long ago.
+def test_occurrences_that_are_done_are_passed_over_in_pieces() -> None:
+    first = start_leader()
+    spec = build_without_needs(build_single_step, MAX_OPEN_TASKS // 4)
+    accept(first, msgspec.structs.replace(spec, repeat_count=12, start_at_ms=1, interval_ms=1))
+    record = first.records.jobs[JOB]
+    for occurrence in range(9):
+        for task_index in range(MAX_OPEN_TASKS // 4):
+            record.get_or_add_task(TaskRef(JOB, occurrence, 0, task_index)).is_done = True
+            record.done_count += 1
+    second = start_next_leader(first, first.records)
+    job = second.dispatch.jobs.jobs[JOB]
+    # Four when it was built, and four with the first decision.
+    assert (job.next_occurrence, len(job.tasks)) == (8, 0)
+    second.dispatch.tick(second.world.now)
+    assert (job.next_occurrence, len(job.tasks)) == (12, 3 * MAX_OPEN_TASKS // 4)
+
+
 # Guards against: an occurrence that is not due by the clock of this leader, but was begun by an
 # earlier one, is started while the ends of its runs are being recorded.
 def test_an_end_of_an_occurrence_that_is_not_open_yet_keeps_its_task_from_a_second_start() -> None:
