Submit small jobs beside the large ones of soak.shapes

Whether others are served beside a large job was not measured. soak.shapes prints how many small best-effort jobs were served and failed, and the longest time that one took.

--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -1,13 +1,15 @@
 """Large jobs of many shapes against real processes: `python -m soak.shapes --output DIR`.
 
-Each job is submitted alone, while every process is asked for something small again and again. What
-counts is the longest time in which a process does not answer.
+Each large job is submitted alone, while every process is asked for something small again and again,
+and small jobs are submitted beside it. What counts is the longest time in which a process does not
+answer, and how many of the small jobs are served, and how late.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import itertools
 import signal
 import time
 from collections.abc import Mapping
@@ -23,7 +25,7 @@
 from .fleet import QUEUE_HOST, QUEUE_PREFIX, SERVICE, Fleet, FleetSize, build_configuration
 from .record import Record
 from .upstreams import StandInUpstream, Work
-from .wire import Response, build_client, encode_json, send
+from .wire import Peer, Response, build_client, encode_json, send
 
 PROBE_INTERVAL = 0.02
 """Seconds between an answer and the next question to the same process."""
@@ -32,6 +34,10 @@
 END_LIMIT_SECONDS = 90.0
 """How long a job is waited for."""
 SETTLE_SECONDS = 0.5
+SMALL_JOB_INTERVAL = 0.1
+"""Seconds between the answer to a small job and the next one."""
+SMALL_JOB_TIMEOUT = timedelta(seconds=2)
+_FIRST_SMALL_JOB = 1 << 32
 
 Steps = list[dict[str, object]]
 
@@ -144,6 +150,46 @@
             await asyncio.sleep(PROBE_INTERVAL)
 
 
+@dataclass(slots=True, kw_only=True)
+class SmallJobs:
+    """Small best-effort jobs, which are submitted again and again."""
+
+    addresses: list[Peer]
+    served: int = 0
+    failed: int = 0
+    longest: float = 0.0
+    """Seconds from a submission to the answer that the job is completed."""
+    _numbers: itertools.count[int] = field(default_factory=itertools.count)
+
+    def reset(self) -> None:
+        """Forget what was measured."""
+        self.served = self.failed = 0
+        self.longest = 0.0
+
+    async def submit_forever(self) -> None:
+        """Submit a job, wait for its end, and go on."""
+        client = build_client()
+        body = {"steps": [build_step()], "best_effort": True}
+        while True:
+            number = next(self._numbers)
+            host, port = self.addresses[number % len(self.addresses)]
+            began_at = time.monotonic()
+            reply = await send(
+                client,
+                "POST",
+                f"http://{host}:{port}{QUEUE_PREFIX}{_FIRST_SMALL_JOB + number:016x}",
+                timeout=SMALL_JOB_TIMEOUT,
+                content=body,
+                headers={"Host": QUEUE_HOST},
+            )
+            if reply is not None and reply.read_json().get("state") == "completed":
+                self.served += 1
+                self.longest = max(self.longest, time.monotonic() - began_at)
+            else:
+                self.failed += 1
+            await asyncio.sleep(SMALL_JOB_INTERVAL)
+
+
 class Caller:
     """Submits jobs and waits for their ends, at any gateway."""
 
@@ -238,14 +284,17 @@
     probes = Probes(urls=control | gateways)
     probes.reset()
     caller = Caller(fleet=fleet)
+    small_jobs = SmallJobs(addresses=list(fleet.caller_addresses.values()))
     async with asyncio.TaskGroup() as group:
         probing = [group.create_task(probes.probe_forever(name)) for name in probes.urls]
         probing.append(group.create_task(probes.measure_own_delay()))
+        probing.append(group.create_task(small_jobs.submit_forever()))
         for number, (name, body) in enumerate(build_bodies().items(), 1):
             if only not in name:
                 continue
             await asyncio.sleep(SETTLE_SECONDS)
             probes.reset()
+            small_jobs.reset()
             began_at = time.monotonic()
             job = f"{number:016x}"
             status = await caller.submit(job, body)
@@ -253,7 +302,8 @@
             took = time.monotonic() - began_at
             silences = " ".join(f"{each:.3f}" for each in probes.read().values())
             row = (name, f"{len(body):,}", status, state, f"{took:.1f}", silences)
-            print("|", " | ".join(map(str, row)), f"| {probes.own_delay:.3f} |")
+            others = f"{small_jobs.served} {small_jobs.failed} {small_jobs.longest:.3f}"
+            print("|", " | ".join(map(str, row)), f"| {probes.own_delay:.3f} | {others} |")
         for task in probing:
             task.cancel()
 
@@ -285,7 +335,8 @@
     parser.add_argument("--output", type=Path, required=True, help="folder of the logs")
     given = parser.parse_args()
     print(
-        "| job | bytes | status | state | seconds | longest silence, s: c1 c2 c3 e1 e2 e3 | own |"
+        "| job | bytes | status | state | seconds | longest silence, s: c1 c2 c3 e1 e2 e3 | own "
+        "| small jobs: served, failed, longest s |"
     )
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(play_all(given.output, upstream_count=given.upstreams, only=given.only))
