--- a/bench/shortage.py
+++ b/bench/shortage.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from cottonlug.core.cluster import backlog, open_jobs, scheduler
+from cottonlug.core.cluster import backlog, batch_builder, scheduler
 from cottonlug.core.cluster.backlog import Batch, Tier
 from cottonlug.core.cluster.scheduler import Scheduler
 
@@ -89,8 +89,8 @@
         (backlog, "_by_latest_start", _by_newest),
         (backlog.Backlog, "demote", _demote_all),
     ),
-    "0.2 of the wait kept for longer runs": ((open_jobs, "START_MARGIN_SHARE", 0.2),),
-    "0.6 of the wait kept for longer runs": ((open_jobs, "START_MARGIN_SHARE", 0.6),),
+    "0.2 of the wait kept for longer runs": ((batch_builder, "START_MARGIN_SHARE", 0.2),),
+    "0.6 of the wait kept for longer runs": ((batch_builder, "START_MARGIN_SHARE", 0.6),),
 }
 
 
--- a/bench/variants.py
+++ b/bench/variants.py
@@ -10,13 +10,13 @@
 from cottonlug.core.cluster import (
     admission,
     backlog,
+    batch_builder,
     capacity_index,
     crash_tracker,
     crashes,
     forecast,
     instance_table,
     instances,
-    open_jobs,
     placement,
     progress,
     response_timeout,
@@ -95,7 +95,7 @@
         (backlog.Backlog, "demote", lambda self, now: []),
         (backlog, "_by_latest_start", lambda batch: batch.job.id),
     ),
-    "no_start_margin": build_variant((open_jobs, "START_MARGIN_SHARE", 0.0)),
+    "no_start_margin": build_variant((batch_builder, "START_MARGIN_SHARE", 0.0)),
     "no_spread_of_wide_jobs": build_variant(
         (throughput.Throughput, "estimate_start_delay", _return_no_delay)
     ),
@@ -140,8 +140,8 @@
     ),
     "usable_share_0.43": build_variant((admission, "USABLE_SHARE", 0.43)),
     "usable_share_1.7": build_variant((admission, "USABLE_SHARE", 1.7)),
-    "start_margin_0.2": build_variant((open_jobs, "START_MARGIN_SHARE", 0.2)),
-    "start_margin_0.8": build_variant((open_jobs, "START_MARGIN_SHARE", 0.8)),
+    "start_margin_0.2": build_variant((batch_builder, "START_MARGIN_SHARE", 0.2)),
+    "start_margin_0.8": build_variant((batch_builder, "START_MARGIN_SHARE", 0.8)),
     "stands_still_after_0.25": build_variant((progress, "STALLED_AFTER_SHARE", 0.25)),
     "stands_still_after_1.0": build_variant((progress, "STALLED_AFTER_SHARE", 1.0)),
     "patience_12_to_40_ms": build_variant(
--- a/cottonlug/core/cluster/backlog.py
+++ b/cottonlug/core/cluster/backlog.py
@@ -17,9 +17,9 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
-from typing import NamedTuple
 
 from .crashes import StartRestriction
+from .demands import Demand
 from .model import JobId, Needs, ServiceName, StepSpec, TaskRef
 from .records import JobRecord
 
@@ -28,14 +28,6 @@
 ms and more, and each of some thousand run ends a second would cause a search otherwise."""
 
 
-class Demand(NamedTuple):
-    """What an upstream must have for a task to start there."""
-
-    needs: Needs
-    label: str
-    """Label of the upstream; empty if any will do."""
-
-
 class Tier(Enum):
     """Whether a batch can still meet its job's objective; served in the order of the members."""
 
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -20,13 +20,14 @@
 from ..clock import to_milliseconds
 from ..ids import UpstreamId
 from .admission import Rejection
-from .backlog import Backlog, Batch
+from .backlog import Backlog
+from .batch_builder import build_batch
 from .crash_tracker import CrashTracker
 from .crashes import StartRestriction
-from .forecast import USEFUL_FACTOR, Forecast
+from .forecast import Forecast
 from .instance_table import InstanceTable
 from .job_table import JobTable
-from .model import JobId, JobState, Queue, RunEndKind, RunEndReport, RunNumber, TaskRef
+from .model import JobId, JobState, RunEndKind, RunEndReport, RunNumber, TaskRef
 from .open_job import OpenJob, TaskPhase
 from .records import JobRecord, end_job
 from .term import Term
@@ -35,10 +36,6 @@
 
 ENDED_JOB_RETENTION = timedelta(seconds=10)
 """How long the end of a best-effort job is remembered, to answer a late second submission."""
-START_MARGIN_SHARE = 0.4
-"""Share of the wait allowed by the objective, beyond the queue's target latency, that is reserved
-for longer runs than expected: run times scatter by 0.4 on a logarithmic scale (its benefit is in
-docs/design/platform.md)."""
 MAX_QUEUED_AT_ONCE = 16
 """Most steps that are queued as soon as they are ready. The start of a job, or the end of one task,
 may make thousands ready; the others wait for their turn."""
@@ -51,8 +48,6 @@
 at once, and each task costs time and memory from then on."""
 _COUNTED_ENDS = (RunEndKind.DONE, RunEndKind.FAILED)
 """Ends that the record of a task counts, so that it may not start again after them."""
-NEVER_LATE = timedelta.max
-"""Latest start of long-running tasks: they go before all others and are never abandoned."""
 
 
 class OpenJobs:
@@ -278,41 +273,21 @@
         task_indexes: list[int],
         restriction: StartRestriction,
     ) -> None:
-        step = job.record.spec.steps[number]
         for task_index in task_indexes:
             job.set_phase(TaskRef(job.record.id, occurrence, number, task_index), TaskPhase.QUEUED)
         if restriction is StartRestriction.NONE and self.backlog.join(
             job.record.id, occurrence, number, task_indexes, has_begun=job.has_begun
         ):
             return
-        due_at = job.occurrences[occurrence].due_at
-        queue = job.record.queue
-        chain = self.forecast.predict_chain(queue.key, job.record.spec, number)
-        run_time = self.forecast.predict(queue.key, step)
-        longest_wait = find_max_wait(queue, job.objective, chain)
-        batch = Batch(
-            job=job.record,
-            occurrence=occurrence,
-            step_number=number,
-            step=step,
-            latest_start=due_at
-            + longest_wait
-            - self.throughput.estimate_start_delay(len(task_indexes)),
-            latest_task_start=due_at + job.objective - chain,
-            has_begun=job.has_begun,
-            latest_useful_start=due_at + job.objective * USEFUL_FACTOR - chain,
-            run_time=run_time,
-            chain=chain,
-            core_ms=run_time / timedelta(milliseconds=1) * step.needs.cpu_millis / 1000,
+        batch = build_batch(
+            job,
+            occurrence,
+            number,
+            task_indexes,
             restriction=restriction,
-            waiting=task_indexes,
+            forecast=self.forecast,
+            start_delay=self.throughput.estimate_start_delay(len(task_indexes)),
         )
-        if job.record.spec.long_running:
-            # It must be running again within seconds, however full the service is: it is urgent
-            # at once, and never becomes late.
-            batch.latest_start = due_at
-            batch.latest_task_start = batch.latest_useful_start = NEVER_LATE
-            batch.has_begun = True
         self.backlog.add(batch)
 
     def requeue(self, ref: TaskRef, run: RunNumber, upstream: UpstreamId) -> None:
@@ -553,13 +528,3 @@
         return False
     job.set_phase(ref, TaskPhase.RECORDING)
     return True
-
-
-def find_max_wait(queue: Queue, objective: timedelta, chain: timedelta) -> timedelta:
-    """Return how long after a job arrived or was due a step may start, less a margin for run times.
-
-    `chain` is the expected time from that start to the end of the job.
-    """
-    slack = objective - chain
-    for_run_times = slack - timedelta(milliseconds=queue.target_latency_ms)
-    return slack - max(for_run_times, timedelta()) * START_MARGIN_SHARE
--- a/cottonlug/core/cluster/scheduler.py
+++ b/cottonlug/core/cluster/scheduler.py
@@ -15,16 +15,18 @@
 
 from ..clock import to_milliseconds
 from .admission import Rejection, estimate_wait
-from .backlog import Batch, Demand, Tier
+from .backlog import Batch, Tier
+from .batch_builder import find_max_wait
 from .capacity_index import CapacityIndex
 from .crashes import EXCLUSIVE_WAIT, THIRD_START_DELAY, StartRestriction
+from .demands import Demand, meets_demand
 from .early_refusal import EarlyRefusal
 from .forecast import USEFUL_FACTOR
 from .instance_table import InstanceTable
 from .instances import Instance
 from .model import JobSpec, Queue, ServiceName, StepSpec, TaskRef, UpstreamInfo
 from .open_job import TaskPhase
-from .open_jobs import OpenJobs, find_max_wait
+from .open_jobs import OpenJobs
 from .orders import Run, RunPhase, StartOrder
 from .overload import Overload
 from .placement import Placement
@@ -189,7 +191,7 @@
         """Return the demands that at least one of some instances meets."""
         accepting = [each for each in instances if self._instances.accepts_work(each, now)]
         return {
-            demand for demand in demands if any(_meets_demand(each, demand) for each in accepting)
+            demand for demand in demands if any(meets_demand(each, demand) for each in accepting)
         }
 
     def _may_fit_any(self, batch: Batch, changed: list[Instance]) -> bool:
@@ -409,14 +411,6 @@
         self._term.orders.append(order)
 
 
-def _meets_demand(instance: Instance, demand: Demand) -> bool:
-    if demand.label and demand.label not in instance.info.labels:
-        return False
-    if instance.is_on_probation and instance.runs:
-        return False
-    return instance.has_free_capacity(demand.needs)
-
-
 def _find_placement_key(batch: Batch, service: ServiceName) -> _PlacementKey:
     """Return what the choice of an upstream depends on, apart from the upstreams and the time."""
     times = (batch.latest_task_start, batch.chain, batch.run_time)
--- a/cottonlug/tests/test_cluster_overload.py
+++ b/cottonlug/tests/test_cluster_overload.py
@@ -12,10 +12,10 @@
 import pytest
 
 from ..core.cluster.backlog import Backlog, Tier
+from ..core.cluster.batch_builder import find_max_wait
 from ..core.cluster.calls import Answer, Call, Outcome, Submit
 from ..core.cluster.forecast import find_max_useful_wait
 from ..core.cluster.model import JobId, JobState
-from ..core.cluster.open_jobs import find_max_wait
 from ..core.cluster.records import Records
 from ..core.cluster.throughput import MAX_INTERVAL, Throughput
 from .gateway_builders import JOB, build_clock, build_failover_state, build_gateway, build_submit
