--- a/bench/shortage.py
+++ b/bench/shortage.py
@@ -72,7 +72,7 @@
         moved.append(late.pop(0))
     for batch in moved:
         batch.tier = Tier.LATE if batch.latest_useful_start >= now else Tier.HOPELESS
-        self.add(batch)
+        self._insert(batch)
     return moved
 
 
