Log a held-up event loop once a second at most

A host whose processor time is a quota of each tenth of a second would have written ten lines a second; a meter that nobody checks would have kept all decisions. Three tests pass, one of them new: five delays within 1.5 s, two lines.

--- a/cottonlug/runtime/loop_monitor.py
+++ b/cottonlug/runtime/loop_monitor.py
@@ -17,6 +17,8 @@
 CHECK_INTERVAL = timedelta(milliseconds=100)
 LONG_DELAY = timedelta(milliseconds=50)
 """Delays from this one on are logged: a leader's lease outlasts five of them."""
+LOG_INTERVAL = timedelta(seconds=1)
+"""Shortest time between two log lines: a host with little processor time is late all the time."""
 
 
 class LoopMonitor:
@@ -27,6 +29,7 @@
         """Called with each measured delay in milliseconds."""
         self._work = work
         self._clock = clock
+        self._log_due = timedelta()
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -47,8 +50,10 @@
 
     def _record(self, delay: timedelta) -> None:
         self.record_delay(max(delay, timedelta()) / timedelta(milliseconds=1))
-        if delay < LONG_DELAY:
+        now = self._clock.monotonic()
+        if delay < LONG_DELAY or now < self._log_due:
             return
+        self._log_due = now + LOG_INTERVAL
         work, seconds = self._work.find_longest_work()
         decision, job, count = self._work.find_most_frequent_decision()
         log_event(
--- a/cottonlug/runtime/work_meter.py
+++ b/cottonlug/runtime/work_meter.py
@@ -58,6 +58,8 @@
         """Time spent up to the last call of `begin_check`."""
         self._decisions: Counter[tuple[str, str]] = Counter()
         """Decisions since then, by name and job."""
+        self._is_checked = False
+        """Whether `begin_check` is called from time to time, so that these stay few."""
 
     def measure(self, work: Work) -> _Span:
         """Return a context in which the time counts for a kind of work; it may not be nested."""
@@ -65,10 +67,12 @@
 
     def count_decision(self, name: str, job: str) -> None:
         """Count a decision about a job; the id is empty for other decisions."""
-        self._decisions[name, job] += 1
+        if self._is_checked:
+            self._decisions[name, job] += 1
 
     def begin_check(self) -> None:
         """Have `find_longest_work` and `find_most_frequent_decision` count from now on."""
+        self._is_checked = True
         self._checked_seconds = {work: amount.seconds for work, amount in self.total.items()}
         self._decisions.clear()
 
--- a/cottonlug/tests/test_loop_monitor.py
+++ b/cottonlug/tests/test_loop_monitor.py
@@ -16,7 +16,7 @@
 
 
 def play(
-    monkeypatch: pytest.MonkeyPatch, lateness: timedelta
+    monkeypatch: pytest.MonkeyPatch, lateness: timedelta, checks: int = 1
 ) -> tuple[list[dict[str, object]], list[float]]:
     """Return the events and delays after work that ends later than the next check is due."""
     logged = record_events(monkeypatch, loop_monitor)
@@ -31,13 +31,14 @@
         work.count_decision("job_ended", "old")
         monitor.start()
         await asyncio.sleep(0)
-        with work.measure(Work.DECISIONS):
-            for _ in range(3):
-                work.count_decision("run_started", "large")
-            work.count_decision("run_ended", "small")
-            clock.advance(CHECK_INTERVAL + lateness)
-        while not delays:
-            await asyncio.sleep(0.01)
+        for number in range(1, checks + 1):
+            with work.measure(Work.DECISIONS):
+                for _ in range(3):
+                    work.count_decision("run_started", "large")
+                work.count_decision("run_ended", "small")
+                clock.advance(CHECK_INTERVAL + lateness)
+            while len(delays) < number:
+                await asyncio.sleep(0.01)
         monitor.stop()
 
     asyncio.run(scenario())
@@ -66,3 +67,12 @@
 def test_a_short_delay_is_only_measured(monkeypatch: pytest.MonkeyPatch) -> None:
     logged, delays = play(monkeypatch, LONG_DELAY - timedelta(milliseconds=1))
     assert (logged, delays[0]) == ([], 49)
+
+
+def test_a_process_that_is_late_all_the_time_writes_one_line_a_second(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    logged, delays = play(monkeypatch, timedelta(milliseconds=200), checks=5)
+    assert delays == [200] * 5
+    # At 0.3 s and at 1.5 s.
+    assert len(logged) == 2
