Log where an unexpected error was raised, and what was handled

Cause: event 1006 gave the type and the message of an error alone. Result: test_failure_events fails before the change (fields missing) and passes with it.

--- a/cottonlug/runtime/entry.py
+++ b/cottonlug/runtime/entry.py
@@ -43,6 +43,7 @@
 from ..core.submissions import SubmissionStore
 from .control import Control
 from .events import Event, log_event
+from .failures import log_failure
 from .rulebook import Rulebook
 
 TICK_SECONDS = 0.05
@@ -330,7 +331,7 @@
             self._unfetched.intersection_update(jobs)
 
     def _report_failure(self, error: Exception) -> None:
-        log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
+        log_failure(Event.INVARIANT_BROKEN, error, during="dispatch")
         if self._on_failure is not None:
             self._on_failure(error)
 
--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -66,7 +66,8 @@
 from ..core.cluster.term import TOKENS_PER_TERM
 from ..core.ids import DomainName
 from .decisions import log_decision
-from .events import Event, log_event
+from .events import Event, Field, log_event
+from .failures import log_failure
 from .gateway_registry import GatewayRegistry
 from .heartbeat_port import HeartbeatPort
 from .heartbeat_responder import SPREAD_MIN_UPSTREAMS, ResponderDirectory
@@ -488,11 +489,12 @@
                 with self._work.measure(Work.ORDERS):
                     self._send_orders()
         except Exception as error:
-            self._fail(error)
+            self._fail(error, during="decision")
 
-    def _fail(self, error: Exception) -> None:
+    def _fail(self, error: Exception, *, during: str, **fields: Field) -> None:
         """Have this process stop: the same error would occur again, so another host must lead."""
-        log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
+        term = int(self.term)
+        log_failure(Event.INVARIANT_BROKEN, error, during=during, term=term, **fields)
         self._on_failure(error)
 
     def _decide_now(self) -> bool:
@@ -573,7 +575,8 @@
             with self._work.measure(Work.UPSTREAM_ANSWERS):
                 self._handle_answer(order, sent_at, answer)
         except Exception as error:
-            self._fail(error)
+            during = f"answer to {type(order).__name__}"
+            self._fail(error, during=during, upstream=order.upstream.id)
         self._schedule_decision()
 
     def _handle_answer(self, order: Order, sent_at: timedelta, answer: OrderAnswer) -> None:
--- a/cottonlug/runtime/messenger.py
+++ b/cottonlug/runtime/messenger.py
@@ -26,7 +26,8 @@
 )
 from ..core.control_messages import ConsensusBatch
 from ..net.connections import ConnectionPools, parse_address
-from .events import Event, log_event
+from .events import Event
+from .failures import log_failure
 
 MESSAGES_PATH = "/v1/consensus"
 CALL_TIMEOUT = timedelta(milliseconds=450)
@@ -155,7 +156,7 @@
                 if messages or self.has_report(peer.host):
                     await self._send(peer, messages)
         except Exception as error:
-            log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
+            log_failure(Event.INVARIANT_BROKEN, error, during="sending", peer=peer.host)
             self._on_failure(error)
 
     async def _wait_for_messages(self, peer: Peer, until: timedelta) -> None:
--- a/cottonlug/runtime/replica.py
+++ b/cottonlug/runtime/replica.py
@@ -47,6 +47,7 @@
 from ..storage.files import FolderFiles
 from ..storage.journal import Journal, StorageError, open_journal
 from .events import Event, log_event
+from .failures import log_failure
 from .membership import JoinRequest, Membership
 from .messenger import Messenger
 
@@ -483,7 +484,7 @@
         try:
             await work
         except Exception as error:
-            log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
+            log_failure(Event.INVARIANT_BROKEN, error, during="replication")
             self._on_failure(error)
 
     async def _tick_forever(self) -> None:
--- a/cottonlug/runtime/voter.py
+++ b/cottonlug/runtime/voter.py
@@ -57,6 +57,7 @@
     find_rules_problem,
 )
 from .events import Event, log_event
+from .failures import log_failure
 from .rulebook import Rulebook
 
 TICK_SECONDS = 0.1
@@ -346,7 +347,7 @@
         try:
             await work
         except Exception as error:
-            log_event(Event.INVARIANT_BROKEN, error=f"{type(error).__name__}: {error}")
+            log_failure(Event.INVARIANT_BROKEN, error, during="replication")
             self._on_failure(error)
 
     async def _tick_forever(self) -> None:
