Keep the loss of an upstream in one place, for as long as it is in question

What callers saw: a control host ended (status 6) each time another instance answered at the address of an upstream that had been lost over 30 s before, if any other upstream was lost in between. So did a gateway that acted as leader, with its callers' connections. Cause: one loss was kept twice. `Instance.lost_at` stood until the upstream answered; the list of losses dropped it after 30 s, but only when another one was lost, and it was never listed again, as `lost_at` was still set. There is no retention time, and no look-up of a loss by its upstream. So who is blamed no longer depends on what else was lost in the meantime, and a rack that went down a minute ago still explains the loss of each member. Why this works: `record_instance_end` gets the loss from the instance or records it there and then.

--- a/cottonlug/core/cluster/crash_tracker.py
+++ b/cottonlug/core/cluster/crash_tracker.py
@@ -23,6 +23,7 @@
     MAX_UNRESOLVED_STARTS,
     NO_ACTIVE_TASKS,
     NO_CRASHES,
+    SIMULTANEOUS_WITHIN,
     ActiveTasks,
     CrashCounts,
     Loss,
@@ -30,6 +31,7 @@
     Suspect,
     assign_blame,
     has_common_cause,
+    is_simultaneous,
 )
 from .instance_table import InstanceTable
 from .instances import Instance
@@ -37,10 +39,6 @@
 from .orders import RunPhase
 from .term import Term
 
-LOSS_RETENTION = timedelta(seconds=30)
-"""How long a loss is remembered: a crashed upstream is back after some seconds, and only then is it
-known that it crashed."""
-
 LARGEST_RACK = 64
 """A label that more upstreams have than this does not name a rack."""
 MAX_REPORTED_SUSPECTS = 1_000
@@ -49,16 +47,19 @@
 
 
 class CrashTracker:
-    """Recent losses of upstreams and their possible causes.
+    """Losses of upstreams and their possible causes.
 
-    The replicated records hold the counts of each task, apart from those that gateways report.
+    The loss of an upstream that is still known here is in its `Instance`, and nowhere else. Whether
+    it crashed may turn out at any time until then, also after an hour. The replicated records hold
+    the counts of each task, apart from those that gateways report.
     """
 
     def __init__(self, *, term: Term, instances: InstanceTable) -> None:
         self._term = term
         self._instances = instances
-        self._losses: list[Loss] = []
-        """Those of the last `LOSS_RETENTION`, unless the upstream has answered since."""
+        self._removed_losses: list[Loss] = []
+        """Losses of upstreams that have been removed since, as far as they may share a cause with
+        one that is still known here, or is yet to be found."""
         self.quarantined: Counter[QueueKey] = Counter()
         """How many tasks of each queue were quarantined in this term for crashing upstreams."""
         self._unresolved_losses: Counter[TaskRef] = Counter()
@@ -75,20 +76,19 @@
 
     def record_no_answer(self, instance: Instance, now: timedelta) -> None:
         """Record that an upstream does not answer."""
-        if instance.lost_at is not None:
-            return
-        instance.lost_at = now
+        if instance.loss is None:
+            self._record_loss(instance, now)
+
+    def _record_loss(self, instance: Instance, now: timedelta) -> Loss:
         if instance.runs:
             self._request_neighbour_polls(instance)
-        self._losses = [each for each in self._losses if now - each.at < LOSS_RETENTION]
-        self._losses.append(
-            Loss(
-                upstream=instance.info.id,
-                at=now,
-                domain=instance.info.domain,
-                labels=instance.info.labels,
-            )
+        instance.loss = Loss(
+            upstream=instance.info.id,
+            at=now,
+            domain=instance.info.domain,
+            labels=instance.info.labels,
         )
+        return instance.loss
 
     def _request_neighbour_polls(self, instance: Instance) -> None:
         """Have the upstreams polled that may have been lost with this one, as those of its rack.
@@ -111,13 +111,8 @@
 
         Return the tasks that were active when it was lost, which are no longer suspected of that.
         """
-        if instance.lost_at is None and instance.lost_tasks is NO_ACTIVE_TASKS:
-            return ()
-        cleared = self.forget_instance(instance)
-        if instance.lost_at is not None:
-            instance.lost_at = None
-            self._losses = [each for each in self._losses if each.upstream != instance.info.id]
-        return cleared
+        instance.loss = None
+        return self._clear_lost_tasks(instance)
 
     def record_lapse(self, instance: Instance, now: timedelta) -> None:
         """Remember the tasks that were active when the lease of an upstream lapsed or it ended.
@@ -126,10 +121,33 @@
         """
         self._set_lost(instance, _find_active_tasks(instance, now))
 
-    def forget_instance(self, instance: Instance) -> tuple[TaskRef, ...]:
+    def forget_instance(self, instance: Instance, now: timedelta) -> tuple[TaskRef, ...]:
         """Forget an upstream that the log has removed; return the tasks that were lost there."""
+        if instance.loss is not None:
+            self._removed_losses.append(instance.loss)
+            instance.loss = None
+            self._drop_unrelated_losses(now)
+        return self._clear_lost_tasks(instance)
+
+    def _drop_unrelated_losses(self, now: timedelta) -> None:
+        """Drop losses of removed upstreams that can explain no other one any more."""
+        open_losses = self._list_open_losses()
+        self._removed_losses = [
+            loss
+            for loss in self._removed_losses
+            if now - loss.at <= SIMULTANEOUS_WITHIN
+            or any(is_simultaneous(loss, each) for each in open_losses)
+        ]
+
+    def _list_open_losses(self) -> list[Loss]:
+        """Return the losses of upstreams of which it is not known whether they crashed."""
+        instances = self._instances.by_id.values()
+        return [instance.loss for instance in instances if instance.loss is not None]
+
+    def _clear_lost_tasks(self, instance: Instance) -> tuple[TaskRef, ...]:
         lost = instance.lost_tasks.all_tasks
-        self._set_lost(instance, NO_ACTIVE_TASKS)
+        if lost:
+            self._set_lost(instance, NO_ACTIVE_TASKS)
         return lost
 
     def record_reported_suspects(self, suspects: Iterable[Suspect]) -> None:
@@ -162,10 +180,10 @@
         if instance.draining or active_tasks == NO_ACTIVE_TASKS:
             self._term.proposals.append(RemoveUpstreams(upstreams=(instance.info.id,)))
             return
-        self.record_no_answer(instance, now)
+        loss = instance.loss or self._record_loss(instance, now)
         blamed = (
             []
-            if self._has_common_cause(instance)
+            if self._has_common_cause(loss)
             else self._find_blamed(active_tasks.confirmed, queues)
         )
         others = tuple(task for task in active_tasks.confirmed if task not in blamed)
@@ -177,7 +195,7 @@
                 "runs": len(active_tasks.confirmed),
                 "unsure": len(active_tasks.unconfirmed),
                 "blamed": " ".join(f"{task.job}.{task.step}.{task.task_index}" for task in blamed),
-                "lost_ms_ago": to_milliseconds(now - (instance.lost_at or now)),
+                "lost_ms_ago": to_milliseconds(now - loss.at),
             },
         )
         at_ms = self._term.wall_ms()
@@ -235,16 +253,16 @@
         )
         instance.lost_tasks = active_tasks
 
-    def _has_common_cause(self, instance: Instance) -> bool:
-        loss = next(each for each in self._losses if each.upstream == instance.info.id)
+    def _has_common_cause(self, loss: Loss) -> bool:
+        losses = [*self._list_open_losses(), *self._removed_losses]
         infos = {
             id: (each.info.domain, each.info.labels) for id, each in self._instances.by_id.items()
         }
-        infos |= {each.upstream: (each.domain, each.labels) for each in self._losses}
+        infos |= {each.upstream: (each.domain, each.labels) for each in losses}
         sizes: Counter[str] = Counter()
         for domain, labels in infos.values():
             sizes.update((domain, *labels))
-        return has_common_cause(loss, self._losses, sizes)
+        return has_common_cause(loss, losses, sizes)
 
     def _find_blamed(
         self, active_tasks: tuple[TaskRef, ...], queues: Mapping[JobId, QueueKey]
--- a/cottonlug/core/cluster/crashes.py
+++ b/cottonlug/core/cluster/crashes.py
@@ -181,15 +181,18 @@
     labels: tuple[str, ...]
 
 
+def is_simultaneous(first: Loss, second: Loss) -> bool:
+    """Return whether two losses may share a cause by the times at which they were found."""
+    return abs(first.at - second.at) <= SIMULTANEOUS_WITHIN
+
+
 def has_common_cause(loss: Loss, losses: Iterable[Loss], sizes: Mapping[str, int]) -> bool:
     """Return whether so much else was lost at the same time that a task is an unlikely cause.
 
     `sizes` gives the number of upstreams of each domain, and of each label, which may name a rack.
     """
     others = [
-        each
-        for each in losses
-        if each.upstream != loss.upstream and abs(each.at - loss.at) <= SIMULTANEOUS_WITHIN
+        each for each in losses if each.upstream != loss.upstream and is_simultaneous(each, loss)
     ]
     if len(others) > MAX_COINCIDENT_LOSSES:
         return True
--- a/cottonlug/core/cluster/dispatch.py
+++ b/cottonlug/core/cluster/dispatch.py
@@ -394,12 +394,12 @@
         elif isinstance(command, UncordonUpstream):
             self._watcher.uncordon(command.upstream)
         elif isinstance(command, RecordCrash):
-            self._drop_instance(command.upstream)
+            self._drop_instance(command.upstream, now)
             suspects = (*command.blamed, *command.others, *command.unanswered)
             self._jobs.fail_quarantined(suspects, now)
         elif isinstance(command, RemoveUpstreams):
             for upstream in command.upstreams:
-                self._drop_instance(upstream)
+                self._drop_instance(upstream, now)
 
     def _handle_evacuation(self, command: SetEvacuation, now: timedelta) -> None:
         """Start nothing more in a domain, or use its upstreams again."""
@@ -412,13 +412,13 @@
         if record.is_evacuated:
             self._scheduler.reject_evacuated(now)
 
-    def _drop_instance(self, upstream: UpstreamId) -> None:
+    def _drop_instance(self, upstream: UpstreamId, now: timedelta) -> None:
         instance = self._instances.by_id.get(upstream)
         self._instances.remove(upstream)
         if instance is not None:
             # Either the log has counted its crash, or it was removed without one. So tasks that
             # were active there need no longer wait until it is known whether they crashed it.
-            self._jobs.update_restrictions(self._jobs.crash_tracker.forget_instance(instance))
+            self._jobs.update_restrictions(self._jobs.crash_tracker.forget_instance(instance, now))
 
     def handle_start_answer(
         self,
--- a/cottonlug/core/cluster/instances.py
+++ b/cottonlug/core/cluster/instances.py
@@ -16,7 +16,7 @@
 
 from ..clock import to_milliseconds
 from .active_runs import ActiveRun, ActiveRuns
-from .crashes import NO_ACTIVE_TASKS, ActiveTasks
+from .crashes import NO_ACTIVE_TASKS, ActiveTasks, Loss
 from .model import Capacity, Needs, RunNumber, TaskRef, UpstreamInfo
 from .orders import Run
 from .response_timeout import ResponseTimeout
@@ -134,8 +134,8 @@
     """
     must_poll: bool = False
     """Whether it is to be polled soon although nothing runs there."""
-    lost_at: timedelta | None = None
-    """When it was first found not to answer; None while it answers."""
+    loss: Loss | None = None
+    """Its loss, from when it is first found not to answer until it answers again."""
     lost_tasks: ActiveTasks = NO_ACTIVE_TASKS
     """Tasks active there when its lease or it ended, kept until it is known whether it crashed."""
     lapse_at: timedelta = timedelta()
