Pass over listed runs of tasks that their job does not have

An upstream, or whatever answers at its address, that lists a run of an open job with a step that the job does not have ended the coordinator (IndexError in `Watcher._predict` or `RunEndHandler._evaluate_end`), and the next one, which polls the same upstream. An end listed as done for a task that the job does not have counted towards the job: it could end as complete with a task that had not run. Cause: adoption checked the number of the step, and the later look-ups did not. Change: `JobSpec.find_step` tells whether a job has a task; `OpenJobs.find_job_of` is the look-up for runs. A run of an unknown task is stopped, and its end is confirmed but not recorded.

--- a/cottonlug/core/cluster/adoption.py
+++ b/cottonlug/core/cluster/adoption.py
@@ -14,10 +14,11 @@
 from ..clock import to_milliseconds
 from .instance_table import InstanceTable
 from .instances import Instance
-from .model import Needs, RunReport
+from .model import JobId, Needs, RunReport
 from .open_job import OpenJob, TaskPhase
 from .open_jobs import OpenJobs
 from .orders import Run, RunPhase
+from .records import JobRecord
 from .term import Term
 
 
@@ -32,23 +33,22 @@
     def handle_listed_run(self, instance: Instance, report: RunReport, now: timedelta) -> None:
         """Record that an upstream lists a run as active.
 
-        A run that this coordinator did not start is adopted if its job is open. If its job is
-        unknown, it is tolerated for a short while at the beginning of the term, or if it is left to
-        a leader. Otherwise it is stopped.
+        A run that this coordinator did not start is adopted if its job is open and has the task. If
+        its job is unknown, it is tolerated for a short while at the beginning of the term, or if it
+        is left to a leader. Otherwise it is stopped.
         """
         key = (report.task, report.run)
         run = instance.runs.get(key)
         if run is not None:
             _update_progress(run, report, now)
             return
-        job = self._jobs.jobs.get(report.task.job)
-        record = job.record if job is not None else self._term.records.jobs.get(report.task.job)
-        steps = record.spec.steps if record is not None else ()
-        is_step_known = report.task.step < len(steps)
+        opened = self._jobs.jobs.get(report.task.job)
+        record = opened.record if opened is not None else self._find_record(report.task.job)
+        step = record.spec.find_step(report.task) if record is not None else None
         run = Run(
             task=report.task,
             run=report.run,
-            needs=steps[report.task.step].needs if is_step_known else Needs(),
+            needs=step.needs if step is not None else Needs(),
             phase=RunPhase.RUNNING,
             since=now,
             percent=report.percent,
@@ -65,11 +65,14 @@
             self._instances.may_have_orphaned_runs = True
         # An earlier coordinator may have renewed the lease until this answer was given.
         instance.lapse_at = max(instance.lapse_at, now + self._term.lease.lapse_after)
-        if job is not None:
-            self._adopt(job, instance, run)
+        if opened is not None and step is not None:
+            self._adopt(opened, instance, run)
         elif not self._is_tolerated(run, now):
             run.stop_requested = True
 
+    def _find_record(self, job: JobId) -> JobRecord | None:
+        return self._term.records.jobs.get(job)
+
     def _is_tolerated(self, run: Run, now: timedelta) -> bool:
         """Return whether a run without an open job may go on for now."""
         if not run.is_orphaned:
--- a/cottonlug/core/cluster/model.py
+++ b/cottonlug/core/cluster/model.py
@@ -118,6 +118,16 @@
         """Number of tasks, in all occurrences."""
         return sum(step.count for step in self.steps) * self.occurrences
 
+    def find_step(self, ref: TaskRef) -> StepSpec | None:
+        """Return the step of one of the job's tasks; None if the job has no such task.
+
+        An upstream may list runs under any name.
+        """
+        if not (0 <= ref.occurrence < self.occurrences and 0 <= ref.step < len(self.steps)):
+            return None
+        step = self.steps[ref.step]
+        return step if 0 <= ref.task_index < step.count else None
+
     def find_due_ms(self, occurrence: int) -> int:
         """Return the wall-clock time at which an occurrence of a timed job begins."""
         return self.start_at_ms + occurrence * self.interval_ms
--- a/cottonlug/core/cluster/open_jobs.py
+++ b/cottonlug/core/cluster/open_jobs.py
@@ -343,7 +343,7 @@
 
     def mark_recording(self, end: RunEndReport, upstream: UpstreamId) -> None:
         """Have a task whose run has ended at this upstream wait until that end is recorded."""
-        job = self.jobs.get(end.task.job)
+        job = self.find_job_of(end.task)
         if job is None:
             return
         # A task that is added only later would not wait for the record.
@@ -484,6 +484,12 @@
         """Whether a best-effort job was begun here lately, and ended before it was complete."""
         return id in self._closed_after_begin
 
+    def find_job_of(self, ref: TaskRef) -> OpenJob | None:
+        """Return the open job that has a task; None if it is not open, or has no such task."""
+        job = self.jobs.get(ref.job)
+        has_task = job is not None and job.record.spec.find_step(ref) is not None
+        return job if has_task else None
+
     def is_open(self, id: JobId) -> bool:
         """Whether a job is open here."""
         return id in self.jobs
--- a/cottonlug/core/cluster/records.py
+++ b/cottonlug/core/cluster/records.py
@@ -341,8 +341,8 @@
 
 
 def record_run_end(job: JobRecord, end: RunEndReport, at_ms: int) -> None:
-    """Record the end of one run in the record of its job."""
-    if not job.is_open:
+    """Record the end of one run in the record of its job; a job without that task ignores it."""
+    if not job.is_open or job.spec.find_step(end.task) is None:
         return
     task = job.get_or_add_task(end.task)
     task.last_run = max(task.last_run, end.run)
--- a/cottonlug/core/cluster/run_ends.py
+++ b/cottonlug/core/cluster/run_ends.py
@@ -155,7 +155,7 @@
     ) -> None:
         """Update the expected run time of a step and the health of an upstream."""
         health = self._instances.get_health(instance)
-        job = self._jobs.jobs.get(end.task.job)
+        job = self._jobs.find_job_of(end.task)
         if job is None or run.is_orphaned:
             return
         step = job.record.spec.steps[end.task.step]
--- a/cottonlug/core/cluster/watcher.py
+++ b/cottonlug/core/cluster/watcher.py
@@ -218,7 +218,7 @@
         if self._term.is_busy:
             return wait
         for run in instance.runs.values():
-            job = self._jobs.jobs.get(run.task.job)
+            job = self._jobs.find_job_of(run.task)
             if job is None or run.stop_requested or job.record.spec.long_running:
                 continue
             due = find_next_check(run, self._predict(job, run, instance), now)
@@ -231,7 +231,7 @@
         ends = (
             run.since + self._predict(job, run, instance)
             for run in instance.runs.values()
-            if (job := self._jobs.jobs.get(run.task.job)) is not None
+            if (job := self._jobs.find_job_of(run.task)) is not None
         )
         return max(min(ends, default=now) - now, timedelta())
 
@@ -327,7 +327,7 @@
         """
         factor = self._term.speeds.find_factor(instance.info)
         for run in instance.runs.values():
-            job = self._jobs.jobs.get(run.task.job)
+            job = self._jobs.find_job_of(run.task)
             if job is None or run.stop_requested or run.phase is not RunPhase.RUNNING:
                 continue
             if job.record.spec.long_running:
