Limit the numbers of a worker's lists and clocks as those of its heartbeats

What callers saw: nothing yet; found by reading. The answer to a poll may hold numbers of any size. A clock of 10^400 ms raised OverflowError in `Instance.record_clock`, which ended the coordinator. Cause: heartbeats are checked against a limit of counts, the lists in the answers to polls and the clocks in the answers to starts were not. Change: `decoding.is_count` checks all of them. A list with a number out of range is void, so that the poll counts as refused; a clock out of range counts as not reported; progress is cut to 0 to 100.

--- a/cottonlug/platform/decoding.py
+++ b/cottonlug/platform/decoding.py
@@ -1,4 +1,4 @@
-"""Errors of bodies that cannot be decoded, common to all bodies of the platform."""
+"""Errors of bodies that cannot be decoded, and limits of their numbers."""
 
 from __future__ import annotations
 
@@ -7,6 +7,14 @@
 DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 """What decoders raise for a malformed body; the last one if it is nested too deeply."""
 
+MAX_COUNT = 1 << 52
+"""Limit of counts and milliseconds: beyond any real value, and exact in every JSON parser."""
+
+
+def is_count(value: object) -> bool:
+    """Return whether a value is a count or a number of milliseconds within the limit."""
+    return type(value) is int and 0 <= value <= MAX_COUNT
+
 
 def describe_error(error: Exception) -> str:
     """Return what is wrong with a body, for its sender."""
--- a/cottonlug/platform/heartbeats.py
+++ b/cottonlug/platform/heartbeats.py
@@ -17,7 +17,7 @@
 from ..core.cluster.model import Capacity, Heartbeat, ServiceName, UpstreamInfo
 from ..core.ids import DomainName, UpstreamId
 from ..net.connections import parse_address
-from .decoding import DECODE_ERRORS, describe_error
+from .decoding import DECODE_ERRORS, describe_error, is_count
 from .workers import read_run_lists
 
 READY = "ready"
@@ -26,8 +26,6 @@
 _CAPACITY_FIELDS = ("cpu", "mem_mb", "gpu")  # cpu is in thousandths of a core
 _MAX_AMOUNT = 1_000_000_000
 """A million cores or a petabyte: a larger amount cannot be right."""
-_MAX_COUNT = 1 << 52
-"""Limit of counts and milliseconds: beyond any real value, and exact in every JSON parser."""
 _MAX_NAME_CHARS = 256
 """Names are limited because upstream records go into the replicated log and to every gateway."""
 _MAX_LABELS = 64
@@ -113,7 +111,7 @@
         return "a name is empty or too long"
     if len(parsed.labels) > _MAX_LABELS:
         return "too many labels"
-    if not (0 <= parsed.seq_no <= _MAX_COUNT and 0 <= (parsed.clock_ms or 0) <= _MAX_COUNT):
+    if not (is_count(parsed.seq_no) and is_count(parsed.clock_ms or 0)):
         return "a count is out of range"
     return None if _is_valid_start_time(parsed.born) else "born is out of range"
 
@@ -123,7 +121,7 @@
 
 
 def _is_valid_start_time(born: int | msgspec.UnsetType) -> bool:
-    return isinstance(born, msgspec.UnsetType) or 0 <= born <= _MAX_COUNT
+    return isinstance(born, msgspec.UnsetType) or is_count(born)
 
 
 def _build_instance_id(name: str, born: int | msgspec.UnsetType) -> UpstreamId:
--- a/cottonlug/platform/workers.py
+++ b/cottonlug/platform/workers.py
@@ -37,7 +37,7 @@
 from ..core.ids import UpstreamId
 from ..net.connections import ConnectionPool, ConnectionPools, Handshake, parse_address
 from ..net.transport import HttpReply, TransportError
-from .decoding import DECODE_ERRORS
+from .decoding import DECODE_ERRORS, is_count
 from .jobs import build_task_name, parse_task_name
 
 START_PATH = "/run-start"
@@ -212,7 +212,7 @@
     reply = sent.unwrap()
     parsed = _read_reply(reply)
     clock_ms = parsed.clock_ms if parsed is not None else None
-    return _find_start_outcome(reply.status, parsed), clock_ms
+    return _find_start_outcome(reply.status, parsed), clock_ms if is_count(clock_ms) else None
 
 
 def _read_stop(sent: _CallResult) -> CallFailure | None:
@@ -273,7 +273,7 @@
     clock_ms: int | None, running: list[list[Any]], finished: list[list[Any]]
 ) -> PollReply | None:
     """Decode a worker's runs and ended runs; return None if malformed or without a clock."""
-    if clock_ms is None:
+    if clock_ms is None or not is_count(clock_ms):
         return None
     try:
         return PollReply(
@@ -323,9 +323,10 @@
     if ref is None:
         return None
     run, checkpoint, percent = row[1:4]
-    if type(run) is not int or type(checkpoint) is not str or type(percent) not in (int, float):
+    if not is_count(run) or type(checkpoint) is not str or type(percent) not in (int, float):
         raise ValueError
-    return RunReport(task=ref, run=RunNumber(run), checkpoint=checkpoint, percent=int(percent))
+    percent = int(min(max(percent, 0), 100))
+    return RunReport(task=ref, run=RunNumber(run), checkpoint=checkpoint, percent=percent)
 
 
 def _read_end(row: list[Any]) -> RunEndReport | None:
@@ -335,6 +336,6 @@
     ref, how = parse_task_name(name), _RUN_END_BY_WORD.get(word)
     if ref is None or how is None:
         return None
-    if type(number) is not int or type(run) is not int or type(checkpoint) is not str:
+    if not (is_count(number) and is_count(run)) or type(checkpoint) is not str:
         raise ValueError
     return RunEndReport(number=number, task=ref, run=RunNumber(run), how=how, checkpoint=checkpoint)
--- a/cottonlug/tests/test_malformed_heartbeats.py
+++ b/cottonlug/tests/test_malformed_heartbeats.py
@@ -19,9 +19,11 @@
 from ..core.clock import ManualClock
 from ..core.cluster.calls import Answer, Call, ForwardHeartbeat, Outcome
 from ..core.cluster.model import PollReply
+from ..core.cluster.orders import StartOutcome
 from ..net.connections import parse_address
+from ..net.transport import HttpReply
 from ..platform.heartbeats import decode_heartbeat, decode_leave
-from ..platform.workers import read_run_lists
+from ..platform.workers import _read_start, read_run_lists
 from ..runtime.refused_heartbeats import LOG_INTERVAL, RefusedHeartbeats
 from .gateway_builders import build_clock
 from .test_platform import build_request, run_control
@@ -115,6 +117,23 @@
                 check_lists(lists)
 
 
+@pytest.mark.parametrize("number", [-1, 1 << 53, 1 << 64, 10**400])
+def test_a_list_with_a_number_out_of_range_is_void(number: int) -> None:
+    """Guards against a clock that overflows in the coordinator, and ends it."""
+    assert read_run_lists(number, [], []) is None
+    assert read_run_lists(5, [[TASK, number, "", 0]], []) is None
+    assert read_run_lists(5, [], [[number, TASK, 1, "done", ""]]) is None
+    assert read_run_lists(5, [], [[1, TASK, number, "done", ""]]) is None
+    reply = HttpReply(status=200, body=b'{"clock_ms":%d}' % number)
+    assert _read_start(Success(reply)) == (StartOutcome.STARTED, None)
+
+
+@pytest.mark.parametrize(("percent", "expected"), [(-5, 0), (41.9, 41), (10**400, 100)])
+def test_progress_is_limited_to_a_whole_run(percent: float, expected: int) -> None:
+    lists = read_run_lists(5, [[TASK, 1, "", percent]], [])
+    assert lists is not None and lists.running[0].percent == expected
+
+
 @pytest.mark.parametrize(
     "body",
     [
