End a term by an unexpected error, and not the process

What callers saw: a control host that ended, and at a gateway that acted as leader all connections of its callers lost. Cause of the class: each exception in a decision, in an answer of an upstream or on an applied command ended the process, and the next leader polled the same upstream. Others were worse hidden: an exception in the timer of a term, in the leadership check of a control host, or in the keep-alives or failover checks of a gateway ended only that task, without a line in the log. Change: `Leadership._fail` ends the term at once (4022 with place, event and upstream). A control host asks another voter to lead, and after 1 s without one leads again in a later term; an acting leader is replaced at the next failover check. The upstream whose message was handled counts as unreachable at that process for 60 s (`UpstreamIsolation`), so that it ends one term of each host at most. A term that cannot begin is given up the same way. An exception while the records apply an entry still ends the process. The model of hosts counts failed terms among its failures, as errors did before. `cottonlug_terms_failed` counts.

--- a/cottonlug/commands/gateway.py
+++ b/cottonlug/commands/gateway.py
@@ -55,7 +55,6 @@
         settings=settings,
         clock=SystemClock(),
         port=WorkerClient(pools=pools),
-        on_failure=lifecycle.fail,
     )
     lifecycle.watch_signals(lambda: build_gateway_dump(gateway))
     lifecycle.watch_reload(lambda: _reload_seeds(gateway, config))
--- a/cottonlug/runtime/acting_leader.py
+++ b/cottonlug/runtime/acting_leader.py
@@ -37,6 +37,7 @@
 from .leadership import Leadership, LeadershipSettings
 from .ports import OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords
+from .upstream_isolation import UpstreamIsolation
 from .work_meter import WorkMeter
 
 ACT_AS_LEADER_AFTER = timedelta(milliseconds=900)
@@ -100,7 +101,8 @@
     Its fencing token is that of the last leader plus `level`. `reports` are the terms of upstreams'
     capacity reports. `confirmed_at` is when a leader last sent or confirmed the failover state.
     `remote_factor` is how many times as long a task takes outside the rack of its data. For
-    `is_check_overdue`, see `ActingLeaderAuthority`.
+    `is_check_overdue`, see `ActingLeaderAuthority`. `on_failure` is called with an unexpected error
+    that has ended its authority.
     """
 
     def __init__(
@@ -118,10 +120,12 @@
         remote_factor: float,
         is_check_overdue: Callable[[], bool],
         work: WorkMeter,
+        isolation: UpstreamIsolation,
         on_failure: OnFailure,
     ) -> None:
         self.domain = domain
         """The failure domain that it acts as leader for; None for all."""
+        self._on_failure = on_failure
         replicated = ReplicatedRecords()
         records = replicated.records
         records.activate_configuration(failover_state.configuration)
@@ -137,8 +141,9 @@
             replicated=replicated,
             port=port,
             clock=clock,
-            on_failure=on_failure,
+            on_failure=self._fail,
             work=work,
+            isolation=isolation,
             settings=LeadershipSettings(
                 lease_terms=choose_lease_terms(longest_lease, caller_retry, GATEWAY_TIMEOUT),
                 keep_ended=timedelta(),
@@ -154,6 +159,11 @@
             ),
         )
 
+    def _fail(self, error: BaseException) -> None:
+        """End the authority; the next failover check then replaces this acting leader."""
+        self.authority.start_new_term()
+        self._on_failure(error)
+
     def stop(self) -> None:
         """Stop scheduling."""
         self.authority.start_new_term()
--- a/cottonlug/runtime/cluster_metrics.py
+++ b/cottonlug/runtime/cluster_metrics.py
@@ -44,6 +44,7 @@
         counts.update(dataclasses.asdict(host.replica.counts))
         counts["heartbeats_answered_here"] = host.heartbeat_responder.answered
         counts["heartbeats_refused"] = refused.count
+        counts["terms_failed"] = host.failed_terms
         counts["cancelled_jobs_dropped"] = host.replicated.records.cancelled.dropped
         counts["idle_connections_closed"] = idle.closed_count
         counts["log_lines_left_out"] = output.dropped
@@ -79,6 +80,7 @@
         counts["calls_held_to_end"] = gateway.timeout_failure_count
         counts["calls_held_back"] = gateway.withheld_count
         counts["calls_refused_at_limit"] = gateway.call_limit.refused_count
+        counts["terms_failed"] = gateway.link.failed_terms
         counts["log_lines_left_out"] = output.dropped
         return counts
 
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -40,9 +40,10 @@
 from ..net.asgi import DeferredResponse, HttpRequest, HttpResponse
 from ..net.connections import ConnectionPools, parse_address
 from .events import Event, log_event
+from .failures import log_failure, repeat
 from .gateway_registry import GATEWAY_TIMEOUT
 from .heartbeat_port import MAX_DELIVERY_DELAY
-from .heartbeat_responder import HeartbeatResponder
+from .heartbeat_responder import REPORT_INTERVAL, HeartbeatResponder
 from .idempotent_calls import IdempotentCalls
 from .job_channel_server import JobChannelServer
 from .leadership import Leadership, LeadershipSettings
@@ -53,6 +54,7 @@
 from .ports import UpstreamPort
 from .replica import HELLO_PATH, Replica, ReplicaSettings
 from .replicated import ReplicatedRecords
+from .upstream_isolation import UpstreamIsolation
 from .work_meter import Work, WorkMeter
 
 FORWARDED_HEADER = "x-passed-on"
@@ -104,10 +106,14 @@
         """Called with the age in milliseconds of each message of a gateway when it is handled."""
         self.record_decision_gap: Callable[[float], object] = lambda gap_ms: None
         """Called with the milliseconds between two decisions if they are more than usual."""
+        self.failed_terms = 0
+        """Terms of this host that an unexpected error has ended."""
+        self.record_term_failure: Callable[[BaseException], object] = lambda error: None
+        """Called with each error that has ended a term of this host."""
         self._settings = settings
         self._clock = clock
         self._port = port
-        self._on_failure = on_failure
+        self._isolation = UpstreamIsolation(clock=clock)
         self._pools = ConnectionPools(port=settings.urgent_port)
         self._idempotent_pools = ConnectionPools(port=settings.urgent_port)
         """Used for idempotent calls only. A call forwarded for a gateway is abandoned and its
@@ -140,6 +146,8 @@
         `MAX_TIME_WITHOUT_LEADER` after hearing it."""
         self._stepped_down_in = Term(0)
         """The last term in which this host stepped down; it schedules nothing more in that term."""
+        self._failed_in = Term(0)
+        """The last term of this host that an unexpected error has ended."""
         self._tasks: list[asyncio.Task[None]] = []
         self.replica = Replica(
             settings=ReplicaSettings(
@@ -160,9 +168,9 @@
         """Start the replica and the background tasks; return an error message, or None."""
         self.loop_monitor.start()
         error = await self.replica.start()
-        self._tasks.append(asyncio.create_task(self._check_forever()))
+        self._tasks.append(asyncio.create_task(repeat(self._check, during="leadership check")))
         self._tasks.append(
-            asyncio.create_task(self.heartbeat_responder.report_forever(self._report_heartbeats))
+            asyncio.create_task(repeat(self._report_periodically, during="heartbeat report"))
         )
         return error
 
@@ -258,6 +266,11 @@
             return HttpResponse(status=400, body=msgspec.json.encode({"error": str(error)}))
         return HttpResponse(status=404)
 
+    async def _report_periodically(self) -> float:
+        """Report what was answered for the leader; return the seconds until the next report."""
+        await self.heartbeat_responder.report(self._report_heartbeats)
+        return REPORT_INTERVAL.total_seconds()
+
     async def _report_heartbeats(self, report: ReportHeartbeats) -> Answer:
         """Report to the leader which upstreams' heartbeats were answered here."""
         leader = self.replica.leader_host
@@ -347,13 +360,13 @@
             return Answer(outcome=Outcome.UNKNOWN, detail=f"the leader answered {reply.status}")
         return answer_decoder.decode(reply.body)
 
-    async def _check_forever(self) -> None:
-        while True:
-            self._record_other_leader()
-            self._update_leadership()
-            self._log_lease_change()
-            self._step_down_if_unfit()
-            await asyncio.sleep(LEADERSHIP_CHECK_SECONDS)
+    async def _check(self) -> float:
+        """Check the role of this host; return the seconds until the next check."""
+        self._record_other_leader()
+        self._update_leadership()
+        self._log_lease_change()
+        self._step_down_if_unfit()
+        return LEADERSHIP_CHECK_SECONDS
 
     def _step_down_if_unfit(self) -> None:
         """Transfer leadership, repeatedly, while this host leads but has no lease or is stopping.
@@ -371,6 +384,10 @@
             return
         if now - self._step_down_tried_at >= STEP_DOWN_RETRY_INTERVAL:
             self._step_down_tried_at = now
+            if is_fit and self.replica.term == self._failed_in:
+                # No other voter has taken over, so this host leads again, with new state.
+                self.replica.start_new_term()
+                return
             # Its lease may come back while the other one is elected: two hosts would schedule.
             self._stepped_down_in = self.replica.term
             self._update_leadership()
@@ -396,38 +413,65 @@
             and self.replicated.ready_term == replica.term
         )
         if self.leadership is not None and (not leads or self.leadership.term != replica.term):
-            self._record_own_begun_jobs(self.leadership)
+            if not self.leadership.has_failed:
+                self._record_own_begun_jobs(self.leadership)
             self.leadership.stop()
             self.leadership = None
         if leads and self.leadership is None:
             self._had_lease = True
-            reports = self._settings.reports
-            self.leadership = Leadership(
-                authority=replica,
-                replicated=self.replicated,
-                port=self._port,
-                clock=self._clock,
-                on_failure=self._on_failure,
-                work=self.work,
-                settings=LeadershipSettings(
-                    lease_terms=self._choose_lease_terms(),
-                    orders_by_heartbeat=self._settings.orders is OrderDelivery.HEARTBEAT,
-                    keep_ended=self._settings.keep_ended,
-                    caller_retry=self._settings.caller_retry,
-                    domains=frozenset({*self._settings.domains, self._settings.domain}),
-                    control_address=str(self._settings.listen.control),
-                    reports=reports,
-                    known_until=self._find_known_until(reports),
-                    remote_factor=self._settings.remote_factor,
-                    begun_earlier=replica.begun_jobs.find_begun(
-                        replica.find_last_leader_term(), self._clock.monotonic()
-                    ),
+            try:
+                self.leadership = self._begin_leadership()
+            except Exception as error:
+                term = int(replica.term)
+                log_failure(Event.TERM_FAILED, error, during="start of a term", term=term)
+                self._give_up_term(error)
+
+    def _begin_leadership(self) -> Leadership:
+        replica, reports = self.replica, self._settings.reports
+        leadership = Leadership(
+            authority=replica,
+            replicated=self.replicated,
+            port=self._port,
+            clock=self._clock,
+            on_failure=self._give_up_term,
+            work=self.work,
+            isolation=self._isolation,
+            settings=LeadershipSettings(
+                lease_terms=self._choose_lease_terms(),
+                orders_by_heartbeat=self._settings.orders is OrderDelivery.HEARTBEAT,
+                keep_ended=self._settings.keep_ended,
+                caller_retry=self._settings.caller_retry,
+                domains=frozenset({*self._settings.domains, self._settings.domain}),
+                control_address=str(self._settings.listen.control),
+                reports=reports,
+                known_until=self._find_known_until(reports),
+                remote_factor=self._settings.remote_factor,
+                begun_earlier=replica.begun_jobs.find_begun(
+                    replica.find_last_leader_term(), self._clock.monotonic()
                 ),
-            )
-            self._report_begun_jobs(self.leadership)
-            self.leadership.gateways.record_age = self.record_message_age
-            self.leadership.work_report.describe_arrivals = self.describe_arrivals
-            self.leadership.record_decision_gap = self.record_decision_gap
+            ),
+        )
+        self._report_begun_jobs(leadership)
+        leadership.gateways.record_age = self.record_message_age
+        leadership.work_report.describe_arrivals = self.describe_arrivals
+        leadership.record_decision_gap = self.record_decision_gap
+        return leadership
+
+    def _give_up_term(self, error: BaseException) -> None:
+        """Schedule nothing more in a term that an unexpected error has ended; have another begin.
+
+        The replica may be applying entries right now, so the rest is left to the event loop.
+        """
+        self.failed_terms += 1
+        self.record_term_failure(error)
+        self._stepped_down_in = self._failed_in = self.replica.term
+        asyncio.get_running_loop().call_soon(self._transfer_failed_term)
+
+    def _transfer_failed_term(self) -> None:
+        """End the leadership of a failed term, and ask another voter to lead."""
+        self._update_leadership()
+        self._leased_at = self._step_down_tried_at = self._clock.monotonic()
+        self.replica.transfer_leadership()
 
     def _report_begun_jobs(self, leadership: Leadership) -> None:
         """Report the best-effort jobs that begin in a term to the other control hosts."""
--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -32,10 +32,12 @@
 from .confirmations import Confirmations
 from .events import Event, log_event
 from .failover_store import FailoverStore
+from .failures import repeat
 from .gateway_registry import GATEWAY_TIMEOUT
 from .keepalive_tracker import OVERDUE_AFTER, KeepAliveTracker
 from .peer_calls import PeerCalls
-from .ports import OnFailure, UpstreamPort
+from .ports import UpstreamPort
+from .upstream_isolation import UpstreamIsolation
 from .work_meter import WorkMeter
 
 KEEPALIVE_SECONDS = 0.08
@@ -102,7 +104,6 @@
         port: UpstreamPort,
         calls: PeerCalls,
         work: WorkMeter,
-        on_failure: OnFailure,
     ) -> None:
         self.own_address = str(settings.listen.peers)
         self.confirmations = Confirmations(own_address=self.own_address, clock=clock)
@@ -126,7 +127,11 @@
         self._port = port
         self._calls = calls
         self._work = work
-        self._on_failure = on_failure
+        self._isolation = UpstreamIsolation(clock=clock)
+        self.failed_terms = 0
+        """How often an unexpected error has ended this gateway's role as acting leader."""
+        self.record_term_failure: Callable[[BaseException], object] = lambda error: None
+        """Called with each such error."""
         self._reached_at: timedelta | None = None
         """When this gateway last had contact with the coordinator."""
         self._leader_seen_at = clock.monotonic()
@@ -151,8 +156,11 @@
 
     def start(self) -> None:
         """Start the background tasks that find and follow the coordinator."""
-        self._tasks.append(asyncio.create_task(self._send_keepalives_forever()))
-        self._tasks.append(asyncio.create_task(self._check_failover_forever()))
+        for step, during in (
+            (self._send_periodic_keepalive, "keep-alive"),
+            (self._check_failover_periodically, "failover check"),
+        ):
+            self._tasks.append(asyncio.create_task(repeat(step, during=during)))
 
     def stop(self) -> None:
         """Cancel the background tasks and step down as acting leader."""
@@ -377,15 +385,15 @@
             return self._handle_keepalive_answer(host, via, answer)
         return self._handle_gateway_answer(host, via, answer)
 
-    async def _send_keepalives_forever(self) -> None:
-        while True:
-            began_at = self._clock.monotonic()
-            await self.send_keepalive()
-            is_ready = self.is_connected() and not self.is_stopping
-            if is_ready != self._was_ready:
-                self._was_ready = is_ready
-                log_event(Event.READINESS_CHANGED, ready=is_ready)
-            await asyncio.sleep(self._choose_keepalive_pause(self._clock.monotonic() - began_at))
+    async def _send_periodic_keepalive(self) -> float:
+        """Send a keep-alive; return the seconds until the next one."""
+        began_at = self._clock.monotonic()
+        await self.send_keepalive()
+        is_ready = self.is_connected() and not self.is_stopping
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            log_event(Event.READINESS_CHANGED, ready=is_ready)
+        return self._choose_keepalive_pause(self._clock.monotonic() - began_at)
 
     def _choose_keepalive_pause(self, elapsed: timedelta) -> float:
         """Return the seconds until the next keep-alive or the next search for the leader."""
@@ -402,12 +410,10 @@
 
     # Failover
 
-    async def _check_failover_forever(self) -> None:
-        while True:
-            is_due = await self.check_failover()
-            await asyncio.sleep(
-                KEEPALIVE_RETRY_SECONDS if is_due else self._choose_failover_check_pause()
-            )
+    async def _check_failover_periodically(self) -> float:
+        """Do a failover check; return the seconds until the next one."""
+        is_due = await self.check_failover()
+        return KEEPALIVE_RETRY_SECONDS if is_due else self._choose_failover_check_pause()
 
     def _choose_failover_check_pause(self) -> float:
         """Return the seconds between two checks whether the leader must be replaced."""
@@ -621,7 +627,8 @@
             remote_factor=self._settings.remote_factor,
             is_check_overdue=self._is_check_overdue,
             work=self._work,
-            on_failure=self._on_failure,
+            isolation=self._isolation,
+            on_failure=self._record_term_failure,
         )
         self._register_itself(self.acting_leader)
         self.coordinator = self.own_address
@@ -630,6 +637,10 @@
         self._notify_change()
         log_event(Event.ACTING_AS_LEADER, term=failover_state.term, at_level=level)
 
+    def _record_term_failure(self, error: BaseException) -> None:
+        self.failed_terms += 1
+        self.record_term_failure(error)
+
     def _register_itself(self, acting_leader: ActingLeader) -> None:
         """Record contact of this gateway with its own acting leader."""
         gateways = acting_leader.leadership.gateways
--- a/cottonlug/runtime/events.py
+++ b/cottonlug/runtime/events.py
@@ -41,6 +41,9 @@
     SETTINGS_RELOADED = EventKind(1008, logging.INFO, "settings were read again")
     SETTINGS_REFUSED = EventKind(1009, logging.WARNING, "changed settings have errors")
     LOOP_DELAYED = EventKind(1010, logging.WARNING, "the event loop of this process was held up")
+    STEP_FAILED = EventKind(
+        1011, logging.ERROR, "an unexpected error in a periodic task, which goes on"
+    )
     UPSTREAM_OPENED = EventKind(2001, logging.INFO, "an upstream opened a session")
     UPSTREAM_GONE = EventKind(2002, logging.WARNING, "an upstream's session ended")
     UPSTREAM_LEAVING = EventKind(2003, logging.INFO, "an upstream is leaving")
@@ -78,6 +81,9 @@
     EVACUATION_REFUSED = EventKind(4019, logging.WARNING, "an evacuation order was refused")
     HEARTBEAT_REFUSED = EventKind(4020, logging.WARNING, "a heartbeat names no upstream to use")
     LEADER_BEHIND = EventKind(4021, logging.INFO, "this leader was behind with its work")
+    TERM_FAILED = EventKind(
+        4022, logging.ERROR, "an unexpected error ended a term; this process goes on"
+    )
     STORAGE_FAILED = EventKind(5001, logging.ERROR, "the data folder cannot be written")
     STORAGE_TORN = EventKind(5002, logging.WARNING, "a torn tail of a log file was cut")
     STORAGE_DAMAGED = EventKind(5003, logging.ERROR, "a file of the data folder is damaged")
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -55,7 +55,7 @@
     PeerCalls,
     decode_keepalive,
 )
-from .ports import OnFailure, UpstreamPort
+from .ports import UpstreamPort
 from .work_meter import WorkMeter
 
 RETRY_SECONDS = 0.05
@@ -92,7 +92,6 @@
         settings: GatewaySettings,
         clock: Clock,
         port: UpstreamPort,
-        on_failure: OnFailure,
     ) -> None:
         self.outcomes: dict[str, int] = {outcome.value: 0 for outcome in Outcome}
         """Number of calls by outcome."""
@@ -124,7 +123,6 @@
             port=port,
             calls=self.calls,
             work=self.work,
-            on_failure=on_failure,
         )
         self._last_number = self.link.confirmations.instance
         """Number of the last submission. It starts at the start time of this process in ms, so that
--- a/cottonlug/runtime/heartbeat_responder.py
+++ b/cottonlug/runtime/heartbeat_responder.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import zlib
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -68,12 +67,10 @@
         self.answered += 1
         return Answer(outcome=Outcome.DONE, leader_control=self._control_address)
 
-    async def report_forever(self, send_report: SendReport) -> None:
-        """Report periodically; an empty report, too, tells the leader about this responder."""
-        while True:
-            await asyncio.sleep(REPORT_INTERVAL.total_seconds())
-            if self.is_spreading():
-                await self._report(send_report)
+    async def report(self, send_report: SendReport) -> None:
+        """Report if heartbeats are spread; an empty report tells the leader of this responder."""
+        if self.is_spreading():
+            await self._report(send_report)
 
     async def _report(self, send_report: SendReport) -> None:
         asked_at = self._clock.monotonic()
--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -61,10 +61,11 @@
     Order,
     OrderAnswer,
     StartOrder,
+    StartOutcome,
     StopOrder,
 )
 from ..core.cluster.term import TOKENS_PER_TERM
-from ..core.ids import DomainName
+from ..core.ids import DomainName, UpstreamId
 from .decisions import log_decision
 from .events import Event, Field, log_event
 from .failures import log_failure
@@ -75,9 +76,12 @@
 from .operator_answers import OperatorAnswers
 from .ports import Authority, OnFailure, UpstreamPort
 from .replicated import ReplicatedRecords, Waiters
+from .upstream_isolation import UpstreamIsolation
 from .work_meter import Work, WorkMeter
 from .work_report import WorkReport
 
+ISOLATED = "messages of this upstream are not handled for now"
+"""Detail of the answer to a heartbeat of an isolated upstream (`UpstreamIsolation`)."""
 TICK_SECONDS = 0.02
 """Decisions are made at least this often; calls and answers of upstreams cause further ones."""
 FORGET_INTERVAL = timedelta(seconds=5)
@@ -144,8 +148,10 @@
         settings: LeadershipSettings,
         on_failure: OnFailure,
         work: WorkMeter | None = None,
+        isolation: UpstreamIsolation | None = None,
     ) -> None:
         self._on_failure = on_failure
+        self._isolation = isolation or UpstreamIsolation(clock=clock)
         self._work = work or WorkMeter(read_seconds=lambda: clock.monotonic().total_seconds())
         self.work_report = WorkReport(meter=self._work, now=clock.monotonic())
         self.term = authority.term
@@ -226,6 +232,8 @@
         self._turn = timedelta()
         """Mean length of the last turns of the event loop."""
         self._is_over = False
+        self.has_failed = False
+        """Whether an unexpected error has ended the term, so that its state is not to be used."""
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._forget_at = clock.monotonic() + FORGET_INTERVAL
         replicated.listener = self._handle_applied
@@ -369,6 +377,8 @@
 
     async def _answer_heartbeat(self, call: ForwardHeartbeat) -> Answer:
         heartbeat = call.heartbeat
+        if heartbeat.info.id in self._isolation:
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=ISOLATED)
         self.dispatch.handle_heartbeat(heartbeat, self._clock.monotonic())
         self._schedule_decision()
         answer = Answer(outcome=Outcome.DONE, leader_control=self._choose_responder(heartbeat))
@@ -444,6 +454,12 @@
         """Act on a command that was just applied to the records, and end the waits for it."""
         if self._is_over:
             return
+        try:
+            self._follow_applied(command)
+        except Exception as error:
+            self._fail(error, during=f"applied {type(command).__name__}")
+
+    def _follow_applied(self, command: Command) -> None:
         self.dispatch.handle_applied_command(command, self._clock.monotonic())
         self.gateways.failover_log.record_command(command)
         if isinstance(command, AcceptJob):
@@ -491,10 +507,21 @@
         except Exception as error:
             self._fail(error, during="decision")
 
-    def _fail(self, error: Exception, *, during: str, **fields: Field) -> None:
-        """Have this process stop: the same error would occur again, so another host must lead."""
-        term = int(self.term)
-        log_failure(Event.INVARIANT_BROKEN, error, during=during, term=term, **fields)
+    def _fail(
+        self, error: Exception, *, during: str, upstream: UpstreamId | None = None, **fields: Field
+    ) -> None:
+        """End the term: its state may have been changed in part, so nothing may be decided by it.
+
+        The process goes on, with what does not depend on that state: its part in the log and the
+        connections of its callers. The upstream whose message was being handled is isolated.
+        """
+        if self._is_over:
+            return
+        self._is_over = self.has_failed = True
+        if upstream is not None:
+            self._isolation.add(upstream)
+            fields["upstream"] = upstream
+        log_failure(Event.TERM_FAILED, error, during=during, term=int(self.term), **fields)
         self._on_failure(error)
 
     def _decide_now(self) -> bool:
@@ -560,23 +587,30 @@
 
     async def _send_order(self, order: Order, on_answer: OnAnswer) -> None:
         """Send an order that has to wait, for example for a connection."""
-        if isinstance(order, StartOrder):
-            on_answer(await self._port.start(order, self.token))
-        elif isinstance(order, StopOrder):
-            on_answer(await self._port.stop(order, self.token))
-        else:
-            on_answer(await self._port.poll(order, self.token))
+        try:
+            if isinstance(order, StartOrder):
+                on_answer(await self._port.start(order, self.token))
+            elif isinstance(order, StopOrder):
+                on_answer(await self._port.stop(order, self.token))
+            else:
+                on_answer(await self._port.poll(order, self.token))
+        except Exception as error:
+            during = f"sending a {type(order).__name__}"
+            self._fail(error, during=during, upstream=order.upstream.id)
 
     def _receive_answer(self, order: Order, sent_at: timedelta, answer: OrderAnswer) -> None:
         """Process what became of an order that was sent at that time."""
         if self._is_over:
             return
+        if order.upstream.id in self._isolation:
+            answer = _build_missing_answer(order)
         try:
             with self._work.measure(Work.UPSTREAM_ANSWERS):
                 self._handle_answer(order, sent_at, answer)
         except Exception as error:
             during = f"answer to {type(order).__name__}"
             self._fail(error, during=during, upstream=order.upstream.id)
+            return
         self._schedule_decision()
 
     def _handle_answer(self, order: Order, sent_at: timedelta, answer: OrderAnswer) -> None:
@@ -593,11 +627,14 @@
             self.dispatch.handle_poll_answer(order, answer, sent_at, now)
 
     async def _tick_forever(self) -> None:
-        while True:
-            self._forget_ended()
-            self.work_report.log_if_due(self.dispatch, self._clock.monotonic())
-            self._schedule_decision()
-            await asyncio.sleep(TICK_SECONDS)
+        try:
+            while True:
+                self._forget_ended()
+                self.work_report.log_if_due(self.dispatch, self._clock.monotonic())
+                self._schedule_decision()
+                await asyncio.sleep(TICK_SECONDS)
+        except Exception as error:
+            self._fail(error, during="timer")
 
     def _forget_ended(self) -> None:
         now = self._clock.monotonic()
@@ -615,6 +652,13 @@
         return int(self._clock.now().timestamp() * 1000)
 
 
+def _build_missing_answer(order: Order) -> OrderAnswer:
+    """Return what becomes of an order that is not answered."""
+    if isinstance(order, StartOrder):
+        return StartOutcome.UNKNOWN, None
+    return CallFailure.NO_ANSWER
+
+
 def _needs_no_log(call: Call) -> bool:
     """Whether an acting leader, which has no log, can carry out a call."""
     if isinstance(call, Submit):
--- a/cottonlug/runtime/ports.py
+++ b/cottonlug/runtime/ports.py
@@ -20,7 +20,8 @@
 )
 
 OnFailure = Callable[[BaseException], None]
-"""Called with an unexpected error, after which the process has to stop."""
+"""Called with an unexpected error, after which the process, or the term that it occurred in, has to
+stop."""
 
 
 class UpstreamPort(Protocol):
--- a/cottonlug/tests/gateway_builders.py
+++ b/cottonlug/tests/gateway_builders.py
@@ -89,7 +89,9 @@
         size=size,
         log=LogSettings(),
     )
-    return Gateway(settings=settings, clock=clock, port=IdlePort(), on_failure=raise_error)
+    gateway = Gateway(settings=settings, clock=clock, port=IdlePort())
+    gateway.link.record_term_failure = raise_error
+    return gateway
 
 
 def build_clock() -> ManualClock:
--- a/cottonlug/tests/model_hosts.py
+++ b/cottonlug/tests/model_hosts.py
@@ -305,6 +305,9 @@
         self.upstreams: dict[UpstreamId, ModelUpstream] = {}
         self.pools: list[_Pools] = []
         self.failures: list[BaseException] = []
+        """Unexpected errors, whether they end a process or a term."""
+        self.term_failures: list[BaseException] = []
+        """Those that have ended a term, while the process goes on."""
         self._cut: set[frozenset[str]] = set()
         self._dead_processes: list[Process] = []
         self._exchanges: set[asyncio.Task[Any]] = set()
@@ -349,6 +352,7 @@
             )
 
         control = process.context.run(build)
+        control.record_term_failure = self.record_term_failure
         process.control = control
         process.handlers = {
             CONTROL_PORT: build_control_handler(control.answer),
@@ -382,10 +386,10 @@
                 settings=settings,
                 clock=HostClock(self.loop),
                 port=ModelPort(self),
-                on_failure=self.failures.append,
             )
 
         gateway = process.context.run(build)
+        gateway.link.record_term_failure = self.record_term_failure
         process.handlers = {PEER_PORT: _answer_peers(gateway)}
 
         async def begin() -> None:
@@ -394,6 +398,10 @@
         process.run(begin())
         return gateway
 
+    def record_term_failure(self, error: BaseException) -> None:
+        self.failures.append(error)
+        self.term_failures.append(error)
+
     def kill(self, machine: Machine, *, power: bool = False, wipe: bool = False) -> None:
         """End a process; its machine then refuses connections or, without power, is silent."""
         if machine.process is not None:
--- a/cottonlug/tests/test_failure_events.py
+++ b/cottonlug/tests/test_failure_events.py
@@ -43,7 +43,7 @@
     asyncio.run(play())
     ((event, fields),) = logged
     traceback = fields.pop("traceback")
-    assert event is Event.INVARIANT_BROKEN
+    assert event is Event.TERM_FAILED
     assert fields == {
         "error": "StopIteration: ",
         "during": "answer to PollOrder",
