Soak: lose upstreams and replace them, and take logged errors for failures

Cause: the soak's upstreams were back after 3.1 s at the most, so that no run could lose one for longer than a coordinator remembers, and none had another kind afterwards. An error that ends a term alone (4022), or a step of a periodic task (1011), would have passed. Change: `--losses` adds series of losses of 2, 12, 31 and 61 s with returns of another kind, beside a gateway that is lost for good and, with odd seeds, no control host for most of the run; the other series of a seed stay as they are. Logged errors 1006, 1011 and 4022 break a run.

--- a/cottonlug/tests/test_soak.py
+++ b/cottonlug/tests/test_soak.py
@@ -41,7 +41,12 @@
 
 
 def build(
-    seed: int, series: int = 2, seconds: float = 120.0, *, cuts_domains: bool = False
+    seed: int,
+    series: int = 2,
+    seconds: float = 120.0,
+    *,
+    cuts_domains: bool = False,
+    replaces_upstreams: bool = False,
 ) -> list[Disruption]:
     return build_plan(
         seed=seed,
@@ -49,6 +54,7 @@
         series=series,
         targets=TARGETS,
         cuts_domains=cuts_domains,
+        replaces_upstreams=replaces_upstreams,
     )
 
 
@@ -63,7 +69,7 @@
 
 def test_plan_contains_every_kind_within_its_duration() -> None:
     """Guards against a kind that is declared and never drawn."""
-    plan = build(1, series=3, seconds=600.0, cuts_domains=True)
+    plan = build(1, series=3, seconds=600.0, cuts_domains=True, replaces_upstreams=True)
     assert {disruption.kind for disruption in plan} == set(DisruptionKind)
     assert all(disruption.start < timedelta(seconds=600) for disruption in plan)
     names = {*TARGETS.control_hosts, *TARGETS.gateways, *TARGETS.upstreams, LEADER}
@@ -99,6 +105,26 @@
     assert [each for each in build(3, cuts_domains=True) if each.kind is not cuts] == build(3)
 
 
+def test_losses_leave_the_other_series_as_they_are() -> None:
+    """Guards against seeds that stand for another plan once upstreams are replaced."""
+    plan = build(3, series=2, replaces_upstreams=True)
+    assert [each for each in plan if each.series < 2] == build(3, series=2)
+
+
+def test_losses_are_short_and_long_under_a_leader_and_without_control_hosts() -> None:
+    """Guards against returns that all come before a coordinator may forget a loss (30 s)."""
+    plans = [build(seed, series=0, seconds=60.0, replaces_upstreams=True) for seed in range(40)]
+    replaced = DisruptionKind.REPLACE_UPSTREAMS
+    losses = [each for plan in plans for each in plan if each.kind is replaced]
+    lengths = [each.length.total_seconds() for each in losses]
+    assert min(lengths) <= 2.0 and sum(length > 30.0 for length in lengths) > len(plans)
+    assert all(each.start + each.length <= timedelta(seconds=52.001) for each in losses)
+    for seed, plan in enumerate(plans):
+        outages = [each for each in plan if each.targets == tuple(TARGETS.control_hosts)]
+        assert len(outages) == seed % 2
+        assert all(each.length > timedelta(seconds=40) for each in outages)
+
+
 def test_cuts_of_domains_are_short_and_long_and_may_follow_at_once() -> None:
     """Guards against cuts that all end before a leader may forget silent upstreams (10 s)."""
     plans = [build(seed, series=0, seconds=60.0, cuts_domains=True) for seed in range(40)]
@@ -408,11 +434,21 @@
 @pytest.fixture(scope="module")
 def cut_run(tmp_path_factory: pytest.TempPathFactory) -> Iterator[subprocess.Popen[str]]:
     """Run the soak with cuts of failure domains, beside the short run to save its time."""
-    sizes = ["--gateways", "3", "--upstreams", "12", "--seconds", "20", "--series", "0"]
-    callers = ["--durable-share", "0", "--timeout", "3"]
-    output = ["--output", str(tmp_path_factory.mktemp("cuts"))]
-    arguments = ["-m", "soak", "--seed", "16", "--cuts", *sizes, *callers, *output]
-    command = [sys.executable, *arguments]
+    arguments = ["--seed", "16", "--cuts", "--seconds", "20", "--timeout", "3"]
+    yield from run_beside(arguments, tmp_path_factory.mktemp("cuts"))
+
+
+@pytest.fixture(scope="module")
+def loss_run(tmp_path_factory: pytest.TempPathFactory) -> Iterator[subprocess.Popen[str]]:
+    """Run the soak with losses of upstreams, the longest for over 30 s, beside the others."""
+    arguments = ["--seed", "2", "--losses", "--seconds", "60", "--rate", "6"]
+    yield from run_beside(arguments, tmp_path_factory.mktemp("losses"))
+
+
+def run_beside(arguments: list[str], output: Path) -> Iterator[subprocess.Popen[str]]:
+    """Run a small soak of best-effort jobs in a process of its own."""
+    sizes = ["--gateways", "3", "--upstreams", "12", "--series", "0", "--durable-share", "0"]
+    command = [sys.executable, "-m", "soak", *arguments, *sizes, "--output", str(output)]
     soak = subprocess.Popen(
         command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
     )
@@ -423,7 +459,10 @@
 
 
 def test_short_run_keeps_every_promise(
-    tmp_path: Path, capsys: pytest.CaptureFixture[str], cut_run: subprocess.Popen[str]
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+    cut_run: subprocess.Popen[str],
+    loss_run: subprocess.Popen[str],
 ) -> None:
     """Guards against broken promises under faults, and against a soak that no longer runs.
 
@@ -451,6 +490,14 @@
     assert int(answered[1]) > 0.3 * int(answered[2]) > 0, printed
 
 
+def test_run_with_lost_upstreams_that_are_replaced_keeps_every_promise(
+    loss_run: subprocess.Popen[str],
+) -> None:
+    """Guards against a process that ends, or a term, as a lost upstream's address is used again."""
+    printed, _ = loss_run.communicate(timeout=150)
+    assert loss_run.returncode == ExitStatus.HELD, printed
+
+
 def test_run_that_cannot_start_is_told_from_a_broken_promise(tmp_path: Path) -> None:
     """Guards against a machine without free ports that passes for a found fault."""
     file = tmp_path / "file"
@@ -496,3 +543,26 @@
 
     ended = ["e1: its process has ended by itself, status 0"]
     assert asyncio.run(play()) == ([] if is_stopping else ended)
+
+
+@pytest.mark.parametrize(
+    ("event", "is_failure"), [(1006, True), (1011, True), (4022, True), (4021, False)]
+)
+def test_logged_error_is_a_failure_though_its_process_goes_on(
+    event: int, is_failure: bool, tmp_path: Path
+) -> None:
+    """Guards against errors that end a term or a step, which callers may not notice."""
+    line = json.dumps({"time": "now", "level": "error", "event": event, "message": "text"})
+
+    async def play() -> list[str]:
+        fleet = Fleet(
+            size=FleetSize(gateways=1), output=tmp_path, record=Record(now=lambda: timedelta())
+        )
+        try:
+            (tmp_path / "logs").mkdir()
+            (tmp_path / "logs" / "e1.log").write_text(f"{line}\n")
+            return fleet.find_failures()
+        finally:
+            await fleet.close()
+
+    assert asyncio.run(play()) == ([f"e1: {line}"] if is_failure else [])
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -42,6 +42,11 @@
     parser.add_argument(
         "--cuts", action="store_true", help="also cut failure domains off, for 3 to 32 s each"
     )
+    parser.add_argument(
+        "--losses",
+        action="store_true",
+        help="also lose upstreams and replace them after 2 to 61 s",
+    )
     parser.add_argument("--gateways", type=int, default=_SIZE.gateways)
     parser.add_argument("--upstreams", type=int, default=_SIZE.upstreams)
     parser.add_argument("--rate", type=float, default=_CALLERS.rate_per_s, help="jobs a second")
@@ -64,6 +69,7 @@
         duration=timedelta(seconds=given.seconds),
         series=given.series,
         cuts_domains=given.cuts,
+        replaces_upstreams=given.losses,
         size=FleetSize(gateways=given.gateways, upstreams=given.upstreams),
         callers=CallerSettings(
             rate_per_s=given.rate,
--- a/soak/disruptions.py
+++ b/soak/disruptions.py
@@ -14,6 +14,8 @@
 from .upstreams import StandInUpstream
 
 LATE_SHARE = 0.1
+OTHER_KIND = "b"
+"""Kind of the upstreams that replace lost ones."""
 LINK_DELAY = 0.25
 """Seconds; under the time after which a gateway or a member counts as lost (0.3 s)."""
 CATCH_UP_SECONDS = 4.0
@@ -107,6 +109,8 @@
             await _cut_upstreams(disruption, names, scene)
         case DisruptionKind.CRASH_UPSTREAMS:
             await _crash_upstreams(names, seconds, scene, same_id=False)
+        case DisruptionKind.REPLACE_UPSTREAMS:
+            await _crash_upstreams(names, seconds, scene, same_id=False, kind=OTHER_KIND)
         case DisruptionKind.RESTART_UPSTREAMS:
             await _crash_upstreams(names, 0.0, scene, same_id=True)
         case DisruptionKind.SILENCE_UPSTREAMS | DisruptionKind.DELAY_ORDERS:
@@ -197,14 +201,14 @@
 
 
 async def _crash_upstreams(
-    names: list[str], seconds: float, scene: Scene, *, same_id: bool
+    names: list[str], seconds: float, scene: Scene, *, same_id: bool, kind: str | None = None
 ) -> None:
     chosen = _claim(names, scene)
     for name in chosen:
         await scene.upstreams[name].crash()
     await asyncio.sleep(seconds)
     for name in chosen:
-        await scene.upstreams[name].restart(same_id=same_id)
+        await scene.upstreams[name].restart(same_id=same_id, kind=kind)
     scene.busy.difference_update(chosen)
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -31,6 +31,8 @@
 GRACE_SECONDS = 6.0
 """How long a process may take to stop before it is killed, as on the users' platform."""
 _START_LIMIT_SECONDS = 30.0
+_ERROR_EVENTS = (1006, 1011, 4022)
+"""Numbers of the events that log unexpected errors: see docs/events.md."""
 _NO_SIGHUP_SECONDS = 3.0
 """A process that has not installed its handlers yet would be ended by SIGHUP."""
 _REQUEST_SECONDS = 1.0
@@ -292,10 +294,19 @@
         self._record.add_disruption(name, "wipe_disk")
 
     def find_failures(self) -> list[str]:
-        """Return a line for each process that has ended by itself."""
+        """Return a line for each process that has ended by itself, and each logged error."""
         for host in self.hosts.values():
             self._note_failure(host)
-        return self._failures
+        return self._failures + self._find_logged_errors()
+
+    def _find_logged_errors(self) -> list[str]:
+        """Return the unexpected errors that processes have logged, whatever these ended."""
+        return [
+            f"{log.stem}: {line}"
+            for log in sorted(self._output.glob("logs/*.log"))
+            for line in log.read_text(errors="replace").splitlines()
+            if any(f'"event": {number},' in line for number in _ERROR_EVENTS)
+        ]
 
     def _note_failure(self, host: Host) -> None:
         if host.process is not None and not host.is_running:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -31,6 +31,17 @@
 WIPE_INTERVAL = 12.0
 """Seconds between two wiped disks: a replaced member must have caught up before the next loss, as
 a majority of the disks holds each entry."""
+AWAY_LENGTHS = (2.0, 12.0, 31.0, 61.0)
+"""Seconds until another instance answers at the address of a lost upstream: below and above the
+times after which a coordinator may forget one (10 s), or what it knows of its loss."""
+LOSS_GAPS = (0.0, 0.6, 2.5)
+"""Seconds between two losses of one series."""
+LOSS_SERIES = 3
+"""Series of losses that overlap."""
+CONTROL_OUTAGE = 0.7
+"""Share of a run with losses, at its end, for which no control host runs in every second one."""
+RETURN_SECONDS = 8.0
+"""Seconds at the end of a run in which upstreams are back, and no more are lost."""
 LEADER_KILL_LEAD = 0.1
 """Seconds by which a leader is killed before the cut of upstreams heals."""
 
@@ -61,6 +72,8 @@
     CUT_LINK_ONE_WAY = "cut_link_one_way"
     CUT_HOST = "cut_host"
     SILENCE_LINK = "silence_link"
+    REPLACE_UPSTREAMS = "replace_upstreams"
+    """They are lost, and then instances of another kind answer at their addresses."""
     CUT_DOMAIN = CUT_DOMAIN
     """The failure domain of the target, with its hosts and upstreams."""
 
@@ -91,13 +104,22 @@
 
 
 def build_plan(
-    *, seed: int, duration: timedelta, series: int, targets: Targets, cuts_domains: bool = False
+    *,
+    seed: int,
+    duration: timedelta,
+    series: int,
+    targets: Targets,
+    cuts_domains: bool = False,
+    replaces_upstreams: bool = False,
 ) -> list[Disruption]:
     """Return disruptions in the order of their start; those of different series overlap.
 
-    `cuts_domains` adds a series of cuts of failure domains and leaves the other series as they are.
+    `cuts_domains` adds a series of cuts of failure domains, `replaces_upstreams` some of upstreams
+    that are lost and replaced; both leave the other series as they are.
     """
     plan = _build_cuts(seed, duration.total_seconds(), series, targets) if cuts_domains else []
+    if replaces_upstreams:
+        plan += _build_losses(seed, duration.total_seconds(), series + 1, targets)
     chance = random.Random(seed)
     seconds = duration.total_seconds()
     free_at = [chance.choice(GAPS) for _ in range(series)]
@@ -144,6 +166,42 @@
     return cuts
 
 
+def _build_losses(
+    seed: int, seconds: float, first_series: int, targets: Targets
+) -> list[Disruption]:
+    """Return losses of upstreams, beside a gateway that is lost for the whole run.
+
+    As that gateway may be beyond a partition, no silent upstream is forgotten. With odd seeds all
+    control hosts are lost as well for a large part of the run, so that a gateway acts as leader.
+    """
+    chance = random.Random(f"losses {seed}")
+    ends_at = seconds - RETURN_SECONDS
+
+    def build(
+        number: int, start: float, end: float, kind: DisruptionKind, names: Sequence[str]
+    ) -> Disruption:
+        return Disruption(
+            series=first_series + number,
+            start=timedelta(seconds=round(start, 3)),
+            length=timedelta(seconds=round(end - start, 3)),
+            kind=kind,
+            targets=tuple(names),
+        )
+
+    plan = [build(0, 0.0, seconds, DisruptionKind.KILL, targets.gateways[-1:])]
+    if seed % 2:
+        start = max(ends_at - CONTROL_OUTAGE * seconds, 0.0)
+        plan.append(build(1, start, ends_at, DisruptionKind.KILL, targets.control_hosts))
+    for number in range(2, 2 + LOSS_SERIES):
+        start = chance.uniform(2.0, 4.0)
+        while start < ends_at:
+            end = min(start + chance.choice(AWAY_LENGTHS), ends_at)
+            names = chance.sample(list(targets.upstreams), chance.choice((1, 1, 2, 3)))
+            plan.append(build(number, start, end, DisruptionKind.REPLACE_UPSTREAMS, names))
+            start = end + chance.choice(LOSS_GAPS)
+    return plan
+
+
 WEIGHTS = {
     DisruptionKind.PAUSE: 5,
     DisruptionKind.KILL: 5,
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,6 +35,7 @@
     duration: timedelta
     series: int
     cuts_domains: bool
+    replaces_upstreams: bool
     size: FleetSize
     callers: CallerSettings
     output: Path
@@ -82,6 +83,7 @@
             duration=settings.duration,
             series=settings.series,
             cuts_domains=settings.cuts_domains,
+            replaces_upstreams=settings.replaces_upstreams,
             targets=Targets(
                 control_hosts=fleet.control_hosts,
                 gateways=fleet.gateways,
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -159,6 +159,7 @@
         one id apart, so `restart` under the same id needs it.
         """
         self.name, self.service, self.domain, self.rack = name, service, domain, rack
+        self.kind = "a"
         self.host, self.port = host, port
         self.is_cut = False
         self.is_unhealthy = False
@@ -280,11 +281,15 @@
         self._record.add_disruption(self._disrupted_source, "crash")
         await self.stop()
 
-    async def restart(self, *, same_id: bool = False) -> None:
-        """Begin a new instance at the same address after a crash, under a new id or the same."""
+    async def restart(self, *, same_id: bool = False, kind: str | None = None) -> None:
+        """Begin a new instance at the same address after a crash, under a new id or the same.
+
+        With `kind` it is of that kind from then on.
+        """
         assert not self._is_up, "restart follows a crash"
         assert self._reports_start_time or not same_id, "the start time tells the instances apart"
         self._life += 1
+        self.kind = kind or self.kind
         if not same_id:
             self.instance_id = f"{self.name}.{self._life}"
         self._begin_life(clock_ms=0.0)
@@ -529,7 +534,7 @@
             "state": "ready",
             "cold_left_ms": 0,
             "capacity": {"cpu": self._cpu_millis, "mem_mb": self._memory_mb, "gpu": 0},
-            "labels": ["a", self.rack],
+            "labels": [self.kind, self.rack],
             "clock_ms": int(self.clock_ms()),
             "seq_no": next(self._sequences),
         }
