Take replies of other programs for no answers

What callers saw: nothing yet; found by reading. Where another program answers 200 at an address that was a host's before, its body was decoded without a check: in the messages of the log and in the requests to join, the error ended the control host; in the keep-alives of a gateway it ended the task that sends them. Cause: only the answers to jobs were read with the errors of decoders in mind. Change: `read_answer`, `messenger._read_reply` and `Membership._ask` count such a reply as none. `DECODE_ERRORS` is in net/transport.py, for both folders.

--- a/cottonlug/net/transport.py
+++ b/cottonlug/net/transport.py
@@ -1,9 +1,14 @@
-"""Results of HTTP calls, common to all clients."""
+"""Results of HTTP calls, and errors of their bodies, common to all clients."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+import msgspec
+
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+"""What decoders raise for a malformed body; the last one if it is nested too deeply."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpReply:
--- a/cottonlug/platform/configurations.py
+++ b/cottonlug/platform/configurations.py
@@ -13,7 +13,8 @@
     Service,
     ServiceName,
 )
-from .decoding import DECODE_ERRORS, describe_error
+from ..net.transport import DECODE_ERRORS
+from .decoding import describe_error
 
 DEFAULT_MAX_BODY_BYTES = 262_144
 """Limit of callers' request bodies where a configuration names none."""
--- a/cottonlug/platform/decoding.py
+++ b/cottonlug/platform/decoding.py
@@ -1,12 +1,7 @@
-"""Errors of bodies that cannot be decoded, and limits of their numbers."""
+"""Errors of bodies that cannot be decoded, as told to their senders, and limits of numbers."""
 
 from __future__ import annotations
 
-import msgspec
-
-DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
-"""What decoders raise for a malformed body; the last one if it is nested too deeply."""
-
 MAX_COUNT = 1 << 52
 """Limit of counts and milliseconds: beyond any real value, and exact in every JSON parser."""
 
--- a/cottonlug/platform/heartbeats.py
+++ b/cottonlug/platform/heartbeats.py
@@ -17,7 +17,8 @@
 from ..core.cluster.model import Capacity, Heartbeat, ServiceName, UpstreamInfo
 from ..core.ids import DomainName, UpstreamId
 from ..net.connections import parse_address
-from .decoding import DECODE_ERRORS, describe_error, is_count
+from ..net.transport import DECODE_ERRORS
+from .decoding import describe_error, is_count
 from .workers import read_run_lists
 
 READY = "ready"
--- a/cottonlug/platform/jobs.py
+++ b/cottonlug/platform/jobs.py
@@ -7,7 +7,8 @@
 from returns.result import Result, Success
 
 from ..core.cluster.model import JobId, JobSpec, JobState, Needs, StepSpec, TaskRef
-from .decoding import DECODE_ERRORS, describe_error
+from ..net.transport import DECODE_ERRORS
+from .decoding import describe_error
 
 STATE_WORDS = {
     JobState.QUEUED: "queued",
--- a/cottonlug/platform/workers.py
+++ b/cottonlug/platform/workers.py
@@ -36,8 +36,8 @@
 )
 from ..core.ids import UpstreamId
 from ..net.connections import ConnectionPool, ConnectionPools, Handshake, parse_address
-from ..net.transport import HttpReply, TransportError
-from .decoding import DECODE_ERRORS, is_count
+from ..net.transport import DECODE_ERRORS, HttpReply, TransportError
+from .decoding import is_count
 from .jobs import build_task_name, parse_task_name
 
 START_PATH = "/run-start"
--- a/cottonlug/runtime/control_host.py
+++ b/cottonlug/runtime/control_host.py
@@ -28,7 +28,6 @@
     Outcome,
     ReportHeartbeats,
     Submit,
-    answer_decoder,
     call_decoder,
 )
 from ..core.cluster.capacity_reports import MAX_TIME_WITHOUT_LEADER, ReportTerms
@@ -50,7 +49,13 @@
 from .loop_monitor import LoopMonitor
 from .membership import JOIN_PATH, JoinRequest
 from .messenger import MESSAGES_PATH
-from .peer_calls import CALL_PATH, FORWARD_TIMEOUT, KEEPALIVE_FORWARD_TIMEOUT, decode_keepalive
+from .peer_calls import (
+    CALL_PATH,
+    FORWARD_TIMEOUT,
+    KEEPALIVE_FORWARD_TIMEOUT,
+    decode_keepalive,
+    read_answer,
+)
 from .ports import UpstreamPort
 from .replica import HELLO_PATH, Replica, ReplicaSettings
 from .replicated import ReplicatedRecords
@@ -355,10 +360,7 @@
             error = sent.failure()
             outcome = Outcome.UNAVAILABLE if error.unsent else Outcome.UNKNOWN
             return Answer(outcome=outcome, detail=f"the leader cannot be reached: {error.message}")
-        reply = sent.unwrap()
-        if reply.status != 200:
-            return Answer(outcome=Outcome.UNKNOWN, detail=f"the leader answered {reply.status}")
-        return answer_decoder.decode(reply.body)
+        return read_answer(leader, sent.unwrap())
 
     async def _check(self) -> float:
         """Check the role of this host; return the seconds until the next check."""
--- a/cottonlug/runtime/membership.py
+++ b/cottonlug/runtime/membership.py
@@ -24,6 +24,7 @@
 from ..core.consensus.types import MemberId, Members
 from ..core.control_messages import Hello
 from ..net.connections import ConnectionPools, parse_address
+from ..net.transport import DECODE_ERRORS
 from .messenger import CALL_TIMEOUT
 
 JOIN_PATH = "/v1/join"
@@ -100,7 +101,11 @@
         sent = await pool.call("POST", JOIN_PATH, request, timeout=CALL_TIMEOUT)
         if isinstance(sent, Err) or sent.unwrap().status != 200:
             return None
-        return _decoder.decode(sent.unwrap().body)
+        try:
+            return _decoder.decode(sent.unwrap().body)
+        except DECODE_ERRORS:
+            # Another program answers at an address that was a host's before.
+            return None
 
 
 _decoder = msgspec.json.Decoder(Hello)
--- a/cottonlug/runtime/messenger.py
+++ b/cottonlug/runtime/messenger.py
@@ -10,7 +10,7 @@
 
 import msgspec
 from returns.result import Failure as Err
-from returns.result import Success
+from returns.result import Result, Success
 
 from ..config.options import Address
 from ..core.clock import Clock
@@ -26,6 +26,7 @@
 )
 from ..core.control_messages import ConsensusBatch
 from ..net.connections import ConnectionPools, parse_address
+from ..net.transport import DECODE_ERRORS, HttpReply, TransportError
 from .events import Event
 from .failures import log_failure
 
@@ -180,17 +181,27 @@
         timeout = SNAPSHOT_TIMEOUT if is_large else CALL_TIMEOUT
         pool = self._pools.get(peer.address)
         sent = await pool.call("POST", MESSAGES_PATH, body, timeout=timeout)
-        if isinstance(sent, Err) or sent.unwrap().status != 200:
+        reply = _read_reply(sent)
+        if reply is None:
             # The leader's next heartbeat makes up for lost messages.
             peer.outbox = []
             if report is not None:
                 is_refused = isinstance(sent, Success) and sent.unwrap().status == BAD_REQUEST
                 self.on_lost_report(peer.host, is_refused)
             return
-        reply = _decoder.decode(sent.unwrap().body)
         if any(isinstance(each, AppendReply) and each.term == term for each in reply.messages):
             peer.acked_at = sent_at
         self._on_reply(reply)
 
 
 _decoder = msgspec.json.Decoder(ConsensusBatch)
+
+
+def _read_reply(sent: Result[HttpReply, TransportError]) -> ConsensusBatch | None:
+    """Return the messages in a reply; None without one, or if another program has replied."""
+    if isinstance(sent, Err) or sent.unwrap().status != 200:
+        return None
+    try:
+        return _decoder.decode(sent.unwrap().body)
+    except DECODE_ERRORS:
+        return None
--- a/cottonlug/runtime/peer_calls.py
+++ b/cottonlug/runtime/peer_calls.py
@@ -28,7 +28,7 @@
 )
 from ..net.asgi import HttpRequest
 from ..net.connections import ConnectionPools, parse_address
-from ..net.transport import HttpReply, TransportError
+from ..net.transport import DECODE_ERRORS, HttpReply, TransportError
 from .job_channel import JobChannel
 
 CALL_PATH = "/v1/call"
@@ -58,6 +58,19 @@
 _TAG_SEARCH_BYTES = 24
 
 
+def read_answer(host: str, reply: HttpReply) -> Answer:
+    """Return the answer in a reply of a host; it is unknown if the reply cannot be read.
+
+    Another program may answer at an address that was a host's before.
+    """
+    if reply.status != 200:
+        return Answer(outcome=Outcome.UNKNOWN, detail=f"{host} answered {reply.status}")
+    try:
+        return answer_decoder.decode(reply.body)
+    except DECODE_ERRORS as error:
+        return Answer(outcome=Outcome.UNKNOWN, detail=f"{host} answered what is no answer: {error}")
+
+
 class PeerCalls:
     """Sends calls, and keeps track of those in progress by the host that is to answer them."""
 
@@ -86,10 +99,7 @@
             error = sent.failure()
             outcome = Outcome.UNAVAILABLE if error.unsent else Outcome.UNKNOWN
             return Answer(outcome=outcome, detail=error.message)
-        reply = sent.unwrap()
-        if reply.status != 200:
-            return Answer(outcome=Outcome.UNKNOWN, detail=f"{host} answered {reply.status}")
-        return answer_decoder.decode(reply.body)
+        return read_answer(host, sent.unwrap())
 
     def abandon_calls(self, host: str) -> None:
         """End all calls that a host has not answered, with an unknown outcome."""
