Look for the losses that explain nothing once for many removed upstreams

The removal of each lost upstream went through all known ones, to drop the losses of removed upstreams that explain no other. A leader that forgets a domain removes hundreds in one turn. Change: they are looked for only when the list has doubled since the last time.

--- a/cottonlug/core/cluster/crash_tracker.py
+++ b/cottonlug/core/cluster/crash_tracker.py
@@ -41,6 +41,8 @@
 
 LARGEST_RACK = 64
 """A label that more upstreams have than this does not name a rack."""
+MIN_KEPT_LOSSES = 64
+"""Losses of removed upstreams that are kept in any case."""
 MAX_REPORTED_SUSPECTS = 1_000
 """Most suspects kept of those that gateways have reported; those reported first are dropped first,
 as their jobs ended long ago."""
@@ -59,7 +61,10 @@
         self._instances = instances
         self._removed_losses: list[Loss] = []
         """Losses of upstreams that have been removed since, as far as they may share a cause with
-        one that is still known here, or is yet to be found."""
+        one that is still known here, or is yet to be found, and some others."""
+        self._max_removed_losses = MIN_KEPT_LOSSES
+        """Number of them above which the others are dropped. A domain may be removed at once, and
+        looking for the others takes time for each upstream."""
         self.quarantined: Counter[QueueKey] = Counter()
         """How many tasks of each queue were quarantined in this term for crashing upstreams."""
         self._unresolved_losses: Counter[TaskRef] = Counter()
@@ -127,7 +132,8 @@
         if instance.loss is not None:
             self._removed_losses.append(instance.loss)
             instance.loss = None
-            self._drop_unrelated_losses(now)
+            if len(self._removed_losses) > self._max_removed_losses:
+                self._drop_unrelated_losses(now)
         return self._clear_lost_tasks(instance)
 
     def _drop_unrelated_losses(self, now: timedelta) -> None:
@@ -139,6 +145,7 @@
             if now - loss.at <= SIMULTANEOUS_WITHIN
             or any(is_simultaneous(loss, each) for each in open_losses)
         ]
+        self._max_removed_losses = max(2 * len(self._removed_losses), MIN_KEPT_LOSSES)
 
     def _list_open_losses(self) -> list[Loss]:
         """Return the losses of upstreams of which it is not known whether they crashed."""
--- a/cottonlug/tests/test_cluster_returns.py
+++ b/cottonlug/tests/test_cluster_returns.py
@@ -12,11 +12,13 @@
 
 import pytest
 
+from ..core.cluster.commands import RemoveUpstreams
+from ..core.cluster.crash_tracker import CrashTracker
 from ..core.cluster.crashes import ONE_CRASH, ONE_LOSS, CrashCounts
 from ..core.cluster.model import JobId, JobState
 from ..core.ids import UpstreamId
 from .model_racks import RACK, Site, build_site
-from .model_upstreams import ModelUpstream
+from .model_upstreams import ModelUpstream, build_info, start_site_leader
 
 RETURNS = [5.0, 11.0, 31.0, 61.0]
 """Seconds from the loss of an upstream until another instance answers at its address."""
@@ -131,6 +133,31 @@
     assert site.find_state(job) is JobState.COMPLETED
 
 
+def test_a_domain_is_removed_without_a_search_for_each_upstream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a leader that is silent for longer than its lease as it forgets a domain."""
+    infos = [build_info(f"u{number}", domain=f"d{number % 2}") for number in range(1_200)]
+    leader = start_site_leader(infos, seed=1, run_ms=60)
+    tracker, now = leader.dispatch.jobs.crash_tracker, leader.world.now
+    lost = [each for each in leader.dispatch.instances.values() if each.info.domain == "d1"]
+    for instance in lost:
+        tracker.record_no_answer(instance, now)
+    searches: list[timedelta] = []
+    search = CrashTracker._drop_unrelated_losses
+
+    def count_search(self: CrashTracker, at: timedelta) -> None:
+        searches.append(at)
+        search(self, at)
+
+    monkeypatch.setattr(CrashTracker, "_drop_unrelated_losses", count_search)
+    for instance in lost:
+        command = RemoveUpstreams(upstreams=(instance.info.id,))
+        leader.dispatch.handle_applied_command(command, now + timedelta(seconds=12))
+    assert len(lost) == 600
+    assert 1 <= len(searches) <= 10
+
+
 def play_losses(seed: int, *, seconds: float, durable: bool) -> None:
     """Lose upstreams for 1 to 90 s each, beside changes of leaders.
 
