Give up an acting leader's term that cannot begin, and answer no call by a failed one

An acting leader that could not be built was tried again at each failover check, ten times a second. Until a failed term is replaced, up to 0.15 s at a gateway, calls were still answered by its state. Change: the gateway leaves acting to others for 2 s, as after a term that has failed later; a failed term answers calls as unavailable, so that they are sent again.

--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -32,7 +32,7 @@
 from .confirmations import Confirmations
 from .events import Event, log_event
 from .failover_store import FailoverStore
-from .failures import repeat
+from .failures import log_failure, repeat
 from .gateway_registry import GATEWAY_TIMEOUT
 from .keepalive_tracker import OVERDUE_AFTER, KeepAliveTracker
 from .peer_calls import PeerCalls
@@ -147,7 +147,7 @@
         self._checked_at = clock.monotonic()
         """When `check_failover` was last called, or this gateway began to act as leader."""
         self._fenced_off_at: timedelta | None = None
-        """When upstreams last fenced this gateway off as acting leader."""
+        """When upstreams last fenced this gateway off as acting leader, or an error ended that."""
         self._changed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._keepalive_tasks: set[asyncio.Task[bool]] = set()
@@ -614,7 +614,23 @@
             # Pending calls could still have been answered there; now they are retried here.
             self.unfollow(self.coordinator)
         self._checked_at = self._clock.monotonic()
-        self.acting_leader = ActingLeader(
+        try:
+            self.acting_leader = self._build_acting_leader(failover_state, level)
+        except Exception as error:
+            term = failover_state.term
+            log_failure(Event.TERM_FAILED, error, during="start of a term", term=term)
+            self._record_term_failure(error)
+            self._fenced_off_at = self._clock.monotonic()
+            return
+        self._register_itself(self.acting_leader)
+        self.coordinator = self.own_address
+        self._raise_acting_leader_term(failover_state.term)
+        self.via = Via.ACTING_LEADER
+        self._notify_change()
+        log_event(Event.ACTING_AS_LEADER, term=failover_state.term, at_level=level)
+
+    def _build_acting_leader(self, failover_state: FailoverState, level: int) -> ActingLeader:
+        return ActingLeader(
             failover_state=failover_state,
             level=level,
             domain=find_acting_domain(failover_state, self.own_address),
@@ -630,12 +646,6 @@
             isolation=self._isolation,
             on_failure=self._record_term_failure,
         )
-        self._register_itself(self.acting_leader)
-        self.coordinator = self.own_address
-        self._raise_acting_leader_term(failover_state.term)
-        self.via = Via.ACTING_LEADER
-        self._notify_change()
-        log_event(Event.ACTING_AS_LEADER, term=failover_state.term, at_level=level)
 
     def _record_term_failure(self, error: BaseException) -> None:
         self.failed_terms += 1
--- a/cottonlug/runtime/leadership.py
+++ b/cottonlug/runtime/leadership.py
@@ -82,6 +82,8 @@
 
 ISOLATED = "messages of this upstream are not handled for now"
 """Detail of the answer to a heartbeat of an isolated upstream (`UpstreamIsolation`)."""
+TERM_HAS_FAILED = "an unexpected error has ended the term"
+"""Detail of the answers of a failed term, which is about to be replaced."""
 TICK_SECONDS = 0.02
 """Decisions are made at least this often; calls and answers of upstreams cause further ones."""
 FORGET_INTERVAL = timedelta(seconds=5)
@@ -295,6 +297,8 @@
 
     async def answer(self, call: Call) -> Answer:
         """Carry out a call; the caller checks that the lease is valid or the call needs none."""
+        if self.has_failed:
+            return Answer(outcome=Outcome.UNAVAILABLE, detail=TERM_HAS_FAILED)
         if not self._settings.keeps_log and not _needs_no_log(call):
             return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LOG)
         if isinstance(call, AskState):
--- a/cottonlug/tests/test_term_failures.py
+++ b/cottonlug/tests/test_term_failures.py
@@ -147,6 +147,37 @@
     assert world.term_failures
 
 
+def test_an_error_at_the_start_of_an_acting_leaders_term_ends_no_gateway(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a gateway that tries to act as leader ten times a second."""
+    build = InstanceTable.__init__
+
+    def build_or_raise(self: InstanceTable, **arguments: Any) -> None:
+        if not arguments["term"].keeps_log:
+            raise LookupError("a record that the table does not expect")
+        build(self, **arguments)
+
+    async def scenario(world: World) -> None:
+        machines = await start_three(world)
+        gateway = world.start_gateway("g1", "north", "10.0.2.1", machines)
+        await add_upstreams(world)
+        await Operator(world, random.Random(1)).configure(1)
+        await asyncio.sleep(3)
+        for machine in machines:
+            world.kill(machine)
+        await asyncio.sleep(4 * ACT_AS_LEADER_AGAIN_AFTER.total_seconds())
+        assert gateway.acting_leader is None
+        monkeypatch.setattr(InstanceTable, "__init__", build)
+        await asyncio.sleep(ACT_AS_LEADER_AGAIN_AFTER.total_seconds() + 1)
+        assert gateway.acting_leader is not None
+
+    monkeypatch.setattr(InstanceTable, "__init__", build_or_raise)
+    world = play(1, scenario)
+    assert count_process_failures(world) == 0
+    assert 2 <= len(world.term_failures) <= 4
+
+
 @pytest.mark.parametrize("name", ["tick", "handle_applied_command"])
 def test_an_error_in_a_decision_or_on_an_entry_of_the_log_ends_one_term(
     name: str, monkeypatch: pytest.MonkeyPatch
