--- a/cottonlug/tests/test_soak.py
+++ b/cottonlug/tests/test_soak.py
@@ -441,7 +441,7 @@
 @pytest.fixture(scope="module")
 def loss_run(tmp_path_factory: pytest.TempPathFactory) -> Iterator[subprocess.Popen[str]]:
     """Run the soak with losses of upstreams, the longest for over 30 s, beside the others."""
-    arguments = ["--seed", "2", "--losses", "--seconds", "60", "--rate", "6"]
+    arguments = ["--seed", "1", "--losses", "--seconds", "60", "--rate", "6"]
     yield from run_beside(arguments, tmp_path_factory.mktemp("losses"))
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -37,9 +37,12 @@
 LOSS_GAPS = (0.0, 0.6, 2.5)
 """Seconds between two losses of one series."""
 LOSS_SERIES = 3
-"""Series of losses that overlap."""
-CONTROL_OUTAGE = 0.7
-"""Share of a run with losses, at its end, for which no control host runs in every second one."""
+"""Series of losses that overlap; all but one begin with a long one, so that others are lost in the
+meantime."""
+CONTROL_OUTAGE_START = 2.0
+"""Seconds after which no control host runs in every second run with losses."""
+FIRST_LOSSES = (4.0, 6.0)
+"""Seconds between which the first loss of a series begins: a gateway acts as leader by then."""
 RETURN_SECONDS = 8.0
 """Seconds at the end of a run in which upstreams are back, and no more are lost."""
 LEADER_KILL_LEAD = 0.1
@@ -172,7 +175,7 @@
     """Return losses of upstreams, beside a gateway that is lost for the whole run.
 
     As that gateway may be beyond a partition, no silent upstream is forgotten. With odd seeds all
-    control hosts are lost as well for a large part of the run, so that a gateway acts as leader.
+    control hosts are lost as well for most of the run, so that a gateway acts as leader.
     """
     chance = random.Random(f"losses {seed}")
     ends_at = seconds - RETURN_SECONDS
@@ -190,15 +193,17 @@
 
     plan = [build(0, 0.0, seconds, DisruptionKind.KILL, targets.gateways[-1:])]
     if seed % 2:
-        start = max(ends_at - CONTROL_OUTAGE * seconds, 0.0)
-        plan.append(build(1, start, ends_at, DisruptionKind.KILL, targets.control_hosts))
+        hosts = targets.control_hosts
+        plan.append(build(1, CONTROL_OUTAGE_START, ends_at, DisruptionKind.KILL, hosts))
     for number in range(2, 2 + LOSS_SERIES):
-        start = chance.uniform(2.0, 4.0)
+        start = chance.uniform(*FIRST_LOSSES)
+        lengths: Sequence[float] = AWAY_LENGTHS[-2:] if number > 2 else AWAY_LENGTHS[:2]
         while start < ends_at:
-            end = min(start + chance.choice(AWAY_LENGTHS), ends_at)
+            end = min(start + chance.choice(lengths), ends_at)
             names = chance.sample(list(targets.upstreams), chance.choice((1, 1, 2, 3)))
             plan.append(build(number, start, end, DisruptionKind.REPLACE_UPSTREAMS, names))
             start = end + chance.choice(LOSS_GAPS)
+            lengths = AWAY_LENGTHS
     return plan
 
 
