Hold SIGHUP and SIGUSR1 until a daemon has installed its handlers

Cause: the default action of both signals ends a process, and imports take a quarter of a second. Change: `held_signals` blocks them from the first line of the program on; each is released with its handler, and delivered then if it is pending. While the interpreter itself starts they still end it.

--- a/cottonlug/commands/control.py
+++ b/cottonlug/commands/control.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from ..config.cluster import load_control_settings
+from ..held_signals import hold_signals
 from ..net.connections import ConnectionPools
 from ..platform.control import build_control_handler
 from ..platform.workers import WorkerClient
@@ -39,6 +40,7 @@
 
 def serve_control(config: Path) -> int:
     """Run a control host until a stop signal and return the exit code."""
+    hold_signals()
     return run_loop(_serve_control(config))
 
 
--- a/cottonlug/commands/gateway.py
+++ b/cottonlug/commands/gateway.py
@@ -8,6 +8,7 @@
 
 from ..config.cluster import load_gateway_settings
 from ..exceptions import SettingsError
+from ..held_signals import hold_signals
 from ..net.asgi import build_asgi
 from ..net.connections import ConnectionPools
 from ..net.servers import Listener
@@ -43,6 +44,7 @@
 
 def serve_gateway(config: Path) -> int:
     """Run a gateway until a stop signal and return the exit code."""
+    hold_signals()
     return run_loop(_serve_gateway(config))
 
 
--- a/cottonlug/daemon.py
+++ b/cottonlug/daemon.py
@@ -11,7 +11,7 @@
 import sys
 from pathlib import Path
 
-from . import unused_imports
+from . import held_signals, unused_imports
 from .exceptions import BrokenInvariantError, SettingsError
 
 USAGE = "usage: python -m cottonlug.daemon control|gateway --config FILE"
@@ -33,6 +33,7 @@
 
 
 def _serve(name: str, config: Path) -> int:
+    held_signals.hold_signals()
     unused_imports.block_unused_imports()
     # Imported modules live as long as the process, so garbage collection is off while they are
     # imported, and their objects are excluded from every later full collection.
--- a/cottonlug/runtime/process.py
+++ b/cottonlug/runtime/process.py
@@ -10,6 +10,7 @@
 
 import uvloop
 
+from ..held_signals import release_signal
 from ..net.codec import encode
 from .events import Event, log_event
 
@@ -28,10 +29,12 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGUSR1, lambda: dump_state(build_dump))
+        release_signal(signal.SIGUSR1)
 
     def watch_reload(self, reload: Callable[[], None]) -> None:
         """Call `reload` on SIGHUP."""
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+        release_signal(signal.SIGHUP)
 
     def fail(self, error: BaseException) -> None:
         """Begin to stop because of an unexpected error."""
