Let another gateway act as leader after a failed term

After its term had failed, a gateway that takes precedence paused for 2 s, and the others waited for it: it still answered their keep-alives with the control hosts, by which they know that it is about to act. Change: within that pause it answers without them, as a gateway does that lacks the configuration. The pause after a failed term is kept apart from the one after being fenced off, where the next token of others may be too low as well. Measured: test_another_gateway_acts_as_leader_after_a_failed_term failed before (none acts 1 s after the failure) and holds.

--- a/cottonlug/runtime/coordinator_link.py
+++ b/cottonlug/runtime/coordinator_link.py
@@ -77,8 +77,9 @@
 """If more time than this has passed since the last failover check, this process was delayed.
 Another coordinator may have replaced this acting leader, which therefore steps down."""
 ACT_AS_LEADER_AGAIN_AFTER = timedelta(seconds=2)
-"""Pause after this gateway was fenced off as acting leader: an upstream has refused its orders for
-the higher fencing token of a coordinator that this gateway cannot reach. With the same failover
+"""Pause after an unexpected error has ended this gateway's role as acting leader: others take it
+first. Also after this gateway was fenced off as acting leader: an upstream has refused its orders
+for the higher fencing token of a coordinator that this gateway cannot reach. With the same failover
 state its next token would be too low again, and it would lose its callers' jobs each time (every
 0.3 s beside an overloaded leader)."""
 
@@ -147,7 +148,9 @@
         self._checked_at = clock.monotonic()
         """When `check_failover` was last called, or this gateway began to act as leader."""
         self._fenced_off_at: timedelta | None = None
-        """When upstreams last fenced this gateway off as acting leader, or an error ended that."""
+        """When upstreams last fenced this gateway off as acting leader."""
+        self._failed_at: timedelta | None = None
+        """When an unexpected error last ended this gateway's role as acting leader."""
         self._changed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._keepalive_tasks: set[asyncio.Task[bool]] = set()
@@ -236,7 +239,7 @@
         if self.acting_leader is None:
             return
         acting_leader, self.acting_leader = self.acting_leader, None
-        if acting_leader.authority.is_over:
+        if acting_leader.authority.is_over and not acting_leader.leadership.has_failed:
             # Fenced off: another coordinator has a higher fencing token.
             self._fenced_off_at = self._clock.monotonic()
         acting_leader.stop()
@@ -349,6 +352,16 @@
         """Return whether this gateway's configuration is older than what its callers may know."""
         return self.failover_store.is_older(self.failover_store.configuration_version)
 
+    def leaves_acting_to_others(self) -> bool:
+        """Return whether another gateway is to act as leader, though this one takes precedence."""
+        return self.lacks_configuration() or self._is_within_pause(self._failed_at)
+
+    def _is_within_pause(self, ended_at: timedelta | None) -> bool:
+        """Return whether this gateway's last role as acting leader has just ended."""
+        return (
+            ended_at is not None and self._clock.monotonic() - ended_at < ACT_AS_LEADER_AGAIN_AFTER
+        )
+
     def yield_to_newer_configuration(self, keepalive: KeepAlive) -> None:
         """Leave it to another gateway to act as leader, if that has a newer configuration."""
         self.failover_store.record_version(keepalive.configuration_version)
@@ -543,13 +556,9 @@
         It cannot store the results of durable jobs. It can only send orders by calling upstreams,
         since it gets no heartbeats whose answers could carry them.
         """
-        now = self._clock.monotonic()
-        if (
-            self._fenced_off_at is not None
-            and now - self._fenced_off_at < ACT_AS_LEADER_AGAIN_AFTER
-        ):
+        if self._is_within_pause(self._fenced_off_at) or self._is_within_pause(self._failed_at):
             return False
-        is_due = now - self._leader_seen_at >= self._get_acting_delay()
+        is_due = self._clock.monotonic() - self._leader_seen_at >= self._get_acting_delay()
         return is_due and not (
             failover_state.has_durable_jobs
             or not failover_state.accepts_calls
@@ -620,7 +629,6 @@
             term = failover_state.term
             log_failure(Event.TERM_FAILED, error, during="start of a term", term=term)
             self._record_term_failure(error)
-            self._fenced_off_at = self._clock.monotonic()
             return
         self._register_itself(self.acting_leader)
         self.coordinator = self.own_address
@@ -649,6 +657,7 @@
 
     def _record_term_failure(self, error: BaseException) -> None:
         self.failed_terms += 1
+        self._failed_at = self._clock.monotonic()
         self.record_term_failure(error)
 
     def _register_itself(self, acting_leader: ActingLeader) -> None:
--- a/cottonlug/runtime/gateway.py
+++ b/cottonlug/runtime/gateway.py
@@ -405,7 +405,7 @@
         leader = self.link.coordinator if self.link.has_direct_leader() else None
         if leader is None:
             # Without hosts the answer keeps no other gateway from acting as leader.
-            hosts = () if self.link.lacks_configuration() else tuple(self.hosts)
+            hosts = () if self.link.leaves_acting_to_others() else tuple(self.hosts)
             return Answer(outcome=Outcome.UNAVAILABLE, detail=NO_LEADER, hosts=hosts)
         answer = await self.calls.ask(leader, call, _get_relay_timeout(call))
         if isinstance(call, KeepAlive) and answer.outcome is not Outcome.DONE:
--- a/cottonlug/tests/test_term_failures.py
+++ b/cottonlug/tests/test_term_failures.py
@@ -147,6 +147,42 @@
     assert world.term_failures
 
 
+def test_another_gateway_acts_as_leader_after_a_failed_term(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against gateways that wait for one which takes precedence, and pauses."""
+    handle = Dispatch.handle_poll_answer
+    failed: list[Dispatch] = []
+
+    def fail_once(self: Dispatch, *arguments: Any) -> None:
+        if not failed:
+            failed.append(self)
+            raise LookupError("a look-up that takes an answer for granted")
+        handle(self, *arguments)
+
+    async def scenario(world: World) -> None:
+        machines = await start_three(world)
+        gateways = [
+            world.start_gateway(f"g{number}", "north", f"10.0.2.{number}", machines)
+            for number in (1, 2)
+        ]
+        await add_upstreams(world)
+        await Operator(world, random.Random(1)).configure(1)
+        await asyncio.sleep(3)
+        monkeypatch.setattr(Dispatch, "handle_poll_answer", fail_once)
+        for machine in machines:
+            world.kill(machine)
+        while not failed:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(ACT_AS_LEADER_AGAIN_AFTER.total_seconds() / 2)
+        acting = [each for each in gateways if each.acting_leader is not None]
+        assert len(acting) == 1
+        assert acting[0].link.failed_terms == 0
+
+    world = play(1, scenario)
+    assert (count_process_failures(world), len(world.term_failures)) == (0, 1)
+
+
 def test_an_error_at_the_start_of_an_acting_leaders_term_ends_no_gateway(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
