--- a/cottonlug/tests/test_soak.py
+++ b/cottonlug/tests/test_soak.py
@@ -435,17 +435,17 @@
 def cut_run(tmp_path_factory: pytest.TempPathFactory) -> Iterator[subprocess.Popen[str]]:
     """Run the soak with cuts of failure domains, beside the short run to save its time."""
     arguments = ["--seed", "16", "--cuts", "--seconds", "20", "--timeout", "3"]
-    yield from run_beside(arguments, tmp_path_factory.mktemp("cuts"))
+    yield from run_small_soak(arguments, tmp_path_factory.mktemp("cuts"))
 
 
-@pytest.fixture(scope="module")
-def loss_run(tmp_path_factory: pytest.TempPathFactory) -> Iterator[subprocess.Popen[str]]:
-    """Run the soak with losses of upstreams, the longest for over 30 s, beside the others."""
+@pytest.fixture
+def loss_run(tmp_path: Path) -> Iterator[subprocess.Popen[str]]:
+    """Run the soak with losses of upstreams, the longest for over 30 s, after the others."""
     arguments = ["--seed", "1", "--losses", "--seconds", "60", "--rate", "6"]
-    yield from run_beside(arguments, tmp_path_factory.mktemp("losses"))
+    yield from run_small_soak(arguments, tmp_path)
 
 
-def run_beside(arguments: list[str], output: Path) -> Iterator[subprocess.Popen[str]]:
+def run_small_soak(arguments: list[str], output: Path) -> Iterator[subprocess.Popen[str]]:
     """Run a small soak of best-effort jobs in a process of its own."""
     sizes = ["--gateways", "3", "--upstreams", "12", "--series", "0", "--durable-share", "0"]
     command = [sys.executable, "-m", "soak", *arguments, *sizes, "--output", str(output)]
@@ -459,10 +459,7 @@
 
 
 def test_short_run_keeps_every_promise(
-    tmp_path: Path,
-    capsys: pytest.CaptureFixture[str],
-    cut_run: subprocess.Popen[str],
-    loss_run: subprocess.Popen[str],
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], cut_run: subprocess.Popen[str]
 ) -> None:
     """Guards against broken promises under faults, and against a soak that no longer runs.
 
